Lay the seams: context, transport, bundle model and slice protocols

Cause: path, control plane and proof are to grow side by side, and the daemons must run unchanged on real sockets and in a simulator; so the seams come first. Change: Context with clock, network, disk, HTTP client, random, log and tasks as protocols; the real ones; msgpack messenger with mutual proof of the fleet key; bundle model; one protocol per slice; DESIGN.md with numbered sections. Conclusion: a start only; nothing serves traffic yet.

--- /dev/null
+++ b/wingwood/__init__.py
@@ -0,0 +1,1 @@
+"""wingwood: a router fleet for language models (see docs/DESIGN.md)."""
--- /dev/null
+++ b/wingwood/settings/model.py
@@ -0,0 +1,44 @@
+"""Where a daemon stands and how it behaves (docs/DESIGN.md section 6)."""
+
+from __future__ import annotations
+
+from typing import Literal
+
+import msgspec
+
+from ..identifiers import Address, DaemonName, Seconds, Zone
+
+
+class DaemonSettings(msgspec.Struct, frozen=True, kw_only=True):
+    """One daemon's settings, read from a TOML file and flags (flags win)."""
+
+    name: DaemonName
+    role: Literal["router", "control"]
+    zone: Zone
+    internal: Address
+    """Where other daemons reach it."""
+    operator: Address
+    """Where workers announce themselves, operators send orders, and the platform asks live/ready/metrics."""
+    caller: Address | None = None
+    """Where callers send their calls (routers only)."""
+    seeds: tuple[Address, ...]
+    """Internal addresses of three other daemons; control daemons found the fleet only from these."""
+    data_folder: str | None = None
+    """Control daemons need one; routers keep nothing on disk."""
+    fleet_key: bytes
+    """Shared secret of the daemons."""
+    operator_keys: tuple[str, ...]
+    """Hex Ed25519 public keys whose bundles are taken."""
+    removed_key_bound: Seconds | None = None
+    """Despensa: 5.0 -- a router that cannot prove its bundle newest stops serving in time. None: serves on."""
+    balancing: Literal["award", "round-robin", "least-loaded", "sticky"] = "award"
+    record_file: str | None = None
+    """Where a router records its day for the replay tool; a path below the data folder."""
+    stop_within: Seconds = Seconds(20.0)
+    """Longest time from SIGTERM to exit, for streams to finish."""
+    ledger_retention: Seconds = Seconds(1800.0)
+    outcome_retention: int = 100_000
+    """How many orders' outcomes control keeps."""
+    body_bytes: int = 4 * 1024 * 1024
+    """Largest request body taken."""
+    bundle_bytes: int = 16 * 1024 * 1024
--- /dev/null
+++ b/wingwood/transport/frames.py
@@ -0,0 +1,79 @@
+"""Length-framed msgpack between daemons (docs/DESIGN.md section 4)."""
+
+from __future__ import annotations
+
+import hashlib
+import hmac
+from typing import Literal
+
+import msgspec
+from tornado.iostream import BaseIOStream, StreamClosedError
+
+from ..identifiers import Address, DaemonName, Incarnation, Zone
+
+PROTOCOL_VERSION = 1
+LENGTH_BYTES = 4
+
+
+class Identity(msgspec.Struct, frozen=True):
+    """Who a daemon is, as told in its hello."""
+
+    name: DaemonName
+    incarnation: Incarnation
+    role: Literal["router", "control", "tool"]
+    zone: Zone
+    internal: Address
+    """Where its messenger listens."""
+    operator: Address | None = None
+    """Where it serves workers and operators over HTTP."""
+    caller: Address | None = None
+    """Where it serves callers over HTTP (routers)."""
+
+
+class Hello(msgspec.Struct, frozen=True, array_like=True):
+    protocol: int
+    identity: Identity
+    nonce: bytes
+    proof: bytes
+    """Empty in the connecting side's first frame; else HMAC-SHA-256 over both nonces and the identity."""
+
+
+class Envelope(msgspec.Struct, frozen=True, array_like=True):
+    kind: Literal["call", "reply", "fault", "post"]
+    number: int
+    name: str
+    body: msgspec.Raw
+
+
+class FrameTooLarge(Exception):
+    """The other side announced a frame above the bound; the connection is closed."""
+
+
+def prove(key: bytes, identity: Identity, own_nonce: bytes, other_nonce: bytes) -> bytes:
+    return hmac.digest(key, msgspec.msgpack.encode(identity) + own_nonce + other_nonce, hashlib.sha256)
+
+
+def frame(payload: bytes) -> bytes:
+    return len(payload).to_bytes(LENGTH_BYTES, "big") + payload
+
+
+async def read_frame(stream: BaseIOStream, most: int) -> bytes:
+    """Raises StreamClosedError at the end and FrameTooLarge above ``most`` bytes."""
+    length = int.from_bytes(await stream.read_bytes(LENGTH_BYTES), "big")
+    if length > most:
+        raise FrameTooLarge(f"{length} bytes announced, {most} allowed")
+    return bytes(await stream.read_bytes(length))
+
+
+__all__ = [
+    "LENGTH_BYTES",
+    "PROTOCOL_VERSION",
+    "Envelope",
+    "FrameTooLarge",
+    "Hello",
+    "Identity",
+    "StreamClosedError",
+    "frame",
+    "prove",
+    "read_frame",
+]
--- /dev/null
+++ b/wingwood/transport/messenger.py
@@ -0,0 +1,347 @@
+"""Calls and posts between daemons: one link and one task for each peer (docs/DESIGN.md section 4)."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from typing import Any, Literal, Protocol, TypeVar
+
+import msgspec
+from returns.result import Failure, Result, Success
+from tornado.iostream import BaseIOStream
+
+from ..context.protocols import Context, Listener, NetworkFault
+from ..identifiers import Address, Instant, Seconds
+from .frames import (
+    PROTOCOL_VERSION,
+    Envelope,
+    FrameTooLarge,
+    Hello,
+    Identity,
+    StreamClosedError,
+    frame,
+    prove,
+    read_frame,
+)
+
+Message = TypeVar("Message", bound=msgspec.Struct)
+Reply = TypeVar("Reply", bound=msgspec.Struct)
+
+CallHandler = Callable[[Identity, Any], Awaitable[msgspec.Struct]]
+PostHandler = Callable[[Identity, Any], None]
+
+
+class TransportFault(msgspec.Struct, frozen=True):
+    """Why a call has no reply. ``sent`` False: it did not reach the peer and never will."""
+
+    kind: Literal["unreachable", "timeout", "closed", "overloaded", "rejected"]
+    sent: bool
+    detail: str = ""
+
+
+class Messenger(Protocol):
+    """What the slices see of the transport."""
+
+    identity: Identity
+
+    def on_call(
+        self, message_type: type[Message], handler: Callable[[Identity, Message], Awaitable[msgspec.Struct]]
+    ) -> None:
+        """Answers each call of that type; runs as a task of its own, so calls of one peer may overlap."""
+        ...
+
+    def on_post(self, message_type: type[Message], handler: Callable[[Identity, Message], None]) -> None:
+        """Takes each post of that type, in the order of one peer's sending."""
+        ...
+
+    async def call(
+        self, address: Address, message: msgspec.Struct, reply_type: type[Reply], timeout: Seconds
+    ) -> Result[Reply, TransportFault]: ...
+
+    def post(self, address: Address, message: msgspec.Struct) -> None:
+        """Sends without an answer; lost silently when the peer is away."""
+        ...
+
+
+class TransportLimits(msgspec.Struct, frozen=True):
+    frame_bytes: int = 64 * 1024 * 1024
+    unsent_bytes: int = 96 * 1024 * 1024
+    calls_waiting: int = 20_000
+    connect_timeout: Seconds = Seconds(0.5)
+    silence: Seconds = Seconds(1.5)
+    """A link on which a call has waited this long without any byte coming is closed and made anew."""
+    idle: Seconds = Seconds(60.0)
+    retry_pause: Seconds = Seconds(0.1)
+
+
+class _Link:
+    """The outgoing connection to one peer; made when first needed, closed when idle or silent."""
+
+    def __init__(self, messenger: TcpMessenger, address: Address) -> None:
+        self.messenger = messenger
+        self.address = address
+        self.stream: BaseIOStream | None = None
+        self.waiting: dict[int, asyncio.Future[Result[msgspec.Raw, TransportFault]]] = {}
+        self.connecting: asyncio.Future[bool] | None = None
+        self.last_fault = ""
+        self.last_byte = Instant(0.0)
+        self.last_failure: Instant | None = None
+
+    async def connected(self) -> bool:
+        if self.stream is not None and not self.stream.closed():
+            return True
+        if self.connecting is None:
+            pause = self.messenger.limits.retry_pause
+            now = self.messenger.context.clock.monotonic()
+            if self.last_failure is not None and now - self.last_failure < pause:
+                return False
+            self.connecting = asyncio.get_running_loop().create_future()
+            self.messenger.context.tasks.spawn(f"link {self.address}", self._run(self.connecting))
+        return await asyncio.shield(self.connecting)
+
+    async def _run(self, connecting: asyncio.Future[bool]) -> None:
+        context = self.messenger.context
+        stream = await self._open()
+        self.connecting = None
+        if stream is None:
+            self.last_failure = context.clock.monotonic()
+            connecting.set_result(False)
+            return
+        self.stream = stream
+        self.last_byte = context.clock.monotonic()
+        connecting.set_result(True)
+        try:
+            while True:
+                envelope = msgspec.msgpack.decode(
+                    await read_frame(stream, self.messenger.limits.frame_bytes), type=Envelope
+                )
+                self.last_byte = context.clock.monotonic()
+                waiter = self.waiting.pop(envelope.number, None)
+                if waiter is None or waiter.done():
+                    continue
+                if envelope.kind == "reply":
+                    waiter.set_result(Success(envelope.body))
+                else:
+                    detail = msgspec.msgpack.decode(envelope.body, type=str)
+                    waiter.set_result(Failure(TransportFault("rejected", True, detail)))
+        except StreamClosedError as closed:
+            self.drop(f"closed: {closed.real_error}")
+        except (FrameTooLarge, msgspec.MsgspecError) as malformed:
+            context.log.event("peer-malformed", address=self.address, detail=str(malformed))
+            self.drop("malformed")
+
+    async def _open(self) -> BaseIOStream | None:
+        messenger = self.messenger
+        opened = await messenger.context.network.connect(self.address, messenger.limits.connect_timeout)
+        if not isinstance(opened, Success):
+            self.last_fault = f"{opened.failure().kind} {opened.failure().detail}"
+            return None
+        stream: BaseIOStream = opened.unwrap()
+        nonce = messenger.context.random.randbytes(16)
+        try:
+            async with asyncio.timeout(messenger.limits.connect_timeout):
+                await stream.write(
+                    frame(msgspec.msgpack.encode(Hello(PROTOCOL_VERSION, messenger.identity, nonce, b"")))
+                )
+                answer = msgspec.msgpack.decode(await read_frame(stream, 4096), type=Hello)
+                expected = prove(messenger.key, answer.identity, answer.nonce, nonce)
+                if answer.protocol != PROTOCOL_VERSION or answer.proof != expected:
+                    messenger.context.log.event(
+                        "peer-refused", address=self.address, reason="wrong fleet key or protocol"
+                    )
+                    self.last_fault = "wrong fleet key or protocol"
+                    stream.close()
+                    return None
+                proof = prove(messenger.key, messenger.identity, nonce, answer.nonce)
+                await stream.write(
+                    frame(msgspec.msgpack.encode(Hello(PROTOCOL_VERSION, messenger.identity, nonce, proof)))
+                )
+        except (StreamClosedError, FrameTooLarge, TimeoutError, msgspec.MsgspecError) as problem:
+            self.last_fault = f"hello failed: {type(problem).__name__}"
+            stream.close()
+            return None
+        return stream
+
+    def drop(self, reason: str) -> None:
+        stream, self.stream = self.stream, None
+        if stream is not None:
+            stream.close()
+        waiting, self.waiting = self.waiting, {}
+        for waiter in waiting.values():
+            if not waiter.done():
+                waiter.set_result(Failure(TransportFault("closed", True, reason)))
+
+    def write(self, envelope: Envelope) -> bool:
+        stream = self.stream
+        if stream is None or stream.closed():
+            return False
+        if len(stream._write_buffer) > self.messenger.limits.unsent_bytes:
+            return False
+        future = stream.write(frame(msgspec.msgpack.encode(envelope)))
+        future.add_done_callback(_ignore_closed)
+        return True
+
+
+def _ignore_closed(future: asyncio.Future[None]) -> None:
+    if not future.cancelled():
+        future.exception()
+
+
+class TcpMessenger:
+    """Links out to peers, and the listener for theirs. Mutual proof of the fleet key in the hello."""
+
+    def __init__(self, context: Context, identity: Identity, key: bytes, limits: TransportLimits | None = None) -> None:
+        self.context = context
+        self.identity = identity
+        self.key = key
+        self.limits = limits or TransportLimits()
+        self._links: dict[Address, _Link] = {}
+        self._call_handlers: dict[str, tuple[type[msgspec.Struct], CallHandler]] = {}
+        self._post_handlers: dict[str, tuple[type[msgspec.Struct], PostHandler]] = {}
+        self._number = 0
+        self._listener: Listener | None = None
+        self._incoming: set[BaseIOStream] = set()
+        self.bytes_out = 0
+        self.bytes_in = 0
+
+    def on_call(
+        self, message_type: type[Message], handler: Callable[[Identity, Message], Awaitable[msgspec.Struct]]
+    ) -> None:
+        self._call_handlers[message_type.__name__] = (message_type, handler)
+
+    def on_post(self, message_type: type[Message], handler: Callable[[Identity, Message], None]) -> None:
+        self._post_handlers[message_type.__name__] = (message_type, handler)
+
+    def start(self) -> Result[None, NetworkFault]:
+        match self.context.network.listen(self.identity.internal, self._handle_stream):
+            case Success(listener):
+                self._listener = listener
+                return Success(None)
+            case Failure(fault):
+                return Failure(fault)
+        raise AssertionError("a result is a success or a failure")
+
+    def stop(self) -> None:
+        if self._listener is not None:
+            self._listener.close()
+        for link in list(self._links.values()):
+            link.drop("stopped")
+        for stream in list(self._incoming):
+            stream.close()
+
+    async def call(
+        self, address: Address, message: msgspec.Struct, reply_type: type[Reply], timeout: Seconds
+    ) -> Result[Reply, TransportFault]:
+        link = self._link(address)
+        self._number += 1
+        number = self._number
+        sent = False
+        asked = self.context.clock.monotonic()
+        try:
+            async with asyncio.timeout(timeout):
+                if not await link.connected():
+                    return Failure(TransportFault("unreachable", False, link.last_fault))
+                if len(link.waiting) >= self.limits.calls_waiting:
+                    return Failure(TransportFault("overloaded", False))
+                waiter: asyncio.Future[Result[msgspec.Raw, TransportFault]] = asyncio.get_running_loop().create_future()
+                body = msgspec.Raw(msgspec.msgpack.encode(message))
+                if not link.write(Envelope("call", number, type(message).__name__, body)):
+                    return Failure(TransportFault("overloaded", False))
+                sent = True
+                link.waiting[number] = waiter
+                outcome = await waiter
+        except TimeoutError:
+            link.waiting.pop(number, None)
+            now = self.context.clock.monotonic()
+            if (
+                sent
+                and link.last_byte < asked
+                and now - max(link.last_byte, asked) >= min(timeout, self.limits.silence)
+            ):
+                link.drop("silent")
+            return Failure(TransportFault("timeout", sent))
+        finally:
+            link.waiting.pop(number, None)
+        match outcome:
+            case Success(raw):
+                try:
+                    return Success(msgspec.msgpack.decode(raw, type=reply_type))
+                except msgspec.MsgspecError as malformed:
+                    return Failure(TransportFault("rejected", True, str(malformed)))
+            case Failure(fault):
+                return Failure(fault)
+        raise AssertionError("a result is a success or a failure")
+
+    def post(self, address: Address, message: msgspec.Struct) -> None:
+        link = self._link(address)
+        envelope = Envelope("post", 0, type(message).__name__, msgspec.Raw(msgspec.msgpack.encode(message)))
+        if link.stream is not None and not link.stream.closed():
+            link.write(envelope)
+            return
+        self.context.tasks.spawn(f"post {address}", self._post_later(link, envelope))
+
+    async def _post_later(self, link: _Link, envelope: Envelope) -> None:
+        if await link.connected():
+            link.write(envelope)
+
+    def _link(self, address: Address) -> _Link:
+        link = self._links.get(address)
+        if link is None:
+            link = self._links[address] = _Link(self, address)
+        return link
+
+    async def _handle_stream(self, stream: BaseIOStream, address: Address) -> None:
+        self._incoming.add(stream)
+        try:
+            await self._serve(stream, address)
+        except StreamClosedError:
+            pass
+        except (FrameTooLarge, msgspec.MsgspecError, TimeoutError) as problem:
+            self.context.log.event("stranger-dropped", address=address, detail=f"{type(problem).__name__}: {problem}")
+        finally:
+            self._incoming.discard(stream)
+            stream.close()
+
+    async def _serve(self, stream: BaseIOStream, address: Address) -> None:
+        async with asyncio.timeout(self.limits.silence):
+            first = msgspec.msgpack.decode(await read_frame(stream, 4096), type=Hello)
+            nonce = self.context.random.randbytes(16)
+            proof = prove(self.key, self.identity, nonce, first.nonce)
+            await stream.write(frame(msgspec.msgpack.encode(Hello(PROTOCOL_VERSION, self.identity, nonce, proof))))
+            second = msgspec.msgpack.decode(await read_frame(stream, 4096), type=Hello)
+        peer = second.identity
+        if second.protocol != PROTOCOL_VERSION or second.proof != prove(self.key, peer, first.nonce, nonce):
+            self.context.log.event("stranger-dropped", address=address, detail="wrong fleet key or protocol")
+            return
+        while True:
+            envelope = msgspec.msgpack.decode(await read_frame(stream, self.limits.frame_bytes), type=Envelope)
+            if envelope.kind == "post":
+                self._take_post(peer, envelope)
+            elif envelope.kind == "call":
+                self.context.tasks.spawn(f"answer {envelope.name}", self._answer(stream, peer, envelope))
+
+    def _take_post(self, peer: Identity, envelope: Envelope) -> None:
+        found = self._post_handlers.get(envelope.name)
+        if found is not None:
+            message_type, handler = found
+            handler(peer, msgspec.msgpack.decode(envelope.body, type=message_type))
+
+    async def _answer(self, stream: BaseIOStream, peer: Identity, envelope: Envelope) -> None:
+        found = self._call_handlers.get(envelope.name)
+        if found is None:
+            reply = Envelope(
+                "fault", envelope.number, "", msgspec.Raw(msgspec.msgpack.encode(f"no handler for {envelope.name}"))
+            )
+        else:
+            message_type, handler = found
+            try:
+                message = msgspec.msgpack.decode(envelope.body, type=message_type)
+            except msgspec.MsgspecError as malformed:
+                reply = Envelope("fault", envelope.number, "", msgspec.Raw(msgspec.msgpack.encode(str(malformed))))
+            else:
+                answer = await handler(peer, message)
+                reply = Envelope(
+                    "reply", envelope.number, type(answer).__name__, msgspec.Raw(msgspec.msgpack.encode(answer))
+                )
+        if not stream.closed():
+            stream.write(frame(msgspec.msgpack.encode(reply))).add_done_callback(_ignore_closed)
