Emulated worker: slots, prefill by uncached tokens, LRU KV cache, decode pace, faults

What: EmulatedWorker on the daemons' Context (so it also runs on simulated time), the announcer towards the registry's worker edge, a switchboard of faults, and a record of what was run.

--- /dev/null
+++ b/emulator/worker.py
@@ -0,0 +1,478 @@
+"""The emulated worker: batch slots, prefill, KV cache, decode pace, faults (docs/DESIGN.md section 17).
+
+Towards the routers it speaks the form of ``wingwood/forward/worker_format.py``, written here a second time on purpose:
+``Prefix``, ``Expect-Instance`` (else 412), 503 with ``Not-Run: true`` when draining or full, streams of events that end
+in ``data: [DONE]``, JSON for all else. Beside that:
+
+- ``GET /health``: ``{instance, state, running, waiting, cache_tokens_used}``
+- ``GET /runs?after=N``: what was run, in order; for observers
+- ``POST /drain``, ``POST /faults``
+
+A call's body is JSON: ``messages`` (one per shared part of the prefix, then the session's own), ``max_tokens``,
+``stream``, and ``call``, the caller's own mark, which each event and answer repeats. Four bytes count as a token.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import importlib
+from collections import deque
+from collections.abc import Callable, Sequence
+from typing import Any
+
+import msgspec
+from returns.result import Failure, Result, Success
+from tornado.httpserver import HTTPServer
+from tornado.httputil import HTTPHeaders, HTTPServerRequest, ResponseStartLine
+from tornado.iostream import BaseIOStream, StreamClosedError
+
+from wingwood.context.protocols import Context, Listener, NetworkFault, Task
+from wingwood.identifiers import Address, Seconds
+
+from .announcer import Announcement, Announcer
+from .faults import Fault, Switchboard
+from .prefix_cache import PrefixCache, PromptPart
+
+BYTES_PER_TOKEN = 4
+STRAY_BYTES = b'HTTP/1.1 200 OK\r\nContent-Length: 16\r\n\r\n{"stray": "yes"}'
+
+
+class WorkerOptions(msgspec.Struct, frozen=True, kw_only=True):
+    """Times in seconds. The pace is that of one accelerator with continuous batching, roughly."""
+
+    name: str
+    address: Address
+    announce: tuple[Address, ...] = ()
+    """Operator addresses of daemons; one of them is told, the others when it does not acknowledge."""
+    pool: str = "model"
+    zone: str = "a"
+    kind: str = "model"
+    """``model`` or ``plain``."""
+    slots: int = 8
+    waiting_limit: int = 64
+    cache_tokens: int = 120_000
+    prefill_per_token: Seconds = Seconds(0.00015)
+    decode_per_token: Seconds = Seconds(0.02)
+    decode_per_other_stream: Seconds = Seconds(0.001)
+    """How much longer each token takes for each other stream in the batch."""
+    plain_seconds: Seconds = Seconds(0.02)
+    tells_load: bool = True
+    announce_every: Seconds = Seconds(1.0)
+
+
+class Run(msgspec.Struct, kw_only=True):
+    """One call that was begun; times on the worker's monotonic clock."""
+
+    number: int
+    request: str
+    idempotency_key: str
+    call: str
+    tenant: str
+    path: str
+    prefix: str
+    instance: str
+    started: float
+    finished: float | None = None
+    outcome: str = "running"
+    """``whole``, ``caller-gone``, ``broken`` (by a fault) or ``running``."""
+    prompt_tokens: int = 0
+    cached_tokens: int = 0
+    generated_tokens: int = 0
+
+
+class CallBody(msgspec.Struct, frozen=True):
+    messages: list[dict[str, str]] = []
+    max_tokens: int = 16
+    stream: bool = True
+    call: str = ""
+
+
+class EmulatedWorker:
+    """One worker process; several lives when it is restarted empty."""
+
+    def __init__(
+        self,
+        context: Context,
+        options: WorkerOptions,
+        on_run: Callable[[Run], None] | None = None,
+    ) -> None:
+        """``on_run`` is told of each run at its start and at its end."""
+        self.context = context
+        self.options = options
+        self.on_run = on_run
+        self.state = "ready"
+        self.instance = self._new_instance()
+        self.cache = PrefixCache(options.cache_tokens)
+        self.switchboard = Switchboard()
+        self.runs: list[Run] = []
+        self.running = 0
+        self.idle = asyncio.Event()
+        """Set while nothing runs or waits."""
+        self.idle.set()
+        self._waiting: deque[asyncio.Future[None]] = deque()
+        self._prefill = asyncio.Lock()
+        self._lit = asyncio.Event()
+        self._lit.set()
+        self._calls: dict[int, tuple[Task, BaseIOStream]] = {}
+        self._call_number = 0
+        self._listener: Listener | None = None
+        self._server = HTTPServer(self._take, max_body_size=64 * 1024 * 1024, max_buffer_size=96 * 1024 * 1024)
+        self.announcer = Announcer(context, options.announce, self._announcement, options.announce_every)
+
+    # Life
+
+    def start(self) -> Result[None, NetworkFault]:
+        match self.context.network.listen(self.options.address, self._handle_stream):
+            case Success(listener):
+                self._listener = listener
+                self.context.tasks.spawn("announce", self.announcer.run())
+                self.context.log.event("worker-started", instance=self.instance, address=self.options.address)
+                return Success(None)
+            case Failure(fault):
+                return Failure(fault)
+        raise AssertionError("a result is a success or a failure")
+
+    def drain(self) -> None:
+        """Final for this life: no new calls; says gone when the last has ended."""
+        if self.state == "ready":
+            self.state = "draining"
+            self.context.log.event("worker-draining", instance=self.instance)
+            self.announcer.changed()
+            self.context.tasks.spawn("drain", self._say_gone())
+
+    async def _say_gone(self) -> None:
+        instance = self.instance
+        await self.idle.wait()
+        if self.instance == instance:
+            self.state = "gone"
+            self.announcer.changed()
+
+    def restart_empty(self) -> None:
+        """A new life at the same address: calls under way break, the cache is empty."""
+        for task, stream in list(self._calls.values()):
+            task.cancel()
+            stream.close()
+        self.cache.clear()
+        self.state = "ready"
+        self.instance = self._new_instance()
+        self._lit.set()
+        self.context.log.event("worker-restarted", instance=self.instance)
+        self.announcer.changed()
+
+    def stop(self) -> None:
+        """Stops listening; calls under way go on."""
+        if self._listener is not None:
+            self._listener.close()
+
+    def _new_instance(self) -> str:
+        return f"{self.options.name}-{self.context.random.getrandbits(32):08x}"
+
+    # What is told
+
+    def load(self) -> dict[str, int]:
+        if self.switchboard.active("lie-about-load"):
+            return {"running": 0, "waiting": 0, "cache_tokens_used": 0}
+        return {"running": self.running, "waiting": len(self._waiting), "cache_tokens_used": self.cache.used}
+
+    def _announcement(self) -> Announcement | None:
+        if not self._lit.is_set():
+            return None
+        return Announcement(
+            instance=self.instance,
+            address=str(self.options.address),
+            pool=self.options.pool,
+            zone=self.options.zone,
+            slots=self.options.slots,
+            cache_tokens=self.options.cache_tokens if self.options.kind == "model" else 0,
+            state=self.state,
+            load=self.load() if self.options.tells_load else None,
+        )
+
+    # Calls
+
+    def _handle_stream(self, stream: BaseIOStream, address: Address) -> None:
+        self._server.handle_stream(stream, (address.host, address.port))  # type: ignore[arg-type]
+
+    def _take(self, request: HTTPServerRequest) -> None:
+        connection: Any = request.connection
+        self._call_number += 1
+        number = self._call_number
+        task = self.context.tasks.spawn("call", self._serve(request, connection, number))
+        self._calls[number] = (task, connection.stream)
+        connection.set_close_callback(task.cancel)
+
+    async def _serve(self, request: HTTPServerRequest, connection: Any, number: int) -> None:
+        try:
+            if request.path == "/faults":
+                self._switch(request, connection)
+                return
+            await self._lit.wait()
+            await self._answer(request, connection)
+        except StreamClosedError:
+            return
+        finally:
+            self._calls.pop(number, None)
+
+    async def _answer(self, request: HTTPServerRequest, connection: Any) -> None:
+        if request.path == "/health":
+            told = {"instance": self.instance, "state": self.state, **self.load()}
+            _reply(connection, 200, told)
+        elif request.path == "/runs":
+            after = int(request.arguments.get("after", [b"0"])[0])
+            _reply(connection, 200, {"instance": self.instance, "runs": self.runs[after:]})
+        elif request.path == "/drain":
+            self.drain()
+            _reply(connection, 200, {"instance": self.instance, "state": self.state})
+        else:
+            await self._call(request, connection)
+
+    def _switch(self, request: HTTPServerRequest, connection: Any) -> None:
+        try:
+            fault = msgspec.json.decode(request.body, type=Fault)
+        except msgspec.MsgspecError as malformed:
+            _reply(connection, 400, {"error": str(malformed)})
+            return
+        if fault.fault != "crash":
+            _reply(connection, 200, {"instance": self.instance, "fault": fault.fault})
+        self.context.log.event("fault", kind=fault.fault)
+        if fault.fault == "crash":
+            self.context.tasks.stop_process("crash")
+        elif fault.fault == "restart-empty":
+            # The reply above belongs to the old life and must leave before it.
+            asyncio.get_running_loop().call_later(0.01, self.restart_empty)
+        elif fault.fault == "dark":
+            self._lit.clear()
+            asyncio.get_running_loop().call_later(fault.seconds, self._lit.set)
+        else:
+            self.switchboard.switch(fault)
+            if fault.fault == "none":
+                self._lit.set()
+        self.announcer.changed()
+
+    async def _call(self, request: HTTPServerRequest, connection: Any) -> None:
+        expected = request.headers.get("Expect-Instance")
+        if expected is not None and expected != self.instance:
+            _reply(connection, 412, {"error": "another instance", "instance": self.instance}, not_run=True)
+            return
+        if self.state != "ready":
+            _reply(connection, 503, {"error": self.state}, not_run=True)
+            return
+        if self.running >= self.options.slots and len(self._waiting) >= self.options.waiting_limit:
+            _reply(connection, 503, {"error": "full"}, not_run=True)
+            return
+        if error := self.switchboard.take("error-status"):
+            _reply(connection, error.status, {"error": "switched on"})
+            return
+        try:
+            body = msgspec.json.decode(request.body, type=CallBody)
+        except msgspec.MsgspecError:
+            body = CallBody(stream=self.options.kind == "model")
+        if late := self.switchboard.take("late"):
+            await asyncio.sleep(late.seconds)
+        await self._take_slot()
+        try:
+            await self._run(request, connection, body)
+        finally:
+            self._free_slot()
+
+    async def _take_slot(self) -> None:
+        self.idle.clear()
+        if self.running < self.options.slots:
+            self.running += 1
+            return
+        place: asyncio.Future[None] = asyncio.get_running_loop().create_future()
+        self._waiting.append(place)
+        try:
+            await place
+        except asyncio.CancelledError:
+            if place.done() and not place.cancelled():
+                self._free_slot()
+            else:
+                self._waiting.remove(place)
+            raise
+
+    def _free_slot(self) -> None:
+        while self._waiting:
+            place = self._waiting.popleft()
+            if not place.done():
+                place.set_result(None)
+                return
+        self.running -= 1
+        if not self.running:
+            self.idle.set()
+
+    async def _run(self, request: HTTPServerRequest, connection: Any, body: CallBody) -> None:
+        parts = prompt_parts(request.headers.get("Prefix"), body, len(request.body))
+        run = Run(
+            number=len(self.runs) + 1,
+            request=request.headers.get("X-Request-Id", ""),
+            idempotency_key=request.headers.get("Idempotency-Key", ""),
+            call=body.call,
+            tenant=request.headers.get("X-Tenant", ""),
+            path=request.path,
+            prefix=request.headers.get("Prefix", ""),
+            instance=self.instance,
+            started=self.context.clock.monotonic(),
+            prompt_tokens=sum(part.tokens for part in parts),
+        )
+        self.runs.append(run)
+        self._tell(run)
+        try:
+            if self.options.kind == "plain":
+                await self._plain(connection, body, run)
+            else:
+                await self._model(connection, body, run, parts)
+        except StreamClosedError:
+            run.outcome = "caller-gone"
+        finally:
+            if run.outcome == "running":
+                run.outcome = "caller-gone"
+            run.finished = self.context.clock.monotonic()
+            self._tell(run)
+
+    def _tell(self, run: Run) -> None:
+        if self.on_run is not None:
+            self.on_run(run)
+
+    async def _plain(self, connection: Any, body: CallBody, run: Run) -> None:
+        await asyncio.sleep(self.options.plain_seconds)
+        answer = {"request": run.request, "call": body.call, "instance": self.instance, "key": run.idempotency_key}
+        self._finish_plain(connection, run, answer)
+
+    async def _model(self, connection: Any, body: CallBody, run: Run, parts: Sequence[PromptPart]) -> None:
+        async with self._prefill:
+            run.cached_tokens = self.cache.cached_tokens(parts)
+            await asyncio.sleep((run.prompt_tokens - run.cached_tokens) * self.options.prefill_per_token)
+            self.cache.keep(parts)
+        if not body.stream:
+            for _ in range(body.max_tokens):
+                await self._decode()
+            run.generated_tokens = body.max_tokens
+            self._keep_generated(parts, body.max_tokens)
+            answer = {
+                "request": run.request,
+                "call": body.call,
+                "instance": self.instance,
+                "text": "".join(word(index) for index in range(body.max_tokens)),
+            }
+            self._finish_plain(connection, run, answer)
+            return
+        if self._closed_unanswered(connection, run):
+            return
+        breaks = self.switchboard.take("break-mid-event")
+        headers = HTTPHeaders(
+            {
+                "Content-Type": "text/event-stream",
+                "Cache-Control": "no-store",
+                "Cached-Tokens": str(run.cached_tokens),
+                "Prompt-Tokens": str(run.prompt_tokens),
+            }
+        )
+        begun = False
+        for index in range(body.max_tokens):
+            await self._decode()
+            event = {
+                "index": index,
+                "text": word(index),
+                "request": run.request,
+                "call": body.call,
+                "instance": self.instance,
+            }
+            line = b"data: " + msgspec.json.encode(event) + b"\n\n"
+            breaking = breaks is not None and index >= breaks.after
+            if breaking:
+                line = line[: len(line) // 2]
+            if begun:
+                await connection.write(line)
+            else:
+                begun = True
+                await connection.write_headers(ResponseStartLine("HTTP/1.1", 200, "OK"), headers, line)
+            if breaking:
+                run.outcome = "broken"
+                connection.stream.close()
+                return
+            run.generated_tokens = index + 1
+        self._keep_generated(parts, body.max_tokens)
+        end = b"data: [DONE]\n\n"
+        if begun:
+            await connection.write(end)
+        else:
+            await connection.write_headers(ResponseStartLine("HTTP/1.1", 200, "OK"), headers, end)
+        run.outcome = "whole"
+        connection.finish()
+        self._trail(connection)
+
+    async def _decode(self) -> None:
+        await self._lit.wait()
+        others = max(0, self.running - 1)
+        await asyncio.sleep(self.options.decode_per_token + others * self.options.decode_per_other_stream)
+        await self._lit.wait()
+
+    def _keep_generated(self, parts: Sequence[PromptPart], generated: int) -> None:
+        """The KV cache of the session now covers the answer too."""
+        session = parts[-1]
+        self.cache.keep([*parts[:-1], PromptPart(session.name, session.tokens + generated)])
+
+    def _finish_plain(self, connection: Any, run: Run, answer: dict[str, str]) -> None:
+        if self._closed_unanswered(connection, run):
+            return
+        if self.switchboard.take("break-mid-event"):
+            payload = msgspec.json.encode(answer)
+            headers = HTTPHeaders({"Content-Type": "application/json", "Content-Length": str(len(payload))})
+            connection.write_headers(ResponseStartLine("HTTP/1.1", 200, "OK"), headers, payload[: len(payload) // 2])
+            run.outcome = "broken"
+            connection.stream.close()
+            return
+        run.outcome = "whole"
+        _reply(connection, 200, answer)
+        self._trail(connection)
+
+    def _closed_unanswered(self, connection: Any, run: Run) -> bool:
+        if not self.switchboard.take("close-without-answer"):
+            return False
+        run.outcome = "broken"
+        connection.stream.close()
+        return True
+
+    def _trail(self, connection: Any) -> None:
+        stream = connection.stream
+        if self.switchboard.take("stray-bytes") and stream is not None and not stream.closed():
+            stream.write(STRAY_BYTES).add_done_callback(_ignore_closed)
+
+
+def _ignore_closed(future: asyncio.Future[None]) -> None:
+    if not future.cancelled():
+        future.exception()
+
+
+def _reply(connection: Any, status: int, answer: object, not_run: bool = False) -> None:
+    payload = msgspec.json.encode(answer)
+    headers = HTTPHeaders({"Content-Type": "application/json", "Content-Length": str(len(payload))})
+    if not_run:
+        headers["Not-Run"] = "true"
+    connection.write_headers(ResponseStartLine("HTTP/1.1", status, "Emulated"), headers, payload)
+    connection.finish()
+
+
+def word(index: int) -> str:
+    """The text of one generated token, as long as a token of the prompt."""
+    return f"{index % 1000:03d} "
+
+
+def prompt_parts(prefix: str | None, body: CallBody, body_bytes: int) -> list[PromptPart]:
+    """Sizes of the prompt's parts: message n is the n-th shared part, all later ones the session's own."""
+    names = [name for name in (prefix or "").split("/") if name]
+    sizes = [-(-len(message.get("content", "").encode()) // BYTES_PER_TOKEN) for message in body.messages]
+    if not names:
+        return [PromptPart("", sum(sizes) or body_bytes // BYTES_PER_TOKEN)]
+    if len(sizes) < len(names):
+        sizes = [0] * (len(names) - 1) + [sum(sizes) or body_bytes // BYTES_PER_TOKEN]
+    shared = len(names) - 1
+    return [
+        *(PromptPart(name, size) for name, size in zip(names[:shared], sizes[:shared], strict=True)),
+        PromptPart(names[-1], sum(sizes[shared:])),
+    ]
+
+
+if __name__ == "__main__":
+    importlib.import_module("emulator.process").main()
