--- /dev/null
+++ b/wingwood/ledger/state.py
@@ -0,0 +1,303 @@
+"""What the control core keeps of calls that may not be repeated (docs/DESIGN.md section 13).
+
+One ``LedgerState`` runs in each control daemon as an applier of kind ``ledger``. A router sends
+batches; each claim carries a number that the router never uses twice, so that (router, number)
+is its ticket. All changes go through records, so the backup and a restart hold the same state.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections import deque
+from collections.abc import Callable
+from typing import Literal
+
+import msgspec
+
+from ..context.protocols import Clock
+from ..identifiers import Incarnation, Instant, Seconds
+from .protocols import CallKey
+
+LEDGER_KIND = "ledger"
+RAN_BUCKETS = 4
+"""Keys of calls that ran are forgotten by buckets, each a quarter of the retention wide."""
+LONGEST_RUNNING = Seconds(86_400.0)
+"""A claim that nobody ever settles is kept this long (its router died: the outcome stays unknown)."""
+
+ClaimAnswer = Literal["claimed", "running", "ran", "unknown", "closed", "full"]
+SettledState = Literal["ran", "unknown", "not-run"]
+
+
+def call_digest(key: CallKey) -> bytes:
+    """16 bytes that stand for the key, so that neither frames nor journals hold callers' keys."""
+    return hashlib.blake2b(msgspec.msgpack.encode(key), digest_size=16, person=b"wingwood-ledger").digest()
+
+
+class ClaimKey(msgspec.Struct, frozen=True, array_like=True):
+    number: int
+    key: bytes
+
+
+class SettleKey(msgspec.Struct, frozen=True, array_like=True):
+    number: int
+    key: bytes
+    state: SettledState
+
+
+class LedgerBatch(msgspec.Struct, frozen=True, array_like=True):
+    """Command of kind ``ledger``: what one router asks and tells.
+
+    ``floor``: the router will take no more answer for a claim numbered below it. Claims below the
+    recorded floor are never granted, however late they come.
+    """
+
+    router: Incarnation
+    floor: int
+    claims: tuple[ClaimKey, ...] = ()
+    settles: tuple[SettleKey, ...] = ()
+
+
+class LedgerAnswers(msgspec.Struct, frozen=True, array_like=True):
+    """Reply: one answer per claim, in their order. All settles of the batch are durable."""
+
+    claims: tuple[ClaimAnswer, ...] = ()
+
+
+class Effect(msgspec.Struct, frozen=True, array_like=True):
+    what: Literal["claim", "ran", "unknown", "free"]
+    number: int
+    key: bytes
+
+
+class LedgerRecord(msgspec.Struct, frozen=True, array_like=True):
+    time: int
+    """Ledger time in milliseconds; see ``LedgerState.time_now``."""
+    router: Incarnation
+    floor: int
+    effects: tuple[Effect, ...]
+
+
+class Held(msgspec.Struct, frozen=True, array_like=True):
+    """A claim that has not been settled as ``ran``; ``time`` is that of the claim or of ``unknown``."""
+
+    router: Incarnation
+    number: int
+    state: Literal["running", "unknown"]
+    time: int
+
+
+class RouterFence(msgspec.Struct, array_like=True):
+    """Which numbers of a router may never be granted any more."""
+
+    floor: int = 0
+    closed: set[int] = msgspec.field(default_factory=set)
+    """Freed or given up, at or above the floor."""
+    time: int = 0
+
+
+class LedgerSnapshot(msgspec.Struct, frozen=True, array_like=True):
+    time: int
+    expired_at: int
+    held: dict[bytes, Held]
+    ran: list[tuple[int, bytes]]
+    """Start of each bucket, and its keys joined."""
+    routers: dict[Incarnation, RouterFence]
+
+
+_record_encoder = msgspec.msgpack.Encoder()
+_record_decoder = msgspec.msgpack.Decoder(LedgerRecord)
+_snapshot_decoder = msgspec.msgpack.Decoder(LedgerSnapshot)
+_DIGEST_BYTES = 16
+
+
+class LedgerState:
+    """The ledger's state and its rules; an ``Applier`` of the control core.
+
+    ``is_member``: whether a router's session stands, asked only to tell ``running`` from
+    ``unknown`` in an answer; no record depends on it.
+    """
+
+    kind = LEDGER_KIND
+    command_type = LedgerBatch
+    reply_type = LedgerAnswers
+
+    def __init__(
+        self,
+        clock: Clock,
+        retention: Seconds,
+        is_member: Callable[[Incarnation], bool] | None = None,
+        most_entries: int = 2_000_000,
+    ) -> None:
+        self._clock = clock
+        self._retention = int(retention * 1000)
+        self._is_member = is_member
+        self._most_entries = most_entries
+        self._forget()
+
+    def _forget(self) -> None:
+        self._time = 0
+        self._expired_at = 0
+        self._applied_at: Instant = self._clock.monotonic()
+        self._held: dict[bytes, Held] = {}
+        self._ran: deque[tuple[int, set[bytes]]] = deque()
+        self._routers: dict[Incarnation, RouterFence] = {}
+
+    def time_now(self) -> int:
+        """Ledger time: what the records told, plus the own monotonic clock since the last of them.
+
+        It stands still while no control daemon runs and never runs ahead of real time, so nothing
+        is forgotten early whatever the machines' wall clocks say.
+        """
+        return self._time + max(0, int((self._clock.monotonic() - self._applied_at) * 1000))
+
+    def entries(self) -> int:
+        return len(self._held) + sum(len(keys) for _, keys in self._ran)
+
+    def decide(self, command: msgspec.Struct) -> tuple[bytes | None, msgspec.Struct]:
+        assert isinstance(command, LedgerBatch)
+        fence = self._routers.get(command.router) or RouterFence()
+        floor = max(fence.floor, command.floor)
+        effects: list[Effect] = []
+        changed: dict[bytes, Held | Literal["ran"] | None] = {}
+        closed: set[int] = set()
+        room = self._most_entries - self.entries()
+
+        def find(key: bytes) -> Held | Literal["ran"] | None:
+            return changed[key] if key in changed else self._find(key)
+
+        for settle in command.settles:
+            found = find(settle.key)
+            own = isinstance(found, Held) and (found.router, found.number) == (command.router, settle.number)
+            # A record is written even when nothing changes: its being durable proves that the
+            # earlier record which made this settle superfluous is durable too.
+            if settle.state == "ran":
+                changed[settle.key] = "ran"
+                effects.append(Effect("ran", settle.number, settle.key))
+            elif settle.state == "unknown":
+                if own:
+                    changed[settle.key] = Held(command.router, settle.number, "unknown", 0)
+                effects.append(Effect("unknown", settle.number, settle.key))
+            else:
+                if own:
+                    changed[settle.key] = None
+                closed.add(settle.number)
+                effects.append(Effect("free", settle.number, settle.key))
+
+        answers: list[ClaimAnswer] = []
+        for claim in command.claims:
+            found = find(claim.key)
+            if found == "ran":
+                answers.append("ran")
+            elif isinstance(found, Held):
+                if (found.router, found.number) != (command.router, claim.number):
+                    answers.append(self._state_told(found))
+                elif found.state == "unknown":
+                    answers.append("unknown")
+                else:
+                    # Sent again by its owner; the record makes the answer wait until the claim is durable.
+                    answers.append("claimed")
+                    effects.append(Effect("claim", claim.number, claim.key))
+            elif claim.number < floor or claim.number in fence.closed or claim.number in closed:
+                answers.append("closed")
+            elif room <= 0:
+                answers.append("full")
+            else:
+                room -= 1
+                changed[claim.key] = Held(command.router, claim.number, "running", 0)
+                answers.append("claimed")
+                effects.append(Effect("claim", claim.number, claim.key))
+        reply = LedgerAnswers(tuple(answers))
+        if not effects:
+            return None, reply
+        return _record_encoder.encode(LedgerRecord(self.time_now(), command.router, floor, tuple(effects))), reply
+
+    def _state_told(self, held: Held) -> ClaimAnswer:
+        if held.state == "unknown" or (self._is_member is not None and not self._is_member(held.router)):
+            return "unknown"
+        return "running"
+
+    def _find(self, key: bytes) -> Held | Literal["ran"] | None:
+        held = self._held.get(key)
+        if held is not None:
+            return held
+        return "ran" if any(key in keys for _, keys in self._ran) else None
+
+    def apply(self, record: bytes) -> None:
+        told = _record_decoder.decode(record)
+        self._time = max(self._time, told.time)
+        self._applied_at = self._clock.monotonic()
+        fence = self._routers.get(told.router)
+        if fence is None:
+            fence = self._routers[told.router] = RouterFence()
+        fence.time = self._time
+        if told.floor > fence.floor:
+            fence.floor = told.floor
+            if fence.closed:
+                fence.closed = {number for number in fence.closed if number >= told.floor}
+        for effect in told.effects:
+            self._apply_effect(told.router, fence, effect)
+        self._expire()
+
+    def _apply_effect(self, router: Incarnation, fence: RouterFence, effect: Effect) -> None:
+        held = self._held.get(effect.key)
+        own = held is not None and (held.router, held.number) == (router, effect.number)
+        if effect.what == "claim":
+            if held is None:
+                self._held[effect.key] = Held(router, effect.number, "running", self._time)
+        elif effect.what == "ran":
+            self._held.pop(effect.key, None)
+            self._ran_bucket().add(effect.key)
+        elif effect.what == "unknown":
+            if own:
+                self._held[effect.key] = Held(router, effect.number, "unknown", self._time)
+        else:
+            if own:
+                del self._held[effect.key]
+            if effect.number >= fence.floor:
+                fence.closed.add(effect.number)
+
+    def _ran_bucket(self) -> set[bytes]:
+        width = max(1, self._retention // RAN_BUCKETS)
+        if not self._ran or self._time - self._ran[-1][0] >= width:
+            self._ran.append((self._time, set()))
+        return self._ran[-1][1]
+
+    def _expire(self) -> None:
+        width = max(1, self._retention // RAN_BUCKETS)
+        if self._time - self._expired_at < width:
+            return
+        self._expired_at = self._time
+        while self._ran and self._time - self._ran[0][0] >= self._retention + width:
+            self._ran.popleft()
+        longest = max(self._retention, int(LONGEST_RUNNING * 1000))
+        for key, held in list(self._held.items()):
+            if self._time - held.time >= (longest if held.state == "running" else self._retention):
+                del self._held[key]
+        holders = {held.router for held in self._held.values()}
+        for router, fence in list(self._routers.items()):
+            if self._time - fence.time >= longest and router not in holders:
+                del self._routers[router]
+
+    def snapshot(self) -> bytes:
+        return _record_encoder.encode(
+            LedgerSnapshot(
+                self._time,
+                self._expired_at,
+                self._held,
+                [(start, b"".join(sorted(keys))) for start, keys in self._ran],
+                self._routers,
+            )
+        )
+
+    def restore(self, snapshot: bytes | None) -> None:
+        self._forget()
+        if snapshot is None:
+            return
+        told = _snapshot_decoder.decode(snapshot)
+        self._time = told.time
+        self._expired_at = told.expired_at
+        self._held = told.held
+        for start, joined in told.ran:
+            keys = {joined[at : at + _DIGEST_BYTES] for at in range(0, len(joined), _DIGEST_BYTES)}
+            self._ran.append((start, keys))
+        self._routers = told.routers
--- /dev/null
+++ b/wingwood/ledger/tests/test_state.py
@@ -0,0 +1,170 @@
+"""The ledger's rules, record by record (docs/DESIGN.md section 13)."""
+
+from __future__ import annotations
+
+import unittest
+
+from ...identifiers import IdempotencyKey, Incarnation, Instant, Seconds, ServiceName, TenantName, WallTime
+from ..protocols import CallKey
+from ..state import (
+    LONGEST_RUNNING,
+    ClaimAnswer,
+    ClaimKey,
+    LedgerAnswers,
+    LedgerBatch,
+    LedgerState,
+    SettledState,
+    SettleKey,
+    call_digest,
+)
+
+RETENTION = Seconds(1800.0)
+NORTH, SOUTH = Incarnation("north"), Incarnation("south")
+
+
+class HandClock:
+    def __init__(self) -> None:
+        self.now = 1000.0
+
+    def monotonic(self) -> Instant:
+        return Instant(self.now)
+
+    def wall(self) -> WallTime:
+        raise AssertionError("no decision rests on wall time")
+
+    async def sleep(self, seconds: Seconds) -> None:
+        raise AssertionError("the ledger's state does not wait")
+
+
+def digest(name: str) -> bytes:
+    return call_digest(CallKey(TenantName("despensa"), ServiceName("cards"), IdempotencyKey(name)))
+
+
+class LedgerStateTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.clock = HandClock()
+        self.members = {NORTH, SOUTH}
+        self.state = self.make()
+        self.backup = self.make()
+
+    def make(self) -> LedgerState:
+        return LedgerState(self.clock, RETENTION, lambda incarnation: incarnation in self.members)
+
+    def run_batch(self, batch: LedgerBatch) -> tuple[bytes | None, tuple[ClaimAnswer, ...]]:
+        record, reply = self.state.decide(batch)
+        assert isinstance(reply, LedgerAnswers)
+        if record is not None:
+            self.state.apply(record)
+            self.backup.apply(record)
+        return record, reply.claims
+
+    def claim(self, router: Incarnation, number: int, key: str = "a", floor: int = 0) -> ClaimAnswer:
+        return self.run_batch(LedgerBatch(router, floor, (ClaimKey(number, digest(key)),)))[1][0]
+
+    def settle(self, router: Incarnation, number: int, state: SettledState, key: str = "a", floor: int = 0) -> None:
+        record, _ = self.run_batch(LedgerBatch(router, floor, (), (SettleKey(number, digest(key), state),)))
+        self.assertIsNotNone(record, "a settle is acknowledged only behind a record")
+
+    def test_one_claim_wins_and_others_learn_its_state(self) -> None:
+        self.assertEqual(self.claim(NORTH, 1), "claimed")
+        self.assertEqual(self.claim(SOUTH, 1), "running")
+        self.assertEqual(self.claim(NORTH, 2), "running")
+        self.settle(NORTH, 1, "ran")
+        self.assertEqual(self.claim(SOUTH, 2), "ran")
+        self.assertEqual(self.claim(SOUTH, 3, "b"), "claimed")
+
+    def test_one_key_twice_in_one_batch_is_claimed_once(self) -> None:
+        claims = (ClaimKey(1, digest("a")), ClaimKey(2, digest("a")))
+        self.assertEqual(self.run_batch(LedgerBatch(NORTH, 1, claims))[1], ("claimed", "running"))
+
+    def test_a_claim_sent_again_is_claimed_again_but_only_behind_a_record(self) -> None:
+        self.claim(NORTH, 1)
+        record, answers = self.run_batch(LedgerBatch(NORTH, 1, (ClaimKey(1, digest("a")),)))
+        self.assertEqual(answers, ("claimed",))
+        self.assertIsNotNone(record, "without a record the answer could come before the claim is durable")
+
+    def test_not_run_frees_the_key_but_never_for_the_freed_ticket(self) -> None:
+        self.claim(NORTH, 1)
+        self.settle(NORTH, 1, "not-run")
+        self.assertEqual(self.claim(NORTH, 1), "closed")
+        self.assertEqual(self.claim(SOUTH, 1), "claimed")
+        self.settle(NORTH, 1, "not-run")
+        self.assertEqual(self.claim(NORTH, 2), "running", "a settle sent again frees nobody else's claim")
+
+    def test_a_claim_that_comes_after_it_was_given_up_is_not_granted(self) -> None:
+        self.settle(NORTH, 7, "not-run")
+        self.assertEqual(self.claim(NORTH, 7), "closed")
+        self.settle(NORTH, 8, "not-run", floor=9)
+        self.assertEqual(self.claim(NORTH, 7), "closed")
+        self.assertEqual(self.claim(NORTH, 8, "other key"), "closed")
+        self.assertEqual(self.claim(NORTH, 9), "claimed")
+
+    def test_given_up_and_claimed_in_one_batch(self) -> None:
+        batch = LedgerBatch(NORTH, 1, (ClaimKey(1, digest("a")),), (SettleKey(1, digest("a"), "not-run"),))
+        self.assertEqual(self.run_batch(batch)[1], ("closed",))
+        self.assertEqual(self.claim(SOUTH, 1), "claimed")
+
+    def test_the_outcome_of_a_lost_router_is_unknown_and_may_still_be_told(self) -> None:
+        self.claim(NORTH, 1)
+        self.members.remove(NORTH)
+        self.assertEqual(self.claim(SOUTH, 1), "unknown")
+        self.settle(NORTH, 1, "not-run")
+        self.assertEqual(self.claim(SOUTH, 2), "claimed")
+
+    def test_ran_is_final(self) -> None:
+        self.claim(NORTH, 1)
+        self.settle(NORTH, 1, "unknown")
+        self.assertEqual(self.claim(NORTH, 1), "unknown")
+        self.settle(NORTH, 1, "ran")
+        self.settle(NORTH, 1, "not-run")
+        self.settle(NORTH, 1, "unknown")
+        self.assertEqual(self.claim(SOUTH, 1), "ran")
+
+    def test_backup_and_restored_snapshot_answer_alike(self) -> None:
+        for number in range(1, 40):
+            self.claim(NORTH, number, f"key {number}")
+            if number % 3:
+                self.settle(NORTH, number, ("ran", "unknown", "not-run")[number % 3], f"key {number}", floor=number - 2)
+        self.assertEqual(self.state.snapshot(), self.backup.snapshot())
+        restored = self.make()
+        restored.restore(self.state.snapshot())
+        self.assertEqual(restored.snapshot(), self.state.snapshot())
+        claims = tuple(ClaimKey(number, digest(f"key {number}")) for number in range(1, 45))
+        expected = self.state.decide(LedgerBatch(NORTH, 0, claims))[1]
+        self.assertEqual(restored.decide(LedgerBatch(NORTH, 0, claims))[1], expected)
+        restored.restore(None)
+        self.assertEqual(restored.entries(), 0)
+
+    def test_outcomes_are_kept_for_the_retention_and_forgotten_soon_after(self) -> None:
+        self.claim(NORTH, 1)
+        self.settle(NORTH, 1, "ran")
+        self.claim(NORTH, 2, "b")
+        self.settle(NORTH, 2, "unknown", "b")
+        self.clock.now += RETENTION - 1
+        self.claim(SOUTH, 1, "tick")
+        self.assertEqual((self.claim(SOUTH, 2), self.claim(SOUTH, 3, "b")), ("ran", "unknown"))
+        self.clock.now += RETENTION * 0.5
+        self.claim(SOUTH, 4, "tock")
+        self.assertEqual((self.claim(SOUTH, 5), self.claim(SOUTH, 6, "b")), ("claimed", "claimed"))
+        self.assertEqual(self.claim(SOUTH, 7, "tick"), "running", "what may still run is kept")
+
+    def test_a_claim_never_settled_is_forgotten_after_a_day(self) -> None:
+        self.claim(NORTH, 1)
+        self.clock.now += LONGEST_RUNNING + 1
+        self.claim(SOUTH, 1, "tick")
+        self.assertEqual(self.claim(SOUTH, 2), "claimed")
+
+    def test_time_stands_still_while_nothing_runs(self) -> None:
+        self.claim(NORTH, 1)
+        self.settle(NORTH, 1, "ran")
+        snapshot = self.state.snapshot()
+        self.clock.now += 10 * RETENTION
+        self.state = self.make()
+        self.state.restore(snapshot)
+        self.claim(SOUTH, 1, "tick")
+        self.assertEqual(self.claim(SOUTH, 2), "ran")
+
+    def test_entries_are_bounded(self) -> None:
+        self.state = LedgerState(self.clock, RETENTION, None, most_entries=2)
+        answers = [self.claim(NORTH, number, f"key {number}") for number in (1, 2, 3)]
+        self.assertEqual(answers, ["claimed", "claimed", "full"])
