--- a/wingwood/journal/__init__.py
+++ b/wingwood/journal/__init__.py
@@ -0,0 +1,5 @@
+"""Append-only file of checksummed records that is rewritten when it gets long (docs/DESIGN.md section 7.5)."""
+
+from .journal import Journal, JournalFault, Scan, scan
+
+__all__ = ["Journal", "JournalFault", "Scan", "scan"]
--- /dev/null
+++ b/wingwood/journal/journal.py
@@ -0,0 +1,249 @@
+"""Append-only file of checksummed, length-framed records (docs/DESIGN.md section 7.5)."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+from collections.abc import Callable, Coroutine, Sequence
+from typing import Any, Literal, TypeVar
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from ..context.protocols import Context, DiskFault
+from ..identifiers import Seconds
+
+MAGIC = b"WWJOURN1"
+SALT_BYTES = 16
+HEADER_BYTES = len(MAGIC) + SALT_BYTES
+MARKER_BYTES = 4
+CHECKSUM_BYTES = 8
+FRAME_BYTES = MARKER_BYTES + 4 + CHECKSUM_BYTES
+"""What a frame adds to its payload."""
+
+PATIENCE = Seconds(1.0)
+
+Value = TypeVar("Value")
+
+
+class JournalFault(msgspec.Struct, frozen=True):
+    """``missing``: there is no journal. ``damaged``: the bytes at ``offset`` are wrong. ``sick``: must be opened anew.
+
+    ``full`` and ``failed`` come from the disk; ``slow``: the disk did not answer in time, so the
+    outcome is open and the journal is sick until it was opened anew.
+    """
+
+    kind: Literal["missing", "damaged", "sick", "full", "failed", "locked", "slow"]
+    detail: str = ""
+    offset: int = 0
+
+
+class Scan(msgspec.Struct, frozen=True):
+    """What a journal's bytes hold. ``sound_bytes`` < ``file_bytes`` when a torn tail follows."""
+
+    payloads: Sequence[bytes]
+    sound_bytes: int
+    file_bytes: int
+
+
+def header(salt: bytes) -> bytes:
+    return MAGIC + salt
+
+
+def _marker(salt: bytes) -> bytes:
+    return hashlib.blake2b(salt, digest_size=MARKER_BYTES).digest()
+
+
+def _checksum(salt: bytes, offset: int, payload: bytes) -> bytes:
+    digest = hashlib.blake2b(
+        offset.to_bytes(8, "big") + len(payload).to_bytes(4, "big"), key=salt, digest_size=CHECKSUM_BYTES
+    )
+    digest.update(payload)
+    return digest.digest()
+
+
+def frame(salt: bytes, offset: int, payload: bytes) -> bytes:
+    """The frame of a payload that will stand at ``offset`` of its file."""
+    return b"".join(
+        (_marker(salt), len(payload).to_bytes(4, "big"), _checksum(salt, offset, payload), payload),
+    )
+
+
+def _frame_at(salt: bytes, marker: bytes, data: bytes, offset: int) -> bytes | None:
+    if data[offset : offset + MARKER_BYTES] != marker:
+        return None
+    begin = offset + FRAME_BYTES
+    length = int.from_bytes(data[offset + MARKER_BYTES : offset + MARKER_BYTES + 4], "big")
+    if begin + length > len(data):
+        return None
+    payload = data[begin : begin + length]
+    if data[begin - CHECKSUM_BYTES : begin] != _checksum(salt, offset, payload):
+        return None
+    return payload
+
+
+def scan(data: bytes) -> Result[Scan, JournalFault]:
+    """Reads a whole journal. A bad frame is a torn tail only when no good frame stands behind it."""
+    if len(data) < HEADER_BYTES or not data.startswith(MAGIC):
+        return Failure(JournalFault("damaged", "no journal header", 0))
+    salt = data[len(MAGIC) : HEADER_BYTES]
+    marker = _marker(salt)
+    payloads: list[bytes] = []
+    offset = HEADER_BYTES
+    while offset < len(data):
+        payload = _frame_at(salt, marker, data, offset)
+        if payload is None:
+            break
+        payloads.append(payload)
+        offset += FRAME_BYTES + len(payload)
+    behind = data.find(marker, offset + 1)
+    while behind != -1:
+        if _frame_at(salt, marker, data, behind) is not None:
+            return Failure(JournalFault("damaged", f"bad frame, with a good one behind it at {behind}", offset))
+        behind = data.find(marker, behind + 1)
+    return Success(Scan(payloads, offset, len(data)))
+
+
+class Journal:
+    """One journal file of a data folder. Operations run one at a time, in the order of their asking.
+
+    Each append is one frame. ``patience`` bounds how long one operation may take once it is its turn;
+    past it the outcome is open (``slow``), and the journal refuses work as ``sick`` until ``open`` succeeds.
+    """
+
+    def __init__(self, context: Context, name: str, patience: Seconds = PATIENCE) -> None:
+        self._context = context
+        self._name = name
+        self._new_name = f"{name}.new"
+        self._patience = patience
+        self._turn = asyncio.Lock()
+        self._under_way: asyncio.Task[Any] | None = None
+        """A disk call that outlived our patience; the next one waits for it."""
+        self._salt = b""
+        self._length = 0
+        self._sick: str | None = "not opened"
+
+    @property
+    def length(self) -> int:
+        """Bytes of the sound file."""
+        return self._length
+
+    @property
+    def sick(self) -> str | None:
+        """Why it takes no appends now; None when it does."""
+        return self._sick
+
+    async def create(self, payloads: Sequence[bytes]) -> Result[None, JournalFault]:
+        """Makes the file, or takes the place of the one there, with these payloads."""
+        async with self._turn:
+            return await self._replace(payloads)
+
+    async def open(self, patience: Seconds | None = None) -> Result[Sequence[bytes], JournalFault]:
+        """Reads all payloads back; cuts a torn tail off. Ends a sickness when it succeeds."""
+        async with self._turn:
+            self._sick = self._sick or "being opened"
+            match await self._disk(lambda: self._context.disk.read(self._name), patience):
+                case Failure(fault):
+                    return Failure(fault)
+                case Success(data):
+                    pass
+            match scan(data):
+                case Failure(fault):
+                    return Failure(fault)
+                case Success(found):
+                    pass
+            if found.sound_bytes < found.file_bytes:
+                self._context.log.event(
+                    "journal-torn-tail-cut",
+                    journal=self._name,
+                    offset=found.sound_bytes,
+                    cut_bytes=found.file_bytes - found.sound_bytes,
+                )
+                match await self._disk(lambda: self._context.disk.truncate(self._name, found.sound_bytes), patience):
+                    case Failure(fault):
+                        return Failure(fault)
+            self._salt = data[len(MAGIC) : HEADER_BYTES]
+            self._length = found.sound_bytes
+            self._sick = None
+            return Success(found.payloads)
+
+    async def append(self, payload: bytes) -> Result[None, JournalFault]:
+        """Success once synced. After a failure nothing of it is left, or the journal is sick."""
+        async with self._turn:
+            if self._sick is not None:
+                return Failure(JournalFault("sick", self._sick))
+            data = frame(self._salt, self._length, payload)
+            self._sick = "an append was left before its end"
+            match await self._disk(lambda: self._context.disk.append(self._name, data)):
+                case Success(_):
+                    self._length += len(data)
+                    self._sick = None
+                    return Success(None)
+                case Failure(fault):
+                    pass
+            if fault.kind == "slow":
+                self._sick = f"append: {fault.detail}"
+                return Failure(fault)
+            match await self._disk(lambda: self._context.disk.truncate(self._name, self._length)):
+                case Success(_):
+                    self._sick = None
+                case Failure(second):
+                    self._sick = f"append: {fault.detail}; cutting it off again: {second.detail}"
+            return Failure(fault)
+
+    async def rewrite(
+        self, payloads: Callable[[], Sequence[bytes]], patience: Seconds | None = None
+    ) -> Result[None, JournalFault]:
+        """Takes the place of the file; ``payloads`` is asked when all earlier appends are done."""
+        async with self._turn:
+            if self._sick is not None:
+                return Failure(JournalFault("sick", self._sick))
+            return await self._replace(payloads(), patience)
+
+    async def _replace(self, payloads: Sequence[bytes], patience: Seconds | None = None) -> Result[None, JournalFault]:
+        salt = self._context.random.randbytes(SALT_BYTES)
+        pieces = [header(salt)]
+        length = HEADER_BYTES
+        for payload in payloads:
+            piece = frame(salt, length, payload)
+            pieces.append(piece)
+            length += len(piece)
+        data = b"".join(pieces)
+        match await self._disk(lambda: self._context.disk.write_new(self._new_name, data), patience):
+            case Failure(fault):
+                # The file under our name is as it was.
+                return Failure(fault)
+        self._sick = "a rename was left before its end"
+        match await self._disk(lambda: self._context.disk.rename(self._new_name, self._name), patience):
+            case Failure(fault):
+                self._sick = f"rename: {fault.detail}"
+                return Failure(fault)
+        self._salt = salt
+        self._length = length
+        self._sick = None
+        return Success(None)
+
+    async def _disk(
+        self, call: Callable[[], Coroutine[Any, Any, Result[Value, DiskFault]]], patience: Seconds | None = None
+    ) -> Result[Value, JournalFault]:
+        """Never leaves two calls under way: one that outlives its bound is waited for by the next."""
+        bound = self._patience if patience is None else patience
+        begun = self._context.clock.monotonic()
+        if self._under_way is not None:
+            await asyncio.wait((self._under_way,), timeout=bound)
+            if not self._under_way.done():
+                return Failure(JournalFault("slow", f"an earlier call takes over {bound} s"))
+            self._under_way = None
+        task = asyncio.get_running_loop().create_task(call())
+        self._under_way = task
+        left = bound - (self._context.clock.monotonic() - begun)
+        await asyncio.wait((task,), timeout=max(left, 0.0))
+        if not task.done():
+            return Failure(JournalFault("slow", f"takes over {bound} s"))
+        self._under_way = None
+        match task.result():
+            case Success(value):
+                return Success(value)
+            case Failure(fault):
+                return Failure(JournalFault(fault.kind, fault.detail))
+        raise AssertionError("a result is a success or a failure")
--- /dev/null
+++ b/wingwood/journal/tests/test_journal.py
@@ -0,0 +1,167 @@
+"""The journal under lost power, partial writes, stalls and damage (docs/DESIGN.md section 7.5)."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import unittest
+from collections.abc import Sequence
+
+from returns.result import Failure, Success
+
+from ...context.protocols import Context, DiskFault
+from ...context.real import RealClock
+from ...identifiers import Seconds
+from .. import Journal, scan
+from .memory_disk import MemoryDisk, PowerLost
+
+
+class SilentLog:
+    def __init__(self) -> None:
+        self.events: list[str] = []
+
+    def event(self, name: str, **fields: object) -> None:
+        self.events.append(name)
+
+
+def make_context(disk: MemoryDisk, seed: int = 0) -> Context:
+    return Context(RealClock(), None, disk, None, random.Random(seed), SilentLog(), None)  # type: ignore[arg-type]
+
+
+class JournalTests(unittest.IsolatedAsyncioTestCase):
+    def setUp(self) -> None:
+        self.disk = MemoryDisk()
+        self.context = make_context(self.disk)
+
+    def journal(self) -> Journal:
+        return Journal(self.context, "control.journal", Seconds(0.01))
+
+    async def created(self, *payloads: bytes) -> Journal:
+        journal = self.journal()
+        self.assertEqual(await journal.create([b"first"]), Success(None))
+        for payload in payloads:
+            self.assertEqual(await journal.append(payload), Success(None))
+        return journal
+
+    async def read_back(self) -> Sequence[bytes]:
+        return (await self.journal().open()).unwrap()
+
+    async def test_reads_back_what_was_appended(self) -> None:
+        await self.created(b"one", b"", b"three" * 1000)
+        self.assertEqual(await self.read_back(), [b"first", b"one", b"", b"three" * 1000])
+
+    async def test_missing_journal_is_said(self) -> None:
+        self.assertEqual((await self.journal().open()).failure().kind, "missing")
+
+    async def test_every_cut_of_the_tail_loses_only_the_last_record(self) -> None:
+        await self.created(b"one", b"two" * 5)
+        whole = self.disk.files["control.journal"]
+        begin = scan(whole).unwrap().sound_bytes - len(b"two" * 5) - 16
+        for length in range(begin, len(whole)):
+            self.disk.files["control.journal"] = whole[:length]
+            self.assertEqual(await self.read_back(), [b"first", b"one"])
+            self.assertEqual(len(self.disk.files["control.journal"]), begin)
+
+    async def test_every_flipped_byte_before_the_last_record_is_damage_at_its_frame(self) -> None:
+        await self.created(b"one" * 3, b"two")
+        whole = self.disk.files["control.journal"]
+        last = len(whole) - 16 - 3
+        for place in range(24, last):
+            damaged = bytearray(whole)
+            damaged[place] ^= 0x40
+            self.disk.files["control.journal"] = bytes(damaged)
+            fault = (await self.journal().open()).failure()
+            self.assertEqual(fault.kind, "damaged")
+            self.assertIn(fault.offset, (24, 24 + 16 + 5))
+            self.assertLessEqual(fault.offset, place)
+        self.disk.files["control.journal"] = b"X" + whole[1:]
+        self.assertEqual((await self.journal().open()).failure().kind, "damaged")
+
+    async def test_a_payload_that_holds_a_journal_is_no_damage_when_torn(self) -> None:
+        await self.created(b"one")
+        inner = self.disk.files["control.journal"]
+        journal = self.journal()
+        await journal.open()
+        await journal.append(inner * 2)
+        self.disk.files["control.journal"] = self.disk.files["control.journal"][:-3]
+        self.assertEqual(await self.read_back(), [b"first", b"one"])
+
+    async def test_a_failed_append_leaves_nothing_and_the_next_one_holds(self) -> None:
+        journal = await self.created(b"one")
+        for _ in range(20):
+            self.disk.fault, self.disk.faulty = DiskFault("full"), ("append",)
+            self.assertEqual((await journal.append(b"lost" * 9)).failure().kind, "full")
+            self.disk.fault = None
+        self.assertEqual(await journal.append(b"two"), Success(None))
+        self.assertEqual(await self.read_back(), [b"first", b"one", b"two"])
+
+    async def test_when_the_tail_cannot_be_cut_off_it_is_sick_until_opened(self) -> None:
+        journal = await self.created(b"one")
+        self.disk.fault, self.disk.faulty = DiskFault("failed"), ("append", "truncate")
+        self.assertEqual((await journal.append(b"lost" * 9)).failure().kind, "failed")
+        self.disk.fault = None
+        self.assertEqual((await journal.append(b"two")).failure().kind, "sick")
+        self.assertIsInstance(await journal.open(), Success)
+        self.assertEqual(await journal.append(b"two"), Success(None))
+        self.assertEqual((await self.read_back())[-1], b"two")
+
+    async def test_a_stalled_append_is_slow_then_sick_and_never_overlaps_another_call(self) -> None:
+        journal = await self.created(b"one")
+        self.disk.stall = asyncio.Event()
+        self.assertEqual((await journal.append(b"late")).failure().kind, "slow")
+        self.assertEqual((await journal.append(b"two")).failure().kind, "sick")
+        self.assertEqual((await journal.open()).failure().kind, "slow")
+        self.disk.stall.set()
+        self.assertEqual((await journal.open()).unwrap(), [b"first", b"one", b"late"])
+        self.assertEqual(await journal.append(b"two"), Success(None))
+        self.assertEqual(self.disk.most_under_way, 1)
+
+    async def test_a_rewrite_waits_for_appends_and_a_full_disk_leaves_the_old_file(self) -> None:
+        journal = await self.created(b"one")
+        waiting = [asyncio.create_task(journal.append(bytes([number]))) for number in range(5)]
+        rewriting = asyncio.create_task(journal.rewrite(lambda: [b"snapshot"]))
+        after = asyncio.create_task(journal.append(b"after"))
+        await asyncio.gather(*waiting, rewriting, after)
+        self.assertEqual(await self.read_back(), [b"snapshot", b"after"])
+        self.disk.fault, self.disk.faulty = DiskFault("full"), ("write_new",)
+        self.assertEqual((await journal.rewrite(lambda: [b"never"])).failure().kind, "full")
+        self.assertEqual(await journal.append(b"two"), Success(None))
+        self.assertEqual(await self.read_back(), [b"snapshot", b"after", b"two"])
+
+    async def test_lost_power_at_any_call_keeps_all_that_was_said_to_be_synced(self) -> None:
+        for seed in range(300):
+            await self.lose_power(seed)
+
+    async def lose_power(self, seed: int) -> None:
+        randomness = random.Random(seed)
+        disk = MemoryDisk(seed)
+        context = make_context(disk, seed)
+        said: list[bytes] = []
+        maybe: list[bytes] = []
+        journal = Journal(context, "j", Seconds(1.0))
+        await journal.create([])
+        disk.power_at = disk.calls + randomness.randrange(1, 25)
+        try:
+            for number in range(30):
+                if randomness.random() < 0.2:
+                    compact = b"|".join(said)
+                    maybe = [compact]
+                    (await journal.rewrite(lambda payload=compact: [payload])).unwrap()  # type: ignore[misc]
+                    said = [compact]
+                else:
+                    payload = f"{number}".encode() * randomness.randrange(60)
+                    maybe = [*said, payload]
+                    (await journal.append(payload)).unwrap()
+                    said = maybe
+        except PowerLost:
+            pass
+        disk.power_at = None
+        match await Journal(context, "j", Seconds(1.0)).open():
+            case Success(found):
+                self.assertIn(list(found), (said, maybe), f"seed {seed}")
+            case Failure(fault):
+                self.fail(f"seed {seed}: {fault}")
+
+
+if __name__ == "__main__":
+    unittest.main()
