Sign, check, change and keep bundles: canonical slices, deltas, order outcomes

Cause: routers must verify a signed bundle from what changed alone, and control must decide each order once (compare-and-set on the base) and give the same outcome to every resending. Bundle gained `digests`, DaemonSettings `history_versions`. An order that no operator signed, or whose slices do not give the signed root, leaves no record: a stranger can take no order id and wash out no outcome.

--- a/wingwood/bundle/model.py
+++ b/wingwood/bundle/model.py
@@ -101,6 +101,8 @@
     tenants: Mapping[TenantName, Tenant]
     classes: Mapping[ClassName, PriorityClass]
     keys: Mapping[KeyDigest, TenantName]
+    digests: Mapping[SliceName, Digest] = msgspec.field(default_factory=dict)
+    """Of all slices; kept so that a change costs one hash per changed slice."""
 
     @property
     def version(self) -> BundleVersion:
--- /dev/null
+++ b/wingwood/bundle/signing.py
@@ -0,0 +1,46 @@
+"""Signatures of manifests: Ed25519 by operators' keys (docs/DESIGN.md section 5)."""
+
+from __future__ import annotations
+
+from collections.abc import Collection
+
+import msgspec
+from cryptography.exceptions import InvalidSignature
+from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey, Ed25519PublicKey
+
+from .model import Manifest
+
+PURPOSE = b"wingwood bundle manifest 1\n"
+
+
+def signed_bytes(manifest: Manifest) -> bytes:
+    """What the signature covers: every field but ``signature``, after a prefix that says what it is for."""
+    bare = msgspec.structs.replace(manifest, signature=b"")
+    return PURPOSE + msgspec.msgpack.encode(bare)
+
+
+def public_hex(key: Ed25519PrivateKey) -> str:
+    """The operator's public key as settings list it."""
+    return key.public_key().public_bytes_raw().hex()
+
+
+def sign_manifest(manifest: Manifest, key: Ed25519PrivateKey) -> Manifest:
+    """The manifest with ``signer`` and ``signature`` of this key."""
+    named = msgspec.structs.replace(
+        manifest, signer=public_hex(key), signed_at=float(manifest.signed_at), signature=b""
+    )
+    return msgspec.structs.replace(named, signature=key.sign(signed_bytes(named)))
+
+
+def verify_manifest(manifest: Manifest, operator_keys: Collection[str]) -> str | None:
+    """None when one of the operators signed it; else the reason why not."""
+    if manifest.signer not in operator_keys:
+        return f"signer {manifest.signer[:64]!r} is not one of the {len(operator_keys)} operator keys in the settings"
+    try:
+        public = Ed25519PublicKey.from_public_bytes(bytes.fromhex(manifest.signer))
+        public.verify(manifest.signature, signed_bytes(manifest))
+    except ValueError as malformed:
+        return f"signer is not an Ed25519 public key: {malformed}"
+    except InvalidSignature:
+        return "the signature does not fit the manifest"
+    return None
--- /dev/null
+++ b/wingwood/bundle/tests/samples.py
@@ -0,0 +1,83 @@
+"""Slices and signed orders for tests of this and other slices."""
+
+from __future__ import annotations
+
+import hashlib
+
+import msgspec
+from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
+
+from ...control.protocols import SubmitOrder
+from ...identifiers import (
+    BundleVersion,
+    ClassName,
+    KeyDigest,
+    OrderId,
+    PoolName,
+    Seconds,
+    ServiceName,
+    SliceName,
+    TenantName,
+    WallTime,
+)
+from ..canonical import canonical_json
+from ..model import Order, OrderOutcome, PriorityClass, Route, Service, Tenant
+from ..orders import make_order
+from ..signing import public_hex
+from ..state import BundleState
+
+OPERATOR = Ed25519PrivateKey.from_private_bytes(b"\x01" * 32)
+STRANGER = Ed25519PrivateKey.from_private_bytes(b"\x02" * 32)
+OPERATOR_KEYS = (public_hex(OPERATOR),)
+
+
+def key_digest(key: str) -> KeyDigest:
+    return KeyDigest(hashlib.sha256(key.encode()).hexdigest())
+
+
+def sample_slices(tenants: int = 5) -> dict[SliceName, bytes]:
+    """Three services with a route each, three classes, some tenants with one key each."""
+    parts: list[Service | Route | PriorityClass | Tenant] = [
+        Service(name=ServiceName("summaries"), pool=PoolName("model")),
+        Service(name=ServiceName("chat"), pool=PoolName("model"), first_byte_patience=Seconds(3.0)),
+        Service(name=ServiceName("cards"), pool=PoolName("plain"), kind="plain", repeatable=False, streaming=False),
+        *(PriorityClass(name=ClassName(name), weight=weight) for name, weight in (("gold", 4.0), ("iron", 1.0))),
+    ]
+    parts += [
+        Route(name=name, path_prefix=f"/v1/{name}", service=ServiceName(name))
+        for name in ("summaries", "chat", "cards")
+    ]
+    parts += [
+        Tenant(
+            name=TenantName(f"tenant-{number}"),
+            priority_class=ClassName("gold" if number % 2 else "iron"),
+            paid_rate=10.0 + number,
+            keys=(key_digest(f"key-{number}"),),
+        )
+        for number in range(tenants)
+    ]
+    return dict(slice_of(part) for part in parts)
+
+
+def slice_of(part: Service | Route | PriorityClass | Tenant) -> tuple[SliceName, bytes]:
+    kinds = {Service: "service", Route: "route", PriorityClass: "class", Tenant: "tenant"}
+    return SliceName(f"{kinds[type(part)]}/{part.name}"), canonical_json(part)
+
+
+def order_between(
+    base: int,
+    before: dict[SliceName, bytes],
+    after: dict[SliceName, bytes],
+    order: str = "",
+    key: Ed25519PrivateKey = OPERATOR,
+) -> Order:
+    return make_order(BundleVersion(base), before, after, key, OrderId(order or f"order-{base + 1}"), WallTime(1000.0))
+
+
+def submit(state: BundleState, order: Order) -> OrderOutcome:
+    """Decides and applies at once, as the primary does."""
+    record, outcome = state.decide(SubmitOrder(msgspec.msgpack.decode(msgspec.msgpack.encode(order), type=Order)))
+    if record is not None:
+        state.apply(record)
+    assert isinstance(outcome, OrderOutcome)
+    return outcome
--- /dev/null
+++ b/wingwood/bundle/tests/test_parse.py
@@ -0,0 +1,222 @@
+"""Reading, checking and changing bundles (docs/DESIGN.md sections 5.1 and 5.2)."""
+
+from __future__ import annotations
+
+import unittest
+
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from returns.result import Failure, Success
+
+from ...identifiers import BundleVersion, ClassName, PoolName, Seconds, ServiceName, SliceName, TenantName
+from ..canonical import root_digest, slice_digest
+from ..model import Bundle, BundleDelta, PriorityClass, Route, Service, Tenant
+from ..orders import difference
+from ..parse import BundleProblem, apply_delta, parse_bundle
+from ..signing import sign_manifest, verify_manifest
+from .samples import OPERATOR, OPERATOR_KEYS, STRANGER, key_digest, order_between, sample_slices, slice_of
+
+Slices = dict[SliceName, bytes]
+
+
+def whole(slices: Slices, version: int = 1) -> BundleDelta:
+    manifest = order_between(version - 1, {}, slices).manifest
+    return BundleDelta(since=BundleVersion(0), manifest=manifest, changed=slices, removed=())
+
+
+def step(before: Slices, after: Slices, since: int, version: int) -> BundleDelta:
+    changed, removed = difference(before, after)
+    manifest = order_between(version - 1, before, after).manifest
+    return BundleDelta(since=BundleVersion(since), manifest=manifest, changed=changed, removed=removed)
+
+
+def accepted(held: Bundle | None, delta: BundleDelta) -> Bundle:
+    return apply_delta(held, delta, OPERATOR_KEYS).unwrap()
+
+
+def problem_of(slices: Slices) -> BundleProblem:
+    return parse_bundle(order_between(0, {}, slices).manifest, slices).failure()
+
+
+class SignatureTest(unittest.TestCase):
+    def test_any_altered_field_breaks_the_signature(self) -> None:
+        manifest = order_between(0, {}, sample_slices()).manifest
+        self.assertIsNone(verify_manifest(manifest, OPERATOR_KEYS))
+        altered = {"version": 2, "base": 1, "root": "0" * 64, "order": "other", "signed_at": 5.0}
+        for field, value in altered.items():
+            forged = msgspec.structs.replace(manifest, **{field: value})
+            self.assertIn("does not fit", verify_manifest(forged, OPERATOR_KEYS) or "", field)
+
+    def test_a_stranger_and_a_malformed_signer_are_refused(self) -> None:
+        manifest = order_between(0, {}, sample_slices(), key=STRANGER).manifest
+        self.assertIn("not one of", verify_manifest(manifest, OPERATOR_KEYS) or "")
+        odd = msgspec.structs.replace(manifest, signer="zz")
+        self.assertIn("not an Ed25519", verify_manifest(odd, ("zz",)) or "")
+
+    def test_a_whole_second_survives_json_and_msgpack(self) -> None:
+        manifest = sign_manifest(
+            msgspec.structs.replace(order_between(0, {}, {}).manifest, signed_at=1764650000), OPERATOR
+        )
+        for codec in (msgspec.json, msgspec.msgpack):
+            again = codec.decode(codec.encode(manifest), type=type(manifest))
+            self.assertIsNone(verify_manifest(again, OPERATOR_KEYS))
+
+
+class CrossCheckTest(unittest.TestCase):
+    def test_each_problem_names_slice_field_value_and_mend(self) -> None:
+        cases: list[tuple[Service | Route | PriorityClass | Tenant, str, str, str]] = [
+            (Service(name=ServiceName("chat"), pool=PoolName("Bad Pool")), "pool", "Bad Pool", "a-z"),
+            (Service(name=ServiceName("chat"), pool=PoolName("m"), retry_share=0.5), "retry_share", "0.5", "0.2"),
+            (Service(name=ServiceName("chat"), pool=PoolName("m"), deadline=Seconds(0)), "deadline", "0.0", "3600"),
+            (Route(name="chat", path_prefix="v1", service=ServiceName("chat")), "path_prefix", "v1", "starts with /"),
+            (Route(name="chat", path_prefix="/x", service=ServiceName("nope")), "service", "nope", "chat"),
+            (Route(name="chat", path_prefix="/x", service=ServiceName("chat"), methods=()), "methods", "()", "one"),
+            (PriorityClass(name=ClassName("gold"), weight=0.0), "weight", "0.0", "above 0"),
+            (
+                Tenant(name=TenantName("tenant-1"), priority_class=ClassName("x"), paid_rate=1.0),
+                "priority_class",
+                "x",
+                "gold",
+            ),
+            (
+                Tenant(name=TenantName("tenant-1"), priority_class=ClassName("gold"), paid_rate=-1.0),
+                "paid_rate",
+                "-1.0",
+                "0",
+            ),
+            (
+                Tenant(
+                    name=TenantName("tenant-1"),
+                    priority_class=ClassName("gold"),
+                    paid_rate=1.0,
+                    services=(ServiceName("lost"),),
+                ),
+                "services",
+                "lost",
+                "add it",
+            ),
+            (
+                Tenant(
+                    name=TenantName("tenant-1"),
+                    priority_class=ClassName("gold"),
+                    paid_rate=1.0,
+                    keys=(key_digest("key-0"),),
+                ),
+                "keys",
+                key_digest("key-0"),
+                "tenant/tenant-0",
+            ),
+        ]
+        for part, field, value, mend in cases:
+            name, data = slice_of(part)
+            problem = problem_of({**sample_slices(), name: data})
+            self.assertEqual((problem.slice, problem.field, problem.value), (name, field, value))
+            self.assertIn(mend, problem.mend)
+
+    def test_routes_must_not_overlap(self) -> None:
+        name, data = slice_of(Route(name="other", path_prefix="/v1/chat", service=ServiceName("chat")))
+        self.assertEqual(problem_of({**sample_slices(), name: data}).code, "double")
+
+    def test_slices_that_are_not_as_they_should_be_written(self) -> None:
+        name = SliceName("class/gold")
+        for data, mend in (
+            (b'{"name": "gold", "weight": 4.0}', "sorted keys"),
+            (b'{"name":"gold","name":"gold","weight":4.0}', "sorted keys"),
+            (b'{"name":"iron","weight":4.0}', "must be gold"),
+            (b'{"name":"gold","weight":"4"}', "float"),
+            (b'{"colour":1,"name":"gold"}', "colour"),
+            (b"[" * 100_000, ""),
+            (b'{"name":"gold","weight":' + b" " * 300_000 + b"1}", "keep below"),
+        ):
+            self.assertIn(mend, problem_of({**sample_slices(), name: data}).mend)
+        self.assertIn("are called", problem_of({**sample_slices(), SliceName("odd/x"): b"{}"}).mend)
+
+
+class DeltaTest(unittest.TestCase):
+    def test_tampered_missing_and_extra_slices_break_the_root(self) -> None:
+        slices = sample_slices()
+        delta = whole(slices)
+        name = SliceName("tenant/tenant-1")
+        rich = slices[name].replace(b"11.0", b"99.0")
+        self.assertNotEqual(rich, slices[name])
+        bare = {key: data for key, data in slices.items() if key != name}
+        extra = {**slices, SliceName("class/more"): b'{"name":"more","weight":1.0}'}
+        for changed in ({**slices, name: rich}, bare, extra):
+            forged = msgspec.structs.replace(delta, changed=changed)
+            self.assertEqual(apply_delta(None, forged, OPERATOR_KEYS).failure().code, "root")
+
+    def test_never_back_and_never_over_a_gap(self) -> None:
+        slices = sample_slices()
+        held = accepted(None, whole(slices, 3))
+        self.assertEqual(apply_delta(held, whole(slices, 3), OPERATOR_KEYS).failure().code, "stale")
+        self.assertEqual(apply_delta(held, whole(slices, 2), OPERATOR_KEYS).failure().code, "stale")
+        self.assertEqual(apply_delta(held, step(slices, slices, 5, 6), OPERATOR_KEYS).failure().code, "gap")
+        self.assertEqual(accepted(held, step(slices, slices, 2, 6)).version, 6)
+
+    def test_a_key_may_move_between_tenants_in_one_change(self) -> None:
+        slices = sample_slices()
+        held = accepted(None, whole(slices))
+        moved = dict(slices)
+        for number, keys in ((1, (key_digest("key-0"),)), (0, (key_digest("key-1"),))):
+            tenant = msgspec.structs.replace(held.tenants[TenantName(f"tenant-{number}")], keys=keys)
+            moved.update([slice_of(tenant)])
+        bundle = accepted(held, step(slices, moved, 1, 2))
+        self.assertEqual(bundle.keys[key_digest("key-0")], "tenant-1")
+        self.assertEqual(held.keys[key_digest("key-0")], "tenant-0")
+
+    def test_removing_what_others_name_is_refused(self) -> None:
+        slices = sample_slices()
+        held = accepted(None, whole(slices))
+        for name, field in (("service/chat", "service"), ("class/gold", "priority_class")):
+            after = {key: data for key, data in slices.items() if key != name}
+            problem = apply_delta(held, step(slices, after, 1, 2), OPERATOR_KEYS).failure()
+            self.assertEqual((problem.code, problem.field), ("reference", field))
+
+
+names = st.sampled_from(["a", "b", "c", "d"])
+services = st.builds(Service, name=names, pool=st.sampled_from(["m", "p", "!"]), repeatable=st.booleans())
+routes = st.builds(Route, name=names, path_prefix=st.sampled_from(["/", "/x", "/xy"]), service=names)
+classes = st.builds(PriorityClass, name=names, weight=st.sampled_from([1.0, 2.0]))
+tenants = st.builds(
+    Tenant,
+    name=names,
+    priority_class=names,
+    paid_rate=st.sampled_from([1.0, 2.0]),
+    keys=st.lists(st.sampled_from([key_digest(name) for name in "wxyz"]), max_size=2, unique=True).map(tuple),
+    services=st.lists(names, max_size=1).map(tuple),
+)
+contents = st.lists(st.one_of(services, routes, classes, tenants), max_size=14).map(
+    lambda parts: dict(slice_of(part) for part in parts)
+)
+base = {
+    name: data
+    for letter in "abcd"
+    for name, data in (
+        slice_of(Service(name=ServiceName(letter), pool=PoolName("m"))),
+        slice_of(PriorityClass(name=ClassName(letter))),
+    )
+}
+
+
+class SameEitherWayTest(unittest.TestCase):
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    @given(contents, contents, st.sets(st.sampled_from(sorted(base)), max_size=2))
+    def test_a_change_gives_what_reading_the_whole_gives(
+        self, first: Slices, second: Slices, dropped: set[SliceName]
+    ) -> None:
+        before = {**base, **first}
+        after = {name: data for name, data in {**base, **second}.items() if name not in dropped}
+        held = apply_delta(None, whole(before), OPERATOR_KEYS).value_or(None)
+        known = before if held is not None else {}
+        delta = step(known, after, 1 if held is not None else 0, 2)
+        by_change = apply_delta(held, delta, OPERATOR_KEYS)
+        match by_change, parse_bundle(delta.manifest, after):
+            case Success(changed), Success(read):
+                self.assertEqual(changed, read)
+                digests = {name: slice_digest(data) for name, data in after.items()}
+                self.assertEqual(changed.manifest.root, root_digest(digests))
+            case Failure(), Failure():
+                pass
+            case other:
+                self.fail(f"the two ways differ: {other}")
--- /dev/null
+++ b/wingwood/bundle/tests/test_state.py
@@ -0,0 +1,176 @@
+"""Orders, outcomes and history (docs/DESIGN.md section 5.4)."""
+
+from __future__ import annotations
+
+import unittest
+
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ...control.protocols import SubmitOrder
+from ...identifiers import BundleVersion, ClassName, OrderId, SliceName
+from ..model import Bundle, PriorityClass
+from ..parse import apply_delta
+from ..signing import sign_manifest
+from ..state import BundleState
+from .samples import OPERATOR, OPERATOR_KEYS, STRANGER, order_between, sample_slices, slice_of, submit
+
+Slices = dict[SliceName, bytes]
+
+
+def reweighed(slices: Slices, weight: float) -> Slices:
+    return {**slices, **dict([slice_of(PriorityClass(name=ClassName("gold"), weight=weight))])}
+
+
+def restarted(state: BundleState, **changes: int) -> BundleState:
+    fresh = BundleState(OPERATOR_KEYS, **changes)
+    fresh.restore(state.snapshot())
+    return fresh
+
+
+class OrderTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.state = BundleState(OPERATOR_KEYS)
+        self.slices = sample_slices()
+        self.first = order_between(0, {}, self.slices)
+        self.assertEqual(submit(self.state, self.first).outcome, "accepted")
+
+    def test_of_two_orders_on_one_version_one_wins_and_the_other_learns_which(self) -> None:
+        after = reweighed(self.slices, 8.0)
+        self.assertEqual(submit(self.state, order_between(1, self.slices, after, "mine")).version, 2)
+        lost = submit(self.state, order_between(1, self.slices, self.slices, "yours"))
+        self.assertEqual((lost.outcome, lost.version), ("conflict", 2))
+        self.assertIn("order mine", lost.reason)
+
+    def test_every_outcome_is_given_again_also_after_a_restart_and_later_versions(self) -> None:
+        bad = reweighed(self.slices, -1.0)
+        orders = [
+            self.first,
+            order_between(1, self.slices, bad, "bad"),
+            order_between(1, self.slices, reweighed(self.slices, 8.0), "good"),
+            order_between(1, self.slices, self.slices, "late"),
+        ]
+        outcomes = [submit(self.state, order) for order in orders]
+        self.assertEqual([each.outcome for each in outcomes], ["accepted", "invalid", "accepted", "conflict"])
+        submit(self.state, order_between(2, reweighed(self.slices, 8.0), self.slices))
+        for state in (self.state, restarted(self.state)):
+            for order, outcome in zip(orders, outcomes, strict=True):
+                record, again = state.decide(SubmitOrder(order))
+                self.assertEqual((record, again), (None, outcome))
+
+    def test_an_order_id_with_other_content_is_invalid_and_the_first_outcome_stands(self) -> None:
+        other = order_between(1, self.slices, reweighed(self.slices, 8.0), "order-1")
+        outcome = submit(self.state, other)
+        self.assertEqual(outcome.outcome, "invalid")
+        self.assertIn("used before", outcome.reason)
+        self.assertEqual(submit(self.state, self.first).outcome, "accepted")
+
+    def test_what_no_operator_signed_leaves_no_trace(self) -> None:
+        """Else a stranger could take an order id or wash true outcomes out of the memory."""
+        after = reweighed(self.slices, 8.0)
+        true_order = order_between(1, self.slices, after, "mine")
+        tampered = msgspec.structs.replace(true_order, changed=dict([slice_of(PriorityClass(name=ClassName("gold")))]))
+        unsigned = msgspec.structs.replace(
+            true_order, manifest=msgspec.structs.replace(true_order.manifest, signature=b"\0" * 64)
+        )
+        for order in (tampered, unsigned, order_between(1, self.slices, after, "mine", STRANGER)):
+            record, outcome = self.state.decide(SubmitOrder(order))
+            self.assertIsNone(record)
+            self.assertEqual(getattr(outcome, "outcome", ""), "invalid")
+        self.assertEqual(submit(self.state, true_order).outcome, "accepted")
+
+    def test_too_large_and_ill_numbered_orders_are_refused_and_nothing_changes(self) -> None:
+        small = BundleState(OPERATOR_KEYS, bundle_bytes=500)
+        self.assertIn("bundle_bytes", submit(small, self.first).reason)
+        for changes in ({"base": 5}, {"order": "with space"}):
+            manifest = sign_manifest(msgspec.structs.replace(self.first.manifest, **changes), OPERATOR)
+            outcome = submit(self.state, msgspec.structs.replace(self.first, manifest=manifest))
+            self.assertEqual(outcome.outcome, "invalid")
+        self.assertEqual((small.version, self.state.version), (0, 1))
+
+    def test_a_whole_order_drops_what_it_does_not_name(self) -> None:
+        fewer = {name: data for name, data in self.slices.items() if name != "tenant/tenant-4"}
+        order = msgspec.structs.replace(order_between(1, {}, fewer, "less"), whole=True)
+        self.assertEqual(submit(self.state, order).outcome, "accepted")
+        self.assertEqual(self.state.slices_at(BundleVersion(2)), fewer)
+        entry = self.state.history(BundleVersion(2))[0]
+        self.assertEqual((entry.changed, entry.removed), ((), ("tenant/tenant-4",)))
+
+    def test_the_oldest_outcomes_are_forgotten_first(self) -> None:
+        state = BundleState(OPERATOR_KEYS, outcome_retention=2)
+        for number in range(4):
+            submit(state, order_between(number, self.slices if number else {}, self.slices))
+        kept = [state.outcome(OrderId(f"order-{number}")) is not None for number in range(1, 5)]
+        self.assertEqual(kept, [False, False, True, True])
+        self.assertEqual(submit(state, self.first).outcome, "conflict")
+
+    def test_a_backup_that_only_applied_decides_alike(self) -> None:
+        backup = BundleState(OPERATOR_KEYS)
+        after = reweighed(self.slices, 8.0)
+        primary = BundleState(OPERATOR_KEYS)
+        for order in (self.first, order_between(1, self.slices, after)):
+            record, _ = primary.decide(SubmitOrder(order))
+            assert record is not None
+            primary.apply(record)
+            backup.apply(record)
+        third = SubmitOrder(order_between(2, after, self.slices))
+        self.assertEqual(primary.decide(third), backup.decide(third))
+        self.assertEqual(primary.snapshot(), backup.snapshot())
+
+
+class DistributionViewTest(unittest.TestCase):
+    def test_what_is_decided_but_not_durable_does_not_show(self) -> None:
+        state, slices = BundleState(OPERATOR_KEYS), sample_slices()
+        submit(state, order_between(0, {}, slices))
+        submit(state, order_between(1, slices, reweighed(slices, 8.0)))
+        durable = BundleVersion(1)
+        delta = state.delta_since(BundleVersion(0), durable)
+        assert delta is not None
+        self.assertEqual((delta.manifest.version, delta.changed), (1, dict(sorted(slices.items()))))
+        self.assertIsNone(state.delta_since(durable, durable))
+        self.assertIsNone(state.manifest_at(BundleVersion(3)))
+        self.assertEqual([entry.version for entry in state.history(durable)], [1])
+
+    @settings(max_examples=60, deadline=None, derandomize=True)
+    @given(st.lists(st.tuples(st.integers(0, 5), st.sampled_from([0.0, 1.0, 2.0])), min_size=1, max_size=25), st.data())
+    def test_any_holder_reaches_any_kept_version(self, steps: list[tuple[int, float]], data: st.DataObject) -> None:
+        state = BundleState(OPERATOR_KEYS, history_versions=6)
+        kept: list[Slices] = [{}]
+        held: list[Bundle | None] = [None]
+        for number, (letter, weight) in enumerate(steps):
+            after = dict(kept[-1])
+            name, content = slice_of(PriorityClass(name=ClassName(f"c{letter}"), weight=weight))
+            if weight:
+                after[name] = content
+            else:
+                after.pop(name, None)
+            self.assertEqual(submit(state, order_between(number, kept[-1], after)).outcome, "accepted")
+            kept.append(after)
+            if data.draw(st.integers(0, 3)) == 0:
+                state = restarted(state, history_versions=6)
+            delta = state.delta_since(BundleVersion(number), BundleVersion(number + 1))
+            assert delta is not None
+            held.append(apply_delta(held[-1], delta, OPERATOR_KEYS).unwrap())
+        for upto in range(max(1, len(steps) - 6), len(steps) + 1):
+            self.assertEqual(state.slices_at(BundleVersion(upto)), kept[upto])
+            for since in range(upto):
+                delta = state.delta_since(BundleVersion(since), BundleVersion(upto))
+                assert delta is not None
+                bundle = apply_delta(held[since], delta, OPERATOR_KEYS).unwrap()
+                self.assertEqual(bundle.slices, kept[upto])
+
+    @settings(max_examples=60, deadline=None, derandomize=True)
+    @given(st.lists(st.tuples(st.integers(0, 6), st.integers(0, 3)), min_size=1, max_size=30))
+    def test_exactly_one_order_wins_each_version(self, tries: list[tuple[int, int]]) -> None:
+        state = BundleState(OPERATOR_KEYS)
+        winners: dict[int, str] = {}
+        for base, writer in tries:
+            at = state.slices_at(BundleVersion(base)) if base <= state.version else {}
+            assert at is not None
+            after = reweighed(at, 1.0 + writer)
+            outcome = submit(state, order_between(base, at, after, f"{base}-{writer}"))
+            if outcome.outcome == "accepted":
+                winner = winners.setdefault(outcome.version, outcome.order)
+                self.assertEqual(winner, outcome.order)
+        self.assertEqual(sorted(winners), list(range(1, state.version + 1)))
--- a/wingwood/settings/model.py
+++ b/wingwood/settings/model.py
@@ -39,6 +39,8 @@
     ledger_retention: Seconds = Seconds(1800.0)
     outcome_retention: int = 100_000
     """How many orders' outcomes control keeps."""
+    history_versions: int = 200
+    """How many past versions' slices control keeps, to show and to compare."""
     body_bytes: int = 4 * 1024 * 1024
     """Largest request body taken."""
     bundle_bytes: int = 16 * 1024 * 1024
