Add the simulator: virtual time, network, disks and processes

Daemons written against Context and tornado run unchanged in one process on virtual time: kill (no finally block runs), freeze and wake, power loss, cuts both ways and one way, disks that stall, fill, fail and tear, clocks that drift.

--- /dev/null
+++ b/simulation/disk.py
@@ -0,0 +1,278 @@
+"""Small disks of simulated machines (docs/DESIGN.md section 16).
+
+A method does its work part by part: the change becomes visible first and durable at its end, when
+the sync is through. A process killed in the middle leaves any part of the change visible; a machine
+that loses power keeps what was durable and any part of what was only visible (torn tails, renames
+undone). Operations of one process run one after another, as on the real disk's one thread.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import deque
+from collections.abc import Callable, Sequence
+from random import Random
+from typing import Any, Literal
+
+from returns.result import Failure, Result, Success
+
+from wingwood.context.protocols import DiskFault
+
+from .virtual_time import LIFE, Life, VirtualTimeLoop
+
+Mode = Literal["well", "slow", "stalled", "full", "failing"]
+
+
+class Operation:
+    def __init__(
+        self,
+        work: Callable[[], Result[Any, DiskFault]],
+        partial: Callable[[], None] | None,
+        answer: asyncio.Future[Result[Any, DiskFault]],
+        life: Life | None,
+        writes: bool,
+    ) -> None:
+        self.work = work
+        self.partial = partial
+        self.answer = answer
+        self.life = life
+        self.writes = writes
+
+
+class MachineDisk:
+    """One machine's data folder and its faults."""
+
+    def __init__(self, loop: VirtualTimeLoop, random: Random) -> None:
+        self._loop = loop
+        self._random = random
+        self.visible: dict[str, bytes] = {}
+        self.durable: dict[str, bytes] = {}
+        self.mode: Mode = "well"
+        self.read_latency = 0.0002
+        self.sync_latency = 0.0015
+        self.slow_factor = 200.0
+        self.capacity_bytes: int | None = None
+        self.locked_by: Life | None = None
+        self.operations_done = 0
+        self._queue: deque[Operation] = deque()
+        self._busy = False
+        self._waiting_for_heal = False
+
+    # -- faults
+
+    def set_mode(self, mode: Mode) -> None:
+        self.mode = mode
+        if mode != "stalled" and self._waiting_for_heal:
+            self._waiting_for_heal = False
+            self._loop.kernel_at(self._loop.now + self._latency(), self._finish)
+
+    def wipe(self) -> None:
+        """Everything is gone, for good; the process that runs keeps what it has in memory."""
+        self.visible.clear()
+        self.durable.clear()
+
+    def process_ended(self, life: Life) -> None:
+        """A killed process: what was in the middle has any part of its effect; what waited never happens."""
+        if self.locked_by is life:
+            self.locked_by = None
+        if self._queue and self._busy and self._queue[0].life is life:
+            running = self._queue[0]
+            self._queue = deque([running] + [operation for operation in self._queue if operation.life is not life])
+            if running.writes and self.mode not in ("full", "failing"):
+                choice = self._random.random()
+                if choice < 0.4:
+                    running.work()
+                elif choice < 0.8 and running.partial is not None:
+                    running.partial()
+            running.work = lambda: Success(None)
+            if self._waiting_for_heal:
+                self._waiting_for_heal = False
+                self._loop.kernel_at(self._loop.now, self._finish)
+        else:
+            self._queue = deque(operation for operation in self._queue if operation.life is not life)
+
+    def power_lost(self) -> None:
+        """Call after the machine's processes have ended. What was not durable may be lost, whole or in part."""
+        self.locked_by = None
+        for name in sorted(set(self.visible) | set(self.durable)):
+            visible, durable = self.visible.get(name), self.durable.get(name)
+            if visible == durable:
+                continue
+            if visible is not None and durable is not None and visible.startswith(durable):
+                self.visible[name] = visible[: self._random.randint(len(durable), len(visible))]
+            elif self._random.random() < 0.7:
+                if durable is None:
+                    del self.visible[name]
+                else:
+                    self.visible[name] = durable
+        self.durable = dict(self.visible)
+
+    def tear_last_record(self, name: str, most: int = 12) -> None:
+        """Cuts a few bytes off a file's end (for tests of the reader)."""
+        data = self.visible.get(name, b"")
+        self.visible[name] = self.durable[name] = data[: max(0, len(data) - self._random.randint(1, most))]
+
+    # -- operations
+
+    def submit(
+        self, work: Callable[[], Result[Any, DiskFault]], partial: Callable[[], None] | None = None, writes: bool = True
+    ) -> asyncio.Future[Result[Any, DiskFault]]:
+        answer: asyncio.Future[Result[Any, DiskFault]] = self._loop.create_future()
+        self._queue.append(Operation(work, partial, answer, LIFE.get(), writes))
+        self._next()
+        return answer
+
+    def _latency(self) -> float:
+        writes = bool(self._queue) and self._queue[0].writes
+        base = (self.sync_latency if writes else self.read_latency) * (0.5 + self._random.random())
+        return base * self.slow_factor if self.mode == "slow" else base
+
+    def _next(self) -> None:
+        if not self._busy and self._queue:
+            self._busy = True
+            self._loop.kernel_at(self._loop.now + self._latency(), self._finish)
+
+    def _finish(self) -> None:
+        if self.mode == "stalled":
+            self._waiting_for_heal = True
+            return
+        operation = self._queue.popleft()
+        self._busy = False
+        if operation.writes and self.mode in ("full", "failing"):
+            if operation.partial is not None and self._random.random() < 0.5:
+                operation.partial()
+            kind: Literal["full", "failed"] = "full" if self.mode == "full" else "failed"
+            outcome: Result[Any, DiskFault] = Failure(DiskFault(kind, f"the disk is {self.mode}"))
+        else:
+            outcome = operation.work()
+        self.operations_done += 1
+        if not operation.answer.done():
+            operation.answer.set_result(outcome)
+        self._next()
+
+    # -- effects, each on what is visible, then durable
+
+    def sync(self, name: str) -> None:
+        if name in self.visible:
+            self.durable[name] = self.visible[name]
+        else:
+            self.durable.pop(name, None)
+
+    def has_room_for(self, count: int) -> bool:
+        return (
+            self.capacity_bytes is None
+            or sum(len(data) for data in self.visible.values()) + count <= self.capacity_bytes
+        )
+
+    def some_of(self, data: bytes) -> bytes:
+        return data[: self._random.randint(0, len(data))]
+
+
+class SimulatedDisk:
+    """Context.disk of one process."""
+
+    def __init__(self, machine: MachineDisk) -> None:
+        self._machine = machine
+
+    async def lock(self) -> Result[None, DiskFault]:
+        machine, life = self._machine, LIFE.get()
+
+        def work() -> Result[None, DiskFault]:
+            if machine.locked_by is not None and machine.locked_by is not life and not machine.locked_by.dead:
+                return Failure(DiskFault("locked", "the folder is in use by another process"))
+            machine.locked_by = life
+            return Success(None)
+
+        return await machine.submit(work, writes=False)
+
+    async def names(self) -> Result[Sequence[str], DiskFault]:
+        return await self._machine.submit(lambda: Success(sorted(self._machine.visible)), writes=False)
+
+    async def read(self, name: str) -> Result[bytes, DiskFault]:
+        def work() -> Result[bytes, DiskFault]:
+            if name not in self._machine.visible:
+                return Failure(DiskFault("missing", name))
+            return Success(self._machine.visible[name])
+
+        return await self._machine.submit(work, writes=False)
+
+    async def append(self, name: str, data: bytes) -> Result[None, DiskFault]:
+        machine = self._machine
+
+        def work() -> Result[None, DiskFault]:
+            if not machine.has_room_for(len(data)):
+                partial()
+                return Failure(DiskFault("full", name))
+            machine.visible[name] = machine.visible.get(name, b"") + data
+            machine.sync(name)
+            return Success(None)
+
+        def partial() -> None:
+            machine.visible[name] = machine.visible.get(name, b"") + machine.some_of(data)
+
+        return await machine.submit(work, partial)
+
+    async def write_new(self, name: str, data: bytes) -> Result[None, DiskFault]:
+        machine = self._machine
+
+        def work() -> Result[None, DiskFault]:
+            if not machine.has_room_for(len(data)):
+                partial()
+                return Failure(DiskFault("full", name))
+            machine.visible[name] = bytes(data)
+            machine.sync(name)
+            return Success(None)
+
+        def partial() -> None:
+            machine.visible[name] = machine.some_of(data)
+
+        return await machine.submit(work, partial)
+
+    async def rename(self, name: str, new_name: str) -> Result[None, DiskFault]:
+        machine = self._machine
+
+        def work() -> Result[None, DiskFault]:
+            if name not in machine.visible:
+                return Failure(DiskFault("missing", name))
+            partial()
+            machine.sync(name)
+            machine.sync(new_name)
+            return Success(None)
+
+        def partial() -> None:
+            if name in machine.visible:
+                machine.visible[new_name] = machine.visible.pop(name)
+
+        return await machine.submit(work, partial)
+
+    async def truncate(self, name: str, length: int) -> Result[None, DiskFault]:
+        machine = self._machine
+
+        def work() -> Result[None, DiskFault]:
+            if name not in machine.visible:
+                return Failure(DiskFault("missing", name))
+            partial()
+            machine.sync(name)
+            return Success(None)
+
+        def partial() -> None:
+            data = machine.visible.get(name)
+            if data is not None:
+                machine.visible[name] = data[:length] + bytes(max(0, length - len(data)))
+
+        return await machine.submit(work, partial)
+
+    async def remove(self, name: str) -> Result[None, DiskFault]:
+        machine = self._machine
+
+        def work() -> Result[None, DiskFault]:
+            if name not in machine.visible:
+                return Failure(DiskFault("missing", name))
+            partial()
+            machine.sync(name)
+            return Success(None)
+
+        def partial() -> None:
+            machine.visible.pop(name, None)
+
+        return await machine.submit(work, partial)
--- /dev/null
+++ b/simulation/network.py
@@ -0,0 +1,505 @@
+"""TCP between simulated machines (docs/DESIGN.md section 16).
+
+What is modelled: delay per pair of zones with jitter, bytes split and joined anywhere, bounded
+buffers, refused connects, accept queues that outlive a frozen process, resets on kill, silence on
+loss of a machine, cuts both ways or one way whose traffic comes late after healing (as
+retransmission does) or finds its connection reset. Not modelled: bandwidth, lost acknowledgements.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import contextvars
+import itertools
+import socket
+from collections import deque
+from collections.abc import Callable
+from random import Random
+from typing import Any, Protocol
+
+import msgspec
+from returns.result import Failure, Result, Success
+from tornado.iostream import BaseIOStream
+
+from wingwood.context.protocols import Listener, NetworkFault, StreamHandler
+from wingwood.identifiers import Address, Seconds
+
+from .virtual_time import LIFE, Descriptor, Life, VirtualTimeLoop
+
+BUFFER_BYTES = 256 * 1024
+SYN_PAUSES = (1.0, 2.0, 4.0, 8.0, 16.0)
+ACCEPT_QUEUE = 1024
+
+
+class Host(Protocol):
+    """What the network knows of a machine."""
+
+    name: str
+    zone: str
+    host: str
+    powered: bool
+
+
+class NetworkShape(msgspec.Struct, frozen=True, kw_only=True):
+    """Delays in seconds, one way."""
+
+    same_machine: float = 0.00003
+    same_zone: float = 0.00015
+    between_zones: float = 0.0006
+    jitter: float = 0.5
+    """Up to this share is added to each delay."""
+    split_chance: float = 0.1
+    reset_on_heal_chance: float = 0.25
+    give_up_after: float = 600.0
+    """Traffic held longer than this finds its connection reset."""
+
+
+class Endpoint(Descriptor):
+    """One end of a connection, as its machine's kernel keeps it."""
+
+    def __init__(self, network: SimulatedNetworkCore, machine: Host, own: Address, other: Address) -> None:
+        super().__init__(network.loop.new_descriptor_number())
+        self.network = network
+        self.machine = machine
+        self.own = own
+        self.other = other
+        self.peer: Endpoint = self
+        self.life: Life | None = None
+        self.received = bytearray()
+        self.ended = False
+        self.error: OSError | None = None
+        self.closed = False
+        self.blocked_writer = False
+        self.segments: deque[tuple[float, bytes | None, bool]] = deque()
+        """Under way to the peer: (arrival, bytes or None for the end, whether the end is a reset)."""
+        self.under_way = 0
+        self.last_arrival = 0.0
+        self.timer_set = False
+        self.held_since: float | None = None
+
+    def readable(self) -> bool:
+        return bool(self.received) or self.ended or self.error is not None
+
+    def writable(self) -> bool:
+        return self.error is not None or self.room() > 0
+
+    def room(self) -> int:
+        return BUFFER_BYTES - self.under_way - len(self.peer.received)
+
+    def send(self, data: memoryview) -> int:
+        if self.error is not None:
+            raise self.error
+        if self.closed:
+            raise BrokenPipeError(32, "closed")
+        room = self.room()
+        if room <= 0:
+            self.blocked_writer = True
+            raise BlockingIOError
+        taken = bytes(data[:room])
+        if len(taken) < len(data):
+            self.blocked_writer = True
+        self.network.transmit(self, taken)
+        return len(taken)
+
+    def receive_into(self, buffer: bytearray | memoryview) -> int | None:
+        if self.received:
+            count = min(len(buffer), len(self.received))
+            if count > 1 and self.network.random.random() < self.network.shape.split_chance:
+                count = self.network.random.randint(1, count)
+            buffer[:count] = self.received[:count]
+            del self.received[:count]
+            self.network.consumed(self)
+            return count
+        if self.error is not None:
+            raise self.error
+        return 0 if self.ended else None
+
+    def close(self) -> None:
+        """As the kernel does: a reset when bytes were left unread, else the end after all that was sent."""
+        if self.closed:
+            return
+        self.closed = True
+        self.network.loop.unwatch(self)
+        self.network.forget(self)
+        if self.error is None:
+            self.network.queue(self, None, reset=bool(self.received))
+        self.received.clear()
+
+    def vanish(self) -> None:
+        """Its machine lost power: nothing is sent."""
+        self.closed = True
+        self.network.loop.unwatch(self)
+        self.network.forget(self)
+        self.segments.clear()
+        self.received.clear()
+
+
+class _SocketName:
+    """What tornado's HTTP server wants to know of a socket."""
+
+    family = socket.AF_INET
+
+    def __init__(self, endpoint: Endpoint) -> None:
+        self._endpoint = endpoint
+
+    def getpeername(self) -> tuple[str, int]:
+        return (self._endpoint.other.host, self._endpoint.other.port)
+
+    def getsockname(self) -> tuple[str, int]:
+        return (self._endpoint.own.host, self._endpoint.own.port)
+
+
+class SimulatedStream(BaseIOStream):
+    def __init__(self, endpoint: Endpoint) -> None:
+        super().__init__(max_buffer_size=96 * 1024 * 1024, read_chunk_size=65536)
+        self.endpoint = endpoint
+        self.socket = _SocketName(endpoint)
+
+    def __hash__(self) -> int:
+        return self.endpoint.number
+
+    def __eq__(self, other: object) -> bool:
+        return self is other
+
+    def fileno(self) -> int:
+        return self.endpoint.number
+
+    def close_fd(self) -> None:
+        self.endpoint.close()
+
+    def write_to_fd(self, data: memoryview) -> int:
+        return self.endpoint.send(data)
+
+    def read_from_fd(self, buf: bytearray | memoryview) -> int | None:
+        return self.endpoint.receive_into(buf)
+
+    def get_fd_error(self) -> Exception | None:
+        return self.endpoint.error
+
+
+class _Accepting:
+    def __init__(
+        self, network: SimulatedNetworkCore, machine: Host, address: Address, handler: StreamHandler, life: Life
+    ) -> None:
+        self.network = network
+        self.machine = machine
+        self.address = address
+        self.handler = handler
+        self.life = life
+        self.waiting = 0
+        self.context = contextvars.copy_context()
+
+    def close(self) -> None:
+        if self.network.listeners.get(self.address) is self:
+            del self.network.listeners[self.address]
+
+    def accept(self, endpoint: Endpoint) -> None:
+        self.waiting -= 1
+        if endpoint.closed:
+            return
+        stream = SimulatedStream(endpoint)
+        awaitable = self.handler(stream, endpoint.other)
+        if awaitable is not None:
+            asyncio.ensure_future(awaitable).add_done_callback(_raise)
+
+
+def _raise(future: asyncio.Future[Any]) -> None:
+    if not future.cancelled():
+        future.result()
+
+
+class Cut(msgspec.Struct, eq=False):
+    """Directed pairs of machine names between which nothing passes."""
+
+    pairs: tuple[tuple[str, str], ...]
+    healed: bool = False
+
+
+class SimulatedNetworkCore:
+    """All wires of the world."""
+
+    def __init__(self, loop: VirtualTimeLoop, random: Random, shape: NetworkShape) -> None:
+        self.loop = loop
+        self.random = random
+        self.shape = shape
+        self.machines: dict[str, Host] = {}
+        """By IP number."""
+        self.listeners: dict[Address, _Accepting] = {}
+        self.endpoints: dict[int, Endpoint] = {}
+        self.slowness: dict[tuple[str, str], float] = {}
+        """Seconds added for a directed pair of machine names."""
+        self._blocked: dict[tuple[str, str], int] = {}
+        self._ports = itertools.count(32768)
+        self.bytes_delivered = 0
+        self.connections_made = 0
+        self.on_delivery: Callable[[Endpoint, int], None] | None = None
+
+    # -- faults
+
+    def cut(self, pairs: list[tuple[str, str]]) -> Cut:
+        cut = Cut(tuple(sorted(set(pairs))))
+        for pair in cut.pairs:
+            self._blocked[pair] = self._blocked.get(pair, 0) + 1
+        return cut
+
+    def heal(self, cut: Cut) -> None:
+        if cut.healed:
+            return
+        cut.healed = True
+        for pair in cut.pairs:
+            left = self._blocked[pair] - 1
+            if left:
+                self._blocked[pair] = left
+            else:
+                del self._blocked[pair]
+        self.resume()
+
+    def resume(self) -> None:
+        """Retransmits what was held, after the pause that a retransmission timer would have reached by now."""
+        for endpoint in list(self.endpoints.values()):
+            self._resume(endpoint)
+            if endpoint.peer.closed:
+                self._resume(endpoint.peer)
+
+    def _resume(self, endpoint: Endpoint) -> None:
+        if endpoint.held_since is None or self.blocked(endpoint.machine, endpoint.peer.machine):
+            return
+        held = self.loop.now - endpoint.held_since
+        endpoint.held_since = None
+        if held > self.shape.give_up_after or (
+            held > 2.0 and self.random.random() < self.shape.reset_on_heal_chance and not endpoint.closed
+        ):
+            self.loop.kernel_at(self.loop.now + self.random.uniform(0.0, 0.2), self.break_connection, endpoint)
+            return
+        again = self.loop.now + self.random.uniform(0.2, max(0.2, min(held, 20.0)))
+        endpoint.segments = deque((max(arrival, again), data, reset) for arrival, data, reset in endpoint.segments)
+        endpoint.last_arrival = max(endpoint.last_arrival, again)
+        self._set_timer(endpoint)
+
+    def break_connection(self, endpoint: Endpoint) -> None:
+        self._reset(endpoint)
+        self._reset(endpoint.peer)
+
+    def blocked(self, source: Host, target: Host) -> bool:
+        return (
+            not source.powered
+            or not target.powered
+            or (source is not target and (source.name, target.name) in self._blocked)
+        )
+
+    def delay(self, source: Host, target: Host) -> float:
+        shape = self.shape
+        if source is target:
+            base = shape.same_machine
+        elif source.zone == target.zone:
+            base = shape.same_zone
+        else:
+            base = shape.between_zones
+        base *= 1.0 + self.random.random() * shape.jitter
+        return base + self.slowness.get((source.name, target.name), 0.0) if self.slowness else base
+
+    # -- bytes under way
+
+    def transmit(self, endpoint: Endpoint, data: bytes) -> None:
+        if len(data) > 1 and self.random.random() < self.shape.split_chance:
+            middle = self.random.randint(1, len(data) - 1)
+            self.queue(endpoint, data[:middle], reset=False)
+            data = data[middle:]
+        self.queue(endpoint, data, reset=False)
+
+    def queue(self, endpoint: Endpoint, data: bytes | None, reset: bool) -> None:
+        arrival = self.loop.now + self.delay(endpoint.machine, endpoint.peer.machine)
+        arrival = max(arrival, endpoint.last_arrival)
+        endpoint.last_arrival = arrival
+        endpoint.segments.append((arrival, data, reset))
+        if data is not None:
+            endpoint.under_way += len(data)
+        self._set_timer(endpoint)
+
+    def _set_timer(self, endpoint: Endpoint) -> None:
+        if not endpoint.timer_set and endpoint.held_since is None and endpoint.segments:
+            endpoint.timer_set = True
+            self.loop.kernel_at(endpoint.segments[0][0], self._arrive, endpoint)
+
+    def _arrive(self, endpoint: Endpoint) -> None:
+        endpoint.timer_set = False
+        peer = endpoint.peer
+        if not endpoint.segments:
+            return
+        if self.blocked(endpoint.machine, peer.machine):
+            endpoint.held_since = self.loop.now
+            return
+        now = self.loop.now
+        while endpoint.segments and endpoint.segments[0][0] <= now:
+            _, data, reset = endpoint.segments.popleft()
+            if data is None:
+                if reset:
+                    self._reset(peer)
+                else:
+                    peer.ended = True
+                continue
+            endpoint.under_way -= len(data)
+            if peer.closed:
+                endpoint.segments.clear()
+                endpoint.under_way = 0
+                if endpoint.error is None and not endpoint.closed:
+                    self.queue(peer, None, reset=True)
+                return
+            peer.received += data
+            self.bytes_delivered += len(data)
+            if self.on_delivery is not None:
+                self.on_delivery(peer, len(data))
+        self.loop.input_came(peer)
+        self._set_timer(endpoint)
+
+    def _reset(self, endpoint: Endpoint) -> None:
+        if endpoint.closed or endpoint.error is not None:
+            return
+        endpoint.error = ConnectionResetError(104, "Connection reset by peer")
+        endpoint.segments.clear()
+        endpoint.under_way = 0
+        self.loop.input_came(endpoint)
+        self.loop.room_came(endpoint)
+
+    def consumed(self, endpoint: Endpoint) -> None:
+        sender = endpoint.peer
+        if sender.blocked_writer and not sender.closed:
+            sender.blocked_writer = False
+            self.loop.kernel_at(
+                self.loop.now + self.delay(endpoint.machine, sender.machine), self.loop.room_came, sender
+            )
+
+    def forget(self, endpoint: Endpoint) -> None:
+        self.endpoints.pop(endpoint.number, None)
+
+    # -- connections
+
+    def listen(self, machine: Host, address: Address, handler: StreamHandler) -> Result[Listener, NetworkFault]:
+        life = LIFE.get()
+        if life is None:
+            raise RuntimeError("listening belongs to a process")
+        if address.host != machine.host:
+            return Failure(NetworkFault("unreachable", f"{address} is not an address of {machine.name}"))
+        if address in self.listeners:
+            return Failure(NetworkFault("in-use", str(address)))
+        accepting = _Accepting(self, machine, address, handler, life)
+        self.listeners[address] = accepting
+        return Success(accepting)
+
+    async def connect(self, machine: Host, address: Address, timeout: Seconds) -> Result[BaseIOStream, NetworkFault]:
+        answer: asyncio.Future[Endpoint | None] = self.loop.create_future()
+        own = Address(machine.host, next(self._ports))
+        self.loop.kernel_at(
+            self.loop.now + self.delay(machine, self.machines.get(address.host, machine)),
+            self._knock,
+            machine,
+            own,
+            address,
+            answer,
+            0,
+            LIFE.get(),
+        )
+        try:
+            async with asyncio.timeout(timeout):
+                endpoint = await answer
+        except TimeoutError:
+            return Failure(NetworkFault("timeout", str(address)))
+        if endpoint is None:
+            return Failure(NetworkFault("refused", str(address)))
+        return Success(SimulatedStream(endpoint))
+
+    def _knock(
+        self,
+        machine: Host,
+        own: Address,
+        address: Address,
+        answer: asyncio.Future[Endpoint | None],
+        tries: int,
+        life: Life | None,
+    ) -> None:
+        if answer.done() or (life is not None and life.dead):
+            return
+        target = self.machines.get(address.host)
+        if target is None or self.blocked(machine, target):
+            self._knock_later(machine, own, address, answer, tries, life)
+            return
+        back = self.loop.now + self.delay(target, machine)
+        listener = self.listeners.get(address)
+        if listener is None:
+            self.loop.kernel_at(back, self._refuse, target, machine, answer)
+            return
+        if listener.waiting >= ACCEPT_QUEUE:
+            self._knock_later(machine, own, address, answer, tries, life)
+            return
+        near = Endpoint(self, machine, own, address)
+        far = Endpoint(self, target, address, own)
+        near.peer, far.peer = far, near
+        near.life, far.life = life, listener.life
+        for endpoint in (near, far):
+            self.endpoints[endpoint.number] = endpoint
+            self.loop.watch(endpoint)
+        self.connections_made += 1
+        listener.waiting += 1
+        self.loop.call_soon(listener.accept, far, context=listener.context.copy())
+        self.loop.kernel_at(back, self._established, near, answer)
+
+    def _knock_later(
+        self,
+        machine: Host,
+        own: Address,
+        address: Address,
+        answer: asyncio.Future[Endpoint | None],
+        tries: int,
+        life: Life | None,
+    ) -> None:
+        if tries < len(SYN_PAUSES):
+            self.loop.kernel_at(
+                self.loop.now + SYN_PAUSES[tries], self._knock, machine, own, address, answer, tries + 1, life
+            )
+
+    def _refuse(self, target: Host, machine: Host, answer: asyncio.Future[Endpoint | None]) -> None:
+        if not answer.done() and not self.blocked(target, machine):
+            answer.set_result(None)
+
+    def _established(self, near: Endpoint, answer: asyncio.Future[Endpoint | None]) -> None:
+        if near.closed:
+            return
+        if self.blocked(near.peer.machine, near.machine):
+            near.vanish()
+            return
+        if answer.done() or (near.life is not None and near.life.dead):
+            near.close()
+            return
+        answer.set_result(near)
+
+    # -- ends of processes and machines
+
+    def process_ended(self, life: Life) -> None:
+        for address, listener in list(self.listeners.items()):
+            if listener.life is life:
+                del self.listeners[address]
+        for endpoint in list(self.endpoints.values()):
+            if endpoint.life is life:
+                endpoint.close()
+
+    def machine_lost(self, machine: Host) -> None:
+        for address, listener in list(self.listeners.items()):
+            if listener.machine is machine:
+                del self.listeners[address]
+        for endpoint in list(self.endpoints.values()):
+            if endpoint.machine is machine:
+                endpoint.vanish()
+
+
+class SimulatedNetwork:
+    """The network as one machine sees it."""
+
+    def __init__(self, core: SimulatedNetworkCore, machine: Host) -> None:
+        self._core = core
+        self._machine = machine
+
+    async def connect(self, address: Address, timeout: Seconds) -> Result[BaseIOStream, NetworkFault]:
+        return await self._core.connect(self._machine, address, timeout)
+
+    def listen(self, address: Address, handle_stream: StreamHandler) -> Result[Listener, NetworkFault]:
+        return self._core.listen(self._machine, address, handle_stream)
--- /dev/null
+++ b/simulation/world.py
@@ -0,0 +1,416 @@
+"""A world of machines and processes on virtual time (docs/DESIGN.md section 16)."""
+
+from __future__ import annotations
+
+import asyncio
+import contextlib
+import contextvars
+import gc
+import hashlib
+import sys
+import traceback
+import warnings
+from collections.abc import Awaitable, Callable, Coroutine
+from random import Random
+from types import TracebackType
+from typing import Any, TypeVar
+
+import msgspec
+from tornado.ioloop import IOLoop
+
+from wingwood.context.logs import format_line
+from wingwood.context.protocols import Context, HttpClient, Network
+from wingwood.identifiers import Address, Instant, Seconds, WallTime
+
+from .disk import MachineDisk, SimulatedDisk
+from .http_client import PlainHttpClient
+from .network import Cut, NetworkShape, SimulatedNetwork, SimulatedNetworkCore
+from .virtual_time import LIFE, Life, VirtualTask, VirtualTimeLoop, attach_tornado
+
+Value = TypeVar("Value")
+Main = Callable[[Context], Awaitable[None]]
+START_OF_WALL_TIME = 1_800_000_000.0
+
+
+def seeded(seed: int, *names: object) -> Random:
+    """A random source of its own for each name; the same in every run and interpreter."""
+    text = "/".join([str(seed), *(str(name) for name in names)])
+    return Random(int.from_bytes(hashlib.blake2b(text.encode(), digest_size=16).digest(), "big"))
+
+
+class WorldEvent(msgspec.Struct, frozen=True):
+    at: float
+    source: str
+    name: str
+    fields: dict[str, object]
+
+    def line(self) -> str:
+        return f"{self.at:10.4f} {self.source:<14} {format_line({'event': self.name, **self.fields})}"
+
+
+class Machine:
+    def __init__(self, world: World, name: str, zone: str, host: str) -> None:
+        self.world = world
+        self.name = name
+        self.zone = zone
+        self.host = host
+        self.powered = True
+        self.disk = MachineDisk(world.loop, seeded(world.seed, "disk", name))
+
+
+class Process:
+    """A program on a machine; each start is a new life."""
+
+    def __init__(self, world: World, name: str, machine: Machine, main: Main, tags: dict[str, str]) -> None:
+        self.world = world
+        self.name = name
+        self.machine = machine
+        self.main = main
+        self.tags = tags
+        self.lives = 0
+        self.life: Life | None = None
+        self.context: Context | None = None
+        self.stopped_because: str | None = None
+        self.clock_rate = 1.0
+
+    @property
+    def alive(self) -> bool:
+        return self.life is not None and not self.life.dead
+
+    @property
+    def frozen(self) -> bool:
+        return self.life is not None and self.life.frozen
+
+
+class SimulatedClock:
+    def __init__(self, world: World) -> None:
+        self._loop = world.loop
+
+    def monotonic(self) -> Instant:
+        return Instant(self._loop.time())
+
+    def wall(self) -> WallTime:
+        return WallTime(START_OF_WALL_TIME + self._loop.now)
+
+    async def sleep(self, seconds: Seconds) -> None:
+        await asyncio.sleep(seconds)
+
+
+class SimulatedLog:
+    def __init__(self, world: World, source: str) -> None:
+        self._world = world
+        self._source = source
+
+    def event(self, name: str, **fields: object) -> None:
+        self._world.note(self._source, name, **fields)
+
+
+class SimulatedTasks:
+    def __init__(self, world: World, process: Process, life: Life) -> None:
+        self._world = world
+        self._process = process
+        self._life = life
+
+    def spawn(self, name: str, coroutine: Coroutine[Any, Any, None]) -> VirtualTask:
+        task = self._world.loop.create_task(coroutine, name=name)
+        task.add_done_callback(self._done)
+        return task
+
+    def _done(self, task: Any) -> None:
+        if not task.cancelled() and (problem := task.exception()) is not None:
+            trace = "".join(traceback.format_exception(problem))
+            self._world.invariant_broken(self._process, task.get_name(), trace)
+            self.stop_process(f"{task.get_name()}: {problem!r}")
+
+    def stop_process(self, reason: str) -> None:
+        if not self._life.dead:
+            self._process.stopped_because = reason
+            self._world.note(self._process.name, "process-stopped", reason=reason)
+            self._world.kill(self._process)
+
+
+class World:
+    """Use as a context manager; everything of a run hangs on it, nothing outlives it."""
+
+    def __init__(self, seed: int, shape: NetworkShape | None = None, keep_events: int = 200_000) -> None:
+        self.seed = seed
+        self.loop = VirtualTimeLoop(seeded(seed, "wake"))
+        self.io_loop: IOLoop | None = None
+        self.network = SimulatedNetworkCore(self.loop, seeded(seed, "network"), shape or NetworkShape())
+        self.random = seeded(seed, "world")
+        self.machines: dict[str, Machine] = {}
+        self.processes: dict[str, Process] = {}
+        self.events: list[WorldEvent] = []
+        self.broken_invariants: list[str] = []
+        """Exceptions that escaped in simulated processes, with their traces."""
+        self.http_client: Callable[[Network], HttpClient] = PlainHttpClient
+        """What daemons get as Context.http; the fleet sets the real stream client here."""
+        self._digest = hashlib.blake2b(digest_size=16)
+        self._keep_events = keep_events
+        self._hosts_of_zone: dict[str, int] = {}
+        self._zones: list[str] = []
+        self._lives: list[Life] = []
+        self._end: list[Callable[[], None]] = []
+        self.loop.on_unhandled = self._unhandled
+
+    # -- life of the world
+
+    def __enter__(self) -> World:
+        self.io_loop = attach_tornado(self.loop)
+        self._gc_was_on = gc.isenabled()
+        gc.disable()
+        return self
+
+    def __exit__(
+        self, kind: type[BaseException] | None, value: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        self.close()
+
+    def close(self) -> None:
+        """Ends the run in silence: no finally block of simulated code may be seen to run."""
+        for life in self._lives:
+            self.loop.kill(life)
+        for task in self.loop_tasks():
+            task._log_destroy_pending = False  # type: ignore[attr-defined]
+        self.loop.on_unhandled = None
+        IOLoop._ioloop_for_asyncio.pop(self.loop, None)
+        hook = sys.unraisablehook
+        sys.unraisablehook = lambda _: None
+        try:
+            with warnings.catch_warnings():
+                warnings.simplefilter("ignore")
+                self.loop.close()
+                for life in self._lives:
+                    life.graveyard.clear()
+                self.processes.clear()
+                gc.collect()
+        finally:
+            sys.unraisablehook = hook
+            if self._gc_was_on:
+                gc.enable()
+
+    def loop_tasks(self) -> list[VirtualTask]:
+        tasks = [task for task in asyncio.all_tasks(self.loop) if isinstance(task, VirtualTask)]
+        return sorted(tasks, key=lambda task: task.number)
+
+    def run(self, seconds: float) -> None:
+        """Lets that much of virtual time pass."""
+        self.run_until(self.loop.now + seconds)
+
+    def run_until(self, time: float) -> None:
+        self.loop.limit = time
+        self.loop.run_forever()
+
+    def wait_for(self, condition: Callable[[], bool], within: float, every: float = 0.05) -> bool:
+        """Runs until the condition holds; False when it did not within that many virtual seconds."""
+        until = self.loop.now + within
+        while not condition():
+            if self.loop.now >= until - 1e-9:
+                return False
+            self.run_until(min(until, self.loop.now + every))
+        return True
+
+    def complete(self, coroutine: Coroutine[Any, Any, Value], within: float = 60.0) -> Value:
+        """Runs a coroutine of the test itself (outside all processes) to its end."""
+        task = self.loop.create_task(coroutine, name="test")
+        if not self.wait_for(task.done, within, every=0.01):
+            task.cancel()
+            self.run(0.001)
+            raise TimeoutError(f"not done within {within} virtual seconds")
+        result: Value = task.result()
+        return result
+
+    @property
+    def now(self) -> float:
+        return self.loop.now
+
+    def at(self, time: float, action: Callable[[], object]) -> None:
+        self.loop.kernel_at(time, action)
+
+    # -- machines and processes
+
+    def machine(self, name: str, zone: str = "a") -> Machine:
+        """The machine of that name; made when there is none."""
+        found = self.machines.get(name)
+        if found is None:
+            if zone not in self._zones:
+                self._zones.append(zone)
+            number = self._hosts_of_zone[zone] = self._hosts_of_zone.get(zone, 0) + 1
+            host = f"10.{self._zones.index(zone) + 1}.{number // 250}.{number % 250 + 1}"
+            found = self.machines[name] = Machine(self, name, zone, host)
+            self.network.machines[host] = found
+        return found
+
+    def start(
+        self, name: str, main: Main, zone: str = "a", machine: str | None = None, tags: dict[str, str] | None = None
+    ) -> Process:
+        """Starts ``main(context)`` as a process on a machine (of its own, unless named)."""
+        if name in self.processes:
+            raise ValueError(f"there is a process {name!r} already")
+        process = Process(self, name, self.machine(machine or name, zone), main, tags or {})
+        self.processes[name] = process
+        self._begin(process)
+        return process
+
+    def _begin(self, process: Process) -> None:
+        if not process.machine.powered:
+            raise ValueError(f"{process.machine.name} is without power")
+        process.lives += 1
+        process.stopped_because = None
+        random = seeded(self.seed, "process", process.name, process.lives)
+        life = Life(f"{process.name}#{process.lives}", offset=random.uniform(0.0, 50_000.0), rate=process.clock_rate)
+        process.life = life
+        self._lives.append(life)
+        network = SimulatedNetwork(self.network, process.machine)
+        process.context = Context(
+            clock=SimulatedClock(self),
+            network=network,
+            disk=SimulatedDisk(process.machine.disk),
+            http=self.http_client(network),
+            random=random,
+            log=SimulatedLog(self, process.name),
+            tasks=SimulatedTasks(self, process, life),
+        )
+        self.spawn(process, process.main(process.context), "main")
+
+    def spawn(self, process: Process, awaitable: Awaitable[None], name: str) -> None:
+        """Runs a coroutine as a task of the process."""
+        assert process.life is not None and process.context is not None
+        process_context, tasks = contextvars.Context(), process.context.tasks
+        process_context.run(LIFE.set, process.life)
+
+        async def run() -> None:
+            await awaitable
+
+        def begin() -> None:
+            tasks.spawn(name, run())
+
+        self.loop.call_soon(begin, context=process_context)
+
+    def context_for(self, process: Process) -> Context:
+        assert process.context is not None
+        return process.context
+
+    def kill(self, process: Process | str) -> None:
+        """As SIGKILL: nothing of it runs any more, its kernel closes its connections."""
+        process = self._process(process)
+        life = process.life
+        if life is None or life.dead:
+            return
+        self.note("world", "kill", process=process.name)
+        self.loop.kill(life)
+        self.network.process_ended(life)
+        process.machine.disk.process_ended(life)
+
+    def restart(self, process: Process | str) -> None:
+        process = self._process(process)
+        self.kill(process)
+        self.note("world", "start", process=process.name)
+        self._begin(process)
+
+    def freeze(self, process: Process | str) -> None:
+        process = self._process(process)
+        if process.alive:
+            self.note("world", "freeze", process=process.name)
+            assert process.life is not None
+            self.loop.freeze(process.life)
+
+    def wake(self, process: Process | str) -> None:
+        process = self._process(process)
+        if process.alive and process.frozen:
+            self.note("world", "wake", process=process.name)
+            assert process.life is not None
+            self.loop.wake(process.life)
+
+    def power_off(self, machine: Machine | str) -> None:
+        """The machine is gone in silence; what was not synced is lost."""
+        machine = self._machine(machine)
+        self.note("world", "power-off", machine=machine.name)
+        machine.powered = False
+        self.network.machine_lost(machine)
+        for process in self.processes.values():
+            if process.machine is machine and process.alive:
+                assert process.life is not None
+                self.loop.kill(process.life)
+                machine.disk.process_ended(process.life)
+        machine.disk.power_lost()
+
+    def power_on(self, machine: Machine | str, start_processes: bool = True) -> None:
+        machine = self._machine(machine)
+        if machine.powered:
+            return
+        self.note("world", "power-on", machine=machine.name)
+        machine.powered = True
+        self.network.resume()
+        if start_processes:
+            for process in self.processes.values():
+                if process.machine is machine:
+                    self._begin(process)
+
+    def wipe(self, machine: Machine | str) -> None:
+        """Empties its disk under whatever runs there."""
+        machine = self._machine(machine)
+        self.note("world", "wipe", machine=machine.name)
+        machine.disk.wipe()
+
+    # -- wires
+
+    def cut(self, one: str, other: str, both_ways: bool = True) -> Cut:
+        """Nothing passes from machine ``one`` to ``other`` (and back) until it is healed."""
+        self.note("world", "cut", one=one, other=other, both_ways=both_ways)
+        return self.network.cut([(one, other), (other, one)] if both_ways else [(one, other)])
+
+    def cut_off(self, machine: str, inward: bool = True, outward: bool = True) -> Cut:
+        """Nothing reaches the machine, or leaves it, or both."""
+        self.note("world", "cut-off", machine=machine, inward=inward, outward=outward)
+        others = [name for name in self.machines if name != machine]
+        pairs = [(name, machine) for name in others if inward] + [(machine, name) for name in others if outward]
+        return self.network.cut(pairs)
+
+    def heal(self, cut: Cut) -> None:
+        if not cut.healed:
+            self.note("world", "heal", pairs=len(cut.pairs))
+            self.network.heal(cut)
+
+    # -- events
+
+    def note(self, source: str, name: str, **fields: object) -> None:
+        event = WorldEvent(round(self.loop.now, 6), source, name, fields)
+        self._digest.update(event.line().encode())
+        self.events.append(event)
+        if len(self.events) > self._keep_events:
+            del self.events[: self._keep_events // 2]
+
+    def digest(self) -> str:
+        """Of all events so far, of every byte count that was delivered, and of every callback that ran."""
+        copy = self._digest.copy()
+        copy.update(
+            f"{self.network.bytes_delivered} {self.network.connections_made} {self.loop.callbacks_run}".encode()
+        )
+        return copy.hexdigest()
+
+    def timeline(self, last: int = 200, names: set[str] | None = None) -> str:
+        chosen = [event for event in self.events if names is None or event.name in names]
+        return "\n".join(event.line() for event in chosen[-last:])
+
+    def invariant_broken(self, process: Process, where: str, trace: str) -> None:
+        self.broken_invariants.append(f"{self.loop.now:.4f} {process.name} {where}\n{trace}")
+        self.note(process.name, "invariant-broken", where=where, trace=trace.strip().splitlines()[-1])
+
+    def _unhandled(self, life: Life | None, details: dict[str, Any]) -> None:
+        problem = details.get("exception")
+        trace = "".join(traceback.format_exception(problem)) if problem is not None else str(details.get("message"))
+        name = life.name if life is not None else "world"
+        self.broken_invariants.append(f"{self.loop.now:.4f} {name} unhandled: {details.get('message')}\n{trace}")
+        with contextlib.suppress(IndexError):
+            self.note(name, "unhandled-exception", trace=trace.strip().splitlines()[-1])
+
+    def _process(self, process: Process | str) -> Process:
+        return self.processes[process] if isinstance(process, str) else process
+
+    def _machine(self, machine: Machine | str) -> Machine:
+        return self.machines[machine] if isinstance(machine, str) else machine
+
+
+def address_of(machine: Machine, port: int) -> Address:
+    return Address(machine.host, port)
