Fleet launcher: shapes of both deployments, settings and bundle files, children by id

Cause: the main job, the bench and the smoke test need a whole fleet on one machine, and daemons start no process themselves. Not run against daemons yet: their entry is not there.

--- /dev/null
+++ b/fleet/children.py
@@ -0,0 +1,126 @@
+"""Child processes: started, frozen, killed and ended by their own id, each with its log file."""
+
+from __future__ import annotations
+
+import ctypes
+import os
+import signal
+import subprocess
+import sys
+import time
+from collections.abc import Mapping, Sequence
+from pathlib import Path
+
+PARENT_DEATH_SIGNAL = 1
+"""``PR_SET_PDEATHSIG`` of prctl(2): a child ends with the launcher even when that is killed."""
+
+
+class Child:
+    """One child; may be started again after its end. Signals go to its own id only."""
+
+    def __init__(self, name: str, command: Sequence[str], log_file: Path, folder: Path) -> None:
+        self.name = name
+        self.command = tuple(command)
+        self.log_file = log_file
+        self.folder = folder
+        self.frozen = False
+        self.expected_to_run = False
+        self._process: subprocess.Popen[bytes] | None = None
+
+    @property
+    def process_id(self) -> int | None:
+        return self._process.pid if self._process is not None else None
+
+    def start(self) -> None:
+        if self.running():
+            return
+        with self.log_file.open("ab") as log:
+            self._process = subprocess.Popen(
+                self.command,
+                stdin=subprocess.DEVNULL,
+                stdout=log,
+                stderr=log,
+                cwd=self.folder,
+                env=_environment(),
+                start_new_session=True,
+                preexec_fn=_end_with_parent,  # noqa: PLW1509 (one system call, made from the main thread)
+            )
+        self.frozen = False
+        self.expected_to_run = True
+
+    def running(self) -> bool:
+        return self._process is not None and self._process.poll() is None
+
+    def exit_code(self) -> int | None:
+        return None if self._process is None else self._process.poll()
+
+    def kill(self) -> None:
+        self.expected_to_run = False
+        if self.running():
+            self._signal(signal.SIGKILL)
+            self._wait(None)
+
+    def freeze(self) -> None:
+        self._signal(signal.SIGSTOP)
+        self.frozen = True
+
+    def wake(self) -> None:
+        self._signal(signal.SIGCONT)
+        self.frozen = False
+
+    def ask_to_stop(self) -> None:
+        """SIGTERM; a frozen one is woken for it."""
+        self.expected_to_run = False
+        if self.running():
+            self._signal(signal.SIGTERM)
+            if self.frozen:
+                self.wake()
+
+    def end(self, patience: float) -> None:
+        """Asked to stop before; killed when it has not ended within ``patience`` seconds."""
+        if not self._wait(patience):
+            self.kill()
+
+    def log_tail(self, lines: int = 12) -> str:
+        try:
+            text = self.log_file.read_text(errors="replace")
+        except OSError:
+            return ""
+        return "\n".join(text.splitlines()[-lines:])
+
+    def _signal(self, number: signal.Signals) -> None:
+        if self._process is not None and self._process.poll() is None:
+            self._process.send_signal(number)
+
+    def _wait(self, patience: float | None) -> bool:
+        if self._process is None:
+            return True
+        try:
+            self._process.wait(patience)
+        except subprocess.TimeoutExpired:
+            return False
+        return True
+
+
+def end_all(children: Sequence[Child], patience: float) -> None:
+    """Asks all to stop, then ends those that have not within ``patience`` seconds in all."""
+    for child in children:
+        child.ask_to_stop()
+    give_up = time.monotonic() + patience
+    for child in children:
+        child.end(max(0.0, give_up - time.monotonic()))
+
+
+def python_module(module: str, *arguments: str) -> list[str]:
+    return [sys.executable, "-m", module, *arguments]
+
+
+def _environment() -> Mapping[str, str]:
+    return {**os.environ, "PYTHONUNBUFFERED": "1"}
+
+
+_libc = ctypes.CDLL(None, use_errno=True)
+
+
+def _end_with_parent() -> None:
+    _libc.prctl(PARENT_DEATH_SIGNAL, signal.SIGKILL)
--- /dev/null
+++ b/fleet/http.py
@@ -0,0 +1,54 @@
+"""HTTP with JSON from tools to daemons and workers on this machine."""
+
+from __future__ import annotations
+
+from typing import Any
+
+import msgspec
+from tornado.httpclient import AsyncHTTPClient, HTTPRequest
+from tornado.simple_httpclient import SimpleAsyncHTTPClient
+
+
+class JsonReply(msgspec.Struct, frozen=True):
+    status: int
+    """0 when there was no answer."""
+    body: Any
+
+    @property
+    def good(self) -> bool:
+        return 200 <= self.status < 300
+
+
+class JsonClient:
+    def __init__(self) -> None:
+        self._client: AsyncHTTPClient = SimpleAsyncHTTPClient(force_instance=True, max_clients=200)
+
+    async def get(self, address: str, path: str, patience: float = 2.0) -> JsonReply:
+        return await self.ask("GET", address, path, None, patience)
+
+    async def post(self, address: str, path: str, body: object, patience: float = 5.0) -> JsonReply:
+        return await self.ask("POST", address, path, msgspec.json.encode(body), patience)
+
+    async def ask(self, method: str, address: str, path: str, body: bytes | None, patience: float) -> JsonReply:
+        request = HTTPRequest(
+            f"http://{address}{path}",
+            method=method,
+            body=body,
+            headers={"Content-Type": "application/json"} if body is not None else None,
+            connect_timeout=min(1.0, patience),
+            request_timeout=patience,
+            follow_redirects=False,
+        )
+        try:
+            response = await self._client.fetch(request, raise_error=False)
+        except OSError as problem:
+            return JsonReply(0, str(problem))
+        if response.code == 599:
+            return JsonReply(0, str(response.error))
+        try:
+            return JsonReply(response.code, msgspec.json.decode(response.body))
+        except msgspec.MsgspecError:
+            return JsonReply(response.code, response.body.decode(errors="replace"))
+
+    def close(self) -> None:
+        self._client.close()
--- /dev/null
+++ b/fleet/launcher.py
@@ -0,0 +1,392 @@
+"""A fleet on this machine: ``python -m fleet.launcher SHAPE.toml [--folder F]`` and the class that tools use.
+
+It owns its children and ends only them, by their ids. All ports are on loopback.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import shutil
+import signal
+import socket
+import subprocess
+import sys
+import tempfile
+from collections.abc import Sequence
+from pathlib import Path
+from types import TracebackType
+from typing import Any
+
+import click
+import msgspec
+from returns.result import Failure
+
+from .children import Child, end_all, python_module
+from .http import JsonClient
+from .plan import (
+    CallerKeys,
+    DaemonPlan,
+    Plan,
+    WorkerPlan,
+    bundle_text,
+    new_caller_keys,
+    plan_fleet,
+    settings_text,
+)
+from .shape import HOST, Shape, read_shape
+from .waiting import FleetProblem, wait_until
+
+ROOT = Path(__file__).resolve().parent.parent
+STOP_PATIENCE = 25.0
+"""Seconds for daemons to finish streams after SIGTERM; above their own ``stop_within``."""
+
+
+class CommandResult(msgspec.Struct, frozen=True):
+    code: int
+    output: str
+    errors: str
+
+    def json(self) -> Any:
+        return json.loads(self.output)
+
+
+class Fleet:
+    """Daemons and workers by name. Files go below ``folder``: settings, keys, data, logs, runs, bundle.toml."""
+
+    def __init__(self, shape: Shape, folder: Path) -> None:
+        self.shape = shape
+        self.folder = folder.resolve()
+        self.plan: Plan = plan_fleet(shape)
+        self.daemons: dict[str, DaemonPlan] = {daemon.name: daemon for daemon in self.plan.daemons}
+        self.workers: dict[str, WorkerPlan] = {worker.name: worker for worker in self.plan.workers}
+        self.children: dict[str, Child] = {}
+        self.keys: CallerKeys = CallerKeys({})
+        self.http = JsonClient()
+        self._next_port = self.plan.next_port
+        self._replacements = 0
+
+    async def __aenter__(self) -> Fleet:
+        return self
+
+    async def __aexit__(
+        self, kind: type[BaseException] | None, problem: BaseException | None, trace: TracebackType | None
+    ) -> None:
+        await self.stop()
+
+    # Files
+
+    def prepare(self) -> None:
+        """Writes keys, settings and the bundle file; nothing is started."""
+        for name in ("settings", "keys", "data", "logs", "runs"):
+            (self.folder / name).mkdir(parents=True, exist_ok=True)
+        self._check_ports()
+        self._make_keys()
+        for daemon in self.daemons.values():
+            self._write_settings(daemon)
+        self.bundle_file.write_text(bundle_text(self.shape, self.keys))
+        self._write_addresses()
+
+    @property
+    def bundle_file(self) -> Path:
+        return self.folder / "bundle.toml"
+
+    @property
+    def operator_key_file(self) -> Path:
+        return self.folder / "keys" / "operator.key"
+
+    def _make_keys(self) -> None:
+        made = self.command("key", "new", str(self.operator_key_file), "--json")
+        if made.code:
+            raise FleetProblem(f"wingwood key new failed: {made.errors or made.output}")
+        self._operator_public = str(made.json()["public_key"])
+        fleet_key = self.folder / "keys" / "fleet.key"
+        made = self.command("key", "new", "--fleet", str(fleet_key), "--json")
+        if made.code:
+            raise FleetProblem(f"wingwood key new --fleet failed: {made.errors or made.output}")
+        self._fleet_key = fleet_key.read_text().strip()
+        self.keys = new_caller_keys(self.shape)
+        (self.folder / "keys" / "callers.json").write_text(json.dumps(dict(self.keys.by_tenant), indent=2))
+
+    def _write_settings(self, daemon: DaemonPlan) -> None:
+        text = settings_text(daemon, self.shape, self.plan.seeds, self._fleet_key, self._operator_public, self.folder)
+        self._settings_file(daemon).write_text(text)
+
+    def _settings_file(self, daemon: DaemonPlan) -> Path:
+        return self.folder / "settings" / f"{daemon.name}.toml"
+
+    def _write_addresses(self) -> None:
+        """For tools that were started apart, such as the load tool."""
+        told = {
+            "shape": msgspec.to_builtins(self.shape),
+            "routers": [daemon.caller for daemon in self.routers()],
+            "operators": [daemon.operator for daemon in self.daemons.values()],
+            "workers": {
+                worker.name: {"address": worker.address, "pool": worker.pool.name} for worker in self.workers.values()
+            },
+            "keys": dict(self.keys.by_tenant),
+        }
+        (self.folder / "fleet.json").write_text(json.dumps(told, indent=2))
+
+    def _check_ports(self) -> None:
+        ports = [daemon.first_port + offset for daemon in self.daemons.values() for offset in range(3)]
+        ports += [worker.port for worker in self.workers.values()]
+        for port in ports:
+            with socket.socket() as probe:
+                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+                try:
+                    probe.bind((HOST, port))
+                except OSError as problem:
+                    raise FleetProblem(
+                        f"port {port} is taken by another program; set first_port in the shape"
+                    ) from problem
+
+    # Processes
+
+    def start_daemons(self) -> None:
+        for daemon in self.daemons.values():
+            self._start_daemon(daemon)
+
+    def start_workers(self) -> None:
+        for worker in self.workers.values():
+            self._start_worker(worker)
+
+    def _start_daemon(self, daemon: DaemonPlan) -> None:
+        command = python_module("wingwood", daemon.role, "--settings", str(self._settings_file(daemon)))
+        self._start(daemon.name, command)
+
+    def _start_worker(self, worker: WorkerPlan) -> None:
+        pool = worker.pool
+        arguments = {
+            "--name": worker.name,
+            "--address": worker.address,
+            "--pool": pool.name,
+            "--zone": worker.zone,
+            "--kind": pool.kind,
+            "--slots": pool.slots,
+            "--cache-tokens": pool.cache_tokens,
+            "--prefill-per-token": pool.prefill_per_token,
+            "--decode-per-token": pool.decode_per_token,
+            "--decode-per-other-stream": pool.decode_per_other_stream,
+            "--plain-seconds": pool.plain_seconds,
+            "--runs-file": self.runs_file(worker.name),
+        }
+        options = [text for name, value in arguments.items() for text in (name, str(value))]
+        options.append("--tells-load" if pool.tells_load else "--hides-load")
+        # Each worker knows three daemons, as on the real machines; it begins with one of its zone.
+        near = [daemon for daemon in self.daemons.values() if daemon.zone == worker.zone]
+        others = [daemon for daemon in self.daemons.values() if daemon.zone != worker.zone]
+        for daemon in (near + others)[:1] + near[-1:] + others[-1:]:
+            options += ["--announce", daemon.operator]
+        self._start(worker.name, python_module("emulator.worker", *options))
+
+    def _start(self, name: str, command: Sequence[str]) -> None:
+        child = self.children.get(name)
+        if child is None:
+            child = Child(name, command, self.folder / "logs" / f"{name}.log", ROOT)
+            self.children[name] = child
+        child.start()
+
+    def runs_file(self, worker: str) -> Path:
+        return self.folder / "runs" / f"{worker}.jsonl"
+
+    async def start(self) -> None:
+        """Starts all and returns when all daemons are live and all workers answer."""
+        self.prepare()
+        self.start_daemons()
+        self.start_workers()
+        await self.live()
+        await self.workers_answer()
+
+    async def stop(self) -> None:
+        await asyncio.to_thread(end_all, list(self.children.values()), STOP_PATIENCE)
+        self.http.close()
+
+    # Conditions
+
+    async def live(self) -> None:
+        for daemon in self.daemons.values():
+            await self.daemon_answers(daemon.name, "/live")
+
+    async def ready(self) -> None:
+        """All daemons say that they are ready; routers only are once a bundle is in force."""
+        for daemon in self.daemons.values():
+            await self.daemon_answers(daemon.name, "/ready")
+
+    async def daemon_answers(self, name: str, path: str, patience: float = 60.0) -> None:
+        daemon = self.daemons[name]
+
+        async def look() -> bool:
+            self.check_children()
+            return (await self.http.get(daemon.operator, path)).good
+
+        await wait_until(f"{name} answers {path} with 200", look, patience)
+
+    async def workers_answer(self) -> None:
+        for worker in self.workers.values():
+
+            async def look(worker: WorkerPlan = worker) -> bool:
+                self.check_children()
+                return (await self.http.get(worker.address, "/health")).good
+
+            await wait_until(f"worker {worker.name} answers /health", look)
+
+    def check_children(self) -> None:
+        """Raises FleetProblem with the log's end when a child has ended by itself."""
+        for child in self.children.values():
+            if child.expected_to_run and not child.running():
+                child.expected_to_run = False
+                raise FleetProblem(
+                    f"{child.name} ended by itself with code {child.exit_code()}; its log ends:\n{child.log_tail()}"
+                )
+
+    # Faults, by name
+
+    def kill(self, name: str) -> None:
+        self.children[name].kill()
+
+    def freeze(self, name: str) -> None:
+        self.children[name].freeze()
+
+    def wake(self, name: str) -> None:
+        self.children[name].wake()
+
+    def restart(self, name: str) -> None:
+        """Starts what was killed or stopped again, with the same settings and data."""
+        self.kill(name)
+        self.children[name].start()
+
+    async def roll(self, name: str) -> None:
+        """SIGTERM, wait for its end, start again."""
+        child = self.children[name]
+        child.ask_to_stop()
+        await asyncio.to_thread(child.end, STOP_PATIENCE)
+        child.start()
+
+    def wipe(self, name: str) -> None:
+        """Kills a control daemon, empties its data folder and starts it at the same address."""
+        self.kill(name)
+        shutil.rmtree(self.folder / "data" / name, ignore_errors=True)
+        self.children[name].start()
+
+    def replace(self, name: str) -> str:
+        """Kills a daemon for good; an empty one at a new address takes its place. Gives the new one's name.
+
+        All settings go on naming the three old seeds.
+        """
+        old = self.daemons.pop(name)
+        self.kill(name)
+        self._replacements += 1
+        new = DaemonPlan(
+            name=f"{old.role}-new-{self._replacements}", role=old.role, zone=old.zone, first_port=self._next_port
+        )
+        self._next_port += 3
+        self.daemons[new.name] = new
+        self._write_settings(new)
+        self._write_addresses()
+        self._start_daemon(new)
+        return new.name
+
+    def replace_worker(self, name: str) -> str:
+        old = self.workers.pop(name)
+        self.kill(name)
+        self._replacements += 1
+        new = WorkerPlan(
+            name=f"{old.pool.name}-new-{self._replacements}", pool=old.pool, zone=old.zone, port=self._next_port
+        )
+        self._next_port += 1
+        self.workers[new.name] = new
+        self._write_addresses()
+        self._start_worker(new)
+        return new.name
+
+    # Looking
+
+    def routers(self) -> list[DaemonPlan]:
+        return [daemon for daemon in self.daemons.values() if daemon.role == "router"]
+
+    def controls(self) -> list[DaemonPlan]:
+        return [daemon for daemon in self.daemons.values() if daemon.role == "control"]
+
+    def command(self, *arguments: str) -> CommandResult:
+        """One call of the operators' command line."""
+        done = subprocess.run(
+            python_module("wingwood", *arguments), cwd=ROOT, capture_output=True, text=True, check=False, timeout=120
+        )
+        return CommandResult(done.returncode, done.stdout, done.stderr)
+
+    async def run_command(self, *arguments: str) -> CommandResult:
+        return await asyncio.to_thread(self.command, *arguments)
+
+
+def open_shape(file: Path) -> Shape:
+    """Reads it or raises FleetProblem; a bare name is looked for beside this file."""
+    if not file.exists() and (ROOT / "fleet" / f"{file.name}.toml").exists():
+        file = ROOT / "fleet" / f"{file.name}.toml"
+    match read_shape(file):
+        case Failure(problem):
+            raise FleetProblem(str(problem))
+        case read:
+            return read.unwrap()
+
+
+async def _run(shape: Shape, folder: Path, push: bool) -> None:
+    stopped = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGINT, signal.SIGTERM):
+        loop.add_signal_handler(number, stopped.set)
+    async with Fleet(shape, folder) as fleet:
+        starting = asyncio.create_task(_bring_up(fleet, push))
+        stopping = asyncio.create_task(stopped.wait())
+        await asyncio.wait([starting, stopping], return_when=asyncio.FIRST_COMPLETED)
+        if not starting.done():
+            starting.cancel()
+        else:
+            await starting
+            await stopping
+        click.echo("stopping")
+
+
+async def _bring_up(fleet: Fleet, push: bool) -> None:
+    click.echo(f"starting {len(fleet.daemons)} daemons and {len(fleet.workers)} workers below {fleet.folder}")
+    await fleet.start()
+    if push:
+        pushed = await push_bundle(fleet)
+        click.echo(f"bundle version {pushed} acknowledged")
+        await fleet.ready()
+    for daemon in fleet.daemons.values():
+        caller = f", callers {daemon.caller}" if daemon.caller else ""
+        click.echo(f"  {daemon.name:<12} {daemon.zone:<8} operators {daemon.operator}{caller}")
+    click.echo("up; Ctrl-C ends it")
+
+
+async def push_bundle(fleet: Fleet) -> int:
+    """Signs ``bundle.toml`` and pushes it with the command line; gives the acknowledged version."""
+    signed = fleet.folder / "bundle.signed"
+    made = await fleet.run_command(
+        "bundle", "sign", str(fleet.bundle_file), "--key", str(fleet.operator_key_file), "--output", str(signed)
+    )
+    if made.code:
+        raise FleetProblem(f"wingwood bundle sign failed: {made.errors or made.output}")
+    pushed = await fleet.run_command("bundle", "push", str(signed), "--to", fleet.controls()[0].operator, "--json")
+    if pushed.code:
+        raise FleetProblem(f"wingwood bundle push failed: {pushed.errors or pushed.output}")
+    return int(pushed.json()["version"])
+
+
+@click.command()
+@click.argument("shape", type=click.Path(path_type=Path))
+@click.option("--folder", type=click.Path(path_type=Path), help="Where its files go; a new temporary one by default.")
+@click.option("--push/--no-push", default=True, show_default=True, help="Sign the shape's bundle and push it.")
+def main(shape: Path, folder: Path | None, push: bool) -> None:
+    """Starts the fleet of the file SHAPE (despensa, sabarmati, demo or a path) and keeps it up until Ctrl-C."""
+    try:
+        with tempfile.TemporaryDirectory(prefix="wingwood-fleet-") as temporary:
+            asyncio.run(_run(open_shape(shape), folder or Path(temporary), push))
+    except FleetProblem as problem:
+        click.echo(f"error: {problem}", err=True)
+        sys.exit(1)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/fleet/tests/test_plan.py
@@ -0,0 +1,80 @@
+"""Shapes and the files written from them (docs/DESIGN.md section 17)."""
+
+from __future__ import annotations
+
+import hashlib
+import tomllib
+import unittest
+from pathlib import Path
+
+import msgspec
+from returns.result import Failure, Success
+
+from ..plan import CallerKeys, bundle_text, plan_fleet, settings_text
+from ..shape import check_shape, read_shape
+
+FOLDER = Path(__file__).resolve().parent.parent
+
+
+class DeploymentShapes(unittest.TestCase):
+    def test_both_deployments_have_the_sizes_of_today(self) -> None:
+        for name in ("despensa", "sabarmati"):
+            shape = read_shape(FOLDER / f"{name}.toml").unwrap()
+            workers = {pool.kind: pool.workers for pool in shape.pools}
+            self.assertEqual((len(shape.zones), shape.routers, shape.controls, len(shape.tenants)), (3, 11, 3, 5))
+            self.assertEqual(workers, {"model": 9, "plain": 3})
+            plain = [service for service in shape.services if service.kind == "plain"]
+            self.assertEqual([service.repeatable for service in plain], [False])
+
+    def test_no_two_listeners_share_a_port_and_all_are_on_loopback(self) -> None:
+        for name in ("despensa", "sabarmati", "demo"):
+            plan = plan_fleet(read_shape(FOLDER / f"{name}.toml").unwrap())
+            addresses = [worker.address for worker in plan.workers]
+            for daemon in plan.daemons:
+                addresses += [daemon.internal, daemon.operator, *([daemon.caller] if daemon.caller else [])]
+            self.assertEqual(len(addresses), len(set(addresses)))
+            self.assertTrue(all(address.startswith("127.0.0.1:") for address in addresses))
+            self.assertGreater(plan.next_port, max(int(address.rpartition(":")[2]) for address in addresses))
+
+    def test_control_daemons_stand_in_different_zones(self) -> None:
+        plan = plan_fleet(read_shape(FOLDER / "despensa.toml").unwrap())
+        zones = [daemon.zone for daemon in plan.daemons if daemon.role == "control"]
+        self.assertEqual(len(set(zones)), 3)
+        self.assertEqual(len(plan.seeds), 3)
+
+    def test_a_name_that_meets_nothing_is_named(self) -> None:
+        shape = read_shape(FOLDER / "demo.toml").unwrap()
+        broken = msgspec.structs.replace(shape, classes=())
+        self.assertIn("there is no class 'gold'", check_shape(broken))
+
+    def test_an_unknown_key_is_a_problem_that_names_file_and_key(self) -> None:
+        match read_shape(FOLDER / "tests" / "unknown-key.toml"):
+            case Failure(problem):
+                self.assertIn("unknown-key.toml", str(problem))
+                self.assertIn("routerz", str(problem))
+            case Success(_):
+                self.fail("read a shape with an unknown key")
+
+
+class WrittenFiles(unittest.TestCase):
+    def setUp(self) -> None:
+        self.shape = read_shape(FOLDER / "despensa.toml").unwrap()
+        self.plan = plan_fleet(self.shape)
+
+    def test_only_control_daemons_get_a_data_folder(self) -> None:
+        for daemon in self.plan.daemons:
+            text = settings_text(daemon, self.shape, self.plan.seeds, "00", "11", Path("folder"))
+            settings = tomllib.loads(text)
+            self.assertEqual("data_folder" in settings, daemon.role == "control")
+            self.assertEqual("caller" in settings, daemon.role == "router")
+            self.assertEqual(settings["removed_key_bound"], 5.0)
+
+    def test_the_bundle_holds_digests_of_the_keys_and_never_the_keys(self) -> None:
+        keys = CallerKeys({tenant.name: f"secret-{tenant.name}" for tenant in self.shape.tenants})
+        text = bundle_text(self.shape, keys)
+        self.assertNotIn("secret-", text)
+        bundle = tomllib.loads(text)
+        expected = hashlib.sha256(b"secret-riders").hexdigest()
+        self.assertEqual(bundle["tenant"]["riders"]["keys"], [expected])
+        self.assertIs(bundle["service"]["product-card"]["repeatable"], False)
+        self.assertEqual(bundle["route"]["chat"], {"path_prefix": "/v1/chat", "service": "chat"})
