Registry of workers: announcements, homes per pool and zone, drains that outlive the home

Cause: routers need to know which workers may get turns, and a drain has to reach every router within 2 s though the daemon that should pass it on freezes or dies that moment. What: any daemon takes announcements, tells the pool's home of every zone before it acknowledges a state, and absorbs renewals; homes push states at once and prove their feed by question and answer each 0.3 s; a router with an older proof than 1.0 s asks the worker itself before a turn; a new home is given what its followers and the other homes keep. With the home frozen or killed at the moment of the drain no router confirms the worker 0.85 s later.

--- a/wingwood/registry/protocols.py
+++ b/wingwood/registry/protocols.py
@@ -52,3 +52,15 @@
     def on_change(self, callback: Callable[[Worker], None]) -> None:
         """Called with each worker whose state or load changed."""
         ...
+
+
+class RunningExchange(Protocol):
+    """How many turns the whole fleet runs on each worker, told along with the feed (section 10.4)."""
+
+    def count_running_with(self, count: Callable[[PoolName], dict[WorkerInstance, float]]) -> None:
+        """``count`` gives this router's running and expected turns of a pool, by worker; zeros left out."""
+        ...
+
+    def running_elsewhere(self, instance: WorkerInstance) -> float:
+        """Running and expected turns of all other routers, about a third of a second old; 0 when unknown."""
+        ...
--- /dev/null
+++ b/wingwood/registry/tests/test_worker_registry.py
@@ -0,0 +1,208 @@
+from __future__ import annotations
+
+import unittest
+from functools import partial
+
+import msgspec
+
+from simulation.world import World
+from wingwood.identifiers import PoolName, WorkerInstance
+from wingwood.registry.messages import TakeState
+
+from .fleet import POOL, Fleet
+
+
+class WorkerRegistryTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.world = World(7)
+        self.world.__enter__()
+        self.addCleanup(self.world.close)
+        self.fleet = Fleet(self.world)
+        self.worker = self.fleet.start_worker("w0")
+        self.addCleanup(self.check_invariants)
+
+    def check_invariants(self) -> None:
+        self.assertEqual(self.world.broken_invariants, [])
+
+    def announced(self) -> str:
+        reply = self.fleet.announce(self.worker)
+        self.assertEqual(reply.status, 200)
+        self.world.run(1.0)
+        self.fleet.announce(self.worker)
+        return str(self.worker.instance)
+
+    def others_than(self, *names: str) -> list[str]:
+        return [name for name in sorted(self.fleet.routers) if name not in names]
+
+    def test_announcement_at_one_daemon_reaches_every_router(self) -> None:
+        self.fleet.announce(self.worker)
+        self.world.run(0.05)
+        for name in self.fleet.routers:
+            self.assertEqual(self.fleet.ready_at(name), [self.worker.instance])
+        self.world.run(1.0)
+        for name in self.fleet.routers:
+            self.assertLess(self.fleet.feed_age(name), 0.5)
+
+    def test_malformed_announcements_are_answered_400(self) -> None:
+        for change in ({"address": "localhost:1"}, {"slots": 0}, {"state": "asleep"}, {"instance": ""}):
+            self.assertEqual(self.fleet.announce(self.worker, **change).status, 400)
+
+    def test_draining_reaches_every_router_and_is_final(self) -> None:
+        instance = self.announced()
+        self.assertEqual(self.fleet.announce(self.worker, state="draining").status, 200)
+        self.world.run(0.05)
+        for name in self.fleet.routers:
+            self.assertEqual(self.fleet.ready_at(name), [])
+        reply = self.fleet.announce(self.worker, "r4", state="ready")
+        self.assertEqual((reply.status, reply.body["code"]), (409, "instance-over"))  # type: ignore[index, call-overload]
+        self.world.run(1.0)
+        self.assertFalse(any(self.fleet.confirmed(name, instance) for name in self.fleet.routers))
+
+    def test_restart_at_the_same_address_ends_the_older_instance(self) -> None:
+        old = self.announced()
+        self.worker.restart_empty()
+        self.fleet.announce(self.worker, "r3")
+        self.world.run(0.05)
+        for name in self.fleet.routers:
+            self.assertEqual(self.fleet.ready_at(name), [self.worker.instance])
+            found = self.fleet.routers[name].registry.find(old)  # type: ignore[arg-type]
+            self.assertEqual(found and found.state, "gone")
+
+    def test_unrenewed_worker_is_not_ready_after_three_seconds_and_comes_back_with_its_renewal(self) -> None:
+        self.announced()
+        self.world.run(2.5)
+        self.assertEqual(self.fleet.ready_at("r5"), [self.worker.instance])
+        self.world.run(1.2)
+        for name in self.fleet.routers:
+            self.assertEqual(self.fleet.ready_at(name), [])
+        self.fleet.announce(self.worker, "r2")
+        self.world.run(0.5)
+        for name in self.fleet.routers:
+            self.assertEqual(self.fleet.ready_at(name), [self.worker.instance])
+
+    def drain_with_home(self, fault: str) -> None:
+        """The drain is announced in the very moment in which zone b's home fails."""
+        instance = self.announced()
+        home = self.fleet.home("b")
+        edge = self.others_than(home)[0]
+        self.worker.state = "draining"
+        (self.world.freeze if fault == "freeze" else self.world.kill)(home)
+        self.assertEqual(self.fleet.announce(self.worker, edge, state="draining").status, 503)
+        self.world.run(0.85)
+        for name in self.others_than(home):
+            self.assertFalse(self.fleet.confirmed(name, instance), name)
+        if fault == "freeze":
+            self.world.wake(home)
+            self.assertFalse(self.fleet.confirmed(home, instance))
+
+    def test_drain_while_the_home_freezes(self) -> None:
+        self.drain_with_home("freeze")
+
+    def test_drain_while_the_home_is_killed(self) -> None:
+        self.drain_with_home("kill")
+
+    def test_home_killed_after_its_acknowledgement_and_before_it_pushed(self) -> None:
+        instance = self.announced()
+        home = self.fleet.home("b")
+        self.fleet.routers[home].registry._push = lambda *_: None  # type: ignore[method-assign]
+        reply = self.fleet.announce(self.worker, self.others_than(home)[0], state="draining")
+        self.assertEqual(reply.status, 200)
+        self.world.kill(home)
+        self.worker.state = "draining"
+        other = next(name for name in self.others_than(home) if self.fleet.routers[name].identity.zone == "b")
+        self.world.run(1.05)
+        self.assertFalse(self.fleet.confirmed(other, instance))
+
+    def test_cut_off_router_asks_the_worker_itself(self) -> None:
+        instance = self.announced()
+        home = self.fleet.home("b")
+        follower = next(name for name in self.others_than(home) if self.fleet.routers[name].identity.zone == "b")
+        for name in self.others_than(follower):
+            self.world.cut(follower, name)
+        self.world.run(1.2)
+        self.assertTrue(self.fleet.confirmed(follower, instance))
+        self.worker.state = "draining"
+        self.world.run(0.5)
+        self.assertFalse(self.fleet.confirmed(follower, instance))
+
+    def test_home_without_proven_membership_does_not_vouch_for_its_feed(self) -> None:
+        self.announced()
+        home = self.fleet.home("b")
+        membership = self.fleet.routers[home].membership
+        membership.cut_off_at = membership.context.clock.monotonic()
+        self.world.run(2.9)
+        follower = next(name for name in self.others_than(home) if self.fleet.routers[name].identity.zone == "b")
+        self.assertGreater(self.fleet.feed_age(follower), 1.0)
+        self.assertGreater(self.fleet.feed_age(home), 1.0)
+
+    def test_new_home_takes_over_what_others_keep(self) -> None:
+        instance = self.announced()
+        home = self.fleet.home("b")
+        self.world.kill(home)
+        self.fleet.roster.remove(home)
+        self.world.run(1.2)
+        new = self.fleet.home("b")
+        self.assertNotEqual(new, home)
+        self.assertEqual(self.fleet.ready_at(new), [instance])
+        self.assertEqual(self.fleet.feed_age(new), 0.0)
+        self.fleet.announce(self.worker, "r0", state="gone")
+        self.world.run(0.1)
+        self.assertEqual(self.fleet.ready_at(new), [])
+
+    def test_restarted_home_without_memory_learns_final_states_from_its_followers(self) -> None:
+        instance = self.announced()
+        self.fleet.announce(self.worker, state="draining")
+        self.world.run(0.5)
+        home = self.fleet.home("b")
+        self.world.restart(home)
+        self.world.run(1.0)
+        found = self.fleet.routers[home].registry.find(instance)  # type: ignore[arg-type]
+        self.assertEqual(found and found.state, "draining")
+
+    def test_home_that_missed_a_state_learns_it_from_the_other_homes(self) -> None:
+        instance = self.announced()
+        home_a, home_b = self.fleet.home("a"), self.fleet.home("b")
+        worker = self.fleet.routers[home_a].registry.find(instance)  # type: ignore[arg-type]
+        assert worker is not None
+        drained = msgspec.structs.replace(worker, state="draining")
+        messenger = self.fleet.routers["r0"].messenger
+        self.fleet.inside(
+            home_a, lambda: self.fleet.routers[home_a].registry._take_state(messenger.identity, TakeState(drained))
+        )
+        self.world.run(0.8)
+        self.assertEqual(self.fleet.ready_at(home_b), [])
+
+    def test_suspected_worker_is_out_until_it_answers_for_itself(self) -> None:
+        instance = self.announced()
+        self.fleet.world.freeze("w0")
+        self.fleet.routers["r1"].registry.suspect(self.worker.instance)  # type: ignore[arg-type]
+        self.assertEqual(self.fleet.ready_at("r1"), [])
+        self.fleet.announce(self.worker)
+        self.world.run(1.0)
+        self.assertEqual(self.fleet.ready_at("r1"), [])
+        self.assertEqual(self.fleet.ready_at("r2"), [instance])
+        self.fleet.world.wake("w0")
+        self.world.run(1.5)
+        self.assertEqual(self.fleet.ready_at("r1"), [instance])
+
+    def test_loads_and_running_turns_are_told(self) -> None:
+        instance = WorkerInstance(self.worker.instance)
+
+        def running(turns: float, pool: PoolName) -> dict[WorkerInstance, float]:
+            return {instance: turns}
+
+        for number, name in enumerate(sorted(self.fleet.routers)):
+            count = partial(running, 1.0 + number)
+            self.fleet.routers[name].registry.count_running_with(count)
+        self.announced()
+        self.fleet.announce(self.worker, load={"running": 5, "waiting": 2})
+        self.world.run(1.5)
+        for number, name in enumerate(sorted(self.fleet.routers)):
+            registry = self.fleet.routers[name].registry
+            self.assertEqual(registry.running_elsewhere(instance), 21.0 - (1.0 + number))
+            load = registry.ready(POOL)[0].load
+            self.assertEqual(load and (load.running, load.waiting), (5, 2))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/wingwood/registry/worker_announcements.py
@@ -0,0 +1,141 @@
+"""The workers' edge: every name, path, body and status code that workers see (docs/DESIGN.md section 10.1).
+
+A worker sends ``POST /workers/v1/announce`` to the operator address of any daemon, about once a
+second and at once when its state changes, and answers ``GET /health`` itself.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from typing import Literal
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from ..context.protocols import HttpClient, HttpRequest
+from ..identifiers import Address, PoolName, Seconds, WorkerInstance, Zone, parse_address
+from ..operator_api.protocols import OperatorReply
+from .protocols import Worker, WorkerLoad
+
+ANNOUNCE_PATH = "/workers/v1/announce"
+LIST_PATH = "/workers/v1/list"
+HEALTH_PATH = "/health"
+HEALTH_BYTES = 16 * 1024
+
+
+class _LoadBody(msgspec.Struct):
+    running: int
+    waiting: int = 0
+    cache_tokens_used: int = 0
+
+
+class _AnnouncementBody(msgspec.Struct):
+    instance: str
+    address: str
+    pool: str
+    zone: str = ""
+    slots: int = 1
+    cache_tokens: int = 0
+    state: Literal["ready", "draining", "gone"] = "ready"
+    load: _LoadBody | None = None
+
+
+class HealthAnswer(msgspec.Struct, frozen=True):
+    """What a worker says of itself when asked."""
+
+    instance: WorkerInstance
+    state: Literal["ready", "draining", "gone"] = "ready"
+    running: int = 0
+    waiting: int = 0
+
+
+def read_announcement(body: bytes) -> Result[Worker, str]:
+    """The announced worker, or what is wrong with the body."""
+    try:
+        read = msgspec.json.decode(body, type=_AnnouncementBody)
+        address = parse_address(read.address)
+    except (msgspec.MsgspecError, ValueError) as problem:
+        return Failure(str(problem))
+    for name, text in (("instance", read.instance), ("pool", read.pool)):
+        if not 0 < len(text) <= 200 or not text.isprintable():
+            return Failure(f"{name} must be 1 to 200 printable characters")
+    if not 0 < read.slots <= 100_000 or read.cache_tokens < 0 or len(read.zone) > 200:
+        return Failure("slots must be 1 to 100000, cache_tokens 0 or more, zone at most 200 characters")
+    load = None
+    if read.load is not None:
+        load = WorkerLoad(read.load.running, read.load.waiting, read.load.cache_tokens_used)
+    return Success(
+        Worker(
+            instance=WorkerInstance(read.instance),
+            address=address,
+            pool=PoolName(read.pool),
+            zone=Zone(read.zone),
+            slots=read.slots,
+            cache_tokens=read.cache_tokens,
+            state=read.state,
+            load=load,
+        )
+    )
+
+
+def malformed(problem: str) -> OperatorReply:
+    return OperatorReply(status=400, body={"code": "malformed", "reason": problem})
+
+
+def taken(worker: Worker) -> OperatorReply:
+    return OperatorReply(body={"code": "taken", "instance": worker.instance, "state": worker.state})
+
+
+def instance_over(worker: Worker) -> OperatorReply:
+    """The announced state goes back behind a final one; a new life needs a new instance."""
+    body: dict[str, object] = {"code": "instance-over", "instance": worker.instance, "state": worker.state}
+    return OperatorReply(status=409, body=body)
+
+
+def tell_another(reason: str) -> OperatorReply:
+    """Not every home has it: the worker tells another daemon, which is harmless to repeat."""
+    return OperatorReply(status=503, body={"code": "tell-another", "reason": reason})
+
+
+def list_of(workers: list[tuple[Worker, bool, bool]]) -> OperatorReply:
+    """``workers`` with whether each is renewed and whether it is suspected here."""
+    listed: list[object] = [
+        {
+            "instance": worker.instance,
+            "address": str(worker.address),
+            "pool": worker.pool,
+            "zone": worker.zone,
+            "slots": worker.slots,
+            "cache_tokens": worker.cache_tokens,
+            "state": worker.state,
+            "renewed": renewed,
+            "suspected": suspected,
+            "load": None if worker.load is None else msgspec.to_builtins(worker.load),
+        }
+        for worker, renewed, suspected in workers
+    ]
+    return OperatorReply(body={"workers": listed})
+
+
+async def ask_health(http: HttpClient, address: Address, timeout: Seconds) -> HealthAnswer | None:
+    """The worker's own word; None when it does not answer properly in time."""
+    exchange = http.start(HttpRequest("GET", address, HEALTH_PATH, connect_timeout=timeout))
+    try:
+        async with asyncio.timeout(timeout):
+            head = await exchange.head()
+            if not isinstance(head, Success) or head.unwrap().status != 200:
+                return None
+            body = b""
+            while len(body) <= HEALTH_BYTES:
+                piece = await exchange.next_piece()
+                if not isinstance(piece, Success):
+                    return None
+                data = piece.unwrap()
+                if data is None:
+                    return msgspec.json.decode(body, type=HealthAnswer)
+                body += data
+            return None
+    except (TimeoutError, msgspec.MsgspecError):
+        return None
+    finally:
+        exchange.cancel()
