Read daemon settings from TOML and flags through voluptuous

Cause: a daemon must not start on an unknown or ill-typed key, and the operator must read which file, which key and what is expected. What: wingwood/settings/load.py: one check per key of DaemonSettings (a test holds them together), flags over the file, checks of keys that go together; the fleet key is never repeated in a message.

--- /dev/null
+++ b/wingwood/settings/load.py
@@ -0,0 +1,212 @@
+"""Reads and checks a daemon's settings (docs/DESIGN.md section 6)."""
+
+from __future__ import annotations
+
+import re
+import tomllib
+from collections.abc import Callable, Mapping
+from pathlib import Path
+from typing import Any, get_args
+
+import msgspec
+import voluptuous
+from returns.result import Failure, Result, Success
+
+from ..identifiers import Address, parse_address
+from .model import DaemonSettings
+
+FLEET_KEY_BYTES = 16
+"""Shortest shared secret that is taken."""
+
+
+class SettingsProblem(msgspec.Struct, frozen=True, kw_only=True):
+    """Why settings are refused: which file, which key, what stands there, and what is expected."""
+
+    file: str
+    key: str = ""
+    value: str = ""
+    expected: str
+
+    def __str__(self) -> str:
+        key = f": {self.key}" if self.key else ""
+        value = f" = {self.value}" if self.value else ""
+        return f"{self.file}{key}{value}: {self.expected}"
+
+
+class _Expected(voluptuous.Invalid):
+    """A value that is not as expected; the message says what is."""
+
+
+def _whole(low: int, high: int) -> Callable[[Any], int]:
+    def check(value: Any) -> int:
+        if type(value) is not int or not low <= value <= high:
+            raise _Expected(f"expected a whole number from {low} to {high}")
+        return value
+
+    return check
+
+
+def _seconds(low: float, high: float) -> Callable[[Any], float]:
+    def check(value: Any) -> float:
+        if type(value) not in (int, float) or not low <= value <= high:
+            raise _Expected(f"expected seconds as a number from {low:g} to {high:g}")
+        return float(value)
+
+    return check
+
+
+def _text(pattern: str, expected: str) -> Callable[[Any], str]:
+    compiled = re.compile(pattern)
+
+    def check(value: Any) -> str:
+        if not isinstance(value, str) or not compiled.fullmatch(value):
+            raise _Expected(f"expected {expected}")
+        return value
+
+    return check
+
+
+def _one_of(*allowed: str) -> Callable[[Any], str]:
+    def check(value: Any) -> str:
+        if not isinstance(value, str) or value not in allowed:
+            raise _Expected(f"expected one of {', '.join(allowed)}")
+        return value
+
+    return check
+
+
+def _address(value: Any) -> Address:
+    if not isinstance(value, str):
+        raise _Expected('expected an address as text, such as "127.0.0.1:7000"')
+    try:
+        return parse_address(value)
+    except ValueError as problem:
+        raise _Expected(f"expected an address such as 127.0.0.1:7000: {problem}") from None
+
+
+def _list_of(check: Callable[[Any], Any], least: int, most: int, what: str) -> Callable[[Any], tuple[Any, ...]]:
+    def check_list(value: Any) -> tuple[Any, ...]:
+        if not isinstance(value, (list, tuple)) or not least <= len(value) <= most:
+            raise _Expected(f"expected a list of {least} to {most} {what}")
+        found = tuple(check(each) for each in value)
+        if len(set(found)) != len(found):
+            raise _Expected(f"expected a list of {what}, each named once")
+        return found
+
+    return check_list
+
+
+def _fleet_key(value: Any) -> bytes:
+    if not isinstance(value, str) or not re.fullmatch(r"([0-9a-fA-F]{2}){16,64}", value):
+        raise _Expected(f"expected {FLEET_KEY_BYTES} to 64 bytes as hex digits; `wingwood key new --fleet` makes them")
+    return bytes.fromhex(value)
+
+
+_NAME = _text(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}", "1 to 64 letters of A-Z a-z 0-9 . _ -")
+_PATH = _text(r"[^\x00\n]{1,1024}", "a path as text")
+
+
+_literals: dict[str, tuple[str, ...]] = {
+    each.name: tuple(get_args(each.type)) for each in msgspec.structs.fields(DaemonSettings)
+}
+
+CHECKS: Mapping[str, Callable[[Any], Any]] = {
+    "name": _NAME,
+    "role": _one_of(*_literals["role"]),
+    "zone": _NAME,
+    "internal": _address,
+    "operator": _address,
+    "caller": _address,
+    "seeds": _list_of(_address, 1, 16, "addresses"),
+    "data_folder": _PATH,
+    "fleet_key": _fleet_key,
+    "operator_keys": _list_of(
+        _text(r"[0-9a-f]{64}", "Ed25519 public keys of 64 hex digits; `wingwood key new` prints them"),
+        1,
+        1000,
+        "operators' public keys",
+    ),
+    "removed_key_bound": _seconds(2.0, 3600.0),
+    "balancing": _one_of(*_literals["balancing"]),
+    "record_file": _PATH,
+    "stop_within": _seconds(0.0, 600.0),
+    "ledger_retention": _seconds(60.0, 7 * 86400.0),
+    "outcome_retention": _whole(1_000, 10_000_000),
+    "history_versions": _whole(10, 100_000),
+    "body_bytes": _whole(1024, 64 * 1024 * 1024),
+    "bundle_bytes": _whole(64 * 1024, 64 * 1024 * 1024),
+}
+"""One check per key of ``DaemonSettings``; a test holds the two together."""
+
+_REQUIRED = tuple(each.name for each in msgspec.structs.fields(DaemonSettings) if each.required)
+_SCHEMA = voluptuous.Schema(
+    {(voluptuous.Required if name in _REQUIRED else voluptuous.Optional)(name): check for name, check in CHECKS.items()}
+)
+
+
+def read_settings(file: Path | None, flags: Mapping[str, object]) -> Result[DaemonSettings, SettingsProblem]:
+    """Settings from a TOML file (None: flags only), then flags over them; flags are of TOML's types."""
+    document: dict[str, object] = {}
+    if file is not None:
+        match read_toml(file):
+            case Success(read):
+                document = read
+            case Failure(problem):
+                return Failure(problem)
+    return check_settings({**document, **flags}, str(file) if file is not None else "flags", flags)
+
+
+def read_toml(file: Path) -> Result[dict[str, object], SettingsProblem]:
+    try:
+        return Success(tomllib.loads(file.read_text()))
+    except OSError as problem:
+        return Failure(SettingsProblem(file=str(file), expected=f"cannot be read: {problem.strerror}"))
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as problem:
+        return Failure(SettingsProblem(file=str(file), expected=f"not TOML: {problem}"))
+
+
+def check_settings(
+    document: Mapping[str, object], file: str, flags: Mapping[str, object] | None = None
+) -> Result[DaemonSettings, SettingsProblem]:
+    """The checked settings; the problem names the first key that is wrong, and whether a flag gave it."""
+    try:
+        checked = _SCHEMA(dict(document))
+    except voluptuous.MultipleInvalid as several:
+        first = min(several.errors, key=lambda error: str(error.path))
+        key = str(first.path[0]) if first.path else ""
+        where = f"flag --{key.replace('_', '-')}" if key in (flags or {}) else file
+        if key not in CHECKS:
+            near = f"unknown key; the keys are {', '.join(CHECKS)}"
+            return Failure(SettingsProblem(file=where, key=key, expected=near))
+        if key not in document:
+            return Failure(SettingsProblem(file=file, key=key, expected=f"missing; {expectation(key)}"))
+        shown = "(hidden)" if key == "fleet_key" else repr(document[key])[:80]
+        return Failure(SettingsProblem(file=where, key=key, value=shown, expected=first.msg))
+    return _check_together(DaemonSettings(**checked), file)
+
+
+def _check_together(settings: DaemonSettings, file: str) -> Result[DaemonSettings, SettingsProblem]:
+    def problem(key: str, value: object, expected: str) -> Result[DaemonSettings, SettingsProblem]:
+        return Failure(SettingsProblem(file=file, key=key, value=str(value), expected=expected))
+
+    if settings.role == "router" and settings.caller is None:
+        return problem("caller", "", "missing; a router needs the address for its callers, such as 10.0.0.7:8000")
+    if settings.role == "control" and settings.caller is not None:
+        return problem("caller", settings.caller, "a control daemon takes no callers; leave it out")
+    if settings.role == "control" and settings.data_folder is None:
+        return problem("data_folder", "", "missing; a control daemon needs a folder on its disk")
+    if settings.record_file is not None and settings.data_folder is None:
+        return problem("record_file", settings.record_file, "needs data_folder, since it lies below it")
+    own = [each for each in (settings.internal, settings.operator, settings.caller) if each is not None]
+    if len(set(own)) != len(own):
+        return problem("operator", settings.operator, "internal, operator and caller need three different addresses")
+    return Success(settings)
+
+
+def expectation(key: str) -> str:
+    """What a key's value must be, in words."""
+    try:
+        CHECKS[key](None)
+    except _Expected as expected:
+        return str(expected.msg)
+    raise AssertionError(f"{key} takes nothing as a value")
--- /dev/null
+++ b/wingwood/settings/tests/test_load.py
@@ -0,0 +1,81 @@
+"""Settings files and flags (docs/DESIGN.md section 6)."""
+
+from __future__ import annotations
+
+import tempfile
+import unittest
+from pathlib import Path
+
+import msgspec
+
+from ...identifiers import Address
+from ..load import CHECKS, check_settings, expectation, read_settings
+from ..model import DaemonSettings
+
+ROUTER: dict[str, object] = {
+    "name": "router-1",
+    "role": "router",
+    "zone": "a",
+    "internal": "127.0.0.1:22000",
+    "operator": "127.0.0.1:22001",
+    "caller": "127.0.0.1:22002",
+    "seeds": ["127.0.0.1:22010", "127.0.0.1:22020", "127.0.0.1:22030"],
+    "fleet_key": "ab" * 16,
+    "operator_keys": ["cd" * 32],
+}
+CONTROL = {**{key: value for key, value in ROUTER.items() if key != "caller"}, "role": "control", "data_folder": "data"}
+
+
+class SettingsTest(unittest.TestCase):
+    def said(self, document: dict[str, object]) -> str:
+        return str(check_settings(document, "file.toml").failure())
+
+    def test_a_whole_file_is_read_and_flags_win(self) -> None:
+        with tempfile.TemporaryDirectory() as folder:
+            file = Path(folder, "router.toml")
+            file.write_text("\n".join(f"{key} = {value!r}" for key, value in ROUTER.items()))
+            settings = read_settings(file, {"zone": "b", "stop_within": 3}).unwrap()
+            self.assertEqual((settings.zone, settings.stop_within), ("b", 3.0))
+            self.assertEqual(settings.seeds[2], Address("127.0.0.1", 22030))
+            self.assertEqual(settings.fleet_key, b"\xab" * 16)
+            problem = str(read_settings(file, {"zone": 7}).failure())
+            self.assertIn("flag --zone", problem)
+            file.write_text("name = \n")
+            self.assertIn("not TOML", str(read_settings(file, {}).failure()))
+            self.assertIn("cannot be read", str(read_settings(Path(folder, "none"), {}).failure()))
+
+    def test_every_key_has_a_check_and_says_what_it_expects(self) -> None:
+        self.assertEqual(sorted(CHECKS), sorted(each.name for each in msgspec.structs.fields(DaemonSettings)))
+        for key in CHECKS:
+            self.assertIn("expected", expectation(key))
+
+    def test_the_message_names_file_key_value_and_expectation(self) -> None:
+        for key, value, expected in (
+            ("zone", 7, "1 to 64 letters"),
+            ("role", "door", "one of router, control"),
+            ("internal", "localhost:1", "127.0.0.1:7000"),
+            ("seeds", "127.0.0.1:1", "list"),
+            ("seeds", ["127.0.0.1:1", "127.0.0.1:1"], "each named once"),
+            ("operator_keys", ["xyz"], "64 hex"),
+            ("removed_key_bound", True, "seconds"),
+            ("outcome_retention", 5.5, "whole number"),
+            ("balancing", "random", "sticky"),
+        ):
+            text = self.said({**ROUTER, key: value})
+            for part in ("file.toml", key, repr(value), expected):
+                self.assertIn(part, text)
+
+    def test_unknown_and_missing_keys(self) -> None:
+        self.assertIn("colour: unknown key; the keys are name, role", self.said({**ROUTER, "colour": 1}))
+        missing = {key: value for key, value in ROUTER.items() if key != "zone"}
+        self.assertIn("zone: missing; expected 1 to 64", self.said(missing))
+
+    def test_a_secret_is_not_repeated(self) -> None:
+        self.assertNotIn("5ecret", self.said({**ROUTER, "fleet_key": "5ecret"}))
+
+    def test_keys_that_do_not_go_together(self) -> None:
+        self.assertEqual(check_settings(CONTROL, "f").unwrap().data_folder, "data")
+        self.assertIn("caller", self.said({**CONTROL, "caller": "127.0.0.1:1"}))
+        self.assertIn("data_folder: missing", self.said({key: CONTROL[key] for key in CONTROL if key != "data_folder"}))
+        self.assertIn("record_file", self.said({**ROUTER, "record_file": "day"}))
+        self.assertIn("three different", self.said({**ROUTER, "operator": ROUTER["internal"]}))
