Test the messenger on the simulated network; world gives daemons their stream client

12 tests: overlapping calls, unknown messages, kill, freeze, half-open and one-way cut links made anew, order of posts while the link is made, strangers, wrong fleet key, frame bound.

--- a/simulation/world.py
+++ b/simulation/world.py
@@ -19,11 +19,11 @@
 from tornado.ioloop import IOLoop
 
 from wingwood.context.logs import format_line
-from wingwood.context.protocols import Context, HttpClient, Network
+from wingwood.context.protocols import Context, HttpClient, Network, Tasks
+from wingwood.context.stream_client import StreamHttpClient
 from wingwood.identifiers import Address, Instant, Seconds, WallTime
 
 from .disk import MachineDisk, SimulatedDisk
-from .http_client import PlainHttpClient
 from .network import Cut, NetworkShape, SimulatedNetwork, SimulatedNetworkCore
 from .virtual_time import LIFE, Life, VirtualTask, VirtualTimeLoop, attach_tornado
 
@@ -143,8 +143,8 @@
         self.events: list[WorldEvent] = []
         self.broken_invariants: list[str] = []
         """Exceptions that escaped in simulated processes, with their traces."""
-        self.http_client: Callable[[Network], HttpClient] = PlainHttpClient
-        """What daemons get as Context.http; the fleet sets the real stream client here."""
+        self.http_client: Callable[[Network, Tasks], HttpClient] = StreamHttpClient
+        """Makes Context.http: the daemons' own client, on the simulated network."""
         self._digest = hashlib.blake2b(digest_size=16)
         self._keep_events = keep_events
         self._hosts_of_zone: dict[str, int] = {}
@@ -262,14 +262,15 @@
         process.life = life
         self._lives.append(life)
         network = SimulatedNetwork(self.network, process.machine)
+        tasks = SimulatedTasks(self, process, life)
         process.context = Context(
             clock=SimulatedClock(self),
             network=network,
             disk=SimulatedDisk(process.machine.disk),
-            http=self.http_client(network),
+            http=self.http_client(network, tasks),
             random=random,
             log=SimulatedLog(self, process.name),
-            tasks=SimulatedTasks(self, process, life),
+            tasks=tasks,
         )
         self.spawn(process, process.main(process.context), "main")
 
--- /dev/null
+++ b/wingwood/transport/tests/test_messenger.py
@@ -0,0 +1,229 @@
+"""Links between daemons on the simulated network: order, bounds, strangers, half-open connections."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from simulation import World, address_of
+from wingwood.context.protocols import Context
+from wingwood.identifiers import Address, DaemonName, Incarnation, Seconds, Zone
+from wingwood.transport.frames import Identity, StreamClosedError
+from wingwood.transport.messenger import TcpMessenger, TransportFault, TransportLimits
+
+KEY = b"the fleet's own"
+PORT = 7000
+
+
+class Question(msgspec.Struct, frozen=True):
+    number: int
+    pause: float = 0.0
+    filler: bytes = b""
+
+
+class Answer(msgspec.Struct, frozen=True):
+    number: int
+
+
+class Unknown(msgspec.Struct, frozen=True):
+    pass
+
+
+class Peers:
+    """Two daemons, ``near`` and ``far``; ``far`` answers questions and notes posts."""
+
+    def __init__(self, seed: int = 1, far_key: bytes = KEY, limits: TransportLimits | None = None) -> None:
+        self.world = World(seed).__enter__()
+        self.posts: list[int] = []
+        self.answered: list[int] = []
+        self.messengers: dict[str, TcpMessenger] = {}
+        self.far = self._start("far", far_key, limits)
+        self.near = self._start("near", KEY, limits)
+        self.world.run(0.01)
+
+    def _start(self, name: str, key: bytes, limits: TransportLimits | None) -> Address:
+        machine = self.world.machine(name)
+        address = address_of(machine, PORT)
+        identity = Identity(DaemonName(name), Incarnation("1"), "router", Zone("a"), address)
+
+        async def main(context: Context) -> None:
+            messenger = self.messengers[name] = TcpMessenger(context, identity, key, limits)
+            messenger.on_call(Question, self._answer)
+            messenger.on_post(Question, lambda _, question: self.posts.append(question.number))
+            assert isinstance(messenger.start(), Success)
+
+        self.world.start(name, main)
+        return address
+
+    async def _answer(self, peer: Identity, question: Question) -> Answer:
+        await asyncio.sleep(question.pause)
+        self.answered.append(question.number)
+        return Answer(question.number)
+
+    def ask(
+        self, question: msgspec.Struct, timeout: float = 1.0, within: float = 30.0
+    ) -> Result[Answer, TransportFault]:
+        """Asks from within the process ``near`` and waits for the outcome."""
+        outcomes: list[Result[Answer, TransportFault]] = []
+
+        async def call() -> None:
+            outcomes.append(await self.messengers["near"].call(self.far, question, Answer, Seconds(timeout)))
+
+        self.world.spawn(self.world.processes["near"], call(), "ask")
+        assert self.world.wait_for(lambda: bool(outcomes), within, every=0.01)
+        return outcomes[0]
+
+    def in_near(self, work: object) -> None:
+        async def run() -> None:
+            work()  # type: ignore[operator]
+
+        self.world.spawn(self.world.processes["near"], run(), "work")
+
+    def events(self, name: str) -> int:
+        return sum(event.name == name for event in self.world.events)
+
+
+class Calls(unittest.TestCase):
+    def peers(self, **options: object) -> Peers:
+        peers = Peers(**options)  # type: ignore[arg-type]
+        self.addCleanup(peers.world.close)
+        return peers
+
+    def test_answers_find_their_questions_though_they_overtake_each_other(self) -> None:
+        peers = self.peers()
+        outcomes: dict[int, object] = {}
+
+        async def call(number: int) -> None:
+            question = Question(number, pause=0.1 * (10 - number))
+            outcomes[number] = await peers.messengers["near"].call(peers.far, question, Answer, Seconds(5.0))
+
+        for number in range(10):
+            peers.world.spawn(peers.world.processes["near"], call(number), "call")
+        peers.world.run(3)
+        self.assertEqual(outcomes, {number: Success(Answer(number)) for number in range(10)})
+        self.assertEqual(peers.answered, list(reversed(range(10))))
+
+    def test_unknown_message_is_rejected_not_left_in_silence(self) -> None:
+        outcome = self.peers().ask(Unknown())
+        self.assertEqual(outcome, Failure(TransportFault("rejected", True, "no handler for Unknown")))
+
+    def test_nobody_listening_is_told_as_not_sent(self) -> None:
+        peers = self.peers()
+        peers.world.kill("far")
+        fault = peers.ask(Question(1)).failure()
+        self.assertEqual((fault.kind, fault.sent), ("unreachable", False))
+
+    def test_peer_killed_in_the_middle_is_told_as_perhaps_done(self) -> None:
+        peers = self.peers()
+        peers.world.at(peers.world.now + 0.5, lambda: peers.world.kill("far"))
+        fault = peers.ask(Question(1, pause=5.0), timeout=10.0).failure()
+        self.assertEqual((fault.kind, fault.sent), ("closed", True))
+        peers.world.restart("far")
+        peers.world.run(0.5)
+        self.assertEqual(peers.ask(Question(2)), Success(Answer(2)))
+
+    def test_call_to_a_frozen_peer_times_out_and_works_again_after_it_wakes(self) -> None:
+        peers = self.peers()
+        self.assertEqual(peers.ask(Question(1)), Success(Answer(1)))
+        peers.world.freeze("far")
+        self.assertEqual(peers.ask(Question(2)).failure().kind, "timeout")
+        peers.world.wake("far")
+        peers.world.run(1)
+        self.assertEqual(peers.ask(Question(3)), Success(Answer(3)))
+
+
+class HalfOpenLinks(unittest.TestCase):
+    def test_link_to_a_machine_that_came_back_is_made_anew(self) -> None:
+        for seed in range(5):
+            peers = Peers(seed)
+            self.assertEqual(peers.ask(Question(1)), Success(Answer(1)))
+            peers.world.power_off("far")
+            self.assertEqual(peers.ask(Question(2), timeout=2.0).failure().kind, "timeout")
+            peers.world.power_on("far")
+            peers.world.run(0.2)
+            self.assertEqual(peers.ask(Question(3), timeout=2.0), Success(Answer(3)))
+            peers.world.close()
+
+    def test_answers_cut_one_way_do_not_hold_the_link_after_healing(self) -> None:
+        for seed in range(5):
+            peers = Peers(seed)
+            self.assertEqual(peers.ask(Question(1)), Success(Answer(1)))
+            cut = peers.world.cut("far", "near", both_ways=False)
+            for number in (2, 3, 4):
+                self.assertFalse(isinstance(peers.ask(Question(number), timeout=2.0), Success))
+            peers.world.heal(cut)
+            peers.world.run(0.2)
+            self.assertEqual(peers.ask(Question(5), timeout=2.0), Success(Answer(5)), f"seed {seed}")
+            peers.world.close()
+
+
+class Posts(unittest.TestCase):
+    def test_posts_keep_their_order_across_the_making_of_the_link(self) -> None:
+        for seed in range(20):
+            peers = Peers(seed)
+
+            async def send(peers: Peers = peers) -> None:
+                for number in range(200):
+                    peers.messengers["near"].post(peers.far, Question(number))
+                    if number % 5 == 4:
+                        await asyncio.sleep(0.0001)
+
+            peers.world.spawn(peers.world.processes["near"], send(), "send")
+            peers.world.run(1)
+            self.assertEqual(peers.posts, list(range(200)), f"seed {seed}")
+            peers.world.close()
+
+    def test_posts_to_an_absent_peer_are_lost_without_harm(self) -> None:
+        peers = Peers()
+        self.addCleanup(peers.world.close)
+        peers.world.kill("far")
+        peers.in_near(lambda: peers.messengers["near"].post(peers.far, Question(1)))
+        peers.world.run(5)
+        self.assertEqual((peers.posts, peers.world.broken_invariants), ([], []))
+
+
+class Strangers(unittest.TestCase):
+    def say(self, peers: Peers, data: bytes) -> list[str]:
+        closed: list[str] = []
+
+        async def main(context: Context) -> None:
+            stream = (await context.network.connect(peers.far, Seconds(1.0))).unwrap()
+            try:
+                await stream.write(data)
+                while True:
+                    await stream.read_bytes(1)
+            except StreamClosedError:
+                closed.append("closed")
+
+        peers.world.start("stranger", main)
+        peers.world.run(5)
+        return closed
+
+    def test_strange_bytes_end_the_connection_with_one_log_line_and_harm_nobody(self) -> None:
+        for data in (b"GET / HTTP/1.1\r\n\r\n", b"\x00\x00\x00\x04spam", b"\xff\xff\xff\xff", b"", b"\x00\x00"):
+            peers = Peers()
+            self.assertEqual(self.say(peers, data), ["closed"], data)
+            self.assertEqual(peers.events("stranger-dropped"), 1, data)
+            self.assertEqual(peers.ask(Question(1)), Success(Answer(1)))
+            self.assertEqual(peers.world.broken_invariants, [])
+            peers.world.close()
+
+    def test_wrong_fleet_key_reaches_no_handler(self) -> None:
+        peers = Peers(far_key=b"another fleet's")
+        self.addCleanup(peers.world.close)
+        fault = peers.ask(Question(1)).failure()
+        self.assertEqual((fault.kind, fault.sent), ("unreachable", False))
+        self.assertEqual(peers.answered, [])
+        self.assertEqual(peers.events("peer-refused"), 1)
+
+    def test_frame_above_the_bound_ends_the_link_and_smaller_ones_pass_again(self) -> None:
+        peers = Peers(limits=TransportLimits(frame_bytes=10_000))
+        self.addCleanup(peers.world.close)
+        self.assertEqual(peers.ask(Question(1, filler=bytes(9_000))), Success(Answer(1)))
+        self.assertEqual(peers.ask(Question(2, filler=bytes(20_000))).failure().kind, "closed")
+        self.assertEqual(peers.events("stranger-dropped"), 1)
+        peers.world.run(0.5)
+        self.assertEqual(peers.ask(Question(3)), Success(Answer(3)))
