--- a/simulation/disk.py
+++ b/simulation/disk.py
@@ -196,10 +196,12 @@
 
         return await self._machine.submit(work, writes=False)
 
-    async def append(self, name: str, data: bytes) -> Result[None, DiskFault]:
+    async def append(self, name: str, data: bytes, at: int | None = None) -> Result[None, DiskFault]:
         machine = self._machine
 
         def work() -> Result[None, DiskFault]:
+            if at is not None and len(machine.visible.get(name, b"")) != at:
+                return Failure(DiskFault("missing", name))
             if not machine.has_room_for(len(data)):
                 partial()
                 return Failure(DiskFault("full", name))
--- a/wingwood/context/protocols.py
+++ b/wingwood/context/protocols.py
@@ -75,8 +75,12 @@
 
     async def read(self, name: str) -> Result[bytes, DiskFault]: ...
 
-    async def append(self, name: str, data: bytes) -> Result[None, DiskFault]:
-        """Writes at the end (makes the file when missing) and syncs file (and folder when made)."""
+    async def append(self, name: str, data: bytes, at: int | None = None) -> Result[None, DiskFault]:
+        """Writes at the end (makes the file when missing) and syncs file (and folder when made).
+
+        With ``at``: only when the file is there and has that many bytes, else ``missing``: the
+        folder was emptied or changed under this process.
+        """
         ...
 
     async def write_new(self, name: str, data: bytes) -> Result[None, DiskFault]:
@@ -101,6 +105,8 @@
     headers: tuple[tuple[str, str], ...] = ()
     body: bytes = b""
     connect_timeout: Seconds = Seconds(1.0)
+    last_check: Callable[[], bool] | None = None
+    """Asked once, when connected and right before the first byte is written; False cancels the call unsent."""
 
 
 class HttpHead(msgspec.Struct, frozen=True):
--- a/wingwood/context/real.py
+++ b/wingwood/context/real.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import errno
 import fcntl
 import os
 import time
@@ -130,10 +131,12 @@
     async def read(self, name: str) -> Result[bytes, DiskFault]:
         return await self._run((self._folder / name).read_bytes)
 
-    async def append(self, name: str, data: bytes) -> Result[None, DiskFault]:
+    async def append(self, name: str, data: bytes, at: int | None = None) -> Result[None, DiskFault]:
         def work() -> None:
             path = self._folder / name
             made = not path.exists()
+            if at is not None and (made or path.stat().st_size != at):
+                raise FileNotFoundError(errno.ENOENT, "missing or changed by another", str(path))
             with path.open("ab", buffering=0) as file:
                 _write_all(file.fileno(), data)
                 os.fsync(file.fileno())
--- a/wingwood/journal/journal.py
+++ b/wingwood/journal/journal.py
@@ -174,15 +174,15 @@
                 return Failure(JournalFault("sick", self._sick))
             data = frame(self._salt, self._length, payload)
             self._sick = "an append was left before its end"
-            match await self._disk(lambda: self._context.disk.append(self._name, data)):
+            match await self._disk(lambda: self._context.disk.append(self._name, data, self._length)):
                 case Success(_):
                     self._length += len(data)
                     self._sick = None
                     return Success(None)
                 case Failure(fault):
                     pass
-            if fault.kind == "slow":
-                self._sick = f"append: {fault.detail}"
+            if fault.kind in ("slow", "missing"):
+                self._sick = f"append: {fault.kind} {fault.detail}"
                 return Failure(fault)
             match await self._disk(lambda: self._context.disk.truncate(self._name, self._length)):
                 case Success(_):
@@ -191,6 +191,21 @@
                     self._sick = f"append: {fault.detail}; cutting it off again: {second.detail}"
             return Failure(fault)
 
+    async def check(self) -> Result[None, JournalFault]:
+        """Whether the file is still there; a folder emptied under a running process is found this way."""
+        async with self._turn:
+            if self._sick is not None:
+                return Failure(JournalFault("sick", self._sick))
+            match await self._disk(self._context.disk.names):
+                case Success(names):
+                    if self._name in names:
+                        return Success(None)
+                    self._sick = "the file is gone"
+                    return Failure(JournalFault("missing", self._name))
+                case Failure(fault):
+                    return Failure(fault)
+            raise AssertionError("a result is a success or a failure")
+
     async def rewrite(
         self, payloads: Callable[[], Sequence[bytes]], patience: Seconds | None = None
     ) -> Result[None, JournalFault]:
--- a/wingwood/journal/tests/memory_disk.py
+++ b/wingwood/journal/tests/memory_disk.py
@@ -60,9 +60,11 @@
             return Failure(DiskFault("missing", name))
         return Success(self.files[name])
 
-    async def append(self, name: str, data: bytes) -> Result[None, DiskFault]:
+    async def append(self, name: str, data: bytes, at: int | None = None) -> Result[None, DiskFault]:
         fault = await self._enter("append")
         before = self.files.get(name, b"")
+        if at is not None and len(before) != at:
+            return Failure(DiskFault("missing", name))
         if self._power():
             self.files[name] = before + self._torn(data)
             raise PowerLost
--- a/wingwood/journal/tests/test_journal.py
+++ b/wingwood/journal/tests/test_journal.py
@@ -116,6 +116,18 @@
         self.assertEqual(await journal.append(b"two"), Success(None))
         self.assertEqual(self.disk.most_under_way, 1)
 
+    async def test_a_folder_emptied_or_changed_under_it_takes_no_append(self) -> None:
+        journal = await self.created(b"one")
+        self.assertEqual(await journal.check(), Success(None))
+        whole = self.disk.files.pop("control.journal")
+        self.assertEqual((await journal.check()).failure().kind, "missing")
+        for left in ({}, {"control.journal": whole[:-1]}):
+            journal = await self.created(b"one")
+            self.disk.files = dict(left)
+            self.assertEqual((await journal.append(b"two")).failure().kind, "missing")
+            self.assertEqual((await journal.append(b"two")).failure().kind, "sick")
+            self.assertEqual(self.disk.files, left)
+
     async def test_a_rewrite_waits_for_appends_and_a_full_disk_leaves_the_old_file(self) -> None:
         journal = await self.created(b"one")
         waiting = [asyncio.create_task(journal.append(bytes([number]))) for number in range(5)]
