--- a/emulator/worker.py
+++ b/emulator/worker.py
@@ -10,6 +10,8 @@
 
 A call's body is JSON: ``messages`` (one per shared part of the prefix, then the session's own), ``max_tokens``,
 ``stream``, and ``call``, the caller's own mark, which each event and answer repeats. Four bytes count as a token.
+Events tell ``at``, the worker's monotonic clock when each was made; on one machine, tools read transit times from it.
+The first event and plain answers tell ``seconds``, how long ago the call had come to the worker.
 """
 
 from __future__ import annotations
@@ -71,6 +73,8 @@
     path: str
     prefix: str
     instance: str
+    arrived: float
+    """When the call had come; ``started`` is when a slot was free."""
     started: float
     finished: float | None = None
     outcome: str = "running"
@@ -250,6 +254,7 @@
         self.announcer.changed()
 
     async def _call(self, request: HTTPServerRequest, connection: Any) -> None:
+        arrived = self.context.clock.monotonic()
         expected = request.headers.get("Expect-Instance")
         if expected is not None and expected != self.instance:
             _reply(connection, 412, {"error": "another instance", "instance": self.instance}, not_run=True)
@@ -271,7 +276,7 @@
             await asyncio.sleep(late.seconds)
         await self._take_slot()
         try:
-            await self._run(request, connection, body)
+            await self._run(request, connection, body, arrived)
         finally:
             self._free_slot()
 
@@ -301,7 +306,7 @@
         if not self.running:
             self.idle.set()
 
-    async def _run(self, request: HTTPServerRequest, connection: Any, body: CallBody) -> None:
+    async def _run(self, request: HTTPServerRequest, connection: Any, body: CallBody, arrived: float) -> None:
         parts = prompt_parts(request.headers.get("Prefix"), body, len(request.body))
         run = Run(
             number=len(self.runs) + 1,
@@ -312,6 +317,7 @@
             path=request.path,
             prefix=request.headers.get("Prefix", ""),
             instance=self.instance,
+            arrived=arrived,
             started=self.context.clock.monotonic(),
             prompt_tokens=sum(part.tokens for part in parts),
         )
@@ -336,7 +342,12 @@
 
     async def _plain(self, connection: Any, body: CallBody, run: Run) -> None:
         await asyncio.sleep(self.options.plain_seconds)
-        answer = {"request": run.request, "call": body.call, "instance": self.instance, "key": run.idempotency_key}
+        answer: dict[str, object] = {
+            "request": run.request,
+            "call": body.call,
+            "instance": self.instance,
+            "key": run.idempotency_key,
+        }
         self._finish_plain(connection, run, answer)
 
     async def _model(self, connection: Any, body: CallBody, run: Run, parts: Sequence[PromptPart]) -> None:
@@ -349,7 +360,7 @@
                 await self._decode()
             run.generated_tokens = body.max_tokens
             self._keep_generated(parts, body.max_tokens)
-            answer = {
+            answer: dict[str, object] = {
                 "request": run.request,
                 "call": body.call,
                 "instance": self.instance,
@@ -371,13 +382,16 @@
         begun = False
         for index in range(body.max_tokens):
             await self._decode()
-            event = {
+            event: dict[str, object] = {
                 "index": index,
                 "text": word(index),
                 "request": run.request,
                 "call": body.call,
                 "instance": self.instance,
+                "at": self.context.clock.monotonic(),
             }
+            if not begun:
+                event["seconds"] = self.context.clock.monotonic() - run.arrived
             line = b"data: " + msgspec.json.encode(event) + b"\n\n"
             breaking = breaks is not None and index >= breaks.after
             if breaking:
@@ -413,7 +427,7 @@
         session = parts[-1]
         self.cache.keep([*parts[:-1], PromptPart(session.name, session.tokens + generated)])
 
-    def _finish_plain(self, connection: Any, run: Run, answer: dict[str, str]) -> None:
+    def _finish_plain(self, connection: Any, run: Run, answer: dict[str, object]) -> None:
         if self._closed_unanswered(connection, run):
             return
         if self.switchboard.take("break-mid-event"):
@@ -424,7 +438,7 @@
             connection.stream.close()
             return
         run.outcome = "whole"
-        _reply(connection, 200, answer)
+        _reply(connection, 200, {**answer, "seconds": self.context.clock.monotonic() - run.arrived})
         self._trail(connection)
 
     def _closed_unanswered(self, connection: Any, run: Run) -> bool:
