HTTP clients on libcurl and on streams, held to one contract by one set of tests

Each call has a handle and a connection of its own (fresh connect, no reuse), no queue, no redirects, no decompression, no proxies of the environment, no Expect, path to the byte. Cancelling takes the handle out of the multi at once. HttpRequest gets last_check: asked when connected, right before the first byte (libcurl's prerequest callback), so that a call whose caller left or whose deadline passed during a freeze is never written.

--- /dev/null
+++ b/wingwood/context/curl_client.py
@@ -0,0 +1,229 @@
+"""The HTTP client on tornado's curl client and libcurl (docs/DESIGN.md section 12.2).
+
+Only the event loop's side of ``CurlAsyncHTTPClient`` is used. Its ``fetch`` is not: it queues calls
+above ``max_clients`` out of sight, follows redirects, decompresses, takes proxies from the environment
+and can't be cancelled. Each call here has a handle and a connection of its own, so libcurl finds no
+pooled connection on which it would send a request a second time.
+"""
+
+from __future__ import annotations
+
+import contextlib
+from typing import Final
+
+import pycurl
+from tornado.curl_httpclient import CurlAsyncHTTPClient
+
+from .http_exchange import HEAD_BYTES, Exchange, fault_of_request, framing_of
+from .protocols import HttpExchange, HttpFault, HttpHead, HttpRequest
+
+_SPARE_HANDLES: Final = 256
+_PROCEED: Final[int] = pycurl.PREREQFUNC_OK
+_ABORT: Final[int] = pycurl.PREREQFUNC_ABORT
+_PAUSE: Final[int] = pycurl.WRITEFUNC_PAUSE
+_MALFORMED: Final = frozenset(
+    {pycurl.E_UNSUPPORTED_PROTOCOL, pycurl.E_FTP_WEIRD_SERVER_REPLY, pycurl.E_BAD_CONTENT_ENCODING}
+)
+
+
+class CurlHttpClient:
+    """Protocol HttpClient on real sockets."""
+
+    def __init__(self) -> None:
+        self._engine: _Engine | None = None
+
+    def start(self, request: HttpRequest) -> HttpExchange:
+        if self._engine is None:
+            self._engine = _Engine(force_instance=True, max_clients=0)
+        exchange = _CurlExchange(request, self._engine)
+        problem = fault_of_request(request)
+        if problem is not None:
+            exchange.end(HttpFault("malformed", False, problem))
+        else:
+            self._engine.add(exchange)
+        return exchange
+
+    def calls(self) -> int:
+        """Calls under way."""
+        return 0 if self._engine is None else len(self._engine.exchanges)
+
+    def close(self) -> None:
+        if self._engine is not None:
+            for exchange in list(self._engine.exchanges.values()):
+                exchange.cancel()
+            self._engine.close()
+            self._engine = None
+
+
+class _Engine(CurlAsyncHTTPClient):
+    """libcurl's multi handle on tornado's event loop; ``max_clients`` 0 leaves nothing for ``fetch``."""
+
+    exchanges: dict[pycurl.Curl, _CurlExchange]
+    spare: list[pycurl.Curl]
+
+    def initialize(self, max_clients: int = 0, **unused: object) -> None:  # type: ignore[override]
+        super().initialize(max_clients=max_clients)
+        self.exchanges = {}
+        self.spare = []
+
+    def add(self, exchange: _CurlExchange) -> None:
+        curl = self.spare.pop() if self.spare else pycurl.Curl()
+        exchange.set_up(curl)
+        self.exchanges[curl] = exchange
+        self._multi.add_handle(curl)
+        self._set_timeout(0)
+
+    def remove(self, curl: pycurl.Curl) -> None:
+        """Takes the handle out, which closes its connection."""
+        del self.exchanges[curl]
+        self._multi.remove_handle(curl)
+        curl.reset()
+        if len(self.spare) < _SPARE_HANDLES:
+            self.spare.append(curl)
+        else:
+            curl.close()
+
+    def resume(self, curl: pycurl.Curl) -> None:
+        with contextlib.suppress(pycurl.error):  # It failed while it was paused: told through _finish.
+            curl.pause(pycurl.PAUSE_CONT)
+        self._set_timeout(0)
+
+    def _finish(self, curl: pycurl.Curl, curl_error: int | None = None, curl_message: str | None = None) -> None:
+        exchange = self.exchanges[curl]
+        self.remove(curl)
+        exchange.finished(curl_error, curl_message or "")
+
+
+class _CurlExchange(Exchange):
+    def __init__(self, request: HttpRequest, engine: _Engine) -> None:
+        super().__init__(request)
+        self._engine = engine
+        self._curl: pycurl.Curl | None = None
+        self._paused = False
+        self._head_bytes = 0
+        self._status = 0
+        self._headers: list[tuple[str, str]] = []
+        self._head_done = False
+        self._problem: str | None = None
+        """What this side found wrong in the answer's head."""
+
+    def set_up(self, curl: pycurl.Curl) -> None:
+        self._curl = curl
+        request = self.request
+        set_option = curl.setopt
+        set_option(pycurl.URL, f"http://{request.address}/")
+        set_option(pycurl.REQUEST_TARGET, request.path)  # To the byte: the URL's path would be tidied.
+        set_option(pycurl.HTTP_VERSION, pycurl.CURL_HTTP_VERSION_1_1)
+        set_option(pycurl.FRESH_CONNECT, 1)
+        set_option(pycurl.FORBID_REUSE, 1)
+        set_option(pycurl.PROXY, "")
+        set_option(pycurl.NOPROXY, "*")
+        set_option(pycurl.NOSIGNAL, 1)
+        set_option(pycurl.FOLLOWLOCATION, 0)
+        set_option(pycurl.HTTP_CONTENT_DECODING, 0)
+        set_option(pycurl.CONNECTTIMEOUT_MS, max(1, int(1000 * request.connect_timeout)))
+        set_option(pycurl.HTTPHEADER, _header_lines(request))
+        if request.method == "HEAD":
+            set_option(pycurl.NOBODY, 1)
+        elif request.body or request.method == "POST":
+            set_option(pycurl.POST, 1)
+            set_option(pycurl.POSTFIELDS, request.body)
+            set_option(pycurl.CUSTOMREQUEST, request.method)
+        else:
+            set_option(pycurl.HTTPGET, 1)
+            set_option(pycurl.CUSTOMREQUEST, request.method)
+        set_option(pycurl.PREREQFUNCTION, self._before_write)
+        set_option(pycurl.HEADERFUNCTION, self._take_header_line)
+        set_option(pycurl.WRITEFUNCTION, self._take_body)
+
+    def finished(self, error: int | None, message: str) -> None:
+        self._curl = None
+        if self._problem is not None:
+            self.end(HttpFault("malformed", self._sent, self._problem))
+        elif error is None:
+            self.end(None if self._head_done else HttpFault("malformed", self._sent, "no head"))
+        elif not self._sent:
+            refused = error == pycurl.E_ABORTED_BY_CALLBACK
+            self.end(HttpFault("cancelled" if refused else "connect", False, message))
+        elif error in _MALFORMED and not self._head_done:
+            self.end(HttpFault("malformed", True, message))
+        else:
+            self.end(HttpFault("broken", True, message))
+
+    def _before_write(self, *addresses: object) -> int:
+        return _PROCEED if self.may_write() else _ABORT
+
+    def _take_header_line(self, line: bytes) -> int | None:
+        if self._head_done:
+            return None  # Trailers of a chunked answer.
+        self._head_bytes += len(line)
+        if self._head_bytes > HEAD_BYTES:
+            return self._refuse("head too long")
+        text = line.decode("latin-1").rstrip("\r\n")
+        if text.startswith("HTTP/"):
+            self._headers.clear()
+            status = text.split(" ", 2)[1:2]
+            self._status = int(status[0]) if status and status[0].isdigit() else 0
+        elif text:
+            return self._take_header(text)
+        elif self._status == 101:
+            return self._refuse("switches protocols")
+        elif self._status >= 200:
+            return self._end_head()
+        return None
+
+    def _take_header(self, text: str) -> int | None:
+        if text[0] in " \t":
+            if self._headers:
+                name, value = self._headers[-1]
+                self._headers[-1] = (name, f"{value} {text.strip()}")
+            return None
+        name, separator, value = text.partition(":")
+        if not separator:
+            return self._refuse("header without colon")
+        self._headers.append((name.strip(), value.strip(" \t")))
+        return None
+
+    def _end_head(self) -> int | None:
+        headers = tuple(self._headers)
+        framing = framing_of(self.request.method, self._status, headers)
+        if framing is None:
+            return self._refuse("contradicting lengths")
+        self._head_done = True
+        self.take_head(HttpHead(self._status, headers, framing))
+        return None
+
+    def _refuse(self, problem: str) -> int:
+        self._problem = problem
+        return -1
+
+    def _take_body(self, piece: bytes) -> int | None:
+        if self.is_full():
+            self._paused = True
+            return _PAUSE  # libcurl keeps the piece and gives it again.
+        self.take_piece(piece)
+        return None
+
+    def _make_room(self) -> None:
+        if self._paused and self._curl is not None:
+            self._paused = False
+            self._engine.resume(self._curl)
+
+    def _close(self) -> None:
+        if self._curl is not None:
+            curl, self._curl = self._curl, None
+            self._engine.remove(curl)
+
+
+def _header_lines(request: HttpRequest) -> list[bytes]:
+    """In libcurl's form: ``Name;`` for an empty value; ``Name:`` takes one of its own headers away."""
+    given = {name.lower() for name, _ in request.headers}
+    lines = [
+        f"{name}: {value}".encode("latin-1") if value.strip() else f"{name};".encode("latin-1")
+        for name, value in request.headers
+    ]
+    if "connection" not in given:
+        lines.append(b"Connection: close")
+    own = ("Accept", "Content-Type", "Expect", "User-Agent")
+    lines += [name.encode() + b":" for name in own if name.lower() not in given]
+    return lines
--- /dev/null
+++ b/wingwood/context/http_exchange.py
@@ -0,0 +1,166 @@
+"""What both HTTP clients share: one call's waiting side, and how an answer is framed (docs/DESIGN.md section 12.2)."""
+
+from __future__ import annotations
+
+import asyncio
+import re
+from collections import deque
+from typing import Final, Literal
+
+from returns.result import Failure, Result, Success
+
+from .protocols import HttpFault, HttpHead, HttpRequest
+
+READ_AHEAD_BYTES: Final = 240 * 1024
+"""One more piece of 16 KiB may come on top."""
+HEAD_BYTES: Final = 64 * 1024
+"""Longest status line and headers taken of an answer."""
+_PIECE_BYTES: Final = 128 * 1024
+"""Pieces that wait together are handed over joined, up to about this size."""
+
+Framing = Literal["length", "chunked", "close", "none"]
+
+_TOKEN = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
+_PATH = re.compile(r"/[!-~]*")
+_VALUE = re.compile(r"[^\x00-\x08\x0a-\x1f\x7f]*")
+
+
+def framing_of(method: str, status: int, headers: tuple[tuple[str, str], ...]) -> Framing | None:
+    """How the end of the answer's body is known; None when the headers contradict each other."""
+    lengths = {value.strip() for name, value in headers if name.lower() == "content-length"}
+    codings = [value.strip().lower() for name, value in headers if name.lower() == "transfer-encoding"]
+    if len(lengths) > 1 or (lengths and codings):
+        return None
+    if any(not (length.isascii() and length.isdigit()) for length in lengths):
+        return None
+    if codings and codings != ["chunked"]:
+        return None
+    if method == "HEAD" or status in {204, 304}:
+        return "none"
+    if codings:
+        return "chunked"
+    return "length" if lengths else "close"
+
+
+def fault_of_request(request: HttpRequest) -> str | None:
+    """Why the request can't be written as HTTP; None when it can."""
+    if not _TOKEN.fullmatch(request.method):
+        return "method"
+    if not _PATH.fullmatch(request.path):
+        return "path"
+    for name, value in request.headers:
+        if not _TOKEN.fullmatch(name):
+            return "header name"
+        if not _VALUE.fullmatch(value) or max(value, default="") > "\xff":
+            return f"value of header {name}"
+    return None
+
+
+class Exchange:
+    """One call under way: filled from the network's side, waited on by one consumer at a time."""
+
+    def __init__(self, request: HttpRequest) -> None:
+        self.request = request
+        self._loop = asyncio.get_running_loop()
+        self._head: HttpHead | None = None
+        self._pieces: deque[bytes] = deque()
+        self._buffered = 0
+        self._end: Result[bytes | None, HttpFault] | None = None
+        self._waiter: asyncio.Future[None] | None = None
+        self._sent = False
+
+    # The consumer's side (protocol HttpExchange).
+
+    async def head(self) -> Result[HttpHead, HttpFault]:
+        while self._head is None:
+            if self._end is not None:
+                return Failure(self._end.failure())
+            await self._wait()
+        if self._end is not None and _is_cancelled(self._end):
+            return Failure(self._end.failure())
+        return Success(self._head)
+
+    async def next_piece(self) -> Result[bytes | None, HttpFault]:
+        while not self._pieces:
+            if self._end is not None:
+                return self._end
+            await self._wait()
+        piece = self._pieces.popleft()
+        if self._pieces and len(piece) < _PIECE_BYTES:
+            joined = [piece]
+            size = len(piece)
+            while self._pieces and size < _PIECE_BYTES:
+                joined.append(self._pieces.popleft())
+                size += len(joined[-1])
+            piece = b"".join(joined)
+        self._buffered -= len(piece)
+        if self._end is None and self._buffered < READ_AHEAD_BYTES:
+            self._make_room()
+        return Success(piece)
+
+    def cancel(self) -> None:
+        if self._end is not None and not self._pieces:
+            return
+        self._pieces.clear()
+        self._buffered = 0
+        running = self._end is None
+        self._end = Failure(HttpFault("cancelled", self._sent))
+        if running:
+            self._close()
+        self._wake()
+
+    def request_sent(self) -> bool:
+        return self._sent
+
+    # The network's side.
+
+    def may_write(self) -> bool:
+        """Asked at the last instant before the first byte of the request; True counts it as sent."""
+        if self._end is not None:
+            return False
+        if self.request.last_check is not None and not self.request.last_check():
+            return False
+        self._sent = True
+        return True
+
+    def take_head(self, head: HttpHead) -> None:
+        self._head = head
+        self._wake()
+
+    def take_piece(self, piece: bytes) -> None:
+        self._pieces.append(piece)
+        self._buffered += len(piece)
+        self._wake()
+
+    def is_full(self) -> bool:
+        return self._buffered >= READ_AHEAD_BYTES
+
+    def end(self, fault: HttpFault | None) -> None:
+        """The answer's clean end, or why there is none; only the first counts."""
+        if self._end is None:
+            self._end = Success(None) if fault is None else Failure(fault)
+            self._wake()
+
+    def ended(self) -> bool:
+        return self._end is not None
+
+    def _make_room(self) -> None:
+        """The consumer has taken pieces: go on reading if it was stopped."""
+
+    def _close(self) -> None:
+        """Closes the connection at once."""
+
+    def _wake(self) -> None:
+        if self._waiter is not None and not self._waiter.done():
+            self._waiter.set_result(None)
+
+    async def _wait(self) -> None:
+        self._waiter = self._loop.create_future()
+        try:
+            await self._waiter
+        finally:
+            self._waiter = None
+
+
+def _is_cancelled(end: Result[bytes | None, HttpFault]) -> bool:
+    return isinstance(end, Failure) and end.failure().kind == "cancelled"
--- /dev/null
+++ b/wingwood/context/stream_client.py
@@ -0,0 +1,144 @@
+"""The HTTP client on Context.network, with tornado's HTTP/1.x connection (docs/DESIGN.md section 12.2).
+
+The simulator uses it, since libcurl only knows real sockets. It keeps the same contract as the
+curl client, and the same tests run on both.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from typing import cast
+
+from returns.result import Failure, Success
+from tornado import httputil
+from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters
+from tornado.iostream import BaseIOStream, IOStream, StreamClosedError, UnsatisfiableReadError
+
+from .http_exchange import HEAD_BYTES, Exchange, fault_of_request, framing_of
+from .protocols import HttpExchange, HttpFault, HttpHead, HttpRequest, Network, Tasks
+
+_NO_BOUND = 1 << 62
+
+
+class StreamHttpClient:
+    """Protocol HttpClient over any Network."""
+
+    def __init__(self, network: Network, tasks: Tasks) -> None:
+        self._network = network
+        self._tasks = tasks
+
+    def start(self, request: HttpRequest) -> HttpExchange:
+        exchange = _StreamExchange(request)
+        problem = fault_of_request(request)
+        if problem is not None:
+            exchange.end(HttpFault("malformed", False, problem))
+        else:
+            self._tasks.spawn(f"call {request.address}", exchange.run(self._network))
+        return exchange
+
+
+class _StreamExchange(Exchange):
+    def __init__(self, request: HttpRequest) -> None:
+        super().__init__(request)
+        self._stream: BaseIOStream | None = None
+        self._room: list[object] = []
+        self.problem: str | None = None
+
+    async def run(self, network: Network) -> None:
+        opened = await network.connect(self.request.address, self.request.connect_timeout)
+        match opened:
+            case Success(stream):
+                self._stream = stream
+            case Failure(fault):
+                self.end(HttpFault("connect", False, f"{fault.kind} {fault.detail}"))
+                return
+        try:
+            if not self.may_write():
+                self.end(HttpFault("cancelled", False))
+                return
+            await self._talk(cast(IOStream, stream))
+        finally:
+            stream.close()
+
+    async def _talk(self, stream: IOStream) -> None:
+        request = self.request
+        parameters = HTTP1ConnectionParameters(
+            no_keep_alive=True, max_header_size=HEAD_BYTES, max_body_size=_NO_BOUND, chunk_size=16 * 1024
+        )
+        connection = HTTP1Connection(stream, True, parameters, str(request.address))
+        given = {name.lower() for name, _ in request.headers}
+        headers = httputil.HTTPHeaders()
+        if "host" not in given:
+            headers.add("Host", str(request.address))
+        for name, value in request.headers:
+            headers.add(name, value)
+        if "connection" not in given:
+            headers.add("Connection", "close")
+        if request.body or request.method == "POST":
+            headers.add("Content-Length", str(len(request.body)))
+        start_line = httputil.RequestStartLine(request.method, request.path, "HTTP/1.1")
+        written = connection.write_headers(start_line, headers, request.body or None)
+        written.add_done_callback(lambda future: future.cancelled() or future.exception())
+        connection.finish()
+        answer = _Answer(self)
+        try:
+            await connection.read_response(answer)
+        except StreamClosedError as closed:
+            too_long = isinstance(closed.real_error, UnsatisfiableReadError)
+            self.end(HttpFault("malformed" if too_long else "broken", True, f"closed: {closed.real_error}"))
+        self.end(HttpFault("malformed", True, self.problem or "not HTTP"))
+
+    async def wait_for_room(self) -> None:
+        while self.is_full() and not self.ended():
+            future = self._loop.create_future()
+            self._room.append(future)
+            await future
+
+    def _make_room(self) -> None:
+        waiting, self._room = self._room, []
+        for future in waiting:
+            future.set_result(None)  # type: ignore[attr-defined]
+
+    def _close(self) -> None:
+        self._make_room()
+        if self._stream is not None:
+            self._stream.close()
+
+
+class _Answer(httputil.HTTPMessageDelegate):
+    def __init__(self, exchange: _StreamExchange) -> None:
+        self._exchange = exchange
+
+    def headers_received(
+        self,
+        start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
+        headers: httputil.HTTPHeaders,
+    ) -> Awaitable[None] | None:
+        assert isinstance(start_line, httputil.ResponseStartLine)
+        if start_line.code == 101:
+            self._exchange.problem = "switches protocols"
+            raise httputil.HTTPInputError("switches protocols")
+        if start_line.code < 200:
+            return None
+        pairs = tuple(headers.get_all())
+        framing = framing_of(self._exchange.request.method, start_line.code, pairs)
+        if framing is None:
+            self._exchange.problem = "contradicting lengths"
+            raise httputil.HTTPInputError("contradicting lengths")
+        self._exchange.take_head(HttpHead(start_line.code, pairs, framing))
+        return None
+
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        self._exchange.take_piece(chunk)
+        return self._exchange.wait_for_room() if self._exchange.is_full() else None
+
+    def finish(self) -> None:
+        self._exchange.end(None)
+
+    def on_connection_close(self) -> None:
+        if self._exchange.problem is None and self._exchange._head is None:
+            self._exchange.problem = "not HTTP"
+        if self._exchange.problem is not None:
+            self._exchange.end(HttpFault("malformed", True, self._exchange.problem))
+        else:
+            self._exchange.end(HttpFault("broken", True, "cut or malformed body"))
