Operator API: a bounded HTTP server on Context.network, orders in, bundles and health out

Cause: operators, workers and the platform speak HTTP/1.1 + JSON to any daemon, and the same code must run in the simulator. OrderRoutes decodes to SubmitOrder; ReadRoutes takes small callables. bundle/reading.py lets routers ask control for kept versions. OperatorRoutes.add gained body_bytes.

--- /dev/null
+++ b/wingwood/bundle/reading.py
@@ -0,0 +1,134 @@
+"""Reading bundles and their history from a control daemon (docs/DESIGN.md section 5.5)."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from typing import Protocol, TypeVar
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from ..identifiers import Address, BundleVersion, Seconds, SliceName
+from ..transport.frames import Identity
+from ..transport.messenger import Messenger
+from .model import Bundle, Manifest
+from .state import BundleState, HistoryEntry
+
+ASK_WITHIN = Seconds(1.0)
+
+Answer = TypeVar("Answer", bound=msgspec.Struct)
+
+
+class AskBundle(msgspec.Struct, frozen=True):
+    """To a control daemon; ``version`` 0 asks for the newest durable one. Reply: BundleAnswer."""
+
+    version: BundleVersion
+
+
+class BundleView(msgspec.Struct, frozen=True):
+    """A bundle as it was signed."""
+
+    manifest: Manifest
+    slices: dict[SliceName, bytes]
+
+
+class BundleAnswer(msgspec.Struct, frozen=True):
+    newest: BundleVersion
+    view: BundleView | None
+    """None when there is no bundle yet, or the version asked for is not kept."""
+
+
+class AskHistory(msgspec.Struct, frozen=True):
+    """To a control daemon. Reply: HistoryAnswer."""
+
+    most: int
+
+
+class HistoryAnswer(msgspec.Struct, frozen=True):
+    newest: BundleVersion
+    entries: list[HistoryEntry]
+    """Newest first."""
+
+
+class NotReadable(msgspec.Struct, frozen=True):
+    reason: str
+
+
+class BundleReader(Protocol):
+    """What the operator API asks for the bundles that control keeps."""
+
+    async def bundle(self, version: BundleVersion) -> Result[BundleAnswer, NotReadable]:
+        """``version`` 0: the newest."""
+        ...
+
+    async def history(self, most: int) -> Result[HistoryAnswer, NotReadable]: ...
+
+
+class LocalBundleReader:
+    """On a control daemon. ``durable`` tells the newest version that this daemon knows to be durable."""
+
+    def __init__(self, state: BundleState, durable: Callable[[], BundleVersion]) -> None:
+        self._state = state
+        self._durable = durable
+
+    def read_bundle(self, version: BundleVersion) -> BundleAnswer:
+        newest = self._durable()
+        wanted = version or newest
+        manifest = self._state.manifest_at(wanted) if wanted <= newest else None
+        slices = self._state.slices_at(wanted) if manifest is not None else None
+        if manifest is None or slices is None:
+            return BundleAnswer(newest, None)
+        return BundleAnswer(newest, BundleView(manifest, slices))
+
+    def read_history(self, most: int) -> HistoryAnswer:
+        newest = self._durable()
+        return HistoryAnswer(newest, self._state.history(newest, most))
+
+    async def bundle(self, version: BundleVersion) -> Result[BundleAnswer, NotReadable]:
+        return Success(self.read_bundle(version))
+
+    async def history(self, most: int) -> Result[HistoryAnswer, NotReadable]:
+        return Success(self.read_history(most))
+
+    def serve(self, messenger: Messenger) -> None:
+        """Answers the other daemons' ``RemoteBundleReader``."""
+
+        async def answer_bundle(_peer: Identity, question: AskBundle) -> BundleAnswer:
+            return self.read_bundle(question.version)
+
+        async def answer_history(_peer: Identity, question: AskHistory) -> HistoryAnswer:
+            return self.read_history(question.most)
+
+        messenger.on_call(AskBundle, answer_bundle)
+        messenger.on_call(AskHistory, answer_history)
+
+
+class RemoteBundleReader:
+    """On a router: asks the control daemons one after another, the presumed primary first."""
+
+    def __init__(
+        self, messenger: Messenger, controls: Callable[[], Sequence[Address]], timeout: Seconds = ASK_WITHIN
+    ) -> None:
+        self._messenger = messenger
+        self._controls = controls
+        self._timeout = timeout
+
+    async def bundle(self, version: BundleVersion) -> Result[BundleAnswer, NotReadable]:
+        return await self._ask(AskBundle(version), BundleAnswer)
+
+    async def history(self, most: int) -> Result[HistoryAnswer, NotReadable]:
+        return await self._ask(AskHistory(most), HistoryAnswer)
+
+    async def _ask(self, question: msgspec.Struct, answer_type: type[Answer]) -> Result[Answer, NotReadable]:
+        reasons = []
+        for address in self._controls():
+            match await self._messenger.call(address, question, answer_type, self._timeout):
+                case Success(answer):
+                    return Success(answer)
+                case Failure(fault):
+                    reasons.append(f"{address} {fault.kind}")
+        return Failure(NotReadable("no control daemon answered: " + (", ".join(reasons) or "none is known")))
+
+
+def view_of(bundle: Bundle) -> BundleView:
+    return BundleView(bundle.manifest, dict(bundle.slices))
--- /dev/null
+++ b/wingwood/bundle/tests/test_reading.py
@@ -0,0 +1,56 @@
+"""Routers read kept bundles from control daemons (docs/DESIGN.md section 5.5)."""
+
+from __future__ import annotations
+
+import unittest
+
+from returns.result import Success
+
+from simulation import World, address_of
+from wingwood.context.protocols import Context
+
+from ...identifiers import Address, BundleVersion, DaemonName, Incarnation, Zone
+from ...transport.frames import Identity
+from ...transport.messenger import TcpMessenger
+from ..reading import LocalBundleReader, RemoteBundleReader
+from ..state import BundleState
+from .samples import OPERATOR_KEYS, order_between, sample_slices, submit
+
+
+class ReadingTest(unittest.TestCase):
+    def test_the_second_control_daemon_is_asked_when_the_first_is_away(self) -> None:
+        state, slices = BundleState(OPERATOR_KEYS), sample_slices()
+        submit(state, order_between(0, {}, slices))
+        submit(state, order_between(1, slices, slices))
+        found: list[object] = []
+
+        with World(1) as world:
+            addresses = [address_of(world.machine(name), 7000) for name in ("away", "c2", "r1")]
+
+            def messenger(context: Context, name: str, address: Address) -> TcpMessenger:
+                identity = Identity(DaemonName(name), Incarnation("1"), "router", Zone("a"), address)
+                made = TcpMessenger(context, identity, b"key")
+                assert isinstance(made.start(), Success)
+                return made
+
+            async def control(context: Context) -> None:
+                LocalBundleReader(state, lambda: BundleVersion(1)).serve(messenger(context, "c2", addresses[1]))
+
+            async def router(context: Context) -> None:
+                reader = RemoteBundleReader(messenger(context, "r1", addresses[2]), lambda: addresses[:2])
+                found.append((await reader.bundle(BundleVersion(0))).unwrap())
+                found.append((await reader.bundle(BundleVersion(2))).unwrap())
+                found.append((await reader.history(10)).unwrap())
+                found.append((await RemoteBundleReader(reader._messenger, list).history(10)).failure())
+
+            world.start("c2", control)
+            world.run(0.01)
+            world.start("r1", router)
+            world.run(5.0)
+            self.assertEqual(world.broken_invariants, [])
+        reader = LocalBundleReader(state, lambda: BundleVersion(1))
+        self.assertEqual(found[0], reader.read_bundle(BundleVersion(1)))
+        self.assertEqual(found[1], reader.read_bundle(BundleVersion(2)))
+        self.assertIsNone(reader.read_bundle(BundleVersion(2)).view)
+        self.assertEqual(found[2], reader.read_history(10))
+        self.assertIn("none is known", str(found[3]))
--- /dev/null
+++ b/wingwood/operator_api/orders.py
@@ -0,0 +1,63 @@
+"""Operators' orders over HTTP (docs/DESIGN.md section 15.2).
+
+The call is decoded into a ``SubmitOrder`` command, which control's primary runs; any daemon takes it.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable, Callable
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from ..bundle.model import Order, OrderOutcome
+from ..control.protocols import NotDecided, SubmitOrder
+from ..identifiers import BundleVersion, Seconds
+from .protocols import OperatorReply, OperatorRequest, OperatorRoutes, error_reply
+
+ORDERS_PATH = "/control/v1/orders"
+STATUS_OF = {"accepted": 200, "conflict": 409, "invalid": 422, "unknown": 503}
+DECIDE_WITHIN = Seconds(5.0)
+
+Decide = Callable[[SubmitOrder, Seconds], Awaitable[Result[OrderOutcome, NotDecided]]]
+"""Runs the command on the primary; bounded by the seconds given."""
+
+
+class OrderRoutes:
+    """``POST /control/v1/orders``: an ``Order`` as JSON, bytes in base64. The answer is an ``OrderOutcome``."""
+
+    def __init__(self, decide: Decide, bundle_bytes: int, within: Seconds = DECIDE_WITHIN) -> None:
+        self._decide = decide
+        self._body_bytes = bundle_bytes * 3 // 2 + 64 * 1024
+        """Base64 and JSON make the slices longer."""
+        self._within = within
+        self._decoder = msgspec.json.Decoder(Order)
+
+    def add_to(self, routes: OperatorRoutes) -> None:
+        routes.add("POST", ORDERS_PATH, self.submit, self._body_bytes)
+
+    async def submit(self, request: OperatorRequest) -> OperatorReply:
+        try:
+            order = self._decoder.decode(request.body)
+        except (msgspec.MsgspecError, UnicodeError, RecursionError) as malformed:
+            return error_reply(400, "malformed", f"not an order: {malformed}")
+        match await self._decide(SubmitOrder(order), self._within):
+            case Success(outcome):
+                return self._reply(outcome)
+            case Failure(NotDecided() as fault):
+                return self._reply(self._unknown(order, fault))
+        raise AssertionError("a result is a success or a failure")
+
+    def _unknown(self, order: Order, fault: NotDecided) -> OrderOutcome:
+        what = {
+            "not-leading": "no control daemon leads at the moment",
+            "busy": "control has too many orders waiting",
+            "unknown": "control did not answer in time; the order may or may not come in force",
+        }[fault.kind]
+        detail = f" ({fault.detail})" if fault.detail else ""
+        reason = f"{what}{detail}. Send the same order again, to any daemon: resending is safe"
+        return OrderOutcome(order=order.manifest.order, outcome="unknown", version=BundleVersion(0), reason=reason)
+
+    def _reply(self, outcome: OrderOutcome) -> OperatorReply:
+        headers = (("Retry-After", "1"),) if outcome.outcome == "unknown" else ()
+        return OperatorReply(status=STATUS_OF[outcome.outcome], body=outcome, headers=headers)
--- a/wingwood/operator_api/protocols.py
+++ b/wingwood/operator_api/protocols.py
@@ -34,6 +34,17 @@
 
 
 class OperatorRoutes(Protocol):
-    def add(self, method: str, path: str, handler: OperatorHandler) -> None:
-        """``path`` is exact, or ends in ``/*`` to take everything below."""
+    def add(self, method: str, path: str, handler: OperatorHandler, body_bytes: int | None = None) -> None:
+        """``path`` is exact, or ends in ``/*`` to take everything below; ``body_bytes`` bounds this route's bodies."""
         ...
+
+
+class OperatorError(msgspec.Struct, frozen=True):
+    """Body of every answer that is not what was asked for."""
+
+    code: str
+    reason: str
+
+
+def error_reply(status: int, code: str, reason: str, headers: tuple[tuple[str, str], ...] = ()) -> OperatorReply:
+    return OperatorReply(status=status, body=OperatorError(code, reason), headers=headers)
--- /dev/null
+++ b/wingwood/operator_api/server.py
@@ -0,0 +1,253 @@
+"""The HTTP server of the operator address (docs/DESIGN.md section 15.1).
+
+tornado's HTTP/1.1 connection on streams from ``Context.network``, so it runs in the simulator too.
+"""
+
+from __future__ import annotations
+
+from collections.abc import Awaitable
+from http.client import responses
+from urllib.parse import parse_qsl, unquote, urlsplit
+
+import msgspec
+from returns.result import Result, Success
+from tornado import httputil
+from tornado.http1connection import HTTP1Connection, HTTP1ConnectionParameters, HTTP1ServerConnection
+from tornado.iostream import BaseIOStream, StreamClosedError
+
+from ..context.protocols import Context, Listener, NetworkFault
+from ..identifiers import Address, Seconds
+from .protocols import OperatorHandler, OperatorReply, OperatorRequest, error_reply
+
+
+class ServerLimits(msgspec.Struct, frozen=True):
+    connections: int = 1_000
+    header_bytes: int = 16 * 1024
+    """Above this the answer is 431; above four times this the connection is closed without one."""
+    body_bytes: int = 256 * 1024
+    """Of a route that names no bound of its own."""
+    bodies_bytes: int = 96 * 1024 * 1024
+    """Of all requests that are being read or answered. So much of a refused body is read and dropped,
+    since an answer before its end is lost with the connection; a longer one is answered at once."""
+    idle: Seconds = Seconds(75.0)
+    body_within: Seconds = Seconds(20.0)
+
+
+_BUSY = error_reply(503, "busy", "too many large requests at once; try again", (("Retry-After", "1"),))
+
+
+class _Route(msgspec.Struct, frozen=True):
+    handler: OperatorHandler
+    body_bytes: int
+
+
+class OperatorServer:
+    """``OperatorRoutes`` behind one listening address. Every answer that is not the asked one is JSON."""
+
+    def __init__(self, context: Context, limits: ServerLimits | None = None) -> None:
+        self.context = context
+        self.limits = limits or ServerLimits()
+        self.bodies = 0
+        """Bytes of bodies announced or read and not yet answered."""
+        self._exact: dict[str, dict[str, _Route]] = {}
+        self._below: dict[str, dict[str, _Route]] = {}
+        self._listener: Listener | None = None
+        self._connections: dict[HTTP1ServerConnection, BaseIOStream] = {}
+        self._parameters = HTTP1ConnectionParameters(
+            max_header_size=4 * self.limits.header_bytes,
+            header_timeout=self.limits.idle,
+            body_timeout=self.limits.body_within,
+            max_body_size=self.limits.bodies_bytes,
+        )
+        self._delegate = _ConnectionDelegate(self)
+
+    def add(self, method: str, path: str, handler: OperatorHandler, body_bytes: int | None = None) -> None:
+        table, key = (self._below, path[:-1]) if path.endswith("/*") else (self._exact, path)
+        route = _Route(handler, self.limits.body_bytes if body_bytes is None else body_bytes)
+        table.setdefault(key, {})[method] = route
+
+    def start(self, address: Address) -> Result[None, NetworkFault]:
+        """Listens at ``address``."""
+        listening = self.context.network.listen(address, self.handle_stream)
+        if isinstance(listening, Success):
+            self._listener = listening.unwrap()
+        return listening.map(lambda _: None)
+
+    def stop(self) -> None:
+        """Listens no more and closes what is open."""
+        if self._listener is not None:
+            self._listener.close()
+        for stream in list(self._connections.values()):
+            stream.close()
+
+    def handle_stream(self, stream: BaseIOStream, peer: Address) -> None:
+        if len(self._connections) >= self.limits.connections:
+            self.context.log.event("operator-connection-refused", peer=peer, connections=len(self._connections))
+            stream.close()
+            return
+        connection = HTTP1ServerConnection(stream, self._parameters, peer)  # type: ignore[arg-type]
+        self._connections[connection] = stream
+        connection.start_serving(self._delegate)
+
+    def closed(self, connection: object) -> None:
+        if isinstance(connection, HTTP1ServerConnection):
+            self._connections.pop(connection, None)
+
+    def find(self, method: str, path: str) -> _Route | OperatorReply:
+        """The route, or the answer that says why there is none."""
+        methods = self._exact.get(path)
+        if methods is None:
+            above = [prefix for prefix in self._below if path.startswith(prefix)]
+            methods = self._below[max(above, key=len)] if above else None
+        if methods is None:
+            return error_reply(404, "no-such-path", f"there is no {path[:200]} here; see docs/COMMANDS.md")
+        if method not in methods:
+            allowed = ", ".join(sorted(methods))
+            return error_reply(405, "wrong-method", f"{path} takes {allowed}", (("Allow", allowed),))
+        return methods[method]
+
+
+class _ConnectionDelegate(httputil.HTTPServerConnectionDelegate):
+    def __init__(self, server: OperatorServer) -> None:
+        self._server = server
+
+    def start_request(self, server_conn: object, request_conn: httputil.HTTPConnection) -> httputil.HTTPMessageDelegate:
+        assert isinstance(request_conn, HTTP1Connection)
+        return _Exchange(self._server, request_conn)
+
+    def on_close(self, server_conn: object) -> None:
+        self._server.closed(server_conn)
+
+
+class _Exchange(httputil.HTTPMessageDelegate):
+    """One request and its answer. The body is read only when the head is in order."""
+
+    def __init__(self, server: OperatorServer, connection: HTTP1Connection) -> None:
+        self._server = server
+        self._connection = connection
+        self._route: _Route | None = None
+        self._refusal: OperatorReply | None = None
+        """Given once the body has been read and dropped: an answer before that is lost with the connection."""
+        self._body = bytearray()
+        self._counted = 0
+        self._dropped = 0
+
+    def headers_received(
+        self, start_line: httputil.RequestStartLine | httputil.ResponseStartLine, headers: httputil.HTTPHeaders
+    ) -> Awaitable[None] | None:
+        assert isinstance(start_line, httputil.RequestStartLine)
+        self._start_line, self._headers = start_line, headers
+        self._refusal = self._look_at_head()
+        announced = headers.get("Content-Length", "0")
+        if self._refusal is not None and (
+            not announced.isdigit() or int(announced[:18]) > self._server.limits.bodies_bytes
+        ):
+            self._answer(self._refusal)
+        return None
+
+    def _look_at_head(self) -> OperatorReply | None:
+        limits = self._server.limits
+        size = sum(len(name) + len(value) + 4 for name, value in self._headers.get_all()) + len(self._start_line.path)
+        if size > limits.header_bytes:
+            return error_reply(431, "headers-too-large", f"the head has {size} bytes, {limits.header_bytes} are taken")
+        try:
+            parts = urlsplit(self._start_line.path)
+            self._path = unquote(parts.path, errors="strict")
+            self._query = dict(parse_qsl(parts.query, keep_blank_values=True, errors="strict", max_num_fields=50))
+        except (ValueError, UnicodeDecodeError):
+            return error_reply(400, "malformed", "the request's path can't be read")
+        found = self._server.find(self._start_line.method, self._path)
+        if isinstance(found, OperatorReply):
+            return found
+        announced = self._headers.get("Content-Length", "0")
+        if not (announced.isascii() and announced.isdigit() and len(announced) < 19):
+            return error_reply(400, "malformed", f"Content-Length is {announced[:40]!r}: one number is expected")
+        if int(announced) > found.body_bytes:
+            return self._too_large(found)
+        if self._server.bodies + int(announced) > limits.bodies_bytes:
+            return _BUSY
+        self._count(int(announced))
+        self._route = found
+        return None
+
+    def _too_large(self, route: _Route) -> OperatorReply:
+        return error_reply(413, "body-too-large", f"{self._path} takes bodies up to {route.body_bytes} bytes")
+
+    def _count(self, length: int) -> None:
+        self._server.bodies += length - self._counted
+        self._counted = length
+
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        if self._route is None:
+            self._dropped += len(chunk)
+            if self._refusal is not None and self._dropped > self._server.limits.bodies_bytes:
+                self._answer(self._refusal)
+            return None
+        self._body += chunk
+        if len(self._body) > self._counted:
+            self._count(len(self._body))
+        if len(self._body) > self._route.body_bytes:
+            self._refuse(self._too_large(self._route))
+        elif self._server.bodies > self._server.limits.bodies_bytes:
+            self._refuse(_BUSY)
+        return None
+
+    def _refuse(self, reply: OperatorReply) -> None:
+        self._count(0)
+        self._body = bytearray()
+        self._route, self._refusal = None, reply
+
+    def finish(self) -> None:
+        if self._refusal is not None:
+            self._answer(self._refusal)
+        if self._route is None:
+            return
+        peer = self._connection.context
+        assert isinstance(peer, Address)
+        request = OperatorRequest(
+            method=self._start_line.method,
+            path=self._path,
+            query=self._query,
+            headers={name.lower(): value for name, value in self._headers.items()},
+            body=bytes(self._body),
+            peer=peer,
+        )
+        self._server.context.tasks.spawn(f"operator {self._path}", self._run(self._route.handler, request))
+
+    async def _run(self, handler: OperatorHandler, request: OperatorRequest) -> None:
+        try:
+            reply = await handler(request)
+        except (msgspec.MsgspecError, UnicodeError) as malformed:
+            reply = error_reply(400, "malformed", str(malformed))
+        except Exception:
+            self._answer(error_reply(500, "broken", "an error in this daemon; its log says more"))
+            raise
+        self._answer(reply)
+
+    def on_connection_close(self) -> None:
+        self._count(0)
+        self._route = self._refusal = None
+
+    def _answer(self, reply: OperatorReply) -> None:
+        self._count(0)
+        self._route = self._refusal = None
+        self._body = bytearray()
+        content_type = "application/json"
+        match reply.body:
+            case bytes(body):
+                pass
+            case str(text):
+                body, content_type = text.encode(), "text/plain; charset=utf-8"
+            case other:
+                body = msgspec.json.encode(other)
+        headers = httputil.HTTPHeaders({"Content-Type": content_type})
+        for name, value in reply.headers:
+            headers[name] = value
+        headers["Content-Length"] = str(len(body))
+        line = httputil.ResponseStartLine("HTTP/1.1", reply.status, responses.get(reply.status, "Answer"))
+        try:
+            written = self._connection.write_headers(line, headers, body)
+            written.add_done_callback(lambda future: future.cancelled() or future.exception())
+            self._connection.finish()
+        except StreamClosedError:
+            self._server.context.log.event("operator-gone", path=self._start_line.path[:200])
--- /dev/null
+++ b/wingwood/operator_api/tests/test_routes.py
@@ -0,0 +1,158 @@
+"""Orders in, bundles and health out (docs/DESIGN.md sections 15.2 and 15.3)."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from collections.abc import Mapping
+
+import msgspec
+from prometheus_client import CollectorRegistry, Counter
+from returns.result import Failure, Result, Success
+
+from ...bundle.model import Bundle, Order, OrderOutcome
+from ...bundle.parse import parse_bundle
+from ...bundle.reading import BundleAnswer, HistoryAnswer, LocalBundleReader, NotReadable
+from ...bundle.state import BundleState
+from ...bundle.tests.samples import OPERATOR_KEYS, order_between, sample_slices, submit
+from ...control.protocols import NotDecided, SubmitOrder
+from ...identifiers import Address, BundleVersion, DaemonName, Incarnation, Seconds, Zone
+from ..orders import OrderRoutes
+from ..protocols import OperatorHandler, OperatorReply, OperatorRequest
+from ..reading import HealthReport, ReadRoutes, ShownBundle
+
+HEALTH = HealthReport(
+    name=DaemonName("c1"), role="control", zone=Zone("a"), incarnation=Incarnation("1"), ready=True, reasons=()
+)
+
+
+class Routes:
+    """Stands for the server: keeps the handlers and calls them."""
+
+    def __init__(self) -> None:
+        self.handlers: dict[tuple[str, str], OperatorHandler] = {}
+
+    def add(self, method: str, path: str, handler: OperatorHandler, body_bytes: int | None = None) -> None:
+        self.handlers[method, path] = handler
+
+    def call(self, method: str, path: str, body: bytes = b"", query: Mapping[str, str] | None = None) -> OperatorReply:
+        request = OperatorRequest(
+            method=method, path=path, query=query or {}, headers={}, body=body, peer=Address("127.0.0.1", 1)
+        )
+
+        async def run() -> OperatorReply:
+            return await self.handlers[method, path](request)
+
+        return asyncio.run(run())
+
+
+class OrdersTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.state = BundleState(OPERATOR_KEYS)
+        self.routes = Routes()
+        self.fault: NotDecided | None = None
+        OrderRoutes(self.decide, 1000).add_to(self.routes)
+
+    async def decide(self, command: SubmitOrder, within: Seconds) -> Result[OrderOutcome, NotDecided]:
+        if self.fault is not None:
+            return Failure(self.fault)
+        return Success(submit(self.state, command.order))
+
+    def post(self, order: Order) -> tuple[int, OrderOutcome]:
+        reply = self.routes.call("POST", "/control/v1/orders", msgspec.json.encode(order))
+        assert isinstance(reply.body, OrderOutcome)
+        return reply.status, reply.body
+
+    def test_statuses_follow_the_outcome(self) -> None:
+        slices = sample_slices()
+        first = order_between(0, {}, slices)
+        self.assertEqual(self.post(first)[0], 200)
+        self.assertEqual(self.post(first)[0], 200)
+        self.assertEqual(self.post(order_between(0, {}, slices, "late"))[0], 409)
+        bad = {**slices, next(iter(slices)): b"{}"}
+        self.assertEqual(self.post(order_between(1, slices, bad, "bad"))[0], 422)
+
+    def test_an_unknown_outcome_says_that_resending_is_safe(self) -> None:
+        order = order_between(0, {}, sample_slices())
+        for fault in (NotDecided("unknown"), NotDecided("not-leading"), NotDecided("busy", detail="9 waiting")):
+            self.fault = fault
+            status, outcome = self.post(order)
+            self.assertEqual((status, outcome.outcome, outcome.order), (503, "unknown", "order-1"))
+            self.assertIn("resending is safe", outcome.reason)
+
+    def test_what_is_no_order_is_malformed(self) -> None:
+        for body in (b"", b"[]", b"{}", b'{"manifest":{},"changed":{}}', b"\xff", b"[" * 100_000):
+            self.assertEqual(self.routes.call("POST", "/control/v1/orders", body).status, 400)
+
+
+class Unreadable:
+    async def bundle(self, version: BundleVersion) -> Result[BundleAnswer, NotReadable]:
+        return Failure(NotReadable("cut off"))
+
+    async def history(self, most: int) -> Result[HistoryAnswer, NotReadable]:
+        return Failure(NotReadable("cut off"))
+
+
+class ReadingTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.state = BundleState(OPERATOR_KEYS)
+        self.slices = sample_slices()
+        self.fewer = {name: data for name, data in self.slices.items() if name != "tenant/tenant-4"}
+        submit(self.state, order_between(0, {}, self.slices))
+        submit(self.state, order_between(1, self.slices, self.fewer))
+        submit(self.state, order_between(2, self.fewer, self.slices))
+        self.durable = BundleVersion(2)
+        self.current: Bundle | None = parse_bundle(order_between(0, {}, self.slices).manifest, self.slices).unwrap()
+        self.ready = True
+        self.counted = CollectorRegistry()
+
+    def routes(self, reader: LocalBundleReader | Unreadable | None) -> Routes:
+        routes = Routes()
+        ReadRoutes(
+            current=lambda: self.current,
+            reader=reader,
+            members=lambda: (),
+            workers=lambda: (),
+            health=lambda: msgspec.structs.replace(HEALTH, ready=self.ready),
+            metrics=self.counted,
+        ).add_to(routes)
+        return routes
+
+    def shown(self, routes: Routes, **query: str) -> ShownBundle:
+        reply = routes.call("GET", "/control/v1/bundle", query=query)
+        assert isinstance(reply.body, ShownBundle), reply
+        return msgspec.json.decode(msgspec.json.encode(reply.body), type=ShownBundle)
+
+    def test_bundles_are_shown_as_signed_and_only_when_durable(self) -> None:
+        routes = self.routes(LocalBundleReader(self.state, lambda: self.durable))
+        here = self.shown(routes)
+        self.assertEqual((here.version, here.newest), (1, False))
+        newest = self.shown(routes, newest="1")
+        self.assertEqual((newest.version, newest.newest), (2, True))
+        self.assertEqual({name: bytes(raw) for name, raw in newest.slices.items()}, self.fewer)
+        self.assertEqual(self.shown(routes, version="1").version, 1)
+        self.assertEqual(routes.call("GET", "/control/v1/bundle", query={"version": "3"}).status, 404)
+        self.assertEqual(routes.call("GET", "/control/v1/bundle", query={"version": "-1"}).status, 400)
+        history = routes.call("GET", "/control/v1/history").body
+        assert isinstance(history, HistoryAnswer)
+        self.assertEqual([entry.version for entry in history.entries], [2, 1])
+        self.assertEqual(routes.call("GET", "/control/v1/history", query={"most": "0"}).status, 400)
+
+    def test_without_control_the_bundle_in_force_is_shown(self) -> None:
+        routes = self.routes(Unreadable())
+        self.assertEqual(self.shown(routes, newest="1").version, 1)
+        self.assertEqual(routes.call("GET", "/control/v1/bundle", query={"version": "2"}).status, 503)
+        self.assertEqual(routes.call("GET", "/control/v1/history").status, 503)
+        self.current = None
+        self.assertEqual(routes.call("GET", "/control/v1/bundle").status, 404)
+        self.assertEqual(self.routes(None).call("GET", "/control/v1/history").status, 404)
+
+    def test_the_platform_reads_ready_and_metrics(self) -> None:
+        Counter("calls", "Calls", registry=self.counted).inc()
+        routes = self.routes(None)
+        self.assertEqual(routes.call("GET", "/ready").status, 200)
+        self.ready = False
+        self.assertEqual(routes.call("GET", "/ready").status, 503)
+        self.assertEqual(routes.call("GET", "/live").status, 200)
+        self.assertIn(b"calls_total 1.0", bytes(routes.call("GET", "/metrics").body))  # type: ignore[arg-type]
+        self.assertEqual(routes.call("GET", "/control/v1/workers").body, [])
