Placement: hints become bids and awards; keepers of the session map; plain policies

Cause: the next turn of a session should find its prefix kept, at whichever router it comes in, without crowding the worker that keeps it. What: the end of a whole turn is the hint; the router bids (queue, fullness weighed by the class's payment, prefill not spared), records the award with the session's keeper and its stand-in (rendezvous over routers by 1024 slots), and the next turn takes the winner while it is ready. Claims, shared prefixes in rendezvous order with bounded load, a pooled LRU model, hand-over on changes of members, all-full and none-ready, and round robin, least loaded and sticky by hash behind the same interface. Awards survive the loss of three keepers in a row one second apart; a frozen keeper costs one turn under 0.1 s.

--- /dev/null
+++ b/wingwood/placement/messages.py
@@ -0,0 +1,47 @@
+"""What routers tell each other about sessions (docs/DESIGN.md section 11.2)."""
+
+from __future__ import annotations
+
+import msgspec
+
+from ..identifiers import PoolName, Seconds, WorkerInstance
+
+
+class SessionNote(msgspec.Struct, frozen=True, array_like=True):
+    """Where a session's prefix probably is (claim), and who won its next turn (award).
+
+    Times are ages and remaining seconds, never instants of another process.
+    """
+
+    key: int
+    """64 bits of the digest over pool and session; a collision costs a misplaced turn, no more."""
+    pool: PoolName
+    holder: WorkerInstance
+    tokens: int
+    """Kept at the holder, shared parts included; 0 when nothing is known."""
+    own_tokens: int
+    """Without the shared parts."""
+    age: Seconds
+    """Since the holder last ran a turn of it."""
+    winner: WorkerInstance = WorkerInstance("")
+    """Empty: no award."""
+    award_left: Seconds = Seconds(0.0)
+    weight: float = 1.0
+
+
+class KeepNotes(msgspec.Struct, frozen=True):
+    """Post to the keeper and its stand-in: new notes, or notes handed over after a change of members."""
+
+    notes: tuple[SessionNote, ...]
+
+
+class LookUpSession(msgspec.Struct, frozen=True, array_like=True):
+    """Call to the keeper. Reply: SessionFound."""
+
+    key: int
+
+
+class SessionFound(msgspec.Struct, frozen=True, array_like=True):
+    note: SessionNote | None
+    keeping_for: Seconds
+    """How long the answerer has been keeping this part of the map; a newcomer's None says little."""
--- /dev/null
+++ b/wingwood/placement/plain_policies.py
@@ -0,0 +1,88 @@
+"""Balancing policies to compare the awards with, behind the same interface (docs/DESIGN.md section 11.6)."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from returns.result import Failure, Result, Success
+
+from ..context.protocols import Context
+from ..identifiers import Instant, PoolName, RequestId, Seconds, WorkerInstance
+from ..membership.rendezvous import ranked
+from ..registry.protocols import Registry, RunningExchange, Worker
+from .award_placement import Outcome
+from .protocols import Choice, NoWorker, Turn
+from .worker_estimates import Workload
+
+
+class _PlainPlacement:
+    """Counts and learns; a subclass picks."""
+
+    def __init__(self, context: Context, registry: Registry, exchange: RunningExchange) -> None:
+        self._context = context
+        self._registry = registry
+        self._workload = Workload(registry, exchange, 0.0)
+        self._placed: dict[tuple[RequestId, WorkerInstance], Instant] = {}
+
+    def _order(self, turn: Turn, ready: Sequence[Worker]) -> Sequence[Worker]:
+        """The workers to try, best first."""
+        raise NotImplementedError
+
+    async def choose(self, turn: Turn, excluded: Sequence[WorkerInstance]) -> Result[Choice, NoWorker]:
+        ready = [worker for worker in self._registry.ready(turn.service.pool) if worker.instance not in excluded]
+        open_workers = [worker for worker in ready if not self._workload.is_full(worker)]
+        for worker in self._order(turn, open_workers) if open_workers else ():
+            if await self._registry.confirm(worker):
+                first_token = self._workload.first_token(worker, turn.prompt_tokens)
+                self._placed[(turn.request, worker.instance)] = self._context.clock.monotonic()
+                self._workload.begin(worker.instance)
+                return Success(
+                    Choice(worker=worker, how="policy", first_token=first_token, uncached_tokens=turn.prompt_tokens)
+                )
+        if ready and not open_workers:
+            return Failure(NoWorker("all-full", min(self._workload.room_after(worker) for worker in ready)))
+        return Failure(NoWorker("none-ready", Seconds(1.0)))
+
+    def finished(
+        self,
+        turn: Turn,
+        choice: Choice,
+        outcome: Outcome,
+        generated_tokens: int,
+        first_token_after: Seconds | None,
+    ) -> None:
+        since = self._placed.pop((turn.request, choice.worker.instance), None)
+        if since is None:
+            return
+        self._workload.end(choice.worker.instance)
+        if outcome == "whole":
+            seconds = self._context.clock.monotonic() - since
+            self._workload.learn(choice.worker, choice.uncached_tokens, 0.0, first_token_after, seconds)
+
+
+class RoundRobin(_PlainPlacement):
+    def __init__(self, context: Context, registry: Registry, exchange: RunningExchange) -> None:
+        super().__init__(context, registry, exchange)
+        self._turns: dict[PoolName, int] = {}
+
+    def _order(self, turn: Turn, ready: Sequence[Worker]) -> Sequence[Worker]:
+        start = self._turns.get(turn.service.pool)
+        if start is None:
+            start = self._context.random.randrange(len(ready))
+        self._turns[turn.service.pool] = start + 1
+        return [ready[(start + step) % len(ready)] for step in range(len(ready))]
+
+
+class LeastLoaded(_PlainPlacement):
+    def _order(self, turn: Turn, ready: Sequence[Worker]) -> Sequence[Worker]:
+        shuffled = self._context.random.sample(list(ready), len(ready))
+        return sorted(shuffled, key=lambda worker: self._workload.load(worker) / worker.slots)
+
+
+class StickyByHash(_PlainPlacement):
+    """Rendezvous over the ready workers by session; least loaded without one."""
+
+    def _order(self, turn: Turn, ready: Sequence[Worker]) -> Sequence[Worker]:
+        if turn.session is None:
+            return sorted(ready, key=lambda worker: (self._workload.load(worker) / worker.slots, worker.instance))
+        return ranked(turn.session, ready, lambda worker: worker.instance)
--- /dev/null
+++ b/wingwood/placement/policies.py
@@ -0,0 +1,35 @@
+"""Makes the balancing policy that the settings name (docs/DESIGN.md section 11.6)."""
+
+from __future__ import annotations
+
+from ..context.protocols import Context
+from ..membership.protocols import Membership
+from ..registry.worker_registry import WorkerRegistry
+from ..settings.model import DaemonSettings
+from ..transport.messenger import Messenger
+from .award_placement import AwardPlacement
+from .plain_policies import LeastLoaded, RoundRobin, StickyByHash
+from .protocols import Placement
+from .session_map import KeeperMap
+
+
+def placement_of(
+    context: Context,
+    messenger: Messenger,
+    membership: Membership,
+    registry: WorkerRegistry,
+    settings: DaemonSettings,
+) -> Placement:
+    """One per router; ``settings.balancing`` chooses."""
+    match settings.balancing:
+        case "round-robin":
+            return RoundRobin(context, registry, registry)
+        case "least-loaded":
+            return LeastLoaded(context, registry, registry)
+        case "sticky":
+            return StickyByHash(context, registry, registry)
+        case "award":
+            session_map = KeeperMap(context, messenger, membership)
+            placement = AwardPlacement(context, membership, registry, registry, session_map)
+            session_map.on_keep = placement.kept_here
+            return placement
--- /dev/null
+++ b/wingwood/placement/tests/test_award_placement.py
@@ -0,0 +1,281 @@
+from __future__ import annotations
+
+import itertools
+import unittest
+from collections.abc import Sequence
+from typing import Any
+
+import msgspec
+from returns.result import Success
+
+from emulator.worker import EmulatedWorker
+from simulation.world import World
+from wingwood.bundle.model import Service
+from wingwood.identifiers import PoolName, RequestId, Seconds, ServiceName, TenantName, WorkerInstance
+from wingwood.placement.award_placement import AwardPlacement, AwardSettings
+from wingwood.placement.protocols import Choice, NoWorker, Turn
+from wingwood.placement.session_map import KeeperMap, session_key
+from wingwood.registry.tests.fleet import POOL, Fleet
+
+SERVICE = Service(name=ServiceName("chat"), pool=POOL)
+REQUESTS = itertools.count()
+
+
+def turn_of(prefix: str, tokens: int = 2000, weight: float = 1.0) -> Turn:
+    return Turn(
+        request=RequestId(f"q{next(REQUESTS)}"),
+        service=SERVICE,
+        tenant=TenantName("t"),
+        weight=weight,
+        prefix=tuple(prefix.split("/")) if prefix else (),
+        prompt_tokens=tokens,
+    )
+
+
+class PlacementFleet(Fleet):
+    """Routers with awards, over their registries; workers renew each second until they are stopped."""
+
+    def __init__(self, world: World, count: int = 6, workers: int = 4, settings: AwardSettings | None = None) -> None:
+        super().__init__(world, count)
+        self.placements: dict[str, AwardPlacement] = {}
+        self.maps: dict[str, KeeperMap] = {}
+        self.renewing: dict[str, EmulatedWorker] = {}
+        for name, router in sorted(self.routers.items()):
+            self.place(name, settings)
+            router.registry.watch(POOL)
+        for number in range(workers):
+            self.renewing[f"w{number}"] = self.start_worker(f"w{number}")
+        self.run(1.0)
+
+    def place(self, name: str, settings: AwardSettings | None) -> None:
+        router = self.routers[name]
+
+        async def make() -> bool:
+            session_map = self.maps[name] = KeeperMap(router.context, router.messenger, router.membership)
+            self.placements[name] = AwardPlacement(
+                router.context, router.membership, router.registry, router.registry, session_map, settings
+            )
+            session_map.on_keep = self.placements[name].kept_here
+            return True
+
+        self.inside(name, make)
+
+    def run(self, seconds: float) -> None:
+        """Lets time pass while the workers renew at the first router that lives."""
+        edge = next(name for name in sorted(self.roster.identities) if self.world.processes[name].alive)
+        while seconds > 0:
+            for _, worker in sorted(self.renewing.items()):
+                self.announce(worker, edge)
+            self.world.run(min(seconds, 0.9))
+            seconds -= 0.9
+
+    def choose(self, router: str, turn: Turn, excluded: Sequence[WorkerInstance] = ()) -> Choice | NoWorker:
+        outcome = self.inside(router, lambda: self.placements[router].choose(turn, excluded))
+        found: Choice | NoWorker = outcome.unwrap() if isinstance(outcome, Success) else outcome.failure()
+        return found
+
+    def finish(self, router: str, turn: Turn, choice: Choice, outcome: Any = "whole", generated: int = 100) -> None:
+        async def end() -> bool:
+            self.placements[router].finished(turn, choice, outcome, generated, Seconds(0.4))
+            return True
+
+        self.inside(router, end)
+
+    def take(self, router: str, prefix: str, tokens: int = 2000, weight: float = 1.0, outcome: Any = "whole") -> Choice:
+        turn = turn_of(prefix, tokens, weight)
+        choice = self.choose(router, turn)
+        assert isinstance(choice, Choice), choice
+        self.finish(router, turn, choice, outcome)
+        self.world.run(0.02)
+        return choice
+
+    def keepers(self, prefix: str) -> list[str]:
+        key = session_key(POOL, turn_of(prefix).session or "")  # type: ignore[arg-type]
+        session_map = next(self.maps[name] for name in sorted(self.maps) if name in self.roster.identities)
+        return [str(identity.name) for identity in session_map._pair(key % 1024)]
+
+    def others_than(self, *names: str) -> list[str]:
+        return [name for name in sorted(self.roster.identities) if name not in names]
+
+    def lose(self, name: str) -> None:
+        self.world.kill(name)
+        self.roster.remove(name)
+
+
+class AwardPlacementTest(unittest.TestCase):
+    def fleet(self, **settings: Any) -> PlacementFleet:
+        world = World(11)
+        world.__enter__()
+        self.addCleanup(world.close)
+        self.addCleanup(lambda: self.assertEqual(world.broken_invariants, []))
+        return PlacementFleet(world, settings=AwardSettings(**settings))
+
+    def test_next_turn_goes_to_the_award_winner_at_any_router(self) -> None:
+        fleet = self.fleet()
+        for session in range(6):
+            first = fleet.take("r0", f"s{session}")
+            self.assertEqual(first.how, "bid")
+            for router in ("r1", "r4", "r0"):
+                again = fleet.take(router, f"s{session}", 2100)
+                self.assertEqual((again.how, again.worker.instance), ("award", first.worker.instance))
+            self.assertLess(again.uncached_tokens, 200)
+
+    def test_award_is_void_when_its_worker_drains_restarts_or_is_excluded(self) -> None:
+        for change in ("drain", "restart", "exclude"):
+            with self.subTest(change):
+                fleet = self.fleet()
+                winner = fleet.take("r0", "s").worker
+                worker = next(w for w in fleet.workers.values() if w.instance == winner.instance)
+                if change == "drain":
+                    worker.state = "draining"
+                elif change == "restart":
+                    worker.restart_empty()
+                fleet.run(0.5)
+                turn = turn_of("s", 2100)
+                choice = fleet.choose("r3", turn, (winner.instance,) if change == "exclude" else ())
+                assert isinstance(choice, Choice)
+                self.assertNotEqual((choice.how, choice.worker.instance), ("award", winner.instance))
+                self.assertGreater(choice.uncached_tokens, 2000)
+                if change != "restart":
+                    self.assertNotEqual(choice.worker.instance, winner.instance)
+
+    def test_award_expires_and_leaves_a_claim(self) -> None:
+        fleet = self.fleet(award_for=Seconds(5.0))
+        winner = fleet.take("r0", "s").worker
+        fleet.run(6.3)
+        again = fleet.take("r1", "s", 2100)
+        self.assertEqual((again.how, again.worker.instance), ("claim", winner.instance))
+
+    def test_turn_without_a_hint_follows_the_claim(self) -> None:
+        fleet = self.fleet()
+        first = fleet.take("r0", "s", outcome="broken")
+        again = fleet.take("r1", "s", 2100)
+        self.assertEqual((again.how, again.worker.instance), ("claim", first.worker.instance))
+
+    def test_stand_in_answers_for_a_frozen_keeper(self) -> None:
+        fleet = self.fleet()
+        winner = fleet.take("r0", "s").worker
+        keeper, stand_in = fleet.keepers("s")
+        fleet.world.freeze(keeper)
+        asker = fleet.others_than(keeper, stand_in)[0]
+        before = fleet.world.now
+        again = fleet.take(asker, "s", 2100)
+        self.assertEqual((again.how, again.worker.instance), ("award", winner.instance))
+        self.assertLess(fleet.world.now - before, 0.1)
+
+    def test_all_routers_agree_when_no_keeper_answers(self) -> None:
+        fleet = self.fleet()
+        pair = fleet.keepers("fresh")
+        for name in pair:
+            fleet.world.freeze(name)
+        chosen = [fleet.choose(name, turn_of("fresh")) for name in fleet.others_than(*pair)]
+        self.assertEqual({choice.how for choice in chosen if isinstance(choice, Choice)}, {"hash"})
+        self.assertEqual(len({choice.worker.instance for choice in chosen if isinstance(choice, Choice)}), 1)
+
+    def test_awards_outlive_the_loss_of_keeper_and_then_stand_in(self) -> None:
+        fleet = self.fleet()
+        winners = {f"s{number}": fleet.take(f"r{number % 6}", f"s{number}").worker.instance for number in range(12)}
+        for _ in range(3):
+            lost = fleet.keepers("s0")[0]
+            fleet.lose(lost)
+            fleet.run(1.0)
+        for session, winner in winners.items():
+            for router in fleet.others_than():
+                choice = fleet.choose(router, turn_of(session, 2100))
+                assert isinstance(choice, Choice)
+                self.assertEqual((choice.how, choice.worker.instance), ("award", winner))
+
+    def test_newcomer_without_the_map_does_not_hide_what_is_known(self) -> None:
+        fleet = self.fleet()
+        winner = fleet.take("r0", "s").worker.instance
+        keeper, stand_in = fleet.keepers("s")
+        fleet.world.restart(keeper)
+        fleet.world.run(0.01)
+        fleet.place(keeper, None)
+        fleet.routers[keeper].registry.watch(POOL)
+        for router in fleet.others_than(keeper, stand_in):
+            choice = fleet.choose(router, turn_of("s", 2100))
+            assert isinstance(choice, Choice)
+            self.assertEqual((choice.how, choice.worker.instance), ("award", winner))
+
+    def test_the_class_that_pays_less_leaves_a_crowded_worker_first(self) -> None:
+        fleet = self.fleet(fullness_cost=Seconds(0.3))
+        winners = {}
+        for name, weight in (("paid", 4.0), ("free", 1.0)):
+            fleet.take("r0", name, 3000, weight)
+            held = fleet.choose("r0", turn := turn_of(name, 3100, weight))
+            assert isinstance(held, Choice)
+            for _ in range(7):
+                fleet.placements["r0"]._workload.begin(held.worker.instance)
+            fleet.finish("r0", turn, held)
+            for _ in range(7):
+                fleet.placements["r0"]._workload.end(held.worker.instance)
+            fleet.world.run(0.02)
+            after = fleet.choose("r1", turn_of(name, 3200, weight))
+            assert isinstance(after, Choice)
+            winners[name] = after.worker.instance == held.worker.instance
+        self.assertEqual(winners, {"paid": True, "free": False})
+
+    def test_hot_shared_prefix_spreads_over_several_workers(self) -> None:
+        fleet = self.fleet()
+        counts: dict[str, int] = {}
+        for number in range(24):
+            turn = turn_of(f"lease/s{number}", 3000)
+            choice = fleet.choose(f"r{number % 6}", turn)
+            assert isinstance(choice, Choice)
+            counts[choice.worker.instance] = counts.get(choice.worker.instance, 0) + 1
+            fleet.run(0.4)
+        self.assertGreaterEqual(len(counts), 3)
+        self.assertLessEqual(max(counts.values()), 12)
+
+    def test_cold_shared_prefix_stays_where_it_is_kept(self) -> None:
+        fleet = self.fleet()
+        workers = set()
+        for number in range(10):
+            choice = fleet.take("r0", f"lease/s{number}", 3000)
+            workers.add(choice.worker.instance)
+            fleet.run(5.0)
+        self.assertLessEqual(len(workers), 2)
+        self.assertEqual(choice.how, "claim")
+        self.assertLess(choice.uncached_tokens, 1000)
+
+    def test_full_and_missing_workers_are_told_apart(self) -> None:
+        fleet = self.fleet()
+        for worker in fleet.renewing.values():
+            for _ in range(4 * worker.options.slots):
+                fleet.placements["r0"]._workload.begin(WorkerInstance(worker.instance))
+        full = fleet.choose("r0", turn_of("s"))
+        assert isinstance(full, NoWorker)
+        self.assertEqual(full.reason, "all-full")
+        self.assertGreater(full.retry_after, 0.1)
+        missing = fleet.choose(
+            "r0", msgspec.structs.replace(turn_of("s"), service=Service(name=ServiceName("x"), pool=PoolName("none")))
+        )
+        self.assertEqual(missing, NoWorker("none-ready", Seconds(1.0)))
+
+    def test_reservations_end_with_the_turn_or_by_time(self) -> None:
+        fleet = self.fleet(reserve_for=Seconds(3.0), reserve_share=0.5)
+        winner = fleet.take("r0", "s").worker
+        workload = fleet.placements["r0"]._workload
+        self.assertEqual(workload.own(winner.instance), 0.5)
+        fleet.run(3.6)
+        fleet.take("r0", "other", outcome="broken")
+        self.assertEqual(workload.own(winner.instance), 0.0)
+        fleet.take("r0", "s", 2100)
+        turn = turn_of("s", 2200)
+        choice = fleet.choose("r0", turn)
+        self.assertIsInstance(choice, Choice)
+        self.assertEqual(workload.own(winner.instance), 1.0)
+        self.assertEqual(len(workload._reservations), 0)
+
+    def test_router_counts_are_seen_by_the_others(self) -> None:
+        fleet = self.fleet()
+        choice = fleet.choose("r0", turn_of("s"))
+        assert isinstance(choice, Choice)
+        fleet.run(1.2)
+        for name in fleet.others_than("r0"):
+            self.assertGreaterEqual(fleet.placements[name]._workload.load(choice.worker), 1.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/wingwood/placement/tests/test_kept_prefixes.py
@@ -0,0 +1,56 @@
+from __future__ import annotations
+
+import unittest
+
+from wingwood.identifiers import Instant, PoolName, WorkerInstance
+from wingwood.placement.kept_prefixes import EvictionModel, SharedPrefixes
+
+POOL = PoolName("chat")
+LONG_AGO = Instant(-1e9)
+WORKER, OTHER = WorkerInstance("w1"), WorkerInstance("w2")
+
+
+class SharedPrefixesTest(unittest.TestCase):
+    def test_size_is_the_least_prompt_of_at_least_two_sessions(self) -> None:
+        shared = SharedPrefixes()
+        shared.sent(POOL, ("lease", "a"), 1, 3400, WORKER, Instant(0.0))
+        self.assertEqual(shared.tokens(POOL, ("lease", "b")), 0)
+        shared.sent(POOL, ("lease", "b"), 2, 3100, WORKER, Instant(1.0))
+        self.assertEqual(shared.tokens(POOL, ("lease", "c")), 3100)
+        self.assertEqual(shared.tokens(POOL, ("other", "c")), 0)
+
+    def test_kept_where_it_was_sent_and_not_longer_than_the_model_says(self) -> None:
+        shared = SharedPrefixes()
+        for key, session in enumerate("ab"):
+            shared.sent(POOL, ("root", "lease", session), key, 3000, WORKER, Instant(5.0))
+        self.assertEqual(shared.kept(POOL, ("root", "lease", "c"), WORKER, LONG_AGO), 3000)
+        self.assertEqual(shared.kept(POOL, ("root", "x", "c"), WORKER, LONG_AGO), 3000)
+        self.assertEqual(shared.kept(POOL, ("root", "lease", "c"), OTHER, LONG_AGO), 0)
+        self.assertEqual(shared.kept(POOL, ("root", "lease", "c"), WORKER, Instant(6.0)), 0)
+        shared.forget(WORKER)
+        self.assertEqual(shared.kept(POOL, ("root", "lease", "c"), WORKER, LONG_AGO), 0)
+
+    def test_demand_decays(self) -> None:
+        shared = SharedPrefixes()
+        for step in range(400):
+            shared.sent(POOL, ("lease", str(step)), step, 3000, WORKER, Instant(step * 0.25))
+        at_end = shared.demand(POOL, ("lease", "x"), Instant(100.0))
+        self.assertAlmostEqual(at_end, 4.0, delta=0.4)
+        self.assertAlmostEqual(shared.demand(POOL, ("lease", "x"), Instant(110.0)), at_end / 2, delta=0.1)
+
+
+class EvictionModelTest(unittest.TestCase):
+    def test_least_recently_used_sessions_are_dropped_first(self) -> None:
+        model = EvictionModel()
+        for step in range(10):
+            model.touched(POOL, step, 100, Instant(step), 1000.0)
+        self.assertLess(model.kept_since(POOL), 0.0)
+        model.touched(POOL, 0, 100, Instant(10.0), 1000.0)
+        self.assertLess(model.kept_since(POOL), 0.0)
+        model.touched(POOL, 11, 250, Instant(11.0), 1000.0)
+        self.assertEqual(model.kept_since(POOL), 3.0)
+        self.assertLess(model.kept_since(PoolName("other")), 0.0)
+
+
+if __name__ == "__main__":
+    unittest.main()
