--- /dev/null
+++ b/wingwood/distribution/deltas.py
@@ -0,0 +1,91 @@
+"""Joining deltas, and handing large ones out in chunks (docs/DESIGN.md section 9.2)."""
+
+from __future__ import annotations
+
+from collections import OrderedDict, deque
+from collections.abc import Iterable, Sequence
+from functools import reduce
+
+import msgspec
+
+from ..bundle.model import Bundle, BundleDelta
+from ..identifiers import Address, BundleVersion
+from .messages import BundleChunk, FetchBundle
+
+ENCODED_KEPT = 8
+
+
+def joined(first: BundleDelta, second: BundleDelta) -> BundleDelta:
+    """What both do one after the other; ``second`` must begin where ``first`` ends."""
+    if second.since != first.manifest.version:
+        raise ValueError(f"a delta since {second.since} doesn't follow one to {first.manifest.version}")
+    gone = dict.fromkeys((*(name for name in first.removed if name not in second.changed), *second.removed))
+    changed = {name: content for name, content in first.changed.items() if name not in gone} | second.changed
+    return BundleDelta(since=first.since, manifest=second.manifest, changed=changed, removed=tuple(gone))
+
+
+def whole(bundle: Bundle) -> BundleDelta:
+    """What takes a holder of nothing to ``bundle``."""
+    return BundleDelta(since=BundleVersion(0), manifest=bundle.manifest, changed=dict(bundle.slices), removed=())
+
+
+class DeltaChain:
+    """The last deltas that came into force here, so that others slightly behind needn't fetch everything."""
+
+    def __init__(self, kept: int) -> None:
+        self._deltas: deque[BundleDelta] = deque(maxlen=kept)
+
+    def add(self, delta: BundleDelta, held: BundleVersion) -> None:
+        """``delta`` took this daemon from ``held`` to its manifest's version."""
+        if delta.since == 0 and held > 0:
+            self._deltas.clear()
+            return
+        if delta.since < held:
+            delta = msgspec.structs.replace(delta, since=held)
+        if self._deltas and self._deltas[-1].manifest.version != delta.since:
+            self._deltas.clear()
+        self._deltas.append(delta)
+
+    def since(self, version: BundleVersion) -> BundleDelta | None:
+        """What takes a holder of ``version`` to the newest; None when the chain begins after it."""
+        found: list[BundleDelta] = []
+        for delta in reversed(self._deltas):
+            found.append(delta)
+            if delta.since <= version:
+                return _joined_all(reversed(found))
+        return None
+
+
+def _joined_all(deltas: Iterable[BundleDelta]) -> BundleDelta:
+    return reduce(joined, deltas)
+
+
+class ChunkServer:
+    """Answers FetchBundle; keeps the last few encoded deltas, so that chunks of one fetch belong together."""
+
+    def __init__(self, chunk_bytes: int) -> None:
+        self._chunk_bytes = chunk_bytes
+        self._encoded: OrderedDict[tuple[BundleVersion, BundleVersion], bytes] = OrderedDict()
+
+    def chunk(
+        self, asked: FetchBundle, newest: BundleVersion, delta: BundleDelta | None, ask: Address | None = None
+    ) -> BundleChunk:
+        """``delta`` is what takes ``asked.since`` to ``newest``; only used for a fetch's first chunk."""
+        key = (asked.since, asked.to or newest)
+        data = self._encoded.get(key)
+        if data is None:
+            if delta is None or delta.manifest.version != key[1]:
+                return BundleChunk(False, newest, ask=ask)
+            data = self._encoded[key] = msgspec.msgpack.encode(delta)
+            while len(self._encoded) > ENCODED_KEPT:
+                self._encoded.popitem(last=False)
+        piece = data[asked.offset : asked.offset + self._chunk_bytes]
+        return BundleChunk(True, key[1], len(data), asked.offset, piece)
+
+
+def decode_delta(pieces: Sequence[bytes]) -> BundleDelta | None:
+    """None when the bytes are not a delta."""
+    try:
+        return msgspec.msgpack.decode(b"".join(pieces), type=BundleDelta)
+    except msgspec.MsgspecError:
+        return None
--- /dev/null
+++ b/wingwood/distribution/follower.py
@@ -0,0 +1,323 @@
+"""The bundle in force on a router, and its zone's home when its turn comes (docs/DESIGN.md section 9)."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Collection, Sequence
+
+import msgspec
+from returns.result import Success
+
+from ..bundle.model import Bundle, BundleDelta
+from ..bundle.parse import apply_delta
+from ..context.protocols import Context, Task
+from ..identifiers import Address, BundleVersion, Instant, Seconds
+from ..membership.client import MembershipClient
+from ..membership.messages import News
+from ..transport.frames import Identity
+from ..transport.messenger import Messenger
+from .deltas import ChunkServer, DeltaChain, decode_delta, joined, whole
+from .homes import BUNDLE_SERVICE, homes_of
+from .limits import DistributionLimits
+from .messages import BundleAnnounced, BundleChunk, BundlePosted, FetchBundle, Subscribe, Subscribed
+
+FELLOWS_ASKED = 2
+PROOFS_KEPT = 64
+POSTED_KEPT = 64
+
+
+class _Subscriber:
+    def __init__(self, identity: Identity, held: BundleVersion, until: Instant) -> None:
+        self.identity = identity
+        self.held = held
+        self.until = until
+
+
+class BundleFollower:
+    """Implements ``BundleInForce``. Wanted: the newest version heard of; the loop brings it in force."""
+
+    def __init__(
+        self,
+        context: Context,
+        messenger: Messenger,
+        membership: MembershipClient,
+        operator_keys: Collection[str],
+        removed_key_bound: Seconds | None,
+        limits: DistributionLimits | None = None,
+    ) -> None:
+        self._context = context
+        self._messenger = messenger
+        self._membership = membership
+        self._operator_keys = frozenset(operator_keys)
+        self._bound = removed_key_bound
+        self._limits = limits or DistributionLimits()
+        self._bundle: Bundle | None = None
+        self._chain = DeltaChain(self._limits.deltas_kept)
+        self._chunks = ChunkServer(self._limits.chunk_bytes)
+        self._callbacks: list[Callable[[Bundle], None]] = []
+        self._wanted = BundleVersion(0)
+        self._behind_since: Instant | None = None
+        self._told_by: Address | None = None
+        """Who has a newer version for sure; asked first, without waiting for the home."""
+        self._posted: list[BundleDelta] = []
+        self._proven: Instant | None = None
+        self._proofs: list[tuple[BundleVersion, Instant]] = []
+        """Proofs of versions not yet in force here."""
+        self._subscribers: dict[Address, _Subscriber] = {}
+        self._wake = asyncio.Event()
+        self._tasks: list[Task] = []
+        self._started = Instant(0.0)
+        messenger.on_post(BundlePosted, self._on_posted)
+        messenger.on_post(BundleAnnounced, self._on_announced)
+        messenger.on_call(Subscribe, self._on_subscribe)
+        messenger.on_call(FetchBundle, self._on_fetch)
+        membership.on_news(self._on_news)
+        membership.tell(self.version)
+
+    def start(self) -> None:
+        self._started = self._context.clock.monotonic()
+        spawn = self._context.tasks.spawn
+        self._tasks = [
+            spawn("bundle in force", self._follow_forever()),
+            spawn("bundle subscription", self._subscribe_forever()),
+        ]
+
+    def stop(self) -> None:
+        for task in self._tasks:
+            task.cancel()
+
+    # -- BundleInForce
+
+    def current(self) -> Bundle | None:
+        return self._bundle
+
+    def version(self) -> BundleVersion:
+        return BundleVersion(0) if self._bundle is None else self._bundle.version
+
+    def proven_newest_at(self) -> Instant | None:
+        return self._proven
+
+    def may_serve(self) -> bool:
+        if self._bundle is None:
+            return False
+        if self._bound is None:
+            return True
+        if self._proven is None:
+            return False
+        return self._context.clock.monotonic() - self._proven <= self._bound - self._limits.margin
+
+    def on_change(self, callback: Callable[[Bundle], None]) -> None:
+        self._callbacks.append(callback)
+
+    # -- what is heard
+
+    def _on_news(self, news: News, asked: Instant) -> None:
+        if news.proof_age is not None:
+            self._note_proof(news.proof_version, Instant(asked - news.proof_age))
+        self._want(max(news.newest, news.proof_version))
+
+    def _note_proof(self, version: BundleVersion, proven: Instant) -> None:
+        """``version`` was the newest at ``proven``; counts once that version (or a newer one) is in force."""
+        if self.version() >= version:
+            if self._proven is None or proven > self._proven:
+                self._proven = proven
+            return
+        self._proofs = [proof for proof in self._proofs if not (proof[0] >= version and proof[1] <= proven)]
+        self._proofs.append((version, proven))
+        del self._proofs[:-PROOFS_KEPT]
+
+    def _want(self, version: BundleVersion) -> None:
+        self._wanted = max(self._wanted, version)
+        if self._wanted > self.version() and self._behind_since is None:
+            self._behind_since = self._context.clock.monotonic()
+            self._wake.set()
+
+    def _on_posted(self, peer: Identity, message: BundlePosted) -> None:
+        version = message.delta.manifest.version
+        if version <= self.version():
+            return
+        self._posted = [*self._posted[-POSTED_KEPT:], message.delta]
+        self._want(version)
+        if message.delta.since > self.version() and len(self._posted) == 1:
+            self._told_by = peer.internal
+        self._wake.set()
+
+    def _on_announced(self, peer: Identity, message: BundleAnnounced) -> None:
+        if message.version > self.version():
+            self._want(message.version)
+            self._told_by = peer.internal
+            self._wake.set()
+
+    # -- bringing the newest version in force
+
+    async def _follow_forever(self) -> None:
+        """At most one version in force every ``pause``; what came meanwhile is skipped over."""
+        clock = self._context.clock
+        while True:
+            self._wake.clear()
+            begun = clock.monotonic()
+            advanced = self._put_posted_in_force()
+            if not advanced and self._may_fetch(begun):
+                advanced = await self._fetch()
+            if advanced:
+                await clock.sleep(Seconds(max(0.0, begun + self._limits.pause - clock.monotonic())))
+            else:
+                await self._wait(Seconds(0.05) if self._behind_since is not None else Seconds(0.5))
+
+    async def _wait(self, seconds: Seconds) -> None:
+        try:
+            async with asyncio.timeout(seconds):
+                await self._wake.wait()
+        except TimeoutError:
+            pass
+
+    def _put_posted_in_force(self) -> bool:
+        """All posts that follow on what is held, in one step; what leaves a gap waits for a fetch."""
+        posted, self._posted = self._posted, []
+        step: BundleDelta | None = None
+        reached = self.version()
+        for delta in sorted(posted, key=lambda delta: (delta.since, delta.manifest.version)):
+            if delta.since <= reached < delta.manifest.version:
+                step = delta if step is None else joined(step, msgspec.structs.replace(delta, since=reached))
+                reached = delta.manifest.version
+        if step is None:
+            self._posted = [delta for delta in posted if delta.manifest.version > reached]
+            return False
+        if not self._put_in_force(step):
+            return False
+        self._posted = [delta for delta in posted if delta.manifest.version > reached] + self._posted
+        return True
+
+    def _put_in_force(self, delta: BundleDelta) -> bool:
+        held = self.version()
+        outcome = apply_delta(self._bundle, delta, self._operator_keys)
+        if not isinstance(outcome, Success):
+            problem = outcome.failure()
+            if problem.code != "stale":
+                self._context.log.event(
+                    "bundle-refused", version=delta.manifest.version, since=delta.since, held=held, reason=str(problem)
+                )
+            return False
+        bundle: Bundle = outcome.unwrap()
+        self._bundle = bundle
+        self._chain.add(delta, held)
+        now = self._context.clock.monotonic()
+        self._behind_since = now if self._wanted > bundle.version else None
+        for version, proven in self._proofs:
+            if version <= bundle.version and (self._proven is None or proven > self._proven):
+                self._proven = proven
+        self._proofs = [proof for proof in self._proofs if proof[0] > bundle.version]
+        self._context.log.event("bundle-in-force", version=bundle.version, since=held)
+        for callback in self._callbacks:
+            callback(bundle)
+        self._pass_on()
+        return True
+
+    def _may_fetch(self, now: Instant) -> bool:
+        if self._told_by is not None or self._bundle is None:
+            return self._wanted > self.version() or now - self._started > 1.0
+        return self._behind_since is not None and now - self._behind_since >= self._limits.home_wait
+
+    async def _fetch(self) -> bool:
+        """From the first source that brings this daemon forward; True when it did."""
+        told_by, self._told_by = self._told_by, None
+        for source in self._sources(told_by):
+            delta = await self._fetch_from(source, self.version())
+            if delta is None or delta.manifest.version <= self.version():
+                continue
+            if self._put_in_force(delta):
+                return True
+            whole_delta = await self._fetch_from(source, BundleVersion(0))
+            if whole_delta is not None and self._put_in_force(whole_delta):
+                return True
+        return False
+
+    def _sources(self, told_by: Address | None) -> Sequence[Address]:
+        """A newcomer spares the control daemons and asks its zone first; else the primary is asked first."""
+        own = self._messenger.identity
+        routers = self._membership.routers()
+        homes = [home.internal for home in homes_of(BUNDLE_SERVICE, own.zone, routers)]
+        primary = self._membership.primary_address()
+        controls = [control for control in (primary, *self._membership.known_controls()[:8]) if control is not None]
+        fellows = self._membership.fellows()
+        some = self._context.random.sample(fellows, min(FELLOWS_ASKED, len(fellows)))
+        first = [] if told_by is None else [told_by]
+        order = [*homes, *controls, *some] if self._bundle is None else [*first, *controls, *homes, *some]
+        return [address for address in dict.fromkeys(order) if address != own.internal]
+
+    async def _fetch_from(self, source: Address, since: BundleVersion) -> BundleDelta | None:
+        pieces: list[bytes] = []
+        asked = FetchBundle(since)
+        total = 0
+        while True:
+            outcome = await self._messenger.call(source, asked, BundleChunk, self._limits.fetch)
+            if not isinstance(outcome, Success):
+                return None
+            chunk: BundleChunk = outcome.unwrap()
+            if not chunk.found or chunk.offset != asked.offset or chunk.total > self._limits.bundle_bytes:
+                return None
+            if not chunk.data and chunk.offset < chunk.total:
+                return None
+            pieces.append(chunk.data)
+            total += len(chunk.data)
+            if total >= chunk.total:
+                return decode_delta(pieces)
+            asked = FetchBundle(since, chunk.to, total)
+
+    # -- as home: passing on
+
+    async def _subscribe_forever(self) -> None:
+        """Renews the subscription at the zone's home; at once when another daemon becomes home."""
+        own = self._messenger.identity
+        while True:
+            homes = homes_of(BUNDLE_SERVICE, own.zone, self._membership.routers(), 1)
+            if homes and homes[0].internal != own.internal:
+                await self._subscribe(homes[0].internal)
+            renewal = self._limits.subscribe * (0.8 + 0.4 * self._context.random.random())
+            await self._context.clock.sleep(Seconds(renewal))
+
+    async def _subscribe(self, home: Address) -> None:
+        outcome = await self._messenger.call(home, Subscribe(self.version()), Subscribed, self._limits.fetch)
+        if isinstance(outcome, Success):
+            answer: Subscribed = outcome.unwrap()
+            if answer.held > self.version():
+                self._want(answer.held)
+                self._told_by = home
+                self._wake.set()
+
+    async def _on_subscribe(self, peer: Identity, message: Subscribe) -> Subscribed:
+        until = Instant(self._context.clock.monotonic() + self._limits.subscription)
+        self._subscribers[peer.internal] = _Subscriber(peer, message.held, until)
+        if message.held > self.version():
+            self._want(message.held)
+            self._told_by = peer.internal
+            self._wake.set()
+        return Subscribed(self.version())
+
+    def _pass_on(self) -> None:
+        now = self._context.clock.monotonic()
+        version = self.version()
+        posts: dict[BundleVersion, BundlePosted | BundleAnnounced] = {}
+        for address, subscriber in list(self._subscribers.items()):
+            if subscriber.until < now:
+                del self._subscribers[address]
+            elif subscriber.held < version:
+                if subscriber.held not in posts:
+                    delta = self._chain.since(subscriber.held)
+                    size = 0 if delta is None else sum(map(len, delta.changed.values()))
+                    small = delta is not None and size <= self._limits.posted_bytes
+                    posts[subscriber.held] = (
+                        BundlePosted(delta)
+                        if delta is not None and small
+                        else BundleAnnounced(version, self._membership.epoch())
+                    )
+                self._messenger.post(address, posts[subscriber.held])
+                subscriber.held = version
+
+    async def _on_fetch(self, peer: Identity, message: FetchBundle) -> BundleChunk:
+        if self._bundle is None:
+            return BundleChunk(False, BundleVersion(0), ask=self._membership.primary_address())
+        delta = None
+        if message.offset == 0 and message.since < self._bundle.version:
+            delta = self._chain.since(message.since) or whole(self._bundle)
+        return self._chunks.chunk(message, self._bundle.version, delta)
--- /dev/null
+++ b/wingwood/distribution/freshness.py
@@ -0,0 +1,133 @@
+"""Which version is the newest, proven by question and answer (docs/DESIGN.md section 9.3)."""
+
+from __future__ import annotations
+
+import asyncio
+
+from returns.result import Success
+
+from ..context.protocols import Context, Task
+from ..control.protocols import BundleSource, ControlCore
+from ..identifiers import BundleVersion, Instant, Seconds
+from ..membership.messages import News
+from ..transport.frames import Identity
+from ..transport.messenger import Messenger
+from .limits import DistributionLimits
+from .messages import AskNewest, BundleAnnounced, NewestProven
+
+
+class FreshnessProver:
+    """On each control daemon: asks the primary again and again, answers when it is the primary itself."""
+
+    def __init__(
+        self,
+        context: Context,
+        messenger: Messenger,
+        core: ControlCore,
+        source: BundleSource,
+        limits: DistributionLimits,
+    ) -> None:
+        self._context = context
+        self._messenger = messenger
+        self._core = core
+        self._source = source
+        self._limits = limits
+        self._proven_at: Instant | None = None
+        """Own clock before the question whose answer was ``_proven_version``."""
+        self._proven_version = BundleVersion(0)
+        self._announced = BundleVersion(0)
+        self._running: asyncio.Future[bool] | None = None
+        self._next: asyncio.Future[bool] | None = None
+        self._task: Task | None = None
+        messenger.on_call(AskNewest, self._on_ask_newest)
+        messenger.on_post(BundleAnnounced, self._on_announced)
+
+    def start(self) -> None:
+        self._task = self._context.tasks.spawn("freshness proof", self._prove_forever())
+
+    def stop(self) -> None:
+        if self._task is not None:
+            self._task.cancel()
+
+    def news(self) -> News:
+        """For heartbeat answers; the age is worked out at this instant."""
+        age = None
+        if self._proven_at is not None:
+            age = Seconds(self._context.clock.monotonic() - self._proven_at)
+        return News(
+            epoch=self._core.epoch(),
+            primary=self._core.primary_address(),
+            newest=max(self._announced, self._proven_version, self._own_newest()),
+            proof_version=self._proven_version,
+            proof_age=age,
+        )
+
+    def _own_newest(self) -> BundleVersion:
+        manifest = self._source.newest()
+        return BundleVersion(0) if manifest is None else manifest.version
+
+    def _on_announced(self, peer: Identity, message: BundleAnnounced) -> None:
+        if peer.role == "control":
+            self._announced = max(self._announced, message.version)
+
+    # -- asking
+
+    async def _prove_forever(self) -> None:
+        clock = self._context.clock
+        while True:
+            asked = clock.monotonic()
+            version = await self._ask()
+            if version is not None and version >= self._proven_version:
+                self._proven_at, self._proven_version = asked, version
+            elif version is not None:
+                self._context.log.event("newest-went-back", told=version, known=self._proven_version)
+            pause = asked + self._limits.proof * (0.9 + 0.2 * self._context.random.random()) - clock.monotonic()
+            await clock.sleep(Seconds(max(0.05, pause)))
+
+    async def _ask(self) -> BundleVersion | None:
+        if self._core.leads():
+            return self._own_newest() if await self.prove() else None
+        primary = self._core.primary_address()
+        for _ in range(2):
+            if primary is None or primary == self._messenger.identity.internal:
+                return None
+            outcome = await self._messenger.call(primary, AskNewest(), NewestProven, self._limits.proof_answer)
+            if not isinstance(outcome, Success):
+                return None
+            answer: NewestProven = outcome.unwrap()
+            if answer.proven:
+                return answer.version
+            primary = answer.primary if answer.primary != primary else None
+        return None
+
+    # -- answering
+
+    async def _on_ask_newest(self, peer: Identity, message: AskNewest) -> NewestProven:
+        proven = await self.prove()
+        return NewestProven(proven, self._own_newest(), self._core.epoch(), self._core.primary_address())
+
+    async def prove(self) -> bool:
+        """Whether this daemon led at some instant after this call; many callers share one round.
+
+        A round under way may have begun before the question came, so a caller waits for the next one.
+        """
+        if not self._core.leads():
+            return False
+        if self._next is not None:
+            return await asyncio.shield(self._next)
+        self._next = waiting = asyncio.get_running_loop().create_future()
+        if self._running is None:
+            self._context.tasks.spawn("proof of lead", self._run_rounds())
+        return await asyncio.shield(waiting)
+
+    async def _run_rounds(self) -> None:
+        while self._next is not None:
+            self._running, self._next = self._next, None
+            proven = False
+            try:
+                async with asyncio.timeout(self._limits.proof_answer):
+                    proven = await self._core.prove_lead() and self._core.leads()
+            except TimeoutError:
+                pass
+            self._running.set_result(proven)
+        self._running = None
--- /dev/null
+++ b/wingwood/distribution/limits.py
@@ -0,0 +1,30 @@
+"""Times and sizes of distribution, in seconds and bytes (docs/DESIGN.md sections 9.2 to 9.4)."""
+
+from __future__ import annotations
+
+import msgspec
+
+from ..identifiers import Seconds
+
+
+class DistributionLimits(msgspec.Struct, frozen=True, kw_only=True):
+    home_wait: Seconds = Seconds(0.3)
+    """How long a newer version is left to the home to bring."""
+    fetch: Seconds = Seconds(0.4)
+    """How long one daemon's answer to a fetch is waited for."""
+    subscribe: Seconds = Seconds(1.0)
+    subscription: Seconds = Seconds(3.0)
+    """A subscription that is not renewed ends."""
+    pause: Seconds = Seconds(0.1)
+    """Least time between two versions put in force, and between two posts to one home."""
+    proof: Seconds = Seconds(0.4)
+    """How often a control daemon asks the primary for the newest version."""
+    proof_answer: Seconds = Seconds(0.5)
+    margin: Seconds = Seconds(0.8)
+    """Kept free between the oldest proof that is served on and the bound on removed keys."""
+    chunk_bytes: int = 256 * 1024
+    posted_bytes: int = 256 * 1024
+    """Larger deltas are announced and fetched."""
+    bundle_bytes: int = 64 * 1024 * 1024
+    """Most that a fetch gathers."""
+    deltas_kept: int = 256
--- /dev/null
+++ b/wingwood/distribution/messages.py
@@ -0,0 +1,68 @@
+"""How bundles travel, and how their newness is proven (docs/DESIGN.md section 9)."""
+
+from __future__ import annotations
+
+import msgspec
+
+from ..bundle.model import BundleDelta
+from ..identifiers import Address, BundleVersion, Epoch
+
+
+class BundlePosted(msgspec.Struct, frozen=True, array_like=True):
+    """Post, primary to homes and homes to subscribers: a change to put in force."""
+
+    delta: BundleDelta
+
+
+class BundleAnnounced(msgspec.Struct, frozen=True, array_like=True):
+    """Post, primary to homes and to control daemons: that version is durable; fetch it when needed."""
+
+    version: BundleVersion
+    epoch: Epoch
+
+
+class Subscribe(msgspec.Struct, frozen=True, array_like=True):
+    """Call, router to its zone's home, every second or so. Reply: Subscribed."""
+
+    held: BundleVersion
+
+
+class Subscribed(msgspec.Struct, frozen=True, array_like=True):
+    held: BundleVersion
+    """In force at the home."""
+
+
+class FetchBundle(msgspec.Struct, frozen=True, array_like=True):
+    """Call: what takes a holder of ``since`` to the newest version here. Reply: BundleChunk.
+
+    ``to`` and ``offset`` are 0 at first; a large delta is fetched chunk by chunk.
+    """
+
+    since: BundleVersion
+    to: BundleVersion = BundleVersion(0)
+    offset: int = 0
+
+
+class BundleChunk(msgspec.Struct, frozen=True, array_like=True):
+    """A piece of an encoded BundleDelta."""
+
+    found: bool
+    """False: nothing newer here (``to`` tells what is), or this daemon doesn't keep bundles."""
+    to: BundleVersion
+    total: int = 0
+    offset: int = 0
+    data: bytes = b""
+    ask: Address | None = None
+    """Who should have it."""
+
+
+class AskNewest(msgspec.Struct, frozen=True, array_like=True):
+    """Call, control daemon to the primary: which version is the newest acknowledged one? Reply: NewestProven."""
+
+
+class NewestProven(msgspec.Struct, frozen=True, array_like=True):
+    proven: bool
+    """True: while the question was being answered nobody else led, and ``version`` was the newest."""
+    version: BundleVersion
+    epoch: Epoch
+    primary: Address | None = None
--- /dev/null
+++ b/wingwood/distribution/tests/small_fleet.py
@@ -0,0 +1,197 @@
+"""Control daemons and routers without callers, on the simulator, for membership and distribution."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from typing import TypeVar
+
+from returns.result import Success
+
+from simulation import Process, World, address_of
+
+from ...bundle.state import BundleState
+from ...bundle.tests.samples import OPERATOR_KEYS
+from ...context.protocols import Context
+from ...control.protocols import SubmitOrder
+from ...identifiers import Address, BundleVersion, DaemonName, Incarnation, Seconds, Zone
+from ...membership.client import MembershipClient
+from ...membership.keeper import SessionKeeper
+from ...transport.frames import Identity
+from ...transport.messenger import TcpMessenger
+from ..follower import BundleFollower
+from ..publisher import BundlePublisher
+from .stand_ins import Orders, StandInCore, StandInSource, empty_disk
+
+KEY = b"k" * 32
+PORT = 26000
+Part = TypeVar("Part")
+
+
+class ControlParts:
+    """What one life of a control daemon consists of."""
+
+    def __init__(self, context: Context, identity: Identity, seeds: Sequence[Address], disk: BundleState) -> None:
+        self.messenger = TcpMessenger(context, identity, KEY)
+        self.core = StandInCore(self.messenger, tuple(seeds))
+        self.source = StandInSource(disk)
+        self.keeper = SessionKeeper(context, self.messenger, seeds)
+        self.publisher = BundlePublisher(context, self.messenger, self.core, self.source, self.keeper)
+        self.keeper.tell(self.publisher.news)
+
+
+class RouterParts:
+    def __init__(self, context: Context, identity: Identity, seeds: Sequence[Address], bound: Seconds | None) -> None:
+        self.messenger = TcpMessenger(context, identity, KEY)
+        self.client = MembershipClient(context, self.messenger, seeds)
+        self.follower = BundleFollower(context, self.messenger, self.client, OPERATOR_KEYS, bound)
+
+
+class SmallFleet:
+    """Three control daemons c1..c3 (c1 leads, c2 backs up) and routers r1..rN over three zones."""
+
+    make_router: Callable[[Context, Identity, Sequence[Address], Seconds | None], RouterParts] = RouterParts
+    make_control: Callable[[Context, Identity, Sequence[Address], BundleState], ControlParts] = ControlParts
+
+    def __init__(self, world: World, routers: int = 11, bound: Seconds | None = None) -> None:
+        self.world = world
+        self.bound = bound
+        self.orders = Orders()
+        self.disks: dict[str, BundleState] = {}
+        self.controls: dict[str, ControlParts] = {}
+        self.routers: dict[str, RouterParts] = {}
+        self.epoch = 1
+        self.primary, self.backup = "c1", "c2"
+        self.committed_at: dict[BundleVersion, float] = {}
+        self.in_force_at: dict[tuple[str, BundleVersion], float] = {}
+        names = ("c1", "c2", "c3")
+        self.seeds = [address_of(world.machine(name, "abc"[index]), PORT) for index, name in enumerate(names)]
+        for name in names:
+            self.start_control(name)
+        for number in range(routers):
+            self.start_router(f"r{number + 1:02}", "abc"[number % 3])
+
+    # -- processes
+
+    def _identity(self, name: str, role: str, incarnation: str) -> Identity:
+        machine = self.world.machine(name)
+        return Identity(
+            DaemonName(name),
+            Incarnation(incarnation),
+            "control" if role == "control" else "router",
+            Zone(machine.zone),
+            address_of(machine, PORT),
+        )
+
+    def start_control(self, name: str, zone: str = "a") -> Process:
+        """A control daemon with an empty disk on a machine of that name."""
+        self.world.machine(name, zone)
+        self.disks[name] = empty_disk()
+
+        async def main(context: Context) -> None:
+            identity = self._identity(name, "control", f"{name}-disk")
+            parts = self.make_control(context, identity, self.seeds, self.disks[name])
+            self.controls[name] = parts
+            assert isinstance(parts.messenger.start(), Success)
+            parts.core.told(self.epoch, address_of(self.world.machine(self.primary), PORT))
+            parts.keeper.start()
+            parts.publisher.start()
+
+        return self.world.start(name, main)
+
+    def start_router(self, name: str, zone: str = "a") -> Process:
+        self.world.machine(name, zone)
+
+        async def main(context: Context) -> None:
+            identity = self._identity(name, "router", f"{name}-{context.random.getrandbits(32):08x}")
+            parts = self.make_router(context, identity, self.seeds, self.bound)
+            self.routers[name] = parts
+            parts.follower.on_change(lambda bundle: self._in_force(name, bundle.version))
+            assert isinstance(parts.messenger.start(), Success)
+            parts.client.start()
+            parts.follower.start()
+
+        return self.world.start(name, main)
+
+    def _in_force(self, name: str, version: BundleVersion) -> None:
+        earlier = self.in_force_at.setdefault((name, version), self.world.now)
+        assert earlier == self.world.now or self.world.processes[name].lives > 1
+
+    # -- control core, moved by hand
+
+    def commit(self) -> BundleVersion:
+        """The next order, durable on primary and backup and acknowledged now."""
+        order = self.orders.next()
+        record, reply = self.disks[self.primary].decide(SubmitOrder(order))
+        assert record is not None, reply
+        for name in (self.primary, self.backup):
+            self.disks[name].apply(record)
+            if self.world.processes[name].alive:
+                self.world.spawn(self.world.processes[name], self._committed(name), "committed")
+        self.committed_at[order.manifest.version] = self.world.now
+        return order.manifest.version
+
+    async def _committed(self, name: str) -> None:
+        self.controls[name].source.committed()
+
+    def take_over(self, primary: str, backup: str, told: Sequence[str]) -> None:
+        """A new view; only the control daemons in ``told`` hear of it."""
+        self.epoch += 1
+        self.primary, self.backup = primary, backup
+        if self.disks[primary].version > self.disks[backup].version:
+            self.disks[backup].restore(self.disks[primary].snapshot())
+        for name in told:
+            self.world.spawn(self.world.processes[name], self._told(name, self.epoch), "told")
+
+    async def _told(self, name: str, epoch: int) -> None:
+        self.controls[name].core.told(epoch, address_of(self.world.machine(self.primary), PORT))
+
+    # -- looking
+
+    def inside(self, name: str, look: Callable[[], Part]) -> Part:
+        """The value as the process itself sees it, on its own clock."""
+        loop = self.world.loop
+        before, loop.running_life = loop.running_life, self.world.processes[name].life
+        try:
+            return look()
+        finally:
+            loop.running_life = before
+
+    def serving(self) -> list[str]:
+        return [name for name in self.versions() if self.inside(name, self.routers[name].follower.may_serve)]
+
+    def proof_age(self, name: str) -> float | None:
+        context, follower = self.world.processes[name].context, self.routers[name].follower
+        proven = follower.proven_newest_at()
+        assert context is not None
+        return None if proven is None else self.inside(name, context.clock.monotonic) - proven
+
+    def routers_address(self, name: str) -> Address:
+        return address_of(self.world.machine(name), PORT)
+
+    def versions(self) -> dict[str, BundleVersion]:
+        return {name: parts.follower.version() for name, parts in sorted(self.routers.items()) if self._runs(name)}
+
+    def _runs(self, name: str) -> bool:
+        process = self.world.processes[name]
+        return process.alive and not process.frozen
+
+    def all_in_force(self, version: BundleVersion, apart_from: Sequence[str] = ()) -> bool:
+        return all(held >= version for name, held in self.versions().items() if name not in apart_from)
+
+    def view_of(self, router: str) -> list[str]:
+        return [member.name for member in self.routers[router].client.members()]
+
+    def all_see(self, names: Sequence[str], apart_from: Sequence[str] = ()) -> bool:
+        """Whether every running router's members are exactly those."""
+        return all(self.view_of(name) == sorted(names) for name in self.versions() if name not in apart_from)
+
+    def everybody(self) -> list[str]:
+        return sorted([*self.controls, *self.routers])
+
+    def settle(self, seconds: float = 5.0) -> None:
+        """Lets the fleet form, with version 1 in force."""
+        self.world.run(0.2)
+        version = self.commit()
+        assert self.world.wait_for(lambda: self.all_in_force(version), seconds), self.world.timeline(80)
+        assert self.world.wait_for(lambda: self.all_see(self.everybody()), seconds), self.world.timeline(80)
+        self.world.run(3.0)
--- /dev/null
+++ b/wingwood/distribution/tests/stand_ins.py
@@ -0,0 +1,122 @@
+"""A control core that a test moves by hand, over the real bundle state (stand-ins for section 7)."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from ...bundle.model import BundleDelta, Manifest, Order, Tenant
+from ...bundle.state import BundleState
+from ...bundle.tests.samples import OPERATOR_KEYS, order_between, sample_slices, slice_of
+from ...control.protocols import NotDecided, ViewReport
+from ...identifiers import Address, BundleVersion, ClassName, Epoch, Seconds, SliceName, TenantName
+from ...transport.frames import Identity
+from ...transport.messenger import Messenger
+
+
+class ConfirmLead(msgspec.Struct, frozen=True):
+    epoch: Epoch
+
+
+class LeadConfirmed(msgspec.Struct, frozen=True):
+    confirmed: bool
+
+
+class StandInCore:
+    """Believes what the test told it; a proof of lead asks the other control daemons for real."""
+
+    def __init__(self, messenger: Messenger, others: tuple[Address, ...]) -> None:
+        self._messenger = messenger
+        self._others = others
+        self._epoch = Epoch(0)
+        self._primary: Address | None = None
+        self._callbacks: list[Callable[[], None]] = []
+        messenger.on_call(ConfirmLead, self._on_confirm)
+
+    def told(self, epoch: int, primary: Address | None) -> None:
+        self._epoch, self._primary = Epoch(epoch), primary
+        for callback in self._callbacks:
+            callback()
+
+    async def _on_confirm(self, peer: Identity, message: ConfirmLead) -> LeadConfirmed:
+        return LeadConfirmed(message.epoch >= self._epoch)
+
+    def leads(self) -> bool:
+        return self._primary == self._messenger.identity.internal
+
+    def epoch(self) -> Epoch:
+        return self._epoch
+
+    def primary_address(self) -> Address | None:
+        return self._primary
+
+    async def decide(self, kind: str, command: msgspec.Struct) -> Result[msgspec.Struct, NotDecided]:
+        return Failure(NotDecided("not-leading"))
+
+    async def prove_lead(self) -> bool:
+        epoch = self._epoch
+        for other in self._others:
+            if other == self._messenger.identity.internal:
+                continue
+            answer = await self._messenger.call(other, ConfirmLead(epoch), LeadConfirmed, Seconds(0.2))
+            if isinstance(answer, Success):
+                return bool(answer.unwrap().confirmed) and self.leads() and epoch == self._epoch
+        return False
+
+    def report(self) -> ViewReport:
+        raise NotImplementedError
+
+    def on_change(self, callback: Callable[[], None]) -> None:
+        self._callbacks.append(callback)
+
+
+class StandInSource:
+    """One control daemon's view of the bundle state on its disk; the disk outlives the daemon."""
+
+    def __init__(self, state: BundleState) -> None:
+        self._state = state
+        self._callbacks: list[Callable[[Manifest], None]] = []
+
+    def newest(self) -> Manifest | None:
+        return self._state.manifest_at(self._state.version)
+
+    def delta_since(self, version: BundleVersion) -> BundleDelta | None:
+        return self._state.delta_since(version, self._state.version)
+
+    def on_committed(self, callback: Callable[[Manifest], None]) -> None:
+        self._callbacks.append(callback)
+
+    def committed(self) -> None:
+        manifest = self.newest()
+        assert manifest is not None
+        for callback in self._callbacks:
+            callback(manifest)
+
+
+def empty_disk() -> BundleState:
+    return BundleState(OPERATOR_KEYS)
+
+
+class Orders:
+    """Signed orders one after the other, each changing one tenant's paid rate."""
+
+    def __init__(self, tenants: int = 5) -> None:
+        self.version = BundleVersion(0)
+        self.slices: dict[SliceName, bytes] = {}
+        self._tenants = tenants
+
+    def next(self) -> Order:
+        if self.version == 0:
+            after = sample_slices(self._tenants)
+        else:
+            tenant = Tenant(
+                name=TenantName(f"tenant-{self.version % self._tenants}"),
+                priority_class=ClassName("gold"),
+                paid_rate=10.0 + self.version,
+            )
+            after = self.slices | dict([slice_of(tenant)])
+        order = order_between(self.version, self.slices, after)
+        self.version, self.slices = order.manifest.version, after
+        return order
--- /dev/null
+++ b/wingwood/distribution/tests/test_deltas.py
@@ -0,0 +1,72 @@
+"""Joined deltas, chains and chunks, over the real bundle state (docs/DESIGN.md section 9.2)."""
+
+from __future__ import annotations
+
+import unittest
+from random import Random
+
+from returns.result import Success
+
+from ...bundle.model import Bundle
+from ...bundle.parse import apply_delta
+from ...bundle.tests.samples import OPERATOR_KEYS, order_between, sample_slices, submit
+from ...identifiers import BundleVersion, SliceName
+from ..deltas import ChunkServer, DeltaChain, decode_delta, whole
+from ..messages import FetchBundle
+from .stand_ins import empty_disk
+
+
+class DeltaChainTest(unittest.TestCase):
+    def test_any_holder_within_the_chain_is_brought_to_the_newest(self) -> None:
+        """Slices come, change and go; followers skip versions; every joined delta passes the root check."""
+        random = Random(3)
+        state = empty_disk()
+        slices: dict[SliceName, bytes] = {}
+        past: dict[int, Bundle] = {}
+        chain, held, bundle = DeltaChain(kept=30), BundleVersion(0), None
+        joined, missing = 0, 0
+        full = sample_slices(20)
+        extra = [SliceName(f"tenant/tenant-{number}") for number in range(20)]
+        for version in range(1, 120):
+            after = {name: data for name, data in full.items() if name not in extra or random.random() < 0.7}
+            submit(state, order_between(version - 1, slices, after))
+            slices = after
+            if random.random() < 0.5:
+                continue
+            delta = state.delta_since(BundleVersion(random.choice([held, held, max(0, held - 1)])), state.version)
+            assert delta is not None
+            outcome = apply_delta(bundle, delta, OPERATOR_KEYS)
+            assert isinstance(outcome, Success), outcome
+            chain.add(delta, held)
+            bundle = past[version] = outcome.unwrap()
+            held = bundle.version
+            for since, old in past.items():
+                if since == held:
+                    continue
+                told = chain.since(BundleVersion(since))
+                if told is None:
+                    missing += 1
+                    continue
+                joined += 1
+                result = apply_delta(old, told, OPERATOR_KEYS)
+                assert isinstance(result, Success), result
+                self.assertEqual(result.unwrap().slices, bundle.slices)
+        self.assertGreater(joined, 500)
+        self.assertGreater(missing, 100)
+
+    def test_large_delta_travels_in_chunks_of_one_version(self) -> None:
+        state, slices = empty_disk(), sample_slices(200)
+        submit(state, order_between(0, {}, slices))
+        bundle = apply_delta(None, state.delta_since(BundleVersion(0), state.version), OPERATOR_KEYS).unwrap()  # type: ignore[arg-type]
+        server = ChunkServer(chunk_bytes=1000)
+        first = server.chunk(FetchBundle(BundleVersion(0)), bundle.version, whole(bundle))
+        pieces = [first.data]
+        while sum(map(len, pieces)) < first.total:
+            asked = FetchBundle(BundleVersion(0), first.to, sum(map(len, pieces)))
+            chunk = server.chunk(asked, BundleVersion(2), None)
+            self.assertTrue(chunk.found)
+            pieces.append(chunk.data)
+        self.assertGreater(len(pieces), 10)
+        self.assertEqual(decode_delta(pieces), whole(bundle))
+        self.assertIsNone(decode_delta(pieces[:-1]))
+        self.assertFalse(server.chunk(FetchBundle(BundleVersion(1)), BundleVersion(1), None).found)
--- /dev/null
+++ b/wingwood/distribution/tests/test_distribution.py
@@ -0,0 +1,250 @@
+"""In force within 2 s, never back, and proofs of newness, on the simulator (docs/DESIGN.md section 9)."""
+
+from __future__ import annotations
+
+import unittest
+
+from simulation import World
+
+from ...identifiers import Seconds
+from ...membership.rendezvous import ranked
+from .small_fleet import SmallFleet
+
+# ruff: noqa: B023
+
+IN_FORCE_WITHIN = 2.0
+
+
+def home_of(zone: str, names: list[str], fleet: SmallFleet, rank: int = 0) -> str:
+    local = [name for name in names if fleet.world.machine(name).zone == zone]
+    return ranked("home/bundle", local, str)[rank]
+
+
+class RollOutTest(unittest.TestCase):
+    def in_force(self, fleet: SmallFleet, version: int, apart_from: tuple[str, ...] = ()) -> float:
+        committed = fleet.committed_at[version]  # type: ignore[index]
+        left = committed + IN_FORCE_WITHIN - fleet.world.now
+        done = fleet.world.wait_for(lambda: fleet.all_in_force(version, apart_from), left, every=0.01)  # type: ignore[arg-type]
+        self.assertTrue(done, f"version {version} wanted, in force {fleet.versions()}\n{fleet.world.timeline(60)}")
+        self.assertEqual(fleet.world.broken_invariants, [])
+        return fleet.world.now - committed
+
+    def test_change_reaches_everyone_through_the_homes_at_once(self) -> None:
+        with World(seed=1) as world:
+            fleet = SmallFleet(world)
+            fleet.settle()
+            for _ in range(20):
+                self.assertLess(self.in_force(fleet, fleet.commit()), 0.2)
+                world.run(0.35)
+
+    def test_home_that_is_killed_frozen_or_cut_off_in_that_moment_breaks_nothing(self) -> None:
+        for seed, way in enumerate(("kill", "freeze", "power", "inward", "outward") * 2):
+            with self.subTest(seed=seed, way=way), World(seed) as world:
+                fleet = SmallFleet(world)
+                fleet.settle()
+                zone = "abc"[seed % 3]
+                home = home_of(zone, sorted(fleet.routers), fleet)
+                if seed % 2:
+                    version = fleet.commit()
+                match way:
+                    case "kill":
+                        world.kill(home)
+                    case "freeze":
+                        world.freeze(home)
+                    case "power":
+                        world.power_off(home)
+                    case _:
+                        world.cut_off(home, inward=way == "inward", outward=way == "outward")
+                if not seed % 2:
+                    version = fleet.commit()
+                self.in_force(fleet, version, (home,))
+                world.run(0.2)
+                self.in_force(fleet, fleet.commit(), (home,))
+
+    def test_frozen_home_and_second_and_a_frozen_control_daemon_together(self) -> None:
+        with World(seed=5) as world:
+            fleet = SmallFleet(world)
+            fleet.settle()
+            both = [home_of("b", sorted(fleet.routers), fleet, rank) for rank in (0, 1)]
+            for name in (*both, "c2"):
+                world.freeze(name)
+            self.in_force(fleet, fleet.commit(), tuple(both))
+            world.run(5.0)
+            for name in (*both, "c2"):
+                world.wake(name)
+            self.assertTrue(world.wait_for(lambda: fleet.all_in_force(fleet.orders.version), 1.0))
+
+    def test_storm_of_fifty_changes_a_second(self) -> None:
+        with World(seed=2) as world:
+            fleet = SmallFleet(world)
+            fleet.settle()
+            begun = world.now
+            latest = 0.0
+            for number in range(250):
+                version = fleet.commit()
+                if number == 100:
+                    world.freeze(home_of("a", sorted(fleet.routers), fleet))
+                world.run_until(begun + (number + 1) / 50)
+                due = [past for past, at in fleet.committed_at.items() if world.now - at > IN_FORCE_WITHIN]
+                if due:
+                    self.assertTrue(fleet.all_in_force(max(due)), fleet.versions())
+            latest = self.in_force(fleet, version)
+            self.assertLess(latest, 1.5)
+            activations = sum(1 for name, _ in fleet.in_force_at if name == "r01")
+            self.assertLess(activations, 5 * 12 + 10, "work per second is bounded")
+
+    def test_router_that_missed_many_versions_catches_up_when_it_wakes(self) -> None:
+        with World(seed=3) as world:
+            fleet = SmallFleet(world)
+            fleet.settle()
+            world.freeze("r04")
+            for _ in range(40):
+                fleet.commit()
+                world.run(0.1)
+            world.wake("r04")
+            self.assertTrue(world.wait_for(lambda: fleet.all_in_force(fleet.orders.version), 1.0))
+
+    def test_empty_control_daemon_at_a_new_address_brings_bundles_after_two_losses(self) -> None:
+        with World(seed=4) as world:
+            fleet = SmallFleet(world)
+            fleet.settle()
+            world.power_off("c1")
+            fleet.take_over("c2", "c3", ["c2", "c3"])
+            self.in_force(fleet, fleet.commit())
+            fleet.start_control("c4", "a")
+            world.run(3.0)
+            world.power_off("c2")
+            fleet.take_over("c3", "c4", ["c3", "c4"])
+            self.in_force(fleet, fleet.commit())
+            world.power_off("c3")
+            fleet.start_control("c5", "b")
+            world.run(0.1)
+            fleet.take_over("c4", "c5", ["c4", "c5"])
+            self.in_force(fleet, fleet.commit())
+
+    def test_restarted_router_takes_the_newest_bundle_of_its_fellows_while_control_is_away(self) -> None:
+        """Also where removed keys are bounded; but there it does not serve, having no proof."""
+        for bound in (None, Seconds(5.0)):
+            with self.subTest(bound=bound), World(seed=6) as world:
+                fleet = SmallFleet(world, bound=bound)
+                fleet.seeds.append(fleet.routers_address("r01"))
+                fleet.settle()
+                for name in ("c1", "c2", "c3"):
+                    world.kill(name)
+                world.restart("r05")
+                self.assertTrue(world.wait_for(lambda: fleet.versions()["r05"] == fleet.orders.version, 6.0))
+                world.run(6.0)
+                self.assertEqual(fleet.routers["r05"].follower.may_serve(), bound is None)
+
+
+class FreshnessTest(unittest.TestCase):
+    """Despensa: no router serves later than 5 s after a version that it lacks was acknowledged."""
+
+    def no_stale_service(self, fleet: SmallFleet, seconds: float) -> None:
+        """Lets time pass; an observer that knows all acknowledgements watches."""
+        until = fleet.world.now + seconds
+        while fleet.world.now < until:
+            fleet.world.run(0.02)
+            for name in fleet.serving():
+                held = fleet.routers[name].follower.version()
+                missed = fleet.committed_at.get(held + 1)  # type: ignore[call-overload]
+                if missed is not None:
+                    self.assertLess(fleet.world.now - missed, 5.0, f"{name} serves on version {held}")
+
+    def test_all_serve_while_nothing_fails_and_a_second_is_the_usual_age(self) -> None:
+        with World(seed=1) as world:
+            fleet = SmallFleet(world, bound=Seconds(5.0))
+            fleet.settle()
+            ages = []
+            for _ in range(200):
+                world.run(0.05)
+                self.assertEqual(len(fleet.serving()), 11)
+                for name in fleet.routers:
+                    age = fleet.proof_age(name)
+                    assert age is not None
+                    ages.append(age)
+            self.assertLess(max(ages), 1.4)
+
+    def test_cut_off_routers_stop_in_time_and_come_back(self) -> None:
+        for seed, inward in ((1, True), (2, False)):
+            with self.subTest(inward=inward), World(seed) as world:
+                fleet = SmallFleet(world, bound=Seconds(5.0))
+                fleet.settle()
+                cut = world.cut_off("r03", inward=inward, outward=not inward)
+                world.run(0.05)
+                fleet.commit()
+                self.no_stale_service(fleet, 8.0)
+                self.assertNotIn("r03", fleet.serving())
+                world.heal(cut)
+                self.assertTrue(world.wait_for(lambda: len(fleet.serving()) == 11, 4.0))
+
+    def test_frozen_router_does_not_serve_on_a_buffered_answer(self) -> None:
+        for seed in range(8):
+            with self.subTest(seed=seed), World(seed) as world:
+                fleet = SmallFleet(world, bound=Seconds(5.0))
+                fleet.settle()
+                world.run(0.07 * seed)
+                world.freeze("r02")
+                world.run(0.5)
+                cut = world.cut_off("r02")
+                fleet.commit()
+                world.run(5.5)
+                world.wake("r02")
+                self.no_stale_service(fleet, 2.0)
+                self.assertNotIn("r02", fleet.serving())
+                world.heal(cut)
+                self.assertTrue(world.wait_for(lambda: len(fleet.serving()) == 11, 4.0))
+
+    def test_cut_off_former_primary_proves_nothing(self) -> None:
+        """c1 and some routers are cut off together; c2 takes over; c1 still believes that it leads."""
+        for seed in range(3):
+            with self.subTest(seed=seed), World(seed) as world:
+                fleet = SmallFleet(world, bound=Seconds(5.0))
+                fleet.settle()
+                inside = ["c1", "r01", "r02", "r04"]
+                outside = [name for name in fleet.everybody() if name not in inside]
+                cuts = [world.cut(one, other) for one in inside for other in outside]
+                world.run(1.0)
+                fleet.take_over("c2", "c3", ["c2", "c3"])
+                fleet.commit()
+                self.no_stale_service(fleet, 12.0)
+                self.assertEqual(fleet.serving(), [name for name in outside if name.startswith("r")])
+                for cut in cuts:
+                    world.heal(cut)
+                world.spawn(world.processes["c1"], fleet._told("c1", fleet.epoch), "told")
+                self.assertTrue(world.wait_for(lambda: len(fleet.serving()) == 11, 5.0))
+
+    def test_frozen_control_daemon_that_wakes_does_not_pass_on_an_old_proof(self) -> None:
+        for seed in range(4):
+            with self.subTest(seed=seed), World(seed) as world:
+                fleet = SmallFleet(world, bound=Seconds(5.0))
+                fleet.settle()
+                for name in ("c1", "c2", "c3"):
+                    world.freeze(name)
+                world.run(0.5)
+                fleet.committed_at[fleet.orders.version + 1] = world.now  # type: ignore[index]
+                world.run(3.0)
+                world.cut("c3", "c1"), world.cut("c3", "c2")
+                world.wake("c3")
+                self.no_stale_service(fleet, 4.0)
+                self.assertEqual(fleet.serving(), [])
+
+    def test_take_over_within_two_and_a_half_seconds_interrupts_nobody(self) -> None:
+        for seed in range(4):
+            with self.subTest(seed=seed), World(seed) as world:
+                fleet = SmallFleet(world, bound=Seconds(5.0))
+                fleet.settle()
+                world.kill("c1")
+                world.run(2.5)
+                fleet.take_over("c2", "c3", ["c2", "c3"])
+                for _ in range(40):
+                    world.run(0.05)
+                    self.assertEqual(len(fleet.serving()), 11)
+
+    def test_cut_off_routers_serve_on_where_removed_keys_are_not_bounded(self) -> None:
+        with World(seed=8) as world:
+            fleet = SmallFleet(world)
+            fleet.settle()
+            world.cut_off("r03")
+            world.run(30.0)
+            self.assertEqual(len(fleet.serving()), 11)
--- /dev/null
+++ b/wingwood/membership/client.py
@@ -0,0 +1,303 @@
+"""A daemon's session with the control daemons, and its view of the members (docs/DESIGN.md section 8)."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+
+from returns.result import Success
+
+from ..context.protocols import Context, Task
+from ..identifiers import Address, BundleVersion, Epoch, Incarnation, Instant, Seconds
+from ..transport.frames import Identity
+from ..transport.messenger import Messenger
+from .keeper import FELLOWS_TOLD, by_name
+from .limits import SessionTimes
+from .member_list import MemberList, bucket_count
+from .messages import (
+    AskKnownControls,
+    CompareMembers,
+    EndSession,
+    Heartbeat,
+    HeartbeatAnswer,
+    KnownControls,
+    MembersCompared,
+    News,
+    Position,
+)
+from .rendezvous import ranked
+
+NewsCallback = Callable[[News, Instant], None]
+ADDRESSES_KEPT = 128
+FELLOWS_ASKED = 2
+
+
+class MembershipClient:
+    """Implements ``Membership`` on a router: one session at a time, with the keeper that suits it best."""
+
+    def __init__(
+        self,
+        context: Context,
+        messenger: Messenger,
+        seeds: Sequence[Address],
+        times: SessionTimes | None = None,
+    ) -> None:
+        self._context = context
+        self._messenger = messenger
+        self._identity = messenger.identity
+        self._seeds = tuple(seeds)
+        self._times = times or SessionTimes()
+        self._list = MemberList(remembered=0)
+        self._keeper: Address | None = None
+        self._position: Position | None = None
+        self._settled = False
+        """Whether the list was compared with a keeper that may be trusted to remove."""
+        self._proven: Instant | None = None
+        self._answered: Instant | None = None
+        self._controls: dict[Address, None] = {}
+        """Control addresses heard of; newest last."""
+        self._fellows: tuple[Address, ...] = ()
+        self._failed: dict[Address, Instant] = {}
+        self._epoch = Epoch(0)
+        self._newest = BundleVersion(0)
+        self._primary: Address | None = None
+        self._in_force: Callable[[], BundleVersion] = lambda: BundleVersion(0)
+        self._change_callbacks: list[Callable[[], None]] = []
+        self._news_callbacks: list[NewsCallback] = []
+        self._lost_callbacks: list[Callable[[], None]] = []
+        self._had_session = False
+        self._task: Task | None = None
+        self._rebalance_at = Instant(0.0)
+        self._members_cache: tuple[int, tuple[Identity, ...]] | None = None
+        messenger.on_call(AskKnownControls, self._on_ask_known_controls)
+
+    # -- wiring
+
+    def tell(self, in_force: Callable[[], BundleVersion]) -> None:
+        """Which version heartbeats report."""
+        self._in_force = in_force
+
+    def on_news(self, callback: NewsCallback) -> None:
+        """Called with each heartbeat answer's news and the own clock before the heartbeat."""
+        self._news_callbacks.append(callback)
+
+    def on_session_lost(self, callback: Callable[[], None]) -> None:
+        """Called when an answer says that others have seen this daemon leave since the last one."""
+        self._lost_callbacks.append(callback)
+
+    def start(self) -> None:
+        self._rebalance_at = Instant(self._context.clock.monotonic() + self._times.rebalance)
+        self._task = self._context.tasks.spawn("membership session", self._hold_session_forever())
+
+    def stop(self) -> None:
+        """Ends the session at once, so that others need not wait for its loss."""
+        if self._task is not None:
+            self._task.cancel()
+        if self._keeper is not None:
+            self._messenger.post(self._keeper, EndSession())
+
+    # -- Membership
+
+    def members(self) -> Sequence[Identity]:
+        if self._members_cache is None or self._members_cache[0] != self._list.sequence:
+            self._members_cache = (self._list.sequence, by_name(self._list.identities()))
+        return self._members_cache[1]
+
+    def routers(self) -> Sequence[Identity]:
+        return [member for member in self.members() if member.role == "router"]
+
+    def controls(self) -> Sequence[Identity]:
+        return [member for member in self.members() if member.role == "control"]
+
+    def is_member(self, incarnation: Incarnation) -> bool:
+        return incarnation in self._list
+
+    def session_proven_at(self) -> Instant | None:
+        return self._proven
+
+    def on_change(self, callback: Callable[[], None]) -> None:
+        self._change_callbacks.append(callback)
+
+    # -- for health, operators' calls and distribution
+
+    def primary_address(self) -> Address | None:
+        """Internal address of the presumed primary, as last told."""
+        return self._primary
+
+    def epoch(self) -> Epoch:
+        """Newest epoch heard of."""
+        return self._epoch
+
+    def known_controls(self) -> list[Address]:
+        """Control members first, then others heard of (latest first), then seeds."""
+        live = [member.internal for member in self.controls()]
+        return list(dict.fromkeys([*live, *reversed(self._controls), *self._seeds]))
+
+    def fellows(self) -> list[Address]:
+        """Internal addresses of other routers, also before the first session."""
+        known = [member.internal for member in self.routers()] or list(self._fellows)
+        return [address for address in known if address != self._identity.internal]
+
+    def keeper(self) -> Address | None:
+        return self._keeper
+
+    # -- the session
+
+    async def _hold_session_forever(self) -> None:
+        clock = self._context.clock
+        while True:
+            asked = clock.monotonic()
+            if await self._heartbeat():
+                pause = self._times.heartbeat * (0.8 + 0.2 * self._context.random.random())
+            else:
+                await self._ask_around()
+                pause = self._times.retry * (0.8 + 0.4 * self._context.random.random())
+            await clock.sleep(Seconds(max(0.02, asked + pause - clock.monotonic())))
+
+    async def _heartbeat(self, again: bool = True) -> bool:
+        """One heartbeat, to the next keeper when one fails; False when none of the first few answered.
+
+        After a silence the first only shows the keeper that answers arrive; the second renews the session.
+        """
+        for address in self._order()[:6]:
+            asked = self._context.clock.monotonic()
+            position = self._position if address == self._keeper else None
+            unanswered = None if self._answered is None else Seconds(asked - self._answered)
+            outcome = await self._messenger.call(
+                address, Heartbeat(position, self._in_force(), unanswered), HeartbeatAnswer, self._times.answer
+            )
+            match outcome:
+                case Success(answer):
+                    await self._take(address, answer, asked)
+                    late = not answer.admitted or unanswered is None or unanswered > self._times.lost / 2
+                    return await self._heartbeat(again=False) if late and again else True
+                case _:
+                    if outcome.failure().kind == "rejected":
+                        await self._ask_known_controls(address)
+                    self._failed[address] = self._context.clock.monotonic()
+                    if address == self._keeper:
+                        self._context.log.event("session-keeper-silent", keeper=address, kind=outcome.failure().kind)
+                        self._keeper = None
+        return False
+
+    def _order(self) -> list[Address]:
+        """The present keeper, then control members of the own zone, other ones, other addresses; failed ones last."""
+        own_name = self._identity.name
+        controls = self.controls()
+        near = [member.internal for member in controls if member.zone == self._identity.zone]
+        far = [member.internal for member in controls if member.zone != self._identity.zone]
+        rest = [address for address in (*self._controls, *self._seeds) if address not in near and address not in far]
+        suited = [
+            address
+            for group in (near, far, rest)
+            for address in ranked(f"keeper/{own_name}", dict.fromkeys(group), str)
+            if address != self._identity.internal
+        ]
+        suited.sort(key=lambda address: self._failed.get(address, -1.0))
+        now = self._context.clock.monotonic()
+        if self._keeper is None or now >= self._rebalance_at:
+            self._rebalance_at = Instant(now + self._times.rebalance * (0.8 + 0.4 * self._context.random.random()))
+            return suited
+        return [self._keeper, *(address for address in suited if address != self._keeper)]
+
+    async def _take(self, address: Address, answer: HeartbeatAnswer, asked: Instant) -> None:
+        moved, self._keeper = self._keeper != address, address
+        self._failed.pop(address, None)
+        self._note_control(address)
+        if not answer.was_member and answer.admitted and self._had_session and not answer.settling:
+            self._context.log.event("session-lost", keeper=address)
+            for lost in self._lost_callbacks:
+                lost()
+        self._had_session |= answer.admitted
+        if moved:
+            self._context.log.event("session-held", keeper=address, was_member=answer.was_member)
+            self._settled = False
+        self._answered = asked
+        if answer.admitted:
+            self._proven = asked
+        news = answer.news
+        self._epoch = max(self._epoch, news.epoch)
+        self._newest = max(self._newest, news.newest, news.proof_version)
+        if news.primary is not None:
+            self._primary = news.primary
+        for callback in self._news_callbacks:
+            callback(news, asked)
+        changed = False
+        if answer.known:
+            for identity in answer.joined:
+                changed |= self._list.put(identity)
+            for incarnation in () if answer.settling else answer.left:
+                changed |= self._list.drop(incarnation)
+        self._position = answer.position
+        if self._list.digest == answer.digest:
+            self._settled = not answer.settling
+        elif not answer.settling or not answer.known:
+            changed |= await self._compare(address)
+        if changed:
+            self._changed()
+
+    async def _compare(self, address: Address) -> bool:
+        """Brings the own list to the keeper's, by the buckets that differ; a settling keeper only adds."""
+        count = bucket_count(len(self._list))
+        outcome = await self._messenger.call(
+            address, CompareMembers(self._list.buckets(count)), MembersCompared, Seconds(2 * self._times.answer)
+        )
+        if not isinstance(outcome, Success):
+            self._position = None
+            return False
+        compared = outcome.unwrap()
+        listed = {identity.incarnation for identity in compared.members}
+        changed = False
+        if not compared.settling:
+            for identity in self._list.in_buckets(compared.buckets, count):
+                if identity.incarnation not in listed:
+                    changed |= self._list.drop(identity.incarnation)
+        for identity in compared.members:
+            changed |= self._list.put(identity)
+        self._position = compared.position
+        self._settled = not compared.settling
+        return changed
+
+    def _changed(self) -> None:
+        for control in self.controls():
+            self._note_control(control.internal)
+        for callback in self._change_callbacks:
+            callback()
+
+    # -- finding control daemons
+
+    def _note_control(self, address: Address) -> None:
+        self._controls.pop(address, None)
+        self._controls[address] = None
+        while len(self._controls) > ADDRESSES_KEPT:
+            del self._controls[next(iter(self._controls))]
+
+    async def _ask_known_controls(self, address: Address) -> KnownControls | None:
+        outcome = await self._messenger.call(address, AskKnownControls(), KnownControls, self._times.answer)
+        if not isinstance(outcome, Success):
+            return None
+        known: KnownControls = outcome.unwrap()
+        self._epoch = max(self._epoch, known.epoch)
+        self._newest = max(self._newest, known.version)
+        for control in known.controls:
+            if control not in self._controls:
+                self._note_control(control)
+        if known.fellows:
+            self._fellows = known.fellows
+        return known
+
+    async def _ask_around(self) -> None:
+        """No keeper answers: fellow daemons may have heard of control daemons at other addresses."""
+        fellows = self.fellows()
+        for address in self._context.random.sample(fellows, min(FELLOWS_ASKED, len(fellows))):
+            await self._ask_known_controls(address)
+
+    async def _on_ask_known_controls(self, peer: Identity, message: AskKnownControls) -> KnownControls:
+        live = [member.internal for member in self.controls()]
+        controls = list(dict.fromkeys([*live, *reversed(self._controls)]))
+        fellows = [member.internal for member in self.routers() if member.incarnation != peer.incarnation]
+        return KnownControls(
+            tuple(controls[:64]),
+            tuple(fellows[:FELLOWS_TOLD]),
+            self._epoch,
+            max(self._newest, self._in_force()),
+        )
--- /dev/null
+++ b/wingwood/membership/keeper.py
@@ -0,0 +1,472 @@
+"""Sessions on a control daemon, and what control daemons tell each other of them (docs/DESIGN.md section 8)."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Sequence
+from zlib import crc32
+
+from returns.result import Success
+
+from ..context.protocols import Context, Task
+from ..identifiers import Address, BundleVersion, Incarnation, Instant, Seconds
+from ..transport.frames import Identity
+from ..transport.messenger import Messenger
+from .limits import SessionTimes
+from .member_list import MemberList
+from .messages import (
+    AskKnownControls,
+    AskSessions,
+    CompareMembers,
+    EndSession,
+    Heartbeat,
+    HeartbeatAnswer,
+    KnownControls,
+    MembersCompared,
+    News,
+    Position,
+    SessionsTold,
+)
+
+FELLOWS_TOLD = 8
+STALL = Seconds(0.6)
+"""A sweep that comes later than this means that the process stood still."""
+
+
+class _Session:
+    """One daemon's session here."""
+
+    def __init__(self, identity: Identity, renewed: Instant) -> None:
+        self.identity = identity
+        self.renewed = renewed
+        self.version = BundleVersion(0)
+
+
+class _Peer:
+    """What is known of another session keeper's sessions."""
+
+    def __init__(self, address: Address) -> None:
+        self.address = address
+        self.identity: Identity | None = None
+        self.life = ""
+        self.sessions = MemberList(remembered=0)
+        self.sequence = 0
+        self.heard: Instant | None = None
+        """Own clock before the question whose answer came last, by whatever way."""
+        self.heard_directly: Instant | None = None
+        self.told: SessionsTold | None = None
+
+    def position(self) -> Position | None:
+        return Position(self.life, self.sequence) if self.life else None
+
+
+class SessionKeeper:
+    """A control daemon's part in membership; implements ``Membership`` for that daemon itself."""
+
+    def __init__(
+        self,
+        context: Context,
+        messenger: Messenger,
+        seeds: Sequence[Address],
+        times: SessionTimes | None = None,
+    ) -> None:
+        self._context = context
+        self._messenger = messenger
+        self._own_identity = messenger.identity
+        self._seeds = tuple(seeds)
+        self._times = times or SessionTimes()
+        self._life = f"{context.random.getrandbits(48):012x}"
+        """Of this process: its numbers mean nothing after a restart, though the incarnation stays."""
+        self._sessions: dict[Incarnation, _Session] = {}
+        self._own = MemberList()
+        self._union = MemberList()
+        self._peers: dict[Address, _Peer] = {}
+        self._not_keepers: dict[Address, Instant] = {}
+        self._news: Callable[[], News] = News
+        self._version: Callable[[], BundleVersion] = lambda: BundleVersion(0)
+        self._callbacks: list[Callable[[], None]] = []
+        self._next_change: asyncio.Future[None] | None = None
+        self._trusted_from = Instant(context.clock.monotonic() + self._times.settle)
+        self._tasks: list[Task] = []
+        self._stopped = False
+        self._members_cache: tuple[int, tuple[Identity, ...]] | None = None
+        messenger.on_call(Heartbeat, self._on_heartbeat)
+        messenger.on_call(CompareMembers, self._on_compare)
+        messenger.on_call(AskKnownControls, self._on_ask_known_controls)
+        messenger.on_call(AskSessions, self._on_ask_sessions)
+        messenger.on_post(EndSession, self._on_end_session)
+
+    # -- wiring
+
+    def tell(self, news: Callable[[], News], version: Callable[[], BundleVersion] | None = None) -> None:
+        """What to put into heartbeat answers; ``version``: the newest bundle this daemon has seen."""
+        self._news = news
+        self._version = version or (lambda: news().newest)
+
+    def start(self) -> None:
+        self._trusted_from = Instant(self._context.clock.monotonic() + self._times.settle)
+        self._own.put(self._own_identity)
+        self._recount(self._own_identity.incarnation)
+        spawn = self._context.tasks.spawn
+        self._tasks = [
+            spawn("membership sweep", self._sweep_forever()),
+            spawn("membership peers", self._find_peers_forever()),
+        ]
+
+    def stop(self) -> None:
+        self._stopped = True
+        for task in self._tasks:
+            task.cancel()
+
+    # -- Membership
+
+    def members(self) -> Sequence[Identity]:
+        if self._members_cache is None or self._members_cache[0] != self._union.sequence:
+            self._members_cache = (self._union.sequence, by_name(self._union.identities()))
+        return self._members_cache[1]
+
+    def routers(self) -> Sequence[Identity]:
+        return [member for member in self.members() if member.role == "router"]
+
+    def controls(self) -> Sequence[Identity]:
+        return [member for member in self.members() if member.role == "control"]
+
+    def is_member(self, incarnation: Incarnation) -> bool:
+        return incarnation in self._union
+
+    def session_proven_at(self) -> Instant | None:
+        """When another keeper last answered; a lone keeper proves nothing."""
+        heard = [peer.heard_directly for peer in self._peers.values() if peer.heard_directly is not None]
+        return max(heard, default=None)
+
+    def on_change(self, callback: Callable[[], None]) -> None:
+        self._callbacks.append(callback)
+
+    # -- for health, roll-outs and the control core
+
+    def settling(self) -> bool:
+        return self._context.clock.monotonic() < self._trusted_from
+
+    def held_versions(self) -> dict[Incarnation, BundleVersion]:
+        """Version in force at each daemon that holds its session here, as of its last heartbeat."""
+        return {incarnation: session.version for incarnation, session in sorted(self._sessions.items())}
+
+    def known_controls(self) -> list[Address]:
+        """Control daemons heard of, live ones first."""
+        heard = sorted((peer for peer in self._peers.values() if peer.identity is not None), key=_silence)
+        return list(dict.fromkeys([self._own_identity.internal, *(peer.address for peer in heard)]))
+
+    # -- answers to daemons
+
+    async def _on_heartbeat(self, peer: Identity, message: Heartbeat) -> HeartbeatAnswer:
+        now = self._context.clock.monotonic()
+        was_member = peer.incarnation in self._union
+        admitted = self._renew(peer, message, now, was_member)
+        position = message.position
+        changes = None
+        if position is not None and position.life == self._life:
+            changes = self._union.changes_since(position.sequence)
+        joined, left = changes or ((), ())
+        return HeartbeatAnswer(
+            position=Position(self._life, self._union.sequence),
+            digest=self._union.digest,
+            news=self._news(),
+            was_member=was_member,
+            admitted=admitted,
+            settling=now < self._trusted_from,
+            known=changes is not None,
+            joined=joined,
+            left=left,
+        )
+
+    def _renew(self, peer: Identity, message: Heartbeat, now: Instant, was_member: bool) -> bool:
+        """A heartbeat counts for the time at which the sender last heard an answer: a deaf daemon is no member."""
+        if message.unanswered is None:
+            return False
+        deaf = max(0.0, message.unanswered - self._times.heartbeat)
+        session = self._sessions.get(peer.incarnation)
+        if deaf >= (self._times.lost / 2 if session is None else self._times.lost):
+            return False
+        renewed = Instant(now - deaf)
+        if session is None:
+            session = self._sessions[peer.incarnation] = _Session(peer, renewed)
+            self._context.log.event("session-begun", member=peer.name, was_member=was_member)
+            self._supersede(peer)
+        session.identity = peer
+        session.renewed = max(session.renewed, renewed)
+        session.version = message.version
+        if self._own.put(peer):
+            self._own_changed()
+            self._recount(peer.incarnation)
+        return True
+
+    async def _on_compare(self, peer: Identity, message: CompareMembers) -> MembersCompared:
+        count = max(1, len(message.buckets))
+        own = self._union.buckets(count)
+        differing = tuple(index for index in range(count) if message.buckets[index : index + 1] != (own[index],))
+        return MembersCompared(
+            Position(self._life, self._union.sequence),
+            self.settling(),
+            differing,
+            tuple(self._union.in_buckets(differing, count)),
+        )
+
+    async def _on_ask_known_controls(self, peer: Identity, message: AskKnownControls) -> KnownControls:
+        news = self._news()
+        fellows = [member.internal for member in self.routers() if member.incarnation != peer.incarnation]
+        return KnownControls(
+            tuple(self.known_controls()), tuple(fellows[:FELLOWS_TOLD]), news.epoch, max(news.newest, self._version())
+        )
+
+    def _on_end_session(self, peer: Identity, message: EndSession) -> None:
+        if peer.incarnation in self._sessions:
+            self._end_session(peer.incarnation, "stopped")
+
+    def _supersede(self, peer: Identity) -> None:
+        """A new process at an address: the one that listened there before is gone."""
+        for incarnation, session in list(self._sessions.items()):
+            if incarnation != peer.incarnation and session.identity.internal == peer.internal:
+                self._end_session(incarnation, "superseded")
+
+    def _end_session(self, incarnation: Incarnation, reason: str) -> None:
+        session = self._sessions.pop(incarnation)
+        self._context.log.event("session-ended", member=session.identity.name, reason=reason)
+        if self._own.drop(incarnation):
+            self._own_changed()
+            self._recount(incarnation)
+
+    # -- the union of all keepers' sessions
+
+    def _recount(self, incarnation: Incarnation) -> None:
+        """Works out anew whether that daemon is a member."""
+        identity = self._own.get(incarnation)
+        if identity is None:
+            found = (peer.sessions.get(incarnation) for peer in self._peers.values())
+            identity = next((entry for entry in found if entry is not None), None)
+        changed = self._union.drop(incarnation) if identity is None else self._union.put(identity)
+        if changed:
+            for callback in self._callbacks:
+                callback()
+
+    def _own_changed(self) -> None:
+        waiting, self._next_change = self._next_change, None
+        if waiting is not None and not waiting.done():
+            waiting.set_result(None)
+
+    async def _sweep_forever(self) -> None:
+        last = self._context.clock.monotonic()
+        while True:
+            await self._context.clock.sleep(self._times.sweep)
+            now = self._context.clock.monotonic()
+            if now - last > STALL:
+                self._stood_still(Seconds(now - last), now)
+            last = now
+            self._sweep(now)
+
+    def _stood_still(self, seconds: Seconds, now: Instant) -> None:
+        """Nobody could reach this process: what it holds is old, but the silence is its own."""
+        self._context.log.event("keeper-stood-still", seconds=seconds)
+        self._trusted_from = max(self._trusted_from, Instant(now + self._times.settle))
+        for session in self._sessions.values():
+            session.renewed = Instant(session.renewed + seconds)
+        for peer in self._peers.values():
+            if peer.heard is not None:
+                peer.heard = Instant(peer.heard + seconds)
+
+    def _sweep(self, now: Instant) -> None:
+        for incarnation, session in list(self._sessions.items()):
+            silent = now - session.renewed
+            if silent > self._times.lost:
+                self._end_session(incarnation, "lost")
+            elif silent > self._times.lost / 2 and self._replaced_elsewhere(session.identity):
+                self._end_session(incarnation, "superseded")
+        for peer in self._peers.values():
+            if peer.heard is None or not len(peer.sessions):
+                continue
+            silent = now - peer.heard
+            if silent > self._times.grace:
+                self._forget(peer, peer.sessions.incarnations())
+                peer.life = ""
+                self._context.log.event("keeper-sessions-dropped", keeper=peer.address)
+            elif silent > self._times.lost and peer.identity is not None:
+                self._forget(peer, [peer.identity.incarnation])
+
+    def _replaced_elsewhere(self, identity: Identity) -> bool:
+        """Whether another keeper holds a session of another process at the same address."""
+        return any(
+            member.internal == identity.internal and member.incarnation != identity.incarnation
+            for member in self._union.identities()
+        )
+
+    def _forget(self, peer: _Peer, incarnations: Sequence[Incarnation]) -> None:
+        for incarnation in incarnations:
+            if peer.sessions.drop(incarnation):
+                peer.life = ""
+                self._recount(incarnation)
+
+    # -- what keepers tell each other
+
+    async def _on_ask_sessions(self, peer: Identity, message: AskSessions) -> SessionsTold:
+        self._learn([peer.internal])
+        position = message.position
+        if position == Position(self._life, self._own.sequence):
+            if self._next_change is None:
+                self._next_change = asyncio.get_running_loop().create_future()
+            try:
+                async with asyncio.timeout(min(message.wait, self._times.keeper_poll)):
+                    await asyncio.shield(self._next_change)
+                await self._context.clock.sleep(self._times.coalesce)
+            except TimeoutError:
+                pass
+        keepers = self._live_keepers()
+        return self._told(position, message.unheard, () if checksum(keepers) == message.keepers else keepers)
+
+    def _live_keepers(self) -> tuple[Address, ...]:
+        now = self._context.clock.monotonic()
+        heard = [
+            address
+            for address, peer in self._peers.items()
+            if peer.heard is not None and now - peer.heard <= self._times.lost
+        ]
+        return tuple(sorted([self._own_identity.internal, *heard]))
+
+    def _told(
+        self, position: Position | None, unheard: Sequence[Position], keepers: tuple[Address, ...]
+    ) -> SessionsTold:
+        changes = None
+        if position is not None and position.life == self._life:
+            changes = self._own.changes_since(position.sequence)
+        joined, left = changes if changes is not None else (tuple(self._own.identities()), ())
+        return SessionsTold(
+            keeper=self._own_identity,
+            position=Position(self._life, self._own.sequence),
+            digest=self._own.digest,
+            whole=changes is None,
+            joined=joined,
+            left=left,
+            relayed=tuple(self._relay(unheard)),
+            keepers=keepers,
+        )
+
+    def _relay(self, unheard: Sequence[Position]) -> list[SessionsTold]:
+        """What this keeper has heard itself of keepers that the asker can't reach."""
+        now = self._context.clock.monotonic()
+        told = []
+        for position in unheard:
+            for peer in self._peers.values():
+                if peer.life != position.life or peer.identity is None or peer.heard_directly is None:
+                    continue
+                same = peer.sequence == position.sequence
+                told.append(
+                    SessionsTold(
+                        keeper=peer.identity,
+                        position=Position(peer.life, peer.sequence),
+                        digest=peer.sessions.digest,
+                        whole=not same,
+                        joined=() if same else tuple(peer.sessions.identities()),
+                        left=(),
+                        age=Seconds(now - peer.heard_directly),
+                    )
+                )
+        return told
+
+    def _learn(self, addresses: Sequence[Address]) -> None:
+        for address in addresses:
+            if address == self._own_identity.internal or address in self._peers:
+                continue
+            self._peers[address] = _Peer(address)
+            self._tasks.append(
+                self._context.tasks.spawn(f"keeper {address}", self._follow_forever(self._peers[address]))
+            )
+
+    async def _find_peers_forever(self) -> None:
+        """Seeds may be routers: these know control daemons. Members that are control daemons are followed."""
+        while True:
+            for address in self._seeds:
+                if address in self._not_keepers:
+                    asked = await self._messenger.call(address, AskKnownControls(), KnownControls, self._times.answer)
+                    if isinstance(asked, Success):
+                        self._learn(asked.unwrap().controls)
+                else:
+                    self._learn([address])
+            self._learn([member.internal for member in self.controls()])
+            await self._context.clock.sleep(Seconds(1.0))
+
+    async def _follow_forever(self, peer: _Peer) -> None:
+        """One task for each other keeper: asks it for its sessions, again and again."""
+        clock = self._context.clock
+        while True:
+            asked = clock.monotonic()
+            unheard = self._unheard(peer, asked)
+            wait = Seconds(0.0) if unheard else self._times.keeper_poll
+            outcome = await self._messenger.call(
+                peer.address,
+                AskSessions(peer.position(), wait, checksum(self._live_keepers()), unheard),
+                SessionsTold,
+                Seconds(self._times.keeper_poll + self._times.answer),
+            )
+            match outcome:
+                case Success(told):
+                    peer.heard_directly = asked
+                    self._take(peer, told, asked)
+                    self._learn(told.keepers)
+                    for relayed in told.relayed:
+                        self._take_relayed(relayed, asked)
+                    least = self._times.retry if unheard else self._times.coalesce
+                    await clock.sleep(Seconds(max(0.0, asked + least - clock.monotonic())))
+                case _:
+                    fault = outcome.failure()
+                    if fault.kind == "rejected" and peer.address in self._seeds:
+                        self._not_keepers[peer.address] = asked
+                        del self._peers[peer.address]
+                        return
+                    pause = self._times.retry * (0.8 + 0.4 * self._context.random.random())
+                    await clock.sleep(Seconds(pause))
+
+    def _unheard(self, asked_peer: _Peer, now: Instant) -> tuple[Position, ...]:
+        silence = self._times.unheard
+        return tuple(
+            Position(peer.life, peer.sequence)
+            for peer in self._peers.values()
+            if peer is not asked_peer
+            and peer.life
+            and peer.heard_directly is not None
+            and now - peer.heard_directly > silence
+        )
+
+    def _take_relayed(self, told: SessionsTold, asked: Instant) -> None:
+        for peer in list(self._peers.values()):
+            if peer.life == told.position.life:
+                heard = Instant(asked - told.age)
+                if peer.heard is not None and heard > peer.heard and told.position.sequence >= peer.sequence:
+                    self._take(peer, told, heard)
+
+    def _take(self, peer: _Peer, told: SessionsTold, heard: Instant) -> None:
+        changed: list[Incarnation] = []
+        if told.whole:
+            kept = {identity.incarnation for identity in told.joined}
+            changed = [gone for gone in peer.sessions.incarnations() if gone not in kept and peer.sessions.drop(gone)]
+        else:
+            changed = [gone for gone in told.left if peer.sessions.drop(gone)]
+        changed += [identity.incarnation for identity in told.joined if peer.sessions.put(identity)]
+        peer.identity = told.keeper
+        peer.heard = heard if peer.heard is None else max(peer.heard, heard)
+        peer.life, peer.sequence = told.position.life, told.position.sequence
+        if peer.sessions.digest != told.digest:
+            peer.life = ""
+        for incarnation in changed:
+            self._recount(incarnation)
+
+
+def _silence(peer: _Peer) -> float:
+    return -(peer.heard if peer.heard is not None else float("-inf"))
+
+
+def checksum(addresses: Sequence[Address]) -> int:
+    return crc32(" ".join(map(str, addresses)).encode())
+
+
+def by_name(identities: Sequence[Identity]) -> tuple[Identity, ...]:
+    """Sorted by name; of several lives under one name the one heard of last."""
+    latest = {identity.name: identity for identity in identities}
+    return tuple(latest[name] for name in sorted(latest))
--- /dev/null
+++ b/wingwood/membership/member_list.py
@@ -0,0 +1,105 @@
+"""A list of daemons with an order-free digest and numbered changes (docs/DESIGN.md section 8.2)."""
+
+from __future__ import annotations
+
+import hashlib
+from collections import deque
+from collections.abc import Iterable, Sequence
+
+import msgspec
+
+from ..identifiers import Incarnation
+from ..transport.frames import Identity
+
+MODULUS = 1 << 64
+
+
+def fingerprint(identity: Identity) -> int:
+    return int.from_bytes(hashlib.blake2b(msgspec.msgpack.encode(identity), digest_size=8).digest(), "big")
+
+
+class MemberList:
+    """Identities by incarnation. Changes are numbered; the last ``remembered`` of them can be told again."""
+
+    def __init__(self, remembered: int = 4096) -> None:
+        self.sequence = 0
+        self.digest = 0
+        self._members: dict[Incarnation, Identity] = {}
+        self._fingerprints: dict[Incarnation, int] = {}
+        self._changes: deque[tuple[int, Incarnation]] = deque(maxlen=remembered)
+        self._buckets: tuple[int, int, tuple[int, ...]] | None = None
+
+    def __len__(self) -> int:
+        return len(self._members)
+
+    def __contains__(self, incarnation: object) -> bool:
+        return incarnation in self._members
+
+    def get(self, incarnation: Incarnation) -> Identity | None:
+        return self._members.get(incarnation)
+
+    def incarnations(self) -> list[Incarnation]:
+        """Oldest entry first."""
+        return list(self._members)
+
+    def identities(self) -> list[Identity]:
+        """Oldest entry first."""
+        return list(self._members.values())
+
+    def put(self, identity: Identity) -> bool:
+        """True when this changed the list."""
+        incarnation = identity.incarnation
+        if self._members.get(incarnation) == identity:
+            return False
+        self.digest -= self._fingerprints.get(incarnation, 0)
+        self._members[incarnation] = identity
+        self._fingerprints[incarnation] = fingerprint(identity)
+        self.digest = (self.digest + self._fingerprints[incarnation]) % MODULUS
+        self._note(incarnation)
+        return True
+
+    def drop(self, incarnation: Incarnation) -> bool:
+        if self._members.pop(incarnation, None) is None:
+            return False
+        self.digest = (self.digest - self._fingerprints.pop(incarnation)) % MODULUS
+        self._note(incarnation)
+        return True
+
+    def _note(self, incarnation: Incarnation) -> None:
+        self.sequence += 1
+        self._changes.append((self.sequence, incarnation))
+
+    def changes_since(self, sequence: int) -> tuple[tuple[Identity, ...], tuple[Incarnation, ...]] | None:
+        """What joined and what left after that change; None when it is too long ago or not of this list."""
+        if sequence == self.sequence:
+            return (), ()
+        if sequence > self.sequence or not self._changes or self._changes[0][0] > sequence + 1:
+            return None
+        touched: dict[Incarnation, None] = {}
+        for number, incarnation in reversed(self._changes):
+            if number <= sequence:
+                break
+            touched[incarnation] = None
+        joined = tuple(self._members[incarnation] for incarnation in touched if incarnation in self._members)
+        return joined, tuple(incarnation for incarnation in touched if incarnation not in self._members)
+
+    def buckets(self, count: int) -> tuple[int, ...]:
+        """Digest of each of ``count`` parts; a member's part follows from its fingerprint."""
+        if self._buckets is not None and self._buckets[:2] == (self.sequence, count):
+            return self._buckets[2]
+        sums = [0] * count
+        for value in self._fingerprints.values():
+            sums[value % count] = (sums[value % count] + value) % MODULUS
+        self._buckets = (self.sequence, count, tuple(sums))
+        return self._buckets[2]
+
+    def in_buckets(self, wanted: Iterable[int], count: int) -> Sequence[Identity]:
+        chosen = frozenset(wanted)
+        return [
+            self._members[incarnation] for incarnation, value in self._fingerprints.items() if value % count in chosen
+        ]
+
+
+def bucket_count(members: int) -> int:
+    """About four members to a bucket, so that a few changes cost a few buckets."""
+    return min(1024, max(16, 1 << (max(1, members // 4) - 1).bit_length()))
--- /dev/null
+++ b/wingwood/membership/messages.py
@@ -0,0 +1,120 @@
+"""What daemons and session keepers say to each other (docs/DESIGN.md section 8).
+
+Everything a heartbeat carries is written as an array, since a thousand daemons send two a second.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+from ..identifiers import Address, BundleVersion, Epoch, Incarnation, Seconds
+from ..transport.frames import Identity
+
+
+class Position(msgspec.Struct, frozen=True, array_like=True):
+    """How far a list is known: changes up to ``sequence`` of the keeper whose process is ``life``."""
+
+    life: str
+    sequence: int
+
+
+class News(msgspec.Struct, frozen=True, array_like=True):
+    """What a control daemon tells with each heartbeat answer besides members."""
+
+    epoch: Epoch = Epoch(0)
+    primary: Address | None = None
+    """Internal address of the presumed primary."""
+    newest: BundleVersion = BundleVersion(0)
+    """Newest version heard of; may be ahead of the proof."""
+    proof_version: BundleVersion = BundleVersion(0)
+    proof_age: Seconds | None = None
+    """``proof_version`` was the newest acknowledged one this long before the answer; None: never proven."""
+
+
+class Heartbeat(msgspec.Struct, frozen=True, array_like=True):
+    """Call, daemon to session keeper: renews (or begins) its session. Reply: HeartbeatAnswer."""
+
+    position: Position | None
+    """How far the asker knows this keeper's list of members."""
+    version: BundleVersion
+    """In force at the asker."""
+    unanswered: Seconds | None
+    """Since the asker sent its last heartbeat that was answered (by whomever); None: none ever was."""
+
+
+class HeartbeatAnswer(msgspec.Struct, frozen=True, array_like=True):
+    position: Position
+    """Of the keeper's list, after the changes told here."""
+    digest: int
+    """Of the keeper's whole list."""
+    news: News
+    was_member: bool
+    """False: others may have seen the asker leave."""
+    admitted: bool
+    """False: the asker has not shown yet that answers reach it; its session begins with its next heartbeat."""
+    settling: bool
+    """The keeper's process is young or has just woken: its list may lack live members."""
+    known: bool
+    """False: the asker's position means nothing here, no changes are told; compare digests."""
+    joined: tuple[Identity, ...] = ()
+    left: tuple[Incarnation, ...] = ()
+
+
+class CompareMembers(msgspec.Struct, frozen=True, array_like=True):
+    """Call, daemon to session keeper: digests of the asker's list by bucket. Reply: MembersCompared."""
+
+    buckets: tuple[int, ...]
+
+
+class MembersCompared(msgspec.Struct, frozen=True, array_like=True):
+    """The whole content of the buckets that differ."""
+
+    position: Position
+    settling: bool
+    buckets: tuple[int, ...]
+    members: tuple[Identity, ...]
+
+
+class AskKnownControls(msgspec.Struct, frozen=True, array_like=True):
+    """Call to any daemon, by one that looks for control daemons. Reply: KnownControls."""
+
+
+class KnownControls(msgspec.Struct, frozen=True, array_like=True):
+    controls: tuple[Address, ...]
+    fellows: tuple[Address, ...]
+    """Some other daemons that may know more."""
+    epoch: Epoch
+    version: BundleVersion
+    """Newest epoch and bundle version of which the answering daemon knows."""
+
+
+class EndSession(msgspec.Struct, frozen=True, array_like=True):
+    """Post, daemon to session keeper: it stops on purpose."""
+
+
+class AskSessions(msgspec.Struct, frozen=True, array_like=True):
+    """Call between session keepers; answered at the next change or after ``wait``. Reply: SessionsTold."""
+
+    position: Position | None
+    wait: Seconds
+    keepers: int
+    """Checksum of the live keepers' addresses known to the asker."""
+    unheard: tuple[Position, ...] = ()
+    """Keepers that the asker can't reach itself, and how far it knows their sessions."""
+
+
+class SessionsTold(msgspec.Struct, frozen=True, array_like=True):
+    """Sessions held by one keeper (not the ones it has heard of)."""
+
+    keeper: Identity
+    position: Position
+    digest: int
+    whole: bool
+    """``joined`` is everything; else it is what changed since the position asked from."""
+    joined: tuple[Identity, ...]
+    left: tuple[Incarnation, ...]
+    age: Seconds = Seconds(0.0)
+    """How long before this answer the keeper told this (0 when it speaks itself)."""
+    relayed: tuple[SessionsTold, ...] = ()
+    keepers: tuple[Address, ...] = ()
+    """Live keepers' addresses, when the asker knows others."""
