--- /dev/null
+++ b/wingwood/control/bundle_source.py
@@ -0,0 +1,46 @@
+"""The acknowledged bundles of this control daemon, for distribution (docs/DESIGN.md section 7.2.6)."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from ..bundle.model import BundleDelta, Manifest
+from ..bundle.state import BundleState
+from ..identifiers import BundleVersion
+from .core import ReplicatedCore
+
+
+class CommittedBundles:
+    """A ``BundleSource`` over the bundle applier: shows only what is durable on primary and backup."""
+
+    def __init__(self, core: ReplicatedCore, state: BundleState) -> None:
+        self._state = state
+        self._manifest: Manifest | None = None
+        self._on_committed: list[Callable[[Manifest], None]] = []
+        core.on_commit(self._committed)
+
+    @property
+    def state(self) -> BundleState:
+        return self._state
+
+    @property
+    def version(self) -> BundleVersion:
+        """Newest durable version; 0 when there is none."""
+        return self._manifest.version if self._manifest is not None else BundleVersion(0)
+
+    def newest(self) -> Manifest | None:
+        return self._manifest
+
+    def delta_since(self, version: BundleVersion) -> BundleDelta | None:
+        return self._state.delta_since(version, self.version)
+
+    def on_committed(self, callback: Callable[[Manifest], None]) -> None:
+        self._on_committed.append(callback)
+
+    def _committed(self) -> None:
+        manifest = self._state.manifest_at(self._state.version)
+        if manifest is None or manifest.version <= self.version:
+            return
+        self._manifest = manifest
+        for callback in self._on_committed:
+            callback(manifest)
--- /dev/null
+++ b/wingwood/control/messages.py
@@ -0,0 +1,249 @@
+"""What control daemons say to each other, and what they keep (docs/DESIGN.md sections 7.1 to 7.4)."""
+
+from __future__ import annotations
+
+import msgspec
+
+from ..identifiers import Address, DaemonName, Epoch, Incarnation, Seconds
+from .protocols import NotDecided
+
+
+class Seat(msgspec.Struct, frozen=True, array_like=True, order=True):
+    """A control daemon as views name it."""
+
+    incarnation: Incarnation
+    name: DaemonName
+    address: Address
+
+
+class View(msgspec.Struct, frozen=True, array_like=True):
+    """Who leads under an epoch (section 7.1)."""
+
+    epoch: Epoch
+    primary: Incarnation
+    backup: Incarnation | None
+    members: tuple[Seat, ...]
+    holders: tuple[Incarnation, ...]
+    """Whose disks hold everything that was ever acknowledged."""
+
+    def seat(self, incarnation: Incarnation | None) -> Seat | None:
+        return next((seat for seat in self.members if seat.incarnation == incarnation), None)
+
+    def incarnations(self) -> tuple[Incarnation, ...]:
+        return tuple(seat.incarnation for seat in self.members)
+
+    def majority(self, who: set[Incarnation]) -> bool:
+        return 2 * sum(seat.incarnation in who for seat in self.members) > len(self.members)
+
+
+class Promise(msgspec.Struct, frozen=True, array_like=True):
+    epoch: Epoch
+    candidate: Incarnation
+    """Nobody ("") under epoch 0."""
+
+
+# what the journal keeps
+
+
+class FoundedEntry(msgspec.Struct, frozen=True, tag="founded", array_like=True):
+    """First record of a journal."""
+
+    incarnation: Incarnation
+
+
+class PromisedEntry(msgspec.Struct, frozen=True, tag="promised", array_like=True):
+    promise: Promise
+    forming: bool
+
+
+class AcceptedEntry(msgspec.Struct, frozen=True, tag="accepted", array_like=True):
+    view: View
+
+
+class StateRecord(msgspec.Struct, frozen=True, array_like=True):
+    kind: str
+    record: bytes
+
+
+class BatchEntry(msgspec.Struct, frozen=True, tag="batch", array_like=True):
+    """Records of one batch; ``sequence`` counts batches from 1."""
+
+    sequence: int
+    epoch: Epoch
+    records: tuple[StateRecord, ...]
+
+
+class SnapshotEntry(msgspec.Struct, frozen=True, tag="snapshot", array_like=True):
+    """The whole state after batch ``sequence``; takes the place of all before it."""
+
+    sequence: int
+    parts: dict[str, bytes]
+
+
+class ProbeEntry(msgspec.Struct, frozen=True, tag="probe", array_like=True):
+    """Nothing; written to see whether the disk takes writes again."""
+
+
+Entry = FoundedEntry | PromisedEntry | AcceptedEntry | BatchEntry | SnapshotEntry | ProbeEntry
+
+
+# between control daemons; `to` and `by` are incarnations, so a machine swapped at an address counts for nothing
+
+
+class ControlCanvass(msgspec.Struct, frozen=True):
+    """Asks anyone how it sees things; changes nothing."""
+
+
+class ControlStanding(msgspec.Struct, frozen=True):
+    by: Incarnation
+    seat: Seat
+    promised: Epoch
+    view: View | None
+    """Newest view it knows of, accepted by itself or not."""
+    hears_primary: bool
+    empty: bool
+    """Never accepted a view, granted a promise outside of forming, or held state."""
+    knows_history: bool
+    """Knows a daemon that has seen a bundle or an epoch."""
+
+
+class ControlPromise(msgspec.Struct, frozen=True):
+    to: Incarnation
+    candidate: Incarnation
+    epoch: Epoch
+    forming: bool = False
+
+
+class ControlGrant(msgspec.Struct, frozen=True):
+    by: Incarnation
+    granted: bool
+    promised: Epoch
+    view: View | None = None
+    """Newest view that it accepted itself."""
+    sequence: int = 0
+    empty: bool = False
+
+
+class ControlAccept(msgspec.Struct, frozen=True):
+    to: Incarnation
+    view: View
+
+
+class ControlAccepted(msgspec.Struct, frozen=True):
+    by: Incarnation
+    accepted: bool
+    promised: Epoch
+
+
+class ControlHeartbeat(msgspec.Struct, frozen=True):
+    """From the primary of ``view``; an acceptance asked for again, for who missed it."""
+
+    to: Incarnation
+    view: View
+    committed: int
+
+
+class ControlHeartbeatAnswer(msgspec.Struct, frozen=True):
+    by: Incarnation
+    accepted: bool
+    promised: Epoch
+    healthy: bool
+    """Its journal takes writes."""
+
+
+class ControlReplicate(msgspec.Struct, frozen=True):
+    """One batch to journal, or none (``entry`` empty: only whether the backup still follows)."""
+
+    to: Incarnation
+    epoch: Epoch
+    before: int
+    """Sequence that the backup must have now."""
+    committed: int
+    entry: bytes
+
+
+class ControlReplicated(msgspec.Struct, frozen=True):
+    by: Incarnation
+    synced: bool
+    promised: Epoch
+    reason: str = ""
+
+
+class ControlCommitted(msgspec.Struct, frozen=True):
+    """Post to the backup: these batches are on both disks."""
+
+    to: Incarnation
+    epoch: Epoch
+    committed: int
+
+
+class ControlStatePiece(msgspec.Struct, frozen=True):
+    """A part of an encoded ``SnapshotEntry``; the answer to the last one comes after the sync."""
+
+    to: Incarnation
+    sender: Incarnation
+    epoch: Epoch
+    transfer: int
+    index: int
+    count: int
+    data: bytes
+
+
+class ControlConfirm(msgspec.Struct, frozen=True):
+    to: Incarnation
+    epoch: Epoch
+
+
+class ControlConfirmed(msgspec.Struct, frozen=True):
+    by: Incarnation
+    holds: bool
+    """It has promised nothing above the epoch."""
+    promised: Epoch
+
+
+class ControlGiveWay(msgspec.Struct, frozen=True):
+    """Post from a primary that stops leading by its own will (sick disk, stopping)."""
+
+    epoch: Epoch
+    primary: Incarnation
+
+
+class ControlJoin(msgspec.Struct, frozen=True):
+    """From a machine without a seat, every half second; anyone who sees itself without one."""
+
+    seat: Seat
+
+
+class ControlJoined(msgspec.Struct, frozen=True):
+    view: View | None
+    """Newest known; its primary is whom to call next."""
+
+
+# from any daemon
+
+
+class ControlCommand(msgspec.Struct, frozen=True):
+    """A command for an applier, encoded in msgpack. ``hops``: how often it may still be passed on."""
+
+    kind: str
+    command: bytes
+    budget: Seconds
+    hops: int = 0
+
+
+class ControlDecision(msgspec.Struct, frozen=True):
+    """``reply`` in msgpack, or why there is none. ``primary``: whom to ask next time."""
+
+    reply: bytes | None = None
+    fault: NotDecided | None = None
+    primary: Address | None = None
+
+
+class ControlWhoLeads(msgspec.Struct, frozen=True):
+    """From any daemon that looks for the primary."""
+
+
+class ControlLeader(msgspec.Struct, frozen=True):
+    primary: Address | None
+    addresses: tuple[Address, ...]
+    epoch: Epoch
--- /dev/null
+++ b/wingwood/control/replica.py
@@ -0,0 +1,82 @@
+"""The replicated state of one control daemon: appliers, and what waits to be applied (docs/DESIGN.md section 7.2.6)."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+
+from .messages import BatchEntry, SnapshotEntry
+from .protocols import Applier
+from .store import Contents
+
+
+class Replica:
+    """``applied`` is the batch the appliers stand at; -1: what they hold counts for nothing.
+
+    ``committed`` is the newest batch known to be durable on primary and backup. Committed batches are
+    the same everywhere, so this knowledge survives a change of role.
+    """
+
+    def __init__(self, appliers: Sequence[Applier], contents: Contents) -> None:
+        self.appliers = {applier.kind: applier for applier in appliers}
+        if len(self.appliers) != len(appliers):
+            raise ValueError("two appliers of one kind")
+        self.committed = 0
+        self._shown = -1
+        self._waiting = contents
+        self.applied = -1
+        self._on_commit: list[Callable[[], None]] = []
+
+    def on_commit(self, callback: Callable[[], None]) -> None:
+        """Called when the appliers hold exactly the committed state, after each advance of it."""
+        self._on_commit.append(callback)
+
+    def load(self, contents: Contents) -> None:
+        """Takes a journal's content in place of all state; nothing of it is applied yet."""
+        self._waiting = contents
+        self.applied = -1
+
+    def receive(self, batch: BatchEntry) -> None:
+        self._waiting.batches.append(batch)
+
+    def apply_up_to(self, sequence: int | None) -> None:
+        """Applies what waits, up to that batch (None: all)."""
+        waiting = self._waiting
+        if self.applied < 0:
+            snapshot = waiting.snapshot
+            start = snapshot.sequence if snapshot is not None else 0
+            if sequence is not None and start > sequence:
+                return
+            parts = snapshot.parts if snapshot is not None else {}
+            for kind in sorted(set(parts) - set(self.appliers)):
+                raise AssertionError(f"no applier for state of kind {kind}")
+            for kind, applier in self.appliers.items():
+                applier.restore(parts.get(kind))
+            self.applied = start
+            waiting.snapshot = None
+        done = 0
+        for batch in waiting.batches:
+            if sequence is not None and batch.sequence > sequence:
+                break
+            for record in batch.records:
+                self.appliers[record.kind].apply(record.record)
+            self.applied = batch.sequence
+            done += 1
+        del waiting.batches[:done]
+
+    def commit(self, sequence: int) -> None:
+        """``sequence`` is durable on primary and backup, and this journal's batches up to it are the same."""
+        self.committed = max(self.committed, sequence)
+        self.apply_up_to(self.committed)
+        if self.applied == self.committed and self._shown != self.committed:
+            self._shown = self.committed
+            for callback in self._on_commit:
+                callback()
+
+    def snapshot(self) -> SnapshotEntry:
+        return SnapshotEntry(self.applied, {kind: applier.snapshot() for kind, applier in self.appliers.items()})
+
+    def contents(self) -> Contents:
+        """Everything, for a rewrite of the journal."""
+        if self.applied < 0:
+            return Contents(self._waiting.snapshot, list(self._waiting.batches))
+        return Contents(self.snapshot(), list(self._waiting.batches))
--- /dev/null
+++ b/wingwood/control/store.py
@@ -0,0 +1,223 @@
+"""What one control daemon keeps on its disk (docs/DESIGN.md section 7.1)."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+from typing import Literal
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from ..context.protocols import Context
+from ..identifiers import Epoch, Incarnation, Seconds
+from ..journal import Journal, JournalFault
+from .messages import (
+    AcceptedEntry,
+    BatchEntry,
+    Entry,
+    FoundedEntry,
+    ProbeEntry,
+    Promise,
+    PromisedEntry,
+    SnapshotEntry,
+    StateRecord,
+    View,
+)
+
+JOURNAL_NAME = "control.journal"
+NOBODY = Promise(Epoch(0), Incarnation(""))
+
+_decoder = msgspec.msgpack.Decoder(Entry)
+_encode = msgspec.msgpack.Encoder().encode
+
+
+class StoreFault(msgspec.Struct, frozen=True):
+    """Why a data folder cannot be used; ``detail`` says it in words for the operator."""
+
+    kind: Literal["locked", "damaged", "disk"]
+    detail: str
+    offset: int = 0
+
+
+class Contents(msgspec.Struct):
+    """State as the journal has it, not yet in the appliers."""
+
+    snapshot: SnapshotEntry | None = None
+    batches: list[BatchEntry] = []
+
+
+class ControlStore:
+    """The durable side of a member. Its methods are called one at a time (under the core's lock).
+
+    The attributes are what is synced; each changes when its append has succeeded. After a failure
+    the caller must ``reload`` before it uses the store again.
+    """
+
+    def __init__(self, context: Context, journal: Journal, incarnation: Incarnation) -> None:
+        self.context = context
+        self.journal = journal
+        self.incarnation = incarnation
+        self.promise = NOBODY
+        self.touched = False
+        """Has accepted a view, granted a promise outside of forming, or held state."""
+        self.view: View | None = None
+        self.sequence = 0
+        self.rewritten_bytes = 0
+
+    async def promised(self, promise: Promise, forming: bool) -> Result[None, JournalFault]:
+        match await self.journal.append(_encode(PromisedEntry(promise, forming))):
+            case Failure(fault):
+                return Failure(fault)
+        self.promise = promise
+        self.touched = self.touched or not forming
+        return Success(None)
+
+    async def accepted(self, view: View) -> Result[None, JournalFault]:
+        match await self.journal.append(_encode(AcceptedEntry(view))):
+            case Failure(fault):
+                return Failure(fault)
+        self._accept(view)
+        return Success(None)
+
+    def _accept(self, view: View) -> None:
+        self.view = view
+        self.touched = True
+        if view.epoch > self.promise.epoch:
+            self.promise = Promise(view.epoch, view.primary)
+
+    async def append_batch(self, encoded: bytes, sequence: int) -> Result[None, JournalFault]:
+        if sequence != self.sequence + 1:
+            raise AssertionError(f"batch {sequence} after batch {self.sequence}")
+        match await self.journal.append(encoded):
+            case Failure(fault):
+                return Failure(fault)
+        self.sequence = sequence
+        return Success(None)
+
+    async def probe(self) -> Result[None, JournalFault]:
+        return await self.journal.append(_encode(ProbeEntry()))
+
+    async def rewrite(
+        self, contents: Callable[[], Contents], patience: Seconds, promise: Promise | None = None
+    ) -> Result[None, JournalFault]:
+        """Takes the place of the journal. The last batch of ``contents`` becomes the sequence."""
+        promise = promise or self.promise
+        kept = Contents()
+
+        def payloads() -> Sequence[bytes]:
+            nonlocal kept
+            kept = contents()
+            entries: list[Entry] = [FoundedEntry(self.incarnation), PromisedEntry(promise, not self.touched)]
+            if self.view is not None:
+                entries.append(AcceptedEntry(self.view))
+            if kept.snapshot is not None:
+                entries.append(kept.snapshot)
+            entries.extend(kept.batches)
+            return [_encode(entry) for entry in entries]
+
+        match await self.journal.rewrite(payloads, patience):
+            case Failure(fault):
+                return Failure(fault)
+        self.promise = promise
+        self.sequence = kept.batches[-1].sequence if kept.batches else kept.snapshot.sequence if kept.snapshot else 0
+        self.touched = self.touched or kept.snapshot is not None
+        self.rewritten_bytes = self.journal.length
+        return Success(None)
+
+    async def reload(self, patience: Seconds) -> Result[Contents, JournalFault]:
+        """Reads everything back from the disk; the way out of each failure."""
+        match await self.journal.open(patience):
+            case Failure(fault):
+                return Failure(fault)
+            case Success(payloads):
+                return Success(self._take(payloads))
+        raise AssertionError("a result is a success or a failure")
+
+    def _take(self, payloads: Sequence[bytes]) -> Contents:
+        self.promise, self.touched, self.view, self.sequence = NOBODY, False, None, 0
+        contents = Contents()
+        read = 0
+        for payload in payloads:
+            read += len(payload)
+            entry = _decoder.decode(payload)
+            match entry:
+                case FoundedEntry(incarnation):
+                    self.incarnation = incarnation
+                case PromisedEntry(promise, forming):
+                    self.promise = promise
+                    self.touched = self.touched or not forming
+                case AcceptedEntry(view):
+                    self._accept(view)
+                case SnapshotEntry():
+                    contents = Contents(entry, [])
+                    self.sequence = entry.sequence
+                    self.touched = True
+                    self.rewritten_bytes = read
+                case BatchEntry():
+                    if entry.sequence != self.sequence + 1:
+                        raise AssertionError(f"batch {entry.sequence} after batch {self.sequence} in the journal")
+                    contents.batches.append(entry)
+                    self.sequence = entry.sequence
+        return contents
+
+
+def encode_batch(sequence: int, epoch: Epoch, records: Sequence[StateRecord]) -> bytes:
+    return _encode(BatchEntry(sequence, epoch, tuple(records)))
+
+
+def decode_batch(encoded: bytes) -> BatchEntry:
+    return msgspec.msgpack.decode(encoded, type=BatchEntry)
+
+
+async def open_store(
+    context: Context, start_empty_when_damaged: bool = False
+) -> Result[tuple[ControlStore, Contents], StoreFault]:
+    """Locks the data folder and reads its journal; an empty folder gets a new incarnation.
+
+    A damaged journal is a fault, unless the operator said ``start_empty_when_damaged``: then it is put
+    aside under another name and the daemon starts as an empty, new incarnation, to be filled by its peers.
+    """
+    patience = Seconds(60.0)
+    match await context.disk.lock():
+        case Failure(fault):
+            kind: Literal["locked", "disk"] = "locked" if fault.kind == "locked" else "disk"
+            return Failure(StoreFault(kind, f"the data folder cannot be locked: {fault.detail}"))
+    journal = Journal(context, JOURNAL_NAME)
+    store = ControlStore(context, journal, Incarnation(""))
+    match await store.reload(patience):
+        case Success(contents):
+            context.log.event(
+                "control-store-opened",
+                incarnation=store.incarnation,
+                promised=store.promise.epoch,
+                view=store.view.epoch if store.view else None,
+                sequence=store.sequence,
+                journal_bytes=journal.length,
+            )
+            return Success((store, contents))
+        case Failure(problem):
+            pass
+    if problem.kind == "damaged":
+        context.log.event("journal-damaged", journal=JOURNAL_NAME, offset=problem.offset, detail=problem.detail)
+        if not start_empty_when_damaged:
+            return Failure(
+                StoreFault(
+                    "damaged",
+                    f"{JOURNAL_NAME} is damaged at byte {problem.offset} ({problem.detail}); "
+                    "to fill this machine anew from its peers, start it once with the word to begin empty when damaged",
+                    problem.offset,
+                )
+            )
+        aside = f"{JOURNAL_NAME}.damaged-{int(context.clock.wall())}"
+        match await context.disk.rename(JOURNAL_NAME, aside):
+            case Failure(fault):
+                return Failure(StoreFault("disk", f"{JOURNAL_NAME} cannot be put aside: {fault.detail}"))
+        context.log.event("journal-put-aside", file=aside)
+    elif problem.kind != "missing":
+        return Failure(StoreFault("disk", f"{JOURNAL_NAME} cannot be read: {problem.kind} {problem.detail}"))
+    store.incarnation = Incarnation(context.random.randbytes(8).hex())
+    match await journal.create([_encode(FoundedEntry(store.incarnation))], patience):
+        case Failure(problem):
+            return Failure(StoreFault("disk", f"{JOURNAL_NAME} cannot be made: {problem.kind} {problem.detail}"))
+    context.log.event("control-store-founded", incarnation=store.incarnation)
+    return Success((store, Contents()))
