Limits: paid shares by leases from one bucket per tenant, retry budgets, admission

Cause: a tenant's share must hold over 11 routers wherever its calls land. What: share keeper per tenant by rendezvous (kept by differences), leases sized by the recent need, a new keeper starts from the routers' reports of recent use (or the old keeper's level), a fallback part while no keeper answers (what the router had of late, going over to 1/N), void asks by number, a rest after a freeze. Retry budget earned per call; patience admission.

--- /dev/null
+++ b/wingwood/limits/bucket.py
@@ -0,0 +1,86 @@
+"""Token buckets and counts of recent use (docs/DESIGN.md section 14)."""
+
+from __future__ import annotations
+
+from collections import deque
+
+from ..identifiers import Instant, Seconds
+
+
+class TokenBucket:
+    """Fills at ``rate`` per second up to ``most``; may be owed (below zero) down to ``-most``."""
+
+    __slots__ = ("_at", "level", "most", "rate")
+
+    def __init__(self, rate: float, most: float, level: float, now: Instant) -> None:
+        self.rate = rate
+        self.most = most
+        self.level = min(level, most)
+        self._at = now
+
+    def fill(self, now: Instant) -> None:
+        self.level = min(self.most, self.level + max(0.0, now - self._at) * self.rate)
+        self._at = max(self._at, now)
+
+    def change(self, rate: float, most: float, now: Instant) -> None:
+        """What was earned until now was earned at the old rate."""
+        if (rate, most) != (self.rate, self.most):
+            self.fill(now)
+            self.rate, self.most = rate, most
+            self.level = min(self.level, most)
+
+    def take(self, wanted: int, now: Instant) -> int:
+        """As many of ``wanted`` whole tokens as there are."""
+        self.fill(now)
+        granted = max(0, min(wanted, int(self.level + 1e-9)))
+        self.level -= granted
+        return granted
+
+    def give(self, tokens: float, now: Instant) -> None:
+        """Adds, or takes away when negative."""
+        self.fill(now)
+        self.level = max(-self.most, min(self.most, self.level + tokens))
+
+    def wait(self, now: Instant) -> Seconds:
+        """Until the next whole token."""
+        self.fill(now)
+        return Seconds(max(0.0, (1.0 - self.level) / self.rate)) if self.rate > 0 else Seconds(60.0)
+
+
+class RecentCount:
+    """Events in a sliding window, in steps of a twentieth of a second."""
+
+    __slots__ = ("_steps", "_total", "_window")
+    STEP = 0.05
+
+    def __init__(self, window: Seconds) -> None:
+        self._window = window
+        self._steps: deque[list[float]] = deque()
+        self._total = 0
+
+    def add(self, now: Instant, count: int = 1) -> None:
+        if self._steps and now - self._steps[-1][0] < self.STEP:
+            self._steps[-1][1] += count
+        else:
+            self._forget(now)
+            self._steps.append([now, count])
+        self._total += count
+
+    def _forget(self, now: Instant) -> None:
+        while self._steps and now - self._steps[0][0] > self._window:
+            self._total -= int(self._steps.popleft()[1])
+
+    def count(self, now: Instant, window: Seconds | None = None) -> int:
+        self._forget(now)
+        if window is None or window >= self._window:
+            return self._total
+        total = 0
+        for at, events in reversed(self._steps):
+            if now - at > window:
+                break
+            total += int(events)
+        return total
+
+    def rate(self, now: Instant) -> float:
+        """Per second over the window."""
+        return self.count(now) / self._window
--- /dev/null
+++ b/wingwood/limits/keepers.py
@@ -0,0 +1,63 @@
+"""Which router keeps which tenant's share (docs/DESIGN.md section 14)."""
+
+from __future__ import annotations
+
+from ..identifiers import TenantName
+from ..membership.protocols import Membership
+from ..membership.rendezvous import weight
+from ..transport.frames import Identity
+
+
+class ShareKeepers:
+    """Rendezvous over the routers, kept up to date by differences.
+
+    A member more or less costs one hash per known tenant, not one per tenant and member.
+    """
+
+    def __init__(self, membership: Membership) -> None:
+        self._membership = membership
+        self._routers: dict[str, Identity] = {}
+        self._chosen: dict[TenantName, tuple[int, Identity]] = {}
+        self._changed = True
+        membership.on_change(self._mark_changed)
+
+    def _mark_changed(self) -> None:
+        self._changed = True
+
+    def keeper(self, tenant: TenantName) -> Identity | None:
+        """None while no router is known."""
+        self._catch_up()
+        found = self._chosen.get(tenant)
+        if found is None:
+            if not self._routers:
+                return None
+            found = max(
+                ((weight(tenant, key), router) for key, router in sorted(self._routers.items())),
+                key=lambda candidate: candidate[0],
+            )
+            self._chosen[tenant] = found
+        return found[1]
+
+    def routers(self) -> list[Identity]:
+        """Sorted; the last known ones while this daemon's view is empty."""
+        self._catch_up()
+        return [self._routers[key] for key in sorted(self._routers)]
+
+    def _catch_up(self) -> None:
+        if not self._changed:
+            return
+        self._changed = False
+        now = {f"{router.name}/{router.incarnation}": router for router in self._membership.routers()}
+        if not now:
+            return
+        before = self._routers
+        self._routers = now
+        added = sorted(key for key in now if key not in before)
+        gone = {key for key in before if key not in now}
+        for tenant, (best, router) in list(self._chosen.items()):
+            if f"{router.name}/{router.incarnation}" in gone:
+                del self._chosen[tenant]
+                continue
+            rival = max(((weight(tenant, key), key) for key in added), default=None)
+            if rival is not None and rival[0] > best:
+                self._chosen[tenant] = (rival[0], now[rival[1]])
--- /dev/null
+++ b/wingwood/limits/tests/share_fleet.py
@@ -0,0 +1,165 @@
+"""Routers with shares only, on simulated time, under Poisson load (for tests and bench/limits_bench.py)."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+
+from simulation import World, address_of
+from wingwood.bundle.model import Tenant
+from wingwood.context.protocols import Context
+from wingwood.identifiers import ClassName, DaemonName, Incarnation, Instant, Seconds, TenantName, Zone
+from wingwood.limits.shares import FleetShares
+from wingwood.transport.frames import Identity
+from wingwood.transport.messenger import TcpMessenger
+
+PORT = 7000
+LOST_AFTER = 2.0
+Load = Callable[[int, float], float]
+"""Offered calls per second at a router (by number) at a time of the world."""
+
+
+class HeldMembership:
+    """Membership as the fleet below decides it, learnt with every heartbeat."""
+
+    def __init__(self) -> None:
+        self._members: list[Identity] = []
+        self._proven: Instant | None = None
+        self._callbacks: list[Callable[[], None]] = []
+
+    def learn(self, members: Sequence[Identity], now: Instant) -> None:
+        changed = list(members) != self._members
+        self._members, self._proven = list(members), now
+        for callback in self._callbacks if changed else ():
+            callback()
+
+    def members(self) -> Sequence[Identity]:
+        return self._members
+
+    def routers(self) -> Sequence[Identity]:
+        return self._members
+
+    def controls(self) -> Sequence[Identity]:
+        return []
+
+    def is_member(self, incarnation: Incarnation) -> bool:
+        return any(member.incarnation == incarnation for member in self._members)
+
+    def session_proven_at(self) -> Instant | None:
+        return self._proven
+
+    def on_change(self, callback: Callable[[], None]) -> None:
+        self._callbacks.append(callback)
+
+
+class ShareFleet:
+    """Routers ``r0``, ``r1``...; ``calls`` holds (time, router, accepted, seconds waited) of every call."""
+
+    def __init__(self, world: World, routers: int, tenant: Tenant, load: Load, most_rate: float) -> None:
+        self.world = world
+        self.tenant = tenant
+        self.rates = [(0.0, tenant.paid_rate)]
+        self.load = load
+        self.most_rate = most_rate
+        self.calls: list[tuple[float, int, bool, float]] = []
+        self.identities: dict[str, Identity] = {}
+        self.lost: dict[str, float] = {}
+        """Since when a router does not reach control (killed, frozen or cut off)."""
+        self.control_down = False
+        self.shares: dict[str, FleetShares] = {}
+        for number in range(routers):
+            self.join(number)
+
+    def join(self, number: int) -> None:
+        name = f"r{number}"
+        machine = self.world.machine(name, "abc"[number % 3])
+
+        async def main(context: Context) -> None:
+            identity = Identity(
+                DaemonName(name),
+                Incarnation(f"{name}-{context.random.randrange(1 << 32):08x}"),
+                "router",
+                Zone(machine.zone),
+                address_of(machine, PORT),
+            )
+            messenger = TcpMessenger(context, identity, b"fleet key")
+            messenger.start()
+            membership = HeldMembership()
+            self.shares[name] = FleetShares(context, messenger, membership, lambda _: self.tenant)
+            self.lost.pop(name, None)
+            self.identities[name] = identity
+            context.tasks.spawn("heartbeat", self._heartbeat(context, name, membership))
+            context.tasks.spawn("load", self._offer(context, number, self.shares[name]))
+
+        self.world.start(name, main, zone=machine.zone)
+
+    def keeper(self) -> str:
+        """Name of the router that keeps the tenant's share, as the routers that are well see it."""
+        well = next(name for name in sorted(self.shares) if name not in self.lost)
+        found = self.shares[well]._keepers.keeper(self.tenant.name)
+        assert found is not None
+        return found.name
+
+    def mark_lost(self, name: str) -> None:
+        self.lost[name] = self.world.now
+
+    def mark_well(self, name: str) -> None:
+        self.lost.pop(name, None)
+
+    async def _heartbeat(self, context: Context, name: str, membership: HeldMembership) -> None:
+        while True:
+            if name not in self.lost and not self.control_down:
+                now = self.world.now
+                members = [
+                    self.identities[other]
+                    for other in sorted(self.identities)
+                    if now - self.lost.get(other, now) <= LOST_AFTER
+                ]
+                membership.learn(members, context.clock.monotonic())
+            await context.clock.sleep(Seconds(context.random.uniform(0.4, 0.6)))
+
+    async def _offer(self, context: Context, number: int, shares: FleetShares) -> None:
+        while True:
+            await context.clock.sleep(Seconds(context.random.expovariate(self.most_rate)))
+            if context.random.random() * self.most_rate < self.load(number, self.world.now):
+                context.tasks.spawn("call", self._call(number, shares))
+
+    async def _call(self, number: int, shares: FleetShares) -> None:
+        began = self.world.now
+        refused = await shares.take(self.tenant)
+        self.calls.append((began, number, refused is None, self.world.now - began))
+
+    def accepted(self, start: float, end: float) -> int:
+        return sum(1 for at, _, accepted, _ in self.calls if accepted and start <= at < end)
+
+    def offered(self, start: float, end: float) -> int:
+        return sum(1 for at, _, _, _ in self.calls if start <= at < end)
+
+    def of_paid(self, start: float, end: float) -> float:
+        """Accepted calls as a part of what is paid for that time."""
+        return self.accepted(start, end) / self.paid(start, end)
+
+    def change(self, tenant: Tenant) -> None:
+        """A new bundle is in force with another paid rate."""
+        self.tenant = tenant
+        self.rates.append((self.world.now, tenant.paid_rate))
+
+    def paid(self, start: float, end: float) -> float:
+        ends = [*(since for since, _ in self.rates[1:]), end]
+        return sum(
+            rate * max(0.0, min(end, until) - max(start, since))
+            for (since, rate), until in zip(self.rates, ends, strict=True)
+        )
+
+    def refused_part(self, start: float, end: float) -> float:
+        return 1.0 - self.accepted(start, end) / max(1, self.offered(start, end))
+
+    def worst_window(self, start: float, end: float, width: float) -> float:
+        """Highest ``of_paid`` over any window of that width, in steps of a tenth of it."""
+        steps = int((end - start - width) / (width / 10)) + 1
+        return max(self.of_paid(start + step * width / 10, start + step * width / 10 + width) for step in range(steps))
+
+
+def tenant(paid_rate: float, burst: float = 1.0) -> Tenant:
+    return Tenant(
+        name=TenantName("austral"), priority_class=ClassName("gold"), paid_rate=paid_rate, burst=Seconds(burst)
+    )
--- /dev/null
+++ b/wingwood/limits/tests/test_parts.py
@@ -0,0 +1,110 @@
+"""Buckets, counts, keepers, retry budgets and admission (docs/DESIGN.md section 14)."""
+
+from __future__ import annotations
+
+import unittest
+
+from ...bundle.model import Service
+from ...identifiers import (
+    Address,
+    DaemonName,
+    Incarnation,
+    Instant,
+    PoolName,
+    Seconds,
+    ServiceName,
+    TenantName,
+    Zone,
+)
+from ...membership.rendezvous import ranked
+from ...transport.frames import Identity
+from ..admission import PatienceAdmission
+from ..bucket import RecentCount, TokenBucket
+from ..keepers import ShareKeepers
+from ..retry_budget import MOST_SAVED, MOST_SHARE, ServiceRetryBudget
+from .share_fleet import HeldMembership
+
+
+def service(retry_share: float = 0.15, patience: float = 4.0) -> Service:
+    return Service(
+        name=ServiceName("chat"),
+        pool=PoolName("model"),
+        retry_share=retry_share,
+        first_byte_patience=Seconds(patience),
+    )
+
+
+class TokenBucketTest(unittest.TestCase):
+    def test_fills_at_its_rate_up_to_its_size_and_gives_whole_tokens(self) -> None:
+        bucket = TokenBucket(rate=10.0, most=5.0, level=0.0, now=Instant(0.0))
+        self.assertEqual(bucket.take(1, Instant(0.09)), 0)
+        self.assertAlmostEqual(bucket.wait(Instant(0.09)), 0.01)
+        self.assertEqual(bucket.take(3, Instant(0.25)), 2)
+        self.assertEqual(bucket.take(9, Instant(100.0)), 5)
+        self.assertEqual(bucket.take(1, Instant(99.0)), 0, "a clock that seems to go back earns nothing")
+
+    def test_what_is_owed_is_bounded_and_a_new_rate_counts_from_its_moment(self) -> None:
+        bucket = TokenBucket(rate=10.0, most=5.0, level=0.0, now=Instant(0.0))
+        bucket.give(-100.0, Instant(0.0))
+        self.assertEqual(bucket.level, -5.0)
+        bucket.change(1.0, 5.0, Instant(0.5))
+        self.assertEqual(bucket.level, 0.0)
+        self.assertEqual(bucket.take(9, Instant(2.5)), 2)
+
+
+class RecentCountTest(unittest.TestCase):
+    def test_forgets_what_is_older_than_the_window(self) -> None:
+        recent = RecentCount(Seconds(1.0))
+        for tenth in range(30):
+            recent.add(Instant(tenth / 10))
+        self.assertIn(recent.count(Instant(2.95)), (10, 11))
+        self.assertIn(recent.count(Instant(2.95), Seconds(0.5)), (5, 6))
+        self.assertEqual(recent.count(Instant(9.0)), 0)
+
+
+class ShareKeepersTest(unittest.TestCase):
+    def test_following_the_differences_chooses_as_a_fresh_choice_would(self) -> None:
+        membership = HeldMembership()
+        keepers = ShareKeepers(membership)
+        tenants = [TenantName(f"tenant {number}") for number in range(50)]
+        self.assertIsNone(keepers.keeper(tenants[0]))
+        for members in ((1, 2, 3), (1, 3, 4, 5), (4, 5), (1, 2, 3, 4, 5, 6, 7), (7,)):
+            routers = [router(number) for number in members]
+            membership.learn(routers, Instant(0.0))
+            for name in tenants:
+                expected = ranked(name, routers, lambda each: f"{each.name}/{each.incarnation}")[0]
+                self.assertEqual(keepers.keeper(name), expected)
+
+
+def router(number: int) -> Identity:
+    return Identity(DaemonName(f"r{number}"), Incarnation("i"), "router", Zone("a"), Address("127.0.0.1", number))
+
+
+class RetryBudgetTest(unittest.TestCase):
+    def test_tries_stay_under_a_fifth_of_the_calls_at_every_moment(self) -> None:
+        for share in (0.15, 0.9):
+            budget, tries = ServiceRetryBudget(), 0
+            for calls in range(1, 500):
+                budget.earned(service(share))
+                tries += budget.take(ServiceName("chat"))
+                self.assertLess(tries, calls / 5)
+            self.assertGreater(tries, 450 * min(share, MOST_SHARE))
+
+    def test_a_long_calm_saves_up_little_and_a_service_pays_only_for_itself(self) -> None:
+        budget = ServiceRetryBudget()
+        for _ in range(10_000):
+            budget.earned(service())
+        self.assertFalse(budget.take(ServiceName("cards")))
+        self.assertEqual(sum(budget.take(ServiceName("chat")) for _ in range(100)), int(MOST_SAVED))
+
+
+class AdmissionTest(unittest.TestCase):
+    def test_refuses_what_comes_too_late_for_its_callers(self) -> None:
+        admission = PatienceAdmission()
+        self.assertIsNone(admission.refuse(service(patience=4.0), Seconds(3.5)))
+        refused = admission.refuse(service(patience=4.0), Seconds(9.6))
+        assert refused is not None
+        self.assertAlmostEqual(refused.retry_after, 6.0)
+        endless = admission.refuse(service(), Seconds(float("inf")))
+        assert endless is not None
+        self.assertEqual(endless.retry_after, 30.0)
