--- /dev/null
+++ b/wingwood/command_line/bundle.py
@@ -0,0 +1,380 @@
+"""`wingwood bundle`: check, sign, push, change, show, history, diff."""
+
+from __future__ import annotations
+
+import time
+import uuid
+from collections.abc import Sequence
+from datetime import UTC, datetime
+from pathlib import Path
+
+import click
+import msgspec
+from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
+
+from ..bundle.model import Order, OrderOutcome
+from ..bundle.orders import make_order
+from ..bundle.reading import HistoryAnswer
+from ..identifiers import Address, BundleVersion, OrderId, Seconds, WallTime
+from ..operator_api.reading import ShownBundle
+from .change import changed_slices, differences, rebase
+from .client import NoBundle, OperatorClient
+from .keys import read_key
+from .options import json_option, key_option, to_option
+from .output import ExitCode, OutcomeUnknown, Problem, print_json, print_table
+from .source import Slices, check_bundle, read_source, write_source
+
+EXIT_OF = {"accepted": ExitCode.DONE, "conflict": ExitCode.CONFLICT, "invalid": ExitCode.REFUSED}
+REBASES = 10
+
+
+@click.group()
+def bundle() -> None:
+    """The signed configuration: check, sign, push, change, show, history, diff."""
+
+
+def _say(message: str) -> None:
+    click.echo(message, err=True)
+
+
+def _client(addresses: Sequence[Address], patience: float = 30.0) -> OperatorClient:
+    client = OperatorClient(addresses, _say, Seconds(patience))
+    click.get_current_context().call_on_close(client.close)
+    return client
+
+
+def _newest(client: OperatorClient) -> tuple[BundleVersion, Slices]:
+    """The newest version and its slices; version 0 without any when there is no bundle yet."""
+    try:
+        shown = client.read("/control/v1/bundle?newest=1", ShownBundle)
+    except NoBundle:
+        return BundleVersion(0), {}
+    return shown.version, _slices(shown)
+
+
+def _slices(shown: ShownBundle) -> Slices:
+    return {name: bytes(raw) for name, raw in shown.slices.items()}
+
+
+def _sign(base: BundleVersion, before: Slices, after: Slices, private: Ed25519PrivateKey, order: str | None) -> Order:
+    order_id = OrderId(order or uuid.uuid4().hex)
+    return make_order(base, before, after, private, order_id, WallTime(time.time()))
+
+
+def _private_key(key_file: Path | None) -> Ed25519PrivateKey:
+    if key_file is None:
+        raise Problem("an order must be signed: name the operator's key with --key FILE or in WINGWOOD_KEY")
+    return read_key(key_file)
+
+
+@bundle.command()
+@click.argument("source", type=click.Path(path_type=Path))
+@json_option
+def check(source: Path, as_json: bool) -> None:
+    """Reads SOURCE (a TOML file or a folder of them) and checks all that daemons check."""
+    slices = read_source(source)
+    checked = check_bundle(slices)
+    counts = {
+        "services": len(checked.services),
+        "routes": len(checked.routes),
+        "classes": len(checked.classes),
+        "tenants": len(checked.tenants),
+        "keys": len(checked.keys),
+        "bytes": sum(map(len, slices.values())),
+    }
+    if as_json:
+        print_json(counts)
+    else:
+        click.echo("in order: " + ", ".join(f"{count} {name}" for name, count in counts.items()))
+
+
+@bundle.command()
+@click.argument("source", type=click.Path(path_type=Path))
+@key_option
+@click.option("--output", type=click.Path(path_type=Path), required=True, help="Where the signed order goes.")
+@click.option("--base", type=click.IntRange(0), help="The version it builds on. Without --base and --to: 0.")
+@click.option("--order", help="The order's id; made up when left out.")
+@to_option
+@json_option
+def sign(
+    source: Path,
+    key_file: Path | None,
+    output: Path,
+    base: int | None,
+    order: str | None,
+    addresses: tuple[Address, ...],
+    as_json: bool,
+) -> None:
+    """Signs SOURCE as a whole bundle, to be pushed from elsewhere. With --to it builds on the newest version."""
+    slices = read_source(source)
+    check_bundle(slices)
+    private = _private_key(key_file)
+    before: Slices = {}
+    version = BundleVersion(base or 0)
+    if base is None and addresses:
+        version, before = _newest(_client(addresses))
+    signed = _sign(version, before, slices, private, order)
+    if not before:
+        signed = msgspec.structs.replace(signed, whole=True)
+    try:
+        output.write_bytes(msgspec.json.encode(signed) + b"\n")
+    except OSError as problem:
+        raise Problem(f"{output}: cannot be written: {problem.strerror}") from None
+    told = {"order": signed.manifest.order, "version": signed.manifest.version, "file": str(output)}
+    if as_json:
+        print_json(told)
+    else:
+        click.echo(f"order {told['order']} for version {told['version']} signed, in {output}")
+
+
+@bundle.command()
+@click.argument("file", type=click.Path(path_type=Path))
+@key_option
+@click.option("--order", help="The order's id; made up when left out.")
+@click.option(
+    "--rebase", "may_rebase", is_flag=True, help="After a conflict, make the same change to the version that won."
+)
+@click.option("--patience", type=click.FloatRange(0, 3600), default=30.0, show_default=True, help="Seconds of trying.")
+@to_option
+@json_option
+def push(
+    file: Path,
+    key_file: Path | None,
+    order: str | None,
+    may_rebase: bool,
+    patience: float,
+    addresses: tuple[Address, ...],
+    as_json: bool,
+) -> None:
+    """Puts FILE in force: a bundle source (signed now, against the newest version) or a signed order.
+
+    After a lost answer the same order goes to the next daemon; run again with the saved order, it is safe.
+    """
+    client = _client(addresses, patience)
+    if file.is_dir() or file.suffix == ".toml":
+        wanted = read_source(file)
+        check_bundle(wanted)
+        version, before = _newest(client)
+        _push(client, version, before, wanted, _private_key(key_file), order, may_rebase, as_json)
+        return
+    _report(_submit(client, _read_order(file), file), as_json, may_rebase=False)
+
+
+@bundle.command()
+@click.option("--set", "sets", multiple=True, metavar="KIND/NAME.FIELD=VALUE", help="Set a field.")
+@click.option("--remove", "removes", multiple=True, metavar="KIND/NAME", help="Take a slice out.")
+@click.option("--add-key", "add_keys", multiple=True, metavar="tenant/NAME=DIGEST", help="Give a tenant a key.")
+@click.option("--remove-key", "remove_keys", multiple=True, metavar="DIGEST", help="Take a caller's key away.")
+@click.option("--file", "files", multiple=True, type=click.Path(path_type=Path), help="Put in the slices of a source.")
+@key_option
+@click.option("--order", help="The order's id; made up when left out.")
+@click.option(
+    "--rebase", "may_rebase", is_flag=True, help="After a conflict, make the same change to the version that won."
+)
+@click.option("--patience", type=click.FloatRange(0, 3600), default=30.0, show_default=True, help="Seconds of trying.")
+@click.option("--dry-run", is_flag=True, help="Show the difference, send nothing.")
+@to_option
+@json_option
+def change(
+    sets: tuple[str, ...],
+    removes: tuple[str, ...],
+    add_keys: tuple[str, ...],
+    remove_keys: tuple[str, ...],
+    files: tuple[Path, ...],
+    key_file: Path | None,
+    order: str | None,
+    may_rebase: bool,
+    patience: float,
+    dry_run: bool,
+    addresses: tuple[Address, ...],
+    as_json: bool,
+) -> None:
+    """Makes a small change to the newest version: files are put in first, then fields and keys, then removals."""
+    if not any((sets, removes, add_keys, remove_keys, files)):
+        raise Problem("nothing to change: use --set, --remove, --add-key, --remove-key or --file")
+    client = _client(addresses, patience)
+    version, before = _newest(client)
+    wanted = changed_slices(before, files=files, sets=sets, add_keys=add_keys, remove_keys=remove_keys, removes=removes)
+    check_bundle(wanted)
+    if dry_run:
+        _print_differences(differences(before, wanted), as_json)
+        return
+    _push(client, version, before, wanted, _private_key(key_file), order, may_rebase, as_json)
+
+
+def _push(
+    client: OperatorClient,
+    version: BundleVersion,
+    before: Slices,
+    wanted: Slices,
+    private: Ed25519PrivateKey,
+    order: str | None,
+    may_rebase: bool,
+    as_json: bool,
+) -> None:
+    for _ in range(REBASES):
+        if wanted == before:
+            if as_json:
+                print_json({"outcome": "unchanged", "version": version})
+            else:
+                click.echo(f"nothing differs from version {version}; nothing sent")
+            return
+        outcome = _submit(client, _sign(version, before, wanted, private, order), None)
+        if outcome.outcome != "conflict" or not may_rebase:
+            break
+        _say(f"{outcome.reason}; making the same change to the newest version")
+        base = before
+        version, before = _newest(client)
+        wanted = rebase(base, wanted, before)
+        check_bundle(wanted)
+        order = None
+    _report(outcome, as_json, may_rebase)
+
+
+def _submit(client: OperatorClient, order: Order, file: Path | None) -> OrderOutcome:
+    outcome = client.submit(order)
+    if outcome is not None:
+        return outcome
+    if file is None:
+        file = Path(f"order-{order.manifest.order}.json")
+        file.write_bytes(msgspec.json.encode(order) + b"\n")
+    again = f"wingwood bundle push {file} --to {client.addresses[0]}"
+    raise OutcomeUnknown(
+        f"no daemon said what became of order {order.manifest.order}: it may or may not come in force. "
+        f"Sending the same order again is safe: {again}"
+    )
+
+
+def _read_order(file: Path) -> Order:
+    try:
+        return msgspec.json.decode(file.read_bytes(), type=Order)
+    except OSError as problem:
+        raise Problem(f"{file}: cannot be read: {problem.strerror}") from None
+    except (msgspec.MsgspecError, UnicodeError) as malformed:
+        raise Problem(
+            f"{file}: not a signed order ({malformed}); `wingwood bundle sign` makes one, and sources end in .toml"
+        ) from None
+
+
+def _report(outcome: OrderOutcome, as_json: bool, may_rebase: bool) -> None:
+    if as_json:
+        print_json(outcome)
+    elif outcome.outcome == "accepted":
+        click.echo(f"accepted: version {outcome.version} (order {outcome.order})")
+    elif outcome.outcome == "conflict":
+        hint = "" if may_rebase else "; --rebase makes the same change to the newest version"
+        _say(f"conflict: {outcome.reason}{hint}")
+    else:
+        _say(f"{outcome.outcome}: {outcome.reason}")
+    if outcome.outcome != "accepted":
+        raise click.exceptions.Exit(int(EXIT_OF[outcome.outcome]))
+
+
+@bundle.command()
+@click.option("--version", "version", type=click.IntRange(1), help="An older version that control still keeps.")
+@click.option("--newest", is_flag=True, help="The newest version as control knows it, not what is in force there.")
+@click.option("--toml", "as_toml", is_flag=True, help="Print a source that `bundle push` takes.")
+@to_option
+@json_option
+def show(version: int | None, newest: bool, as_toml: bool, addresses: tuple[Address, ...], as_json: bool) -> None:
+    """Reads back the bundle in force on a daemon."""
+    shown = _read_version(_client(addresses), version, newest)
+    if as_json:
+        print_json(shown)
+    elif as_toml:
+        click.echo(write_source(_slices(shown)), nl=False)
+    else:
+        _print_bundle(shown)
+
+
+def _read_version(client: OperatorClient, version: int | None, newest: bool = False) -> ShownBundle:
+    query = f"?version={version}" if version is not None else "?newest=1" if newest else ""
+    return client.read(f"/control/v1/bundle{query}", ShownBundle)
+
+
+def _print_bundle(shown: ShownBundle) -> None:
+    manifest = shown.manifest
+    click.echo(f"version {shown.version}{', the newest' if shown.newest else ''}, order {manifest.order}")
+    click.echo(f"signed {_when(manifest.signed_at)} by {manifest.signer}")
+    for kind, titles in (
+        ("service", ("pool", "kind", "repeatable", "streaming", "deadline", "first_byte_patience", "retry_share")),
+        ("route", ("path_prefix", "service", "methods")),
+        ("class", ("weight",)),
+        ("tenant", ("priority_class", "paid_rate", "burst", "keys", "services")),
+    ):
+        rows = []
+        for name in sorted(name for name in shown.slices if name.startswith(f"{kind}/")):
+            fields = msgspec.json.decode(shown.slices[name], type=dict[str, object])
+            rows.append([fields["name"], *(_shortened(title, fields.get(title)) for title in titles)])
+        if rows:
+            click.echo()
+            print_table((kind, *titles), rows)
+
+
+def _shortened(field: str, value: object) -> object:
+    if field == "keys" and isinstance(value, list):
+        return [f"{digest[:12]}.." for digest in value]
+    if field == "services" and not value:
+        return "all"
+    return value
+
+
+def _when(seconds: float) -> str:
+    return datetime.fromtimestamp(seconds, UTC).strftime("%Y-%m-%d %H:%M:%S UTC")
+
+
+@bundle.command()
+@click.option("--most", type=click.IntRange(1, 1000), default=20, show_default=True, help="How many versions.")
+@to_option
+@json_option
+def history(most: int, addresses: tuple[Address, ...], as_json: bool) -> None:
+    """Lists versions, newest first: when, by whom, and what changed."""
+    answer = _client(addresses).read(f"/control/v1/history?most={most}", HistoryAnswer)
+    if as_json:
+        print_json(answer)
+        return
+    rows = [
+        (entry.version, _when(entry.signed_at), entry.signer[:12], entry.order, _names(entry.changed, entry.removed))
+        for entry in answer.entries
+    ]
+    print_table(("version", "signed", "signer", "order", "changed"), rows)
+
+
+def _names(changed: Sequence[str], removed: Sequence[str]) -> str:
+    names = [*changed, *(f"-{name}" for name in removed)]
+    more = f" and {len(names) - 5} more" if len(names) > 5 else ""
+    return (", ".join(names[:5]) or "nothing") + more
+
+
+@bundle.command()
+@click.argument("old", type=click.IntRange(0))
+@click.argument("new", type=click.IntRange(1), required=False)
+@to_option
+@json_option
+def diff(old: int, new: int | None, addresses: tuple[Address, ...], as_json: bool) -> None:
+    """Shows what differs from version OLD to NEW (the newest when left out)."""
+    client = _client(addresses)
+    before = _slices(_read_version(client, old)) if old else {}
+    after = _slices(_read_version(client, new, newest=True))
+    _print_differences(differences(before, after), as_json)
+
+
+def _print_differences(found: list[dict[str, object]], as_json: bool) -> None:
+    if as_json:
+        print_json(found)
+        return
+    if not found:
+        click.echo("nothing differs")
+    rows = [
+        (entry["slice"], entry["done"], field, _plain(values["old"]), _plain(values["new"]))
+        for entry in found
+        if isinstance(entry["fields"], dict)
+        for field, values in entry["fields"].items()
+    ]
+    if rows:
+        print_table(("slice", "done", "field", "old", "new"), rows)
+
+
+def _plain(value: object) -> str:
+    text = "-" if value is None else msgspec.json.encode(value).decode()
+    return text if len(text) <= 60 else text[:57] + "..."
--- /dev/null
+++ b/wingwood/command_line/change.py
@@ -0,0 +1,143 @@
+"""Small changes to a bundle, and bringing them onto a newer base (docs/DESIGN.md section 5.6)."""
+
+from __future__ import annotations
+
+import tomllib
+from collections.abc import Mapping, Sequence
+from pathlib import Path
+
+import msgspec
+
+from ..identifiers import SliceName
+from .output import Conflict, Problem
+from .source import FIELDS, KINDS, Slices, read_source, slice_from
+
+
+class _Keys(msgspec.Struct):
+    keys: tuple[str, ...] = ()
+
+
+def changed_slices(
+    before: Mapping[SliceName, bytes],
+    *,
+    files: Sequence[Path] = (),
+    sets: Sequence[str] = (),
+    add_keys: Sequence[str] = (),
+    remove_keys: Sequence[str] = (),
+    removes: Sequence[str] = (),
+) -> Slices:
+    """``before`` with files put in, then fields set, keys added and removed, slices removed; in this order."""
+    after = dict(before)
+    for file in files:
+        after.update(read_source(file))
+    for text in sets:
+        _set_field(after, text)
+    for text in add_keys:
+        name, separator, digest = text.partition("=")
+        if not separator:
+            raise Problem(f"--add-key {text}: write it as tenant/NAME=DIGEST")
+        _change_keys(after, _existing(after, name, "--add-key"), (), (digest,))
+    for digest in remove_keys:
+        _remove_key(after, digest)
+    for name in removes:
+        del after[_existing(after, name, "--remove")]
+    return after
+
+
+def _set_field(slices: Slices, text: str) -> None:
+    target, separator, value = text.partition("=")
+    name, dot, field = target.rpartition(".")
+    if not separator or not dot:
+        raise Problem(f"--set {text}: write it as KIND/NAME.FIELD=VALUE, such as tenant/web-shop.paid_rate=20")
+    slice_name = _existing(slices, name, "--set")
+    kind = slice_name.partition("/")[0]
+    if field not in FIELDS[kind] or field == "name":
+        allowed = ", ".join(each for each in FIELDS[kind] if each != "name")
+        raise Problem(f"--set {text}: {field} is unknown; the fields of a {kind} are {allowed}")
+    _replace(slices, slice_name, {field: _value(value)})
+
+
+def _value(text: str) -> object:
+    """A TOML value; what is none is taken as text, so that quotes may be left out."""
+    try:
+        return tomllib.loads(f"value = {text}")["value"]
+    except tomllib.TOMLDecodeError:
+        return text
+
+
+def _replace(slices: Slices, name: SliceName, fields: Mapping[str, object]) -> None:
+    held = msgspec.json.decode(slices[name], type=dict[str, object])
+    new_name, data = slice_from(name.partition("/")[0], {**held, **fields}, name)
+    slices[new_name] = data
+
+
+def _existing(slices: Slices, name: str, flag: str) -> SliceName:
+    slice_name = SliceName(name)
+    if slice_name in slices:
+        return slice_name
+    kind = name.partition("/")[0]
+    if kind not in KINDS:
+        raise Problem(f"{flag} {name}: write it as KIND/NAME with KIND one of {', '.join(KINDS)}")
+    known = ", ".join(sorted(each for each in slices if each.startswith(f"{kind}/"))[:8]) or "none"
+    raise Problem(f"{flag} {name}: is not in the bundle; there are: {known}")
+
+
+def _change_keys(slices: Slices, name: SliceName, removed: Sequence[str], added: Sequence[str]) -> None:
+    if not name.startswith("tenant/"):
+        raise Problem(f"{name} has no keys; only tenants have")
+    keys = msgspec.json.decode(slices[name], type=_Keys).keys
+    _replace(slices, name, {"keys": [key for key in keys if key not in removed] + list(added)})
+
+
+def _remove_key(slices: Slices, digest: str) -> None:
+    """``digest`` may be cut short as ``bundle show`` prints it, while it tells one key from all others."""
+    start = digest.removesuffix("..")
+    found = [
+        (name, key)
+        for name in sorted(slices)
+        if name.startswith("tenant/")
+        for key in msgspec.json.decode(slices[name], type=_Keys).keys
+        if key.startswith(start)
+    ]
+    if len(start) < 8 or len(found) != 1:
+        raise Problem(
+            f"--remove-key {digest}: {len(found) if len(start) >= 8 else 'too short, perhaps several'} keys start so; "
+            "give the digest as `wingwood bundle show --json` does, or 8 of its hex digits and more"
+        )
+    name, key = found[0]
+    _change_keys(slices, name, (key,), ())
+
+
+def rebase(old_base: Mapping[SliceName, bytes], wanted: Slices, new_base: Mapping[SliceName, bytes]) -> Slices:
+    """``wanted``'s changes to ``old_base``, made to ``new_base``; Problem when both changed the same slice."""
+    after = dict(new_base)
+    for name in sorted({*old_base, *wanted}):
+        before, mine, theirs = old_base.get(name), wanted.get(name), new_base.get(name)
+        if mine in (before, theirs):
+            continue
+        if theirs != before:
+            raise Conflict(f"{name} was changed by the other order too; look at `wingwood bundle diff` and decide anew")
+        if mine is None:
+            del after[name]
+        else:
+            after[name] = mine
+    return after
+
+
+def differences(before: Mapping[SliceName, bytes], after: Mapping[SliceName, bytes]) -> list[dict[str, object]]:
+    """One entry per slice that differs: what was done, and each field's old and new value."""
+    found: list[dict[str, object]] = []
+    for name in sorted({*before, *after}):
+        old, new = before.get(name), after.get(name)
+        if old == new:
+            continue
+        old_fields = msgspec.json.decode(old, type=dict[str, object]) if old is not None else {}
+        new_fields = msgspec.json.decode(new, type=dict[str, object]) if new is not None else {}
+        fields = {
+            field: {"old": old_fields.get(field), "new": new_fields.get(field)}
+            for field in sorted({*old_fields, *new_fields})
+            if old_fields.get(field) != new_fields.get(field)
+        }
+        done = "added" if old is None else "removed" if new is None else "changed"
+        found.append({"slice": name, "done": done, "fields": fields})
+    return found
--- /dev/null
+++ b/wingwood/command_line/daemons.py
@@ -0,0 +1,151 @@
+"""`wingwood router`, `wingwood control` and `wingwood settings check`."""
+
+from __future__ import annotations
+
+import importlib
+from pathlib import Path
+from typing import Any
+
+import click
+import msgspec
+from returns.result import Failure
+
+from ..settings.load import FLAG_OF, expectation, read_settings
+from ..settings.model import DaemonSettings
+from .options import json_option
+from .output import Problem, print_json
+
+LISTS = ("seeds", "operator_keys")
+"""Settings that are lists: their flag is given once for each entry."""
+HIDDEN = ("role", "fleet_key")
+"""Not flags: the subcommand says the role, and a secret does not belong on a command line."""
+MEANINGS = {
+    "name": "The daemon's name, alone in the fleet",
+    "zone": "The zone it stands in",
+    "internal": "Where other daemons reach it",
+    "operator": "Where operators, workers and the platform reach it",
+    "caller": "Where callers reach it (routers only)",
+    "seeds": "Internal addresses of three other daemons",
+    "data_folder": "Where a control daemon keeps its files",
+    "operator_keys": "Operators' public keys whose bundles are taken",
+    "removed_key_bound": "A router that can't prove its bundle the newest stops in time for this; left out: serves on",
+    "balancing": "How a worker is chosen for a turn",
+    "record_file": "Where a router records its day, below the data folder",
+    "stop_within": "Longest time from SIGTERM to the end",
+    "ledger_retention": "How long control remembers calls that may run once only",
+    "outcome_retention": "How many orders' outcomes control keeps",
+    "history_versions": "How many past versions' slices control keeps",
+    "body_bytes": "Largest body of a call",
+    "bundle_bytes": "Largest bundle",
+}
+
+
+def _flags(command: Any) -> Any:
+    for field in reversed(msgspec.structs.fields(DaemonSettings)):
+        if field.name in HIDDEN:
+            continue
+        several = field.name in LISTS
+        expected = "one flag each" if several else expectation(field.name).removeprefix("expected ")
+        default = (
+            "" if field.required or field.default in (None, msgspec.NODEFAULT) else f", {field.default} if left out"
+        )
+        command = click.option(
+            f"--{FLAG_OF[field.name]}",
+            field.name,
+            multiple=several,
+            metavar="TEXT",
+            help=f"{MEANINGS[field.name]}: {expected}{default}.",
+        )(command)
+    return command
+
+
+def _typed(name: str, text: str) -> object:
+    """Numbers in flags become numbers; what they must be is checked with the file's keys."""
+    types = str(DaemonSettings.__annotations__[name])
+    if not any(word in types for word in ("int", "Seconds")):
+        return text
+    try:
+        return int(text)
+    except ValueError:
+        try:
+            return float(text)
+        except ValueError:
+            return text
+
+
+def _given(flags: dict[str, Any]) -> dict[str, object]:
+    found: dict[str, object] = {}
+    for name, value in flags.items():
+        if name in LISTS:
+            if value:
+                found[name] = list(value)
+        elif value is not None:
+            found[name] = _typed(name, value)
+    return found
+
+
+def load(file: Path | None, flags: dict[str, object]) -> DaemonSettings:
+    read = read_settings(file, flags)
+    if isinstance(read, Failure):
+        raise Problem(str(read.failure()))
+    return read.unwrap()
+
+
+def _daemon(role: str, file: Path | None, fleet_key_file: Path | None, flags: dict[str, Any]) -> None:
+    given = {"role": role, **_given(flags)}
+    if fleet_key_file is not None:
+        given["fleet_key_file"] = str(fleet_key_file)
+    settings = load(file, given)
+    module = importlib.import_module(f"..daemons.{role}", __package__)
+    code = module.run(settings)
+    raise click.exceptions.Exit(code if isinstance(code, int) else 0)
+
+
+settings_option = click.option(
+    "--settings", "file", type=click.Path(path_type=Path), help="TOML file; flags win over it. See docs/COMMANDS.md."
+)
+fleet_key_option = click.option(
+    "--fleet-key-file", type=click.Path(path_type=Path), help="File with the daemons' shared secret as hex digits."
+)
+
+
+@click.command()
+@settings_option
+@fleet_key_option
+@_flags
+def router(file: Path | None, fleet_key_file: Path | None, **flags: Any) -> None:
+    """Runs a router daemon: takes callers' calls and chooses a worker for each turn."""
+    _daemon("router", file, fleet_key_file, flags)
+
+
+@click.command()
+@settings_option
+@fleet_key_option
+@_flags
+def control(file: Path | None, fleet_key_file: Path | None, **flags: Any) -> None:
+    """Runs a control daemon: keeps, checks and delivers the bundles."""
+    _daemon("control", file, fleet_key_file, flags)
+
+
+@click.group("settings")
+def settings_group() -> None:
+    """Daemons' settings files."""
+
+
+@settings_group.command("check")
+@click.argument("file", type=click.Path(path_type=Path))
+@json_option
+def check(file: Path, as_json: bool) -> None:
+    """Reads a daemon's settings file as the daemon would and prints what it would run with."""
+    settings = load(file, {})
+    shown = {
+        field.name: "(hidden)" if field.name == "fleet_key" else getattr(settings, field.name)
+        for field in msgspec.structs.fields(DaemonSettings)
+    }
+    if as_json:
+        print_json(shown)
+        return
+    click.echo(f"{file}: in order")
+    for name, value in shown.items():
+        text = ", ".join(str(each) for each in value) if isinstance(value, tuple) else value
+        click.echo(f"  {name} = {text}")
--- /dev/null
+++ b/wingwood/command_line/looking.py
@@ -0,0 +1,126 @@
+"""`wingwood workers`, `members` and `health`."""
+
+from __future__ import annotations
+
+import click
+import msgspec
+from returns.result import Failure, Success
+from tornado.httpclient import HTTPResponse
+
+from ..identifiers import Address
+from ..operator_api.reading import HealthReport
+from ..registry.protocols import Worker
+from ..transport.frames import Identity
+from .client import NoAnswer, OperatorClient, decode, error_of
+from .options import json_option, to_option
+from .output import ExitCode, print_json, print_table
+
+
+def _client(addresses: tuple[Address, ...]) -> OperatorClient:
+    client = OperatorClient(addresses, lambda message: click.echo(message, err=True))
+    click.get_current_context().call_on_close(client.close)
+    return client
+
+
+@click.command()
+@to_option
+@json_option
+def workers(addresses: tuple[Address, ...], as_json: bool) -> None:
+    """Lists the workers that a daemon knows."""
+    found = _client(addresses).read("/control/v1/workers", list[Worker])
+    if as_json:
+        print_json(found)
+        return
+    titles = ("instance", "pool", "zone", "address", "state", "slots", "running", "waiting", "cache used")
+    rows = []
+    for worker in found:
+        load = worker.load
+        told = (load.running, load.waiting, load.cache_tokens_used) if load else (None, None, None)
+        rows.append((worker.instance, worker.pool, worker.zone, worker.address, worker.state, worker.slots, *told))
+    print_table(titles, rows)
+
+
+@click.command()
+@to_option
+@json_option
+def members(addresses: tuple[Address, ...], as_json: bool) -> None:
+    """Lists the daemons that a daemon takes for members."""
+    found = _client(addresses).read("/control/v1/members", list[Identity])
+    if as_json:
+        print_json(found)
+        return
+    rows = [(each.name, each.role, each.zone, each.internal, each.operator, each.incarnation) for each in found]
+    print_table(("name", "role", "zone", "internal", "operator", "incarnation"), rows)
+
+
+class Seen(msgspec.Struct, frozen=True, kw_only=True):
+    """One daemon asked for its health."""
+
+    address: Address
+    health: HealthReport | None = None
+    problem: str | None = None
+
+    def well(self) -> bool:
+        """Answers, is ready, and its view of control could bear another loss."""
+        report = self.health
+        if report is None or not report.ready:
+            return False
+        return report.control is None or (report.control.accepts_orders and report.control.complete)
+
+
+@click.command()
+@to_option
+@json_option
+def health(addresses: tuple[Address, ...], as_json: bool) -> None:
+    """Asks every daemon named for its health; exit code 6 when one is away, not ready, or control incomplete."""
+    client = _client(addresses)
+    seen = [_look(client, address) for address in client.addresses]
+    if as_json:
+        print_json(
+            [
+                {"address": str(each.address), "well": each.well(), "health": each.health, "problem": each.problem}
+                for each in seen
+            ]
+        )
+    else:
+        titles = ("daemon", "role", "zone", "ready", "version", "proven", "members", "workers", "control", "notes")
+        print_table(titles, [_row(each) for each in seen])
+    if not all(each.well() for each in seen):
+        raise click.exceptions.Exit(int(ExitCode.UNHEALTHY))
+
+
+def _look(client: OperatorClient, address: Address) -> Seen:
+    match client.ask(address, "/control/v1/health"):
+        case Success(HTTPResponse(code=200) as response):
+            return Seen(address=address, health=decode(response.body, HealthReport, address))
+        case Success(HTTPResponse() as response):
+            return Seen(address=address, problem=error_of(response).reason)
+        case Failure(NoAnswer(reason=reason)):
+            return Seen(address=address, problem=f"no answer: {reason}")
+    raise AssertionError("a result is a success or a failure")
+
+
+def _row(seen: Seen) -> list[object]:
+    report = seen.health
+    if report is None:
+        return [seen.address, None, None, False, None, None, None, None, None, seen.problem]
+    control = report.control
+    state = None
+    if control is not None:
+        whole = "complete" if control.complete else "INCOMPLETE"
+        orders = "takes orders" if control.accepts_orders else "takes no orders"
+        state = f"{control.own_role} of epoch {control.epoch}, {whole}, {orders}"
+    age = report.bundle_proven_age
+    notes = "; ".join([*report.reasons, *([control.detail] if control and control.detail else [])])
+    return [
+        report.name,
+        report.role,
+        report.zone,
+        report.ready,
+        report.version,
+        None if age is None else f"{age:.1f} s ago",
+        report.members,
+        report.workers_ready,
+        state,
+        notes or None,
+    ]
--- /dev/null
+++ b/wingwood/command_line/main.py
@@ -0,0 +1,23 @@
+"""The program `wingwood`; the role or the operator's task is a subcommand."""
+
+from __future__ import annotations
+
+import click
+
+from .bundle import bundle
+from .daemons import control, router, settings_group
+from .keys import caller_key, key
+from .looking import health, members, workers
+
+
+@click.group(context_settings={"help_option_names": ["-h", "--help"]})
+def main() -> None:
+    """Router fleet for language models.
+
+    Exit codes: 0 done, 1 refused (the message says what to mend), 2 wrong usage, 3 conflict with another
+    order, 4 an order's outcome is unknown (sending it again is safe), 5 no daemon answered, 6 not healthy.
+    """
+
+
+for command in (router, control, bundle, key, caller_key, workers, members, health, settings_group):
+    main.add_command(command)
--- /dev/null
+++ b/wingwood/command_line/options.py
@@ -0,0 +1,52 @@
+"""Options that several commands share."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from pathlib import Path
+from typing import Any, TypeVar
+
+import click
+
+from ..identifiers import Address, parse_address
+
+Command = TypeVar("Command", bound=Callable[..., Any])
+
+
+class AddressType(click.ParamType[Address]):
+    name = "address"
+
+    def convert(self, value: Any, param: click.Parameter | None, ctx: click.Context | None) -> Address:
+        if isinstance(value, Address):
+            return value
+        try:
+            return parse_address(str(value))
+        except ValueError as problem:
+            self.fail(str(problem), param, ctx)
+
+
+def to_option(command: Command) -> Command:
+    return click.option(
+        "--to",
+        "addresses",
+        type=AddressType(),
+        multiple=True,
+        envvar="WINGWOOD_TO",
+        metavar="ADDRESS",
+        help="Operator address of a daemon; several are asked in turn. Or WINGWOOD_TO, separated by spaces.",
+    )(command)
+
+
+def json_option(command: Command) -> Command:
+    return click.option("--json", "as_json", is_flag=True, help="Print JSON for machines.")(command)
+
+
+def key_option(command: Command) -> Command:
+    return click.option(
+        "--key",
+        "key_file",
+        type=click.Path(path_type=Path),
+        envvar="WINGWOOD_KEY",
+        metavar="FILE",
+        help="The operator's private key. Or WINGWOOD_KEY.",
+    )(command)
--- /dev/null
+++ b/wingwood/command_line/source.py
@@ -0,0 +1,178 @@
+"""The operator's bundle files: TOML in, canonical slices out (docs/DESIGN.md section 5.6)."""
+
+from __future__ import annotations
+
+import tomllib
+from collections.abc import Callable, Mapping
+from pathlib import Path
+from typing import Any, get_args
+
+import msgspec
+import voluptuous
+from returns.result import Failure
+
+from ..bundle.canonical import canonical_json, root_digest, slice_digest
+from ..bundle.model import Bundle, PriorityClass, Route, Service, Tenant
+from ..bundle.parse import empty_bundle, parse_bundle
+from ..identifiers import SliceName
+from .output import Problem
+
+Slices = dict[SliceName, bytes]
+
+KINDS: Mapping[str, type[Service | Route | PriorityClass | Tenant]] = {
+    "service": Service,
+    "route": Route,
+    "class": PriorityClass,
+    "tenant": Tenant,
+}
+
+
+def _number(value: Any) -> float:
+    if type(value) not in (int, float):
+        raise voluptuous.Invalid("expected a number")
+    return float(value)
+
+
+def _yes_no(value: Any) -> bool:
+    if not isinstance(value, bool):
+        raise voluptuous.Invalid("expected true or false")
+    return value
+
+
+def _text(value: Any) -> str:
+    if not isinstance(value, str):
+        raise voluptuous.Invalid("expected text")
+    return value
+
+
+def _texts(value: Any) -> tuple[str, ...]:
+    if not isinstance(value, (list, tuple)) or not all(isinstance(each, str) for each in value):
+        raise voluptuous.Invalid("expected a list of texts")
+    return tuple(value)
+
+
+def _kind(value: Any) -> str:
+    allowed = get_args(next(each.type for each in msgspec.structs.fields(Service) if each.name == "kind"))
+    if value not in allowed:
+        raise voluptuous.Invalid(f"expected one of {', '.join(allowed)}")
+    return str(value)
+
+
+FIELDS: Mapping[str, Mapping[str, Callable[[Any], Any]]] = {
+    "service": {
+        "name": _text,
+        "pool": _text,
+        "kind": _kind,
+        "repeatable": _yes_no,
+        "streaming": _yes_no,
+        "deadline": _number,
+        "first_byte_patience": _number,
+        "silence_patience": _number,
+        "retry_share": _number,
+    },
+    "route": {"name": _text, "path_prefix": _text, "service": _text, "methods": _texts},
+    "class": {"name": _text, "weight": _number},
+    "tenant": {
+        "name": _text,
+        "priority_class": _text,
+        "paid_rate": _number,
+        "burst": _number,
+        "keys": _texts,
+        "services": _texts,
+    },
+}
+
+
+def _schema(kind: str) -> voluptuous.Schema:
+    required = {each.name for each in msgspec.structs.fields(KINDS[kind]) if each.required}
+    marks = {name: voluptuous.Required if name in required else voluptuous.Optional for name in FIELDS[kind]}
+    return voluptuous.Schema({marks[name](name): check for name, check in FIELDS[kind].items()})
+
+
+_SCHEMAS = {kind: _schema(kind) for kind in FIELDS}
+
+
+def slice_from(kind: str, fields: Mapping[str, object], where: str) -> tuple[SliceName, bytes]:
+    """One slice from its fields; defaults are written out, so that a signed bundle never changes its meaning."""
+    try:
+        checked = _SCHEMAS[kind](dict(fields))
+    except voluptuous.MultipleInvalid as several:
+        first = min(several.errors, key=lambda error: str(error.path))
+        field = str(first.path[0]) if first.path else ""
+        if field not in FIELDS[kind]:
+            raise Problem(f"{where}: {field} is unknown; the fields are {', '.join(FIELDS[kind])}") from None
+        if field not in fields:
+            raise Problem(f"{where}: {field} is missing") from None
+        raise Problem(f"{where}: {field} is {fields[field]!r}: {first.msg}") from None
+    part = KINDS[kind](**checked)
+    return SliceName(f"{kind}/{part.name}"), canonical_json(part)
+
+
+def read_source(path: Path) -> Slices:
+    """A TOML file, or all ``*.toml`` of a folder. Tables ``[tenant.NAME]`` or lists ``[[tenant]]`` with a name."""
+    files = sorted(path.glob("*.toml")) if path.is_dir() else [path]
+    if not files:
+        raise Problem(f"{path}: no *.toml file in this folder")
+    slices: Slices = {}
+    origin: dict[SliceName, Path] = {}
+    for file in files:
+        for name, data in _read_file(file).items():
+            if name in slices:
+                raise Problem(f"{file}: {name} stands in {origin[name]} too; keep one of them")
+            slices[name], origin[name] = data, file
+    return slices
+
+
+def _read_file(file: Path) -> Slices:
+    try:
+        document = tomllib.loads(file.read_text())
+    except OSError as problem:
+        raise Problem(f"{file}: cannot be read: {problem.strerror}") from None
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as problem:
+        raise Problem(f"{file}: not TOML: {problem}") from None
+    slices: Slices = {}
+    for kind, content in document.items():
+        if kind not in KINDS:
+            raise Problem(f"{file}: {kind} is unknown; use {', '.join(f'[{known}.NAME]' for known in KINDS)}")
+        for name, fields in _entries(file, kind, content):
+            slice_name, data = slice_from(kind, fields, f"{file}: {kind}.{name}")
+            if slice_name in slices:
+                raise Problem(f"{file}: {slice_name} stands twice; keep one of them")
+            slices[slice_name] = data
+    return slices
+
+
+def _entries(file: Path, kind: str, content: object) -> list[tuple[str, dict[str, object]]]:
+    if isinstance(content, dict):
+        entries = []
+        for name, fields in content.items():
+            if not isinstance(fields, dict):
+                raise Problem(f"{file}: {kind}.{name} is {fields!r}: expected a table [{kind}.{name}]")
+            if fields.get("name", name) != name:
+                raise Problem(f"{file}: {kind}.{name}: name is {fields['name']!r}: leave it out, or write {name!r}")
+            entries.append((name, {"name": name, **fields}))
+        return entries
+    if isinstance(content, list) and all(isinstance(fields, dict) for fields in content):
+        return [(str(fields.get("name", f"number {number + 1}")), fields) for number, fields in enumerate(content)]
+    raise Problem(f"{file}: {kind} is {content!r}: expected tables [{kind}.NAME] or [[{kind}]]")
+
+
+def check_bundle(slices: Slices) -> Bundle:
+    """All that a daemon would check but the signature; raises Problem."""
+    root = root_digest({name: slice_digest(data) for name, data in slices.items()})
+    checked = parse_bundle(msgspec.structs.replace(empty_bundle().manifest, root=root), slices)
+    if isinstance(checked, Failure):
+        raise Problem(str(checked.failure()))
+    return checked.unwrap()
+
+
+def write_source(slices: Mapping[SliceName, bytes]) -> str:
+    """Slices as a bundle file that ``read_source`` takes."""
+    blocks = []
+    for kind in KINDS:
+        for name in sorted(name for name in slices if name.startswith(f"{kind}/")):
+            fields = msgspec.json.decode(slices[name], type=dict[str, object])
+            title = str(fields.pop("name"))
+            lines = [f"{field} = {msgspec.json.encode(value).decode()}" for field, value in fields.items()]
+            blocks.append("\n".join([f'[{kind}."{title}"]', *lines]))
+    return "\n\n".join(blocks) + "\n"
--- /dev/null
+++ b/wingwood/command_line/tests/stand_in.py
@@ -0,0 +1,144 @@
+"""Daemons' operator addresses on real sockets, in a thread, over one bundle state."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import threading
+from collections.abc import Sequence
+from pathlib import Path
+
+import msgspec
+from returns.result import Result, Success
+
+from ...bundle.model import Order, OrderOutcome
+from ...bundle.parse import parse_bundle
+from ...bundle.reading import LocalBundleReader
+from ...bundle.state import BundleState
+from ...bundle.tests.samples import submit
+from ...context.protocols import Context
+from ...context.real import RealClock, RealDisk, RealNetwork, RealTasks
+from ...context.stream_client import StreamHttpClient
+from ...control.protocols import NotDecided, SubmitOrder, ViewReport
+from ...identifiers import (
+    Address,
+    BundleVersion,
+    DaemonName,
+    Epoch,
+    Incarnation,
+    PoolName,
+    Seconds,
+    WorkerInstance,
+    Zone,
+)
+from ...operator_api.orders import OrderRoutes
+from ...operator_api.reading import HealthReport, ReadRoutes
+from ...operator_api.server import OperatorServer
+from ...registry.protocols import Worker
+from ...transport.frames import Identity
+
+
+class Quiet:
+    def event(self, name: str, **fields: object) -> None:
+        pass
+
+
+class StandIn:
+    """``daemons`` addresses from ``first_port`` up. Those in ``losing`` decide an order and lose the answer."""
+
+    def __init__(self, operator_keys: Sequence[str], first_port: int, daemons: int = 2) -> None:
+        self.state = BundleState(operator_keys)
+        self.addresses = [Address("127.0.0.1", first_port + number) for number in range(daemons)]
+        self.losing: set[Address] = set()
+        self.orders: list[tuple[Address, Order]] = []
+        self.interloper: Order | None = None
+        """Another operator's order, decided right before the next one."""
+        self.complete = True
+        self.servers: dict[Address, OperatorServer] = {}
+        self._loop = asyncio.new_event_loop()
+        self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
+
+    def __enter__(self) -> StandIn:
+        self._thread.start()
+        asyncio.run_coroutine_threadsafe(self._start(), self._loop).result(10)
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        if self._loop.is_closed():
+            return
+        asyncio.run_coroutine_threadsafe(self._stop(), self._loop).result(10)
+        self._loop.call_soon_threadsafe(self._loop.stop)
+        self._thread.join(10)
+        self._loop.close()
+
+    @property
+    def to(self) -> list[str]:
+        return [part for address in self.addresses for part in ("--to", str(address))]
+
+    async def _start(self) -> None:
+        log, network = Quiet(), RealNetwork()
+        tasks = RealTasks(log, lambda reason: None)
+        context = Context(
+            clock=RealClock(),
+            network=network,
+            disk=RealDisk(Path("unused")),
+            http=StreamHttpClient(network, tasks),
+            random=random.Random(1),
+            log=log,
+            tasks=tasks,
+        )
+        for number, address in enumerate(self.addresses):
+            server = self.servers[address] = OperatorServer(context)
+            self._add_routes(server, address, number)
+            assert isinstance(server.start(address), Success), f"port {address.port} is taken"
+
+    async def _stop(self) -> None:
+        for server in self.servers.values():
+            server.stop()
+        await asyncio.sleep(0)
+
+    def _add_routes(self, server: OperatorServer, address: Address, number: int) -> None:
+        async def decide(command: SubmitOrder, _within: Seconds) -> Result[OrderOutcome, NotDecided]:
+            self.orders.append((address, command.order))
+            if self.interloper is not None:
+                submit(self.state, self.interloper)
+                self.interloper = None
+            outcome = submit(self.state, command.order)
+            if address in self.losing:
+                server.stop()
+            return Success(outcome)
+
+        OrderRoutes(decide, 1_000_000).add_to(server)
+        name = DaemonName(f"control-{number + 1}")
+        view = ViewReport(
+            epoch=Epoch(3),
+            own_role="primary" if number == 0 else "backup",
+            primary=None,
+            backup=None,
+            members=(),
+            accepts_orders=True,
+            complete=True,
+        )
+        report = HealthReport(
+            name=name, role="control", zone=Zone("a"), incarnation=Incarnation("1"), ready=True, control=view
+        )
+        worker = Worker(instance=WorkerInstance("w1"), address=address, pool=PoolName("m"), zone=Zone("a"), slots=4)
+        identity = Identity(name, Incarnation("1"), "control", Zone("a"), address, address)
+        ReadRoutes(
+            current=lambda: (
+                None
+                if self.state.version == 0
+                else parse_bundle(
+                    self.state.manifest_at(self.state.version) or self.orders[0][1].manifest,
+                    self.state.slices_at(self.state.version) or {},
+                ).unwrap()
+            ),
+            reader=LocalBundleReader(self.state, lambda: self.state.version),
+            members=lambda: [identity],
+            workers=lambda: [worker],
+            health=lambda: msgspec.structs.replace(
+                report,
+                version=BundleVersion(self.state.version),
+                control=msgspec.structs.replace(view, complete=self.complete),
+            ),
+        ).add_to(server)
--- /dev/null
+++ b/wingwood/command_line/tests/test_command_line.py
@@ -0,0 +1,259 @@
+"""The operators' command line against stand-in daemons (docs/COMMANDS.md)."""
+
+from __future__ import annotations
+
+import json
+import os
+import stat
+import tempfile
+import unittest
+from pathlib import Path
+from typing import Any
+
+from click.testing import CliRunner, Result
+
+from ...bundle.signing import public_hex
+from ...bundle.tests.samples import key_digest, order_between
+from ...identifiers import BundleVersion, SliceName
+from ..change import rebase
+from ..keys import read_key
+from ..main import main
+from ..output import Conflict
+from ..source import read_source, write_source
+from .stand_in import StandIn
+
+EXAMPLES = Path(__file__).parents[3] / "examples"
+FIRST_PORT = 22100
+
+
+class CommandCase(unittest.TestCase):
+    def setUp(self) -> None:
+        folder = tempfile.TemporaryDirectory()
+        self.addCleanup(folder.cleanup)
+        self.folder = Path(folder.name)
+        self.back = os.getcwd()
+        os.chdir(self.folder)
+        self.addCleanup(os.chdir, self.back)
+        self.operator = self.folder / "operator.key"
+        self.run_("key", "new", str(self.operator))
+
+    def run_(self, *arguments: str, code: int = 0) -> Result:
+        result = CliRunner().invoke(main, list(arguments), env={"WINGWOOD_TO": None, "WINGWOOD_KEY": None})
+        if result.exception is not None and not isinstance(result.exception, SystemExit):
+            raise result.exception
+        self.assertEqual(result.exit_code, code, result.output)
+        return result
+
+    def json_(self, *arguments: str, code: int = 0) -> Any:
+        return json.loads(self.run_(*arguments, "--json", code=code).stdout)
+
+    def stand_in(self, daemons: int = 2) -> StandIn:
+        fleet = StandIn([public_hex(read_key(self.operator))], FIRST_PORT, daemons)
+        fleet.__enter__()
+        self.addCleanup(fleet.__exit__)
+        return fleet
+
+    def write(self, name: str, text: str) -> str:
+        (self.folder / name).write_text(text)
+        return name
+
+
+class KeysTest(CommandCase):
+    def test_a_private_key_is_for_its_owner_and_never_written_over(self) -> None:
+        self.assertEqual(stat.S_IMODE(self.operator.stat().st_mode), 0o600)
+        self.assertIn("never written over", self.run_("key", "new", str(self.operator), code=1).output)
+        shown = self.run_("key", "show", str(self.operator)).output.strip()
+        self.assertEqual(shown, public_hex(read_key(self.operator)))
+        self.assertIn("not an operator's key", self.run_("key", "show", self.write("x", "y"), code=1).output)
+
+    def test_a_callers_key_and_its_digest_go_together(self) -> None:
+        made = self.json_("caller-key", "new")
+        self.assertEqual(key_digest(made["key"]), made["digest"])
+        made = self.json_("key", "new", "--fleet", "fleet.key")
+        self.assertEqual(len(bytes.fromhex(Path("fleet.key").read_text())), 32)
+
+
+class SourceTest(CommandCase):
+    def test_examples_are_in_order_and_survive_being_written_out(self) -> None:
+        for name in ("despensa", "sabarmati"):
+            source = EXAMPLES / f"{name}.toml"
+            self.assertIn(
+                "3 services, 3 routes, 3 classes, 5 tenants", self.run_("bundle", "check", str(source)).output
+            )
+            again = self.write("again.toml", write_source(read_source(source)))
+            self.assertEqual(read_source(Path(again)), read_source(source))
+        self.run_("key", "new", "--fleet", "fleet.key")
+        os.mkdir("keys")
+        os.rename("fleet.key", "keys/fleet.key")
+        for name in ("router", "control"):
+            self.assertIn("in order", self.run_("settings", "check", str(EXAMPLES / f"{name}-settings.toml")).output)
+
+    def test_a_wrong_source_says_file_field_value_and_mend(self) -> None:
+        service = '[service.chat]\npool = "m"\n'
+        for text, said in (
+            ("[door.x]\n", "door is unknown; use [service.NAME]"),
+            ("service = 3\n", "service is 3: expected tables"),
+            ("[service.chat]\n", "service.chat: pool is missing"),
+            (service + "retry_share = 'many'\n", "service.chat: retry_share is 'many': expected a number"),
+            (service + "colour = 1\n", "colour is unknown; the fields are name, pool"),
+            (service + "kind = 'odd'\n", "expected one of model, plain"),
+            (service + "retry_share = 0.9\n", "service/chat field retry_share is 0.9: a share from 0 to 0.2"),
+            (service + "[[service]]\n", "not TOML"),
+            ('[route.a]\npath_prefix = "/"\nservice = "chat"\n', "there is no service/chat in the bundle; add it"),
+            ("[[class]]\nname = 'a'\n[[class]]\nname = 'a'\n", "class/a stands twice"),
+        ):
+            output = self.run_("bundle", "check", self.write("b.toml", text), code=1).output
+            self.assertIn(said, output)
+        os.mkdir("parts")
+        for name in ("parts/one.toml", "parts/two.toml"):
+            self.write(name, service)
+        self.assertIn("service/chat stands in parts/one.toml too", self.run_("bundle", "check", "parts", code=1).output)
+
+    def test_daemons_do_not_start_on_wrong_settings(self) -> None:
+        wrong = self.write("s.toml", 'name = "r"\ncolour = 1\n')
+        self.assertIn("s.toml: colour: unknown key", self.run_("router", "--settings", wrong, code=1).output)
+        self.assertIn("flag --stop-within", self.run_("control", "--stop-within", "soon", code=1).output)
+
+
+class OrderTest(CommandCase):
+    def push(self, fleet: StandIn, *more: str, code: int = 0) -> Result:
+        source = str(EXAMPLES / "despensa.toml")
+        return self.run_("bundle", "push", source, "--key", str(self.operator), *fleet.to, *more, code=code)
+
+    def change(self, fleet: StandIn, *more: str, code: int = 0) -> Result:
+        return self.run_("bundle", "change", *more, "--key", str(self.operator), *fleet.to, code=code)
+
+    def test_push_show_change_history_and_diff(self) -> None:
+        fleet = self.stand_in()
+        self.assertIn("no bundle", self.run_("bundle", "show", *fleet.to, code=1).output)
+        self.assertIn("accepted: version 1", self.push(fleet).output)
+        self.assertIn("nothing differs", self.push(fleet).output)
+        digest = key_digest("new")
+        self.change(fleet, "--set", "tenant/riders.paid_rate=20", "--add-key", f"tenant/riders={digest}")
+        _, order = fleet.orders[-1]
+        self.assertEqual((list(order.changed), order.removed), (["tenant/riders"], ()))
+        shown = self.json_("bundle", "show", *fleet.to)
+        self.assertEqual((shown["version"], shown["slices"]["tenant/riders"]["paid_rate"]), (2, 20.0))
+        self.assertIn(f"{digest[:12]}..", self.run_("bundle", "show", *fleet.to).output)
+        self.change(fleet, "--remove-key", digest[:12] + "..", "--remove", "tenant/suppliers")
+        self.assertEqual(
+            [entry["version"] for entry in self.json_("bundle", "history", *fleet.to)["entries"]], [3, 2, 1]
+        )
+        changes = self.json_("bundle", "diff", "1", "3", *fleet.to)
+        self.assertEqual(
+            [(each["slice"], each["done"]) for each in changes],
+            [("tenant/riders", "changed"), ("tenant/suppliers", "removed")],
+        )
+        self.assertIn("paid_rate", self.run_("bundle", "diff", "1", *fleet.to).output)
+        source = self.write("back.toml", self.run_("bundle", "show", "--version", "1", "--toml", *fleet.to).output)
+        self.run_("bundle", "push", source, "--key", str(self.operator), *fleet.to)
+        self.assertEqual(fleet.state.slices_at(BundleVersion(4)), read_source(EXAMPLES / "despensa.toml"))
+
+    def test_wrong_changes_are_refused_before_anything_is_sent(self) -> None:
+        fleet = self.stand_in()
+        self.push(fleet)
+        for flag, value, said in (
+            ("--set", "tenant/riders.paid_rate=fast", "paid_rate is 'fast': expected a number"),
+            ("--set", "tenant/riders.paid_rate=-1", "paid_rate is -1.0: calls a second"),
+            ("--set", "tenant/riders.colour=1", "the fields of a tenant are priority_class"),
+            ("--set", "tenant/nobody.burst=1", "there are: tenant/buyers"),
+            ("--set", "riders", "write it as KIND/NAME.FIELD=VALUE"),
+            ("--remove", "service/chat", "there is no service/chat in the bundle"),
+            ("--remove-key", "0" * 64, "0 keys start so"),
+            ("--add-key", "tenant/riders=short", "64 hex digits"),
+        ):
+            self.assertIn(said, self.change(fleet, flag, value, code=1).output)
+        self.assertIn("nothing to change", self.change(fleet, code=1).output)
+        self.assertIn(
+            "signed: name", self.run_("bundle", "change", "--set", "class/gold.weight=9", *fleet.to, code=1).output
+        )
+        self.assertIn("class/gold", self.change(fleet, "--dry-run", "--set", "class/gold.weight=9").output)
+        self.assertEqual(len(fleet.orders), 1)
+
+    def race(self, fleet: StandIn, part: str) -> None:
+        """Lets another operator win the next version with a change of ``part``."""
+        before = fleet.state.slices_at(fleet.state.version) or {}
+        name = SliceName(part)
+        after = {**before, name: before[name].replace(b'"weight":4.0', b'"weight":5.0').replace(b":15.0", b":16.0")}
+        self.assertNotEqual(before, after)
+        fleet.interloper = order_between(fleet.state.version, before, after, f"theirs-{part}", read_key(self.operator))
+
+    def test_the_loser_of_a_race_is_told_who_won_and_may_rebase(self) -> None:
+        fleet = self.stand_in()
+        self.push(fleet)
+        self.race(fleet, "class/gold")
+        lost = self.change(fleet, "--set", "tenant/riders.burst=3", code=3).output
+        self.assertIn("version 2 is taken, made by order theirs-class/gold", lost)
+        self.assertIn("--rebase", lost)
+        self.race(fleet, "tenant/buyers")
+        self.assertIn("version 4", self.change(fleet, "--set", "tenant/riders.burst=3", "--rebase").output)
+        slices = fleet.state.slices_at(BundleVersion(4)) or {}
+        self.assertIn(b'"burst":3.0', slices[SliceName("tenant/riders")])
+        self.assertIn(b'"paid_rate":16.0', slices[SliceName("tenant/buyers")])
+        self.race(fleet, "tenant/riders")
+        both = self.change(fleet, "--set", "tenant/riders.burst=4", "--rebase", code=3).output
+        self.assertIn("tenant/riders was changed by the other order too", both)
+
+    def test_after_a_lost_answer_the_same_order_goes_to_the_next_daemon(self) -> None:
+        fleet = self.stand_in()
+        fleet.losing.add(fleet.addresses[0])
+        told = self.push(fleet)
+        self.assertIn("resending is safe", told.stderr)
+        self.assertIn("accepted: version 1", told.stdout)
+        self.assertEqual([address for address, _ in fleet.orders], fleet.addresses)
+        self.assertEqual(fleet.orders[0][1], fleet.orders[1][1])
+        self.assertEqual(fleet.state.version, 1)
+
+    def test_without_any_answer_the_outcome_is_unknown_and_the_order_is_kept(self) -> None:
+        fleet = self.stand_in(1)
+        fleet.losing.add(fleet.addresses[0])
+        told = self.push(fleet, "--patience", "0", code=4).output
+        self.assertIn("may or may not come in force", told)
+        kept = next(self.folder.glob("order-*.json"))
+        self.assertIn(kept.name, told)
+        fleet.__exit__()
+        self.assertIn(
+            "nothing was sent", self.run_("bundle", "push", kept.name, *fleet.to, "--patience", "0", code=5).output
+        )
+        again = self.stand_in(1)
+        self.assertEqual(self.json_("bundle", "push", kept.name, *again.to)["version"], 1)
+        self.assertEqual(self.json_("bundle", "push", kept.name, *again.to)["outcome"], "accepted")
+
+    def test_an_order_signed_elsewhere(self) -> None:
+        fleet = self.stand_in()
+        source, signed = str(EXAMPLES / "sabarmati.toml"), str(self.folder / "signed")
+        sign = ("bundle", "sign", source, "--key", str(self.operator), "--output", signed)
+        self.assertEqual(self.json_(*sign)["version"], 1)
+        self.assertEqual(self.json_("bundle", "push", signed, *fleet.to)["version"], 1)
+        self.run_(*sign, "--order", "again")
+        refused = self.json_("bundle", "push", signed, *fleet.to, code=3)
+        self.assertEqual((refused["outcome"], refused["order"]), ("conflict", "again"))
+        self.run_("key", "new", "stranger.key")
+        self.run_(*sign[:4], "stranger.key", *sign[5:], *fleet.to)
+        self.assertIn("not one of the 1 operator keys", self.run_("bundle", "push", signed, *fleet.to, code=1).output)
+        self.assertIn(
+            "not a signed order", self.run_("bundle", "push", self.write("odd", "x"), *fleet.to, code=1).output
+        )
+
+    def test_a_rebase_keeps_both_changes_and_removals(self) -> None:
+        one, two, three = SliceName("a"), SliceName("b"), SliceName("c")
+        base = {one: b"1", two: b"2", three: b"3"}
+        self.assertEqual(rebase(base, {one: b"9", two: b"2"}, {**base, two: b"8"}), {one: b"9", two: b"8"})
+        self.assertEqual(rebase(base, {**base, one: b"9"}, {**base, one: b"9"}), {**base, one: b"9"})
+        with self.assertRaises(Conflict):
+            rebase(base, {one: b"1", two: b"2"}, {**base, three: b"7"})
+
+
+class LookingTest(CommandCase):
+    def test_workers_members_and_health(self) -> None:
+        fleet = self.stand_in()
+        self.assertIn("w1", self.run_("workers", *fleet.to).output)
+        self.assertEqual(self.json_("members", *fleet.to)[0]["name"], "control-1")
+        self.assertIn("primary of epoch 3, complete, takes orders", self.run_("health", *fleet.to).output)
+        fleet.complete = False
+        self.assertIn("INCOMPLETE", self.run_("health", *fleet.to, code=6).output)
+        away = self.json_("health", "--to", "127.0.0.1:22199", code=6)
+        self.assertFalse(away[0]["well"])
+        self.assertIn("no daemon answered", self.run_("workers", "--to", "127.0.0.1:22199", code=5).output)
+        self.assertIn("--to", self.run_("workers", code=1).output)
+        self.assertIn("127.0.0.1:7000", self.run_("workers", "--to", "localhost", code=2).output)
--- a/wingwood/settings/load.py
+++ b/wingwood/settings/load.py
@@ -17,6 +17,7 @@
 
 FLEET_KEY_BYTES = 16
 """Shortest shared secret that is taken."""
+KEY_FILE = "fleet_key_file"
 
 
 class SettingsProblem(msgspec.Struct, frozen=True, kw_only=True):
@@ -99,6 +100,8 @@
 def _fleet_key(value: Any) -> bytes:
     if not isinstance(value, str) or not re.fullmatch(r"([0-9a-fA-F]{2}){16,64}", value):
         raise _Expected(f"expected {FLEET_KEY_BYTES} to 64 bytes as hex digits; `wingwood key new --fleet` makes them")
+    if len(set(value)) == 1:
+        raise _Expected("expected a secret, not one digit over and over; `wingwood key new --fleet` makes one")
     return bytes.fromhex(value)
 
 
@@ -121,7 +124,7 @@
     "data_folder": _PATH,
     "fleet_key": _fleet_key,
     "operator_keys": _list_of(
-        _text(r"[0-9a-f]{64}", "Ed25519 public keys of 64 hex digits; `wingwood key new` prints them"),
+        _text(r"(?!(.)\1{63})[0-9a-f]{64}", "Ed25519 public keys of 64 hex digits; `wingwood key new` prints them"),
         1,
         1000,
         "operators' public keys",
@@ -138,6 +141,12 @@
 }
 """One check per key of ``DaemonSettings``; a test holds the two together."""
 
+FLAG_OF: Mapping[str, str] = {name: name.replace("_", "-") for name in CHECKS} | {
+    "seeds": "seed",
+    "operator_keys": "operator-key",
+}
+"""The command line's flag for each key; lists take theirs once for each entry."""
+
 _REQUIRED = tuple(each.name for each in msgspec.structs.fields(DaemonSettings) if each.required)
 _SCHEMA = voluptuous.Schema(
     {(voluptuous.Required if name in _REQUIRED else voluptuous.Optional)(name): check for name, check in CHECKS.items()}
@@ -145,7 +154,10 @@
 
 
 def read_settings(file: Path | None, flags: Mapping[str, object]) -> Result[DaemonSettings, SettingsProblem]:
-    """Settings from a TOML file (None: flags only), then flags over them; flags are of TOML's types."""
+    """Settings from a TOML file (None: flags only), then flags over them; flags are of TOML's types.
+
+    ``fleet_key_file`` may stand for ``fleet_key``: a file with the secret's hex digits.
+    """
     document: dict[str, object] = {}
     if file is not None:
         match read_toml(file):
@@ -153,7 +165,22 @@
                 document = read
             case Failure(problem):
                 return Failure(problem)
-    return check_settings({**document, **flags}, str(file) if file is not None else "flags", flags)
+    replaced = [each for each in ("fleet_key", KEY_FILE) if each in flags]
+    given = {key: value for key, value in document.items() if not (replaced and key in ("fleet_key", KEY_FILE))}
+    given.update(flags)
+    name = str(file) if file is not None else "flags"
+    if KEY_FILE in given:
+        if "fleet_key" in given:
+            return Failure(
+                SettingsProblem(file=name, key=KEY_FILE, expected="give fleet_key or fleet_key_file, not both")
+            )
+        path = given.pop(KEY_FILE)
+        try:
+            given["fleet_key"] = Path(str(path)).read_text().strip()
+        except (OSError, ValueError) as problem:
+            mend = f"cannot be read ({problem}); `wingwood key new --fleet {path}` makes it"
+            return Failure(SettingsProblem(file=name, key=KEY_FILE, value=repr(path), expected=mend))
+    return check_settings(given, name, flags)
 
 
 def read_toml(file: Path) -> Result[dict[str, object], SettingsProblem]:
@@ -172,11 +199,11 @@
     try:
         checked = _SCHEMA(dict(document))
     except voluptuous.MultipleInvalid as several:
-        first = min(several.errors, key=lambda error: str(error.path))
+        first = min(several.errors, key=lambda error: (str(error.path[0]) not in document, str(error.path)))
         key = str(first.path[0]) if first.path else ""
-        where = f"flag --{key.replace('_', '-')}" if key in (flags or {}) else file
+        where = f"flag --{FLAG_OF.get(key, key)}" if key in (flags or {}) else file
         if key not in CHECKS:
-            near = f"unknown key; the keys are {', '.join(CHECKS)}"
+            near = f"unknown key; the keys are {', '.join([*CHECKS, KEY_FILE])}"
             return Failure(SettingsProblem(file=where, key=key, expected=near))
         if key not in document:
             return Failure(SettingsProblem(file=file, key=key, expected=f"missing; {expectation(key)}"))
--- a/wingwood/settings/tests/test_load.py
+++ b/wingwood/settings/tests/test_load.py
@@ -70,6 +70,21 @@
         missing = {key: value for key, value in ROUTER.items() if key != "zone"}
         self.assertIn("zone: missing; expected 1 to 64", self.said(missing))
 
+    def test_the_fleet_key_may_stand_in_a_file_of_its_own(self) -> None:
+        flags = {key: value for key, value in ROUTER.items() if key != "fleet_key"}
+        with tempfile.TemporaryDirectory() as folder:
+            file = Path(folder, "fleet.key")
+            flags["fleet_key_file"] = str(file)
+            self.assertIn("wingwood key new --fleet", str(read_settings(None, flags).failure()))
+            file.write_text("0f" * 32 + "\n")
+            self.assertEqual(read_settings(None, flags).unwrap().fleet_key, b"\x0f" * 32)
+            self.assertIn("not both", str(read_settings(None, {**ROUTER, **flags}).failure()))
+
+    def test_placeholders_are_no_keys(self) -> None:
+        """The Ed25519 point of 32 zero bytes is of low order: others could sign for it."""
+        self.assertIn("over and over", self.said({**ROUTER, "fleet_key": "0" * 64}))
+        self.assertIn("64 hex", self.said({**ROUTER, "operator_keys": ["0" * 64]}))
+
     def test_a_secret_is_not_repeated(self) -> None:
         self.assertNotIn("5ecret", self.said({**ROUTER, "fleet_key": "5ecret"}))
 
