--- /dev/null
+++ b/simulation/broken.py
@@ -0,0 +1,213 @@
+"""Deliberately broken variants of the fleet, to show that each check of the observer can fail.
+
+They exist in the test harness only: wrappers around what a daemon gets from its context, or other
+settings than the deployment's (docs/DESIGN.md section 16.3).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import importlib
+from collections.abc import Callable
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from wingwood.context.protocols import (
+    Context,
+    Disk,
+    DiskFault,
+    HttpClient,
+    HttpExchange,
+    HttpFault,
+    HttpHead,
+    HttpRequest,
+)
+from wingwood.settings.model import DaemonSettings
+
+from .fleet import Build, Builds, Daemon
+
+WORKER_PORT = 9000
+
+
+class WrappedExchange:
+    """Passes everything on; variants override what they break."""
+
+    def __init__(self, inner: HttpExchange) -> None:
+        self.inner = inner
+
+    async def head(self) -> Result[HttpHead, HttpFault]:
+        return await self.inner.head()
+
+    async def next_piece(self) -> Result[bytes | None, HttpFault]:
+        return await self.inner.next_piece()
+
+    def cancel(self) -> None:
+        self.inner.cancel()
+
+    def request_sent(self) -> bool:
+        return self.inner.request_sent()
+
+
+class WrappedClient:
+    """Breaks calls to workers (not health questions)."""
+
+    def __init__(self, inner: HttpClient, wrap: Callable[[HttpClient, HttpRequest], HttpExchange]) -> None:
+        self._inner = inner
+        self._wrap = wrap
+
+    def start(self, request: HttpRequest) -> HttpExchange:
+        if request.method != "POST" or request.address.port != WORKER_PORT:
+            return self._inner.start(request)
+        return self._wrap(self._inner, request)
+
+
+def _sent_twice(client: HttpClient, request: HttpRequest) -> HttpExchange:
+    client.start(request)
+    return client.start(request)
+
+
+class _DeniesSending(WrappedExchange):
+    async def head(self) -> Result[HttpHead, HttpFault]:
+        await self.inner.head()
+        return Failure(HttpFault("connect", False, "broken variant"))
+
+    def request_sent(self) -> bool:
+        return False
+
+
+class _HoldsPieces(WrappedExchange):
+    async def next_piece(self) -> Result[bytes | None, HttpFault]:
+        piece = await self.inner.next_piece()
+        await asyncio.sleep(0.3)
+        return piece
+
+
+class _ChangesStream(WrappedExchange):
+    """Loses the third event of each stream."""
+
+    _events = 0
+
+    async def next_piece(self) -> Result[bytes | None, HttpFault]:
+        while True:
+            piece = await self.inner.next_piece()
+            if not isinstance(piece, Success) or not piece.unwrap():
+                return piece
+            self._events += 1
+            if self._events != 3 or b"[DONE]" in piece.unwrap():
+                return piece
+
+
+class _NamesAnotherCall(WrappedExchange):
+    async def next_piece(self) -> Result[bytes | None, HttpFault]:
+        piece = await self.inner.next_piece()
+        if isinstance(piece, Success) and (data := piece.unwrap()):
+            return Success(data.replace(b'"call":"', b'"call":"X'))
+        return piece
+
+
+class _EndsCutStreams(WrappedExchange):
+    """Makes a broken stream look whole."""
+
+    _ended = False
+
+    async def next_piece(self) -> Result[bytes | None, HttpFault]:
+        if self._ended:
+            return Success(None)
+        piece = await self.inner.next_piece()
+        if isinstance(piece, Success):
+            return piece
+        self._ended = True
+        return Success(b"\n\ndata: [DONE]\n\n")
+
+
+class ForgetfulDisk:
+    """Says yes and writes nothing after the first records."""
+
+    def __init__(self, inner: Disk) -> None:
+        self._inner = inner
+        self._files: dict[str, bytes] = {}
+
+    async def lock(self) -> Result[None, DiskFault]:
+        return await self._inner.lock()
+
+    async def names(self) -> Result[list[str], DiskFault]:
+        return Success(sorted(self._files))
+
+    async def read(self, name: str) -> Result[bytes, DiskFault]:
+        return Success(self._files[name]) if name in self._files else Failure(DiskFault("missing", name))
+
+    async def append(self, name: str, data: bytes, at: int | None = None) -> Result[None, DiskFault]:
+        self._files[name] = self._files.get(name, b"") + data
+        return Success(None)
+
+    async def write_new(self, name: str, data: bytes) -> Result[None, DiskFault]:
+        self._files[name] = data
+        return Success(None)
+
+    async def rename(self, name: str, new_name: str) -> Result[None, DiskFault]:
+        self._files[new_name] = self._files.pop(name)
+        return Success(None)
+
+    async def truncate(self, name: str, length: int) -> Result[None, DiskFault]:
+        self._files[name] = self._files[name][:length]
+        return Success(None)
+
+    async def remove(self, name: str) -> Result[None, DiskFault]:
+        self._files.pop(name, None)
+        return Success(None)
+
+
+def _real(role: str) -> Build:
+    build: Build = importlib.import_module(f"wingwood.daemons.{role}").build
+    return build
+
+
+def _with_client(wrap: Callable[[HttpClient, HttpRequest], HttpExchange]) -> Builds:
+    def build(context: Context, settings: DaemonSettings) -> Daemon:
+        return _real("router")(msgspec.structs.replace(context, http=WrappedClient(context.http, wrap)), settings)
+
+    return Builds(router=build)
+
+
+def _wrapping(exchange: type[WrappedExchange]) -> Builds:
+    return _with_client(lambda client, request: exchange(client.start(request)))
+
+
+def _forgetful_disks() -> Builds:
+    def build(context: Context, settings: DaemonSettings) -> Daemon:
+        return _real("control")(msgspec.structs.replace(context, disk=ForgetfulDisk(context.disk)), settings)
+
+    return Builds(control=build)
+
+
+def _keeps_removed_keys() -> Builds:
+    def build(context: Context, settings: DaemonSettings) -> Daemon:
+        return _real("router")(context, msgspec.structs.replace(settings, removed_key_bound=None))
+
+    return Builds(router=build)
+
+
+def _one_router_knows_one_operator() -> Builds:
+    def build(context: Context, settings: DaemonSettings) -> Daemon:
+        keys = settings.operator_keys[:1] if settings.name == "router-7" else settings.operator_keys
+        return _real("router")(context, msgspec.structs.replace(settings, operator_keys=keys))
+
+    return Builds(router=build)
+
+
+VARIANTS: dict[str, Callable[[], Builds]] = {
+    "sends calls twice": lambda: _with_client(_sent_twice),
+    "denies sending": lambda: _wrapping(_DeniesSending),
+    "holds pieces": lambda: _wrapping(_HoldsPieces),
+    "loses pieces": lambda: _wrapping(_ChangesStream),
+    "names another call": lambda: _wrapping(_NamesAnotherCall),
+    "ends cut streams": lambda: _wrapping(_EndsCutStreams),
+    "forgetful disks": _forgetful_disks,
+    "keeps removed keys": _keeps_removed_keys,
+    "one router knows one operator": _one_router_knows_one_operator,
+}
+
+
+def broken_builds(name: str) -> Builds:
+    return VARIANTS[name]()
--- a/simulation/fleet.py
+++ b/simulation/fleet.py
@@ -489,6 +489,26 @@
         self.world.note("world", "isolate", target=name)
         self._heal_later(self.world.network.cut(pairs + [(b, a) for a, b in pairs]), fault, seconds)
 
+    def slow(self, name: str, by: float, seconds: float) -> None:
+        """All traffic of its machines takes longer; this is no cut."""
+        own = self.machines_named(name)
+        pairs = [(near, far) for near in own for far in self.world.machines if far != near]
+        pairs += [(far, near) for near, far in pairs]
+        fault = self.fault("slow", name)
+        self.world.note("world", "slow", target=name, by=by)
+        slowness = self.world.network.slowness
+        for pair in pairs:
+            slowness[pair] = slowness.get(pair, 0.0) + by
+
+        def back() -> None:
+            for pair in pairs:
+                slowness[pair] -= by
+                if slowness[pair] < 1e-9:
+                    del slowness[pair]
+            self.end_fault(fault)
+
+        self.world.at(self.world.now + seconds, back)
+
     def _heal_later(self, cut: Cut, fault: Fault, seconds: float) -> None:
         def heal() -> None:
             self.world.heal(cut)
--- /dev/null
+++ b/simulation/scenario.py
@@ -0,0 +1,698 @@
+"""Scenarios: small text files of what happens when, run on a whole fleet and judged by the observer.
+
+A file reads like this (docs/DESIGN.md section 16.4)::
+
+    # What it shows, for the person on call.
+    deployment despensa
+    seeds 1 2
+    traffic 0.3
+    at 2 kill control-1
+    at 5 freeze router-4 for 20
+    at 6 push set tenant/riders.paid_rate=5
+    expect order 1 accepted
+
+Times are seconds after the first bundle is in force everywhere. When the last fault is over, the run
+goes on for ``calm`` seconds, then everything is read back and judged. ``help_text()`` lists all lines.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import re
+import time
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from emulator.faults import Fault as WorkerFault
+from wingwood.bundle.canonical import canonical_json
+from wingwood.identifiers import SliceName
+
+from .fleet import Builds, Fleet, network_shape, shape_named
+from .observer import Bounds, Places, Violation, judge
+from .operators import Slices, put_slice, set_field
+from .world import World
+
+LONGEST_WAIT_FOR_FIRST_BUNDLE = 15.0
+DEFAULT_CALM = 20.0
+LAST_ANSWERS = 4.0
+
+
+class ScenarioProblem(Exception):
+    """A line that can't be read; says which and what is expected."""
+
+
+class Step(msgspec.Struct, frozen=True):
+    at: float
+    line: str
+    action: Callable[[Fleet], None]
+    lasts: float = 0.0
+    """Until when after ``at`` it disturbs by itself."""
+
+
+class Scenario(msgspec.Struct, kw_only=True):
+    name: str
+    about: str = ""
+    deployment: str = "despensa"
+    seeds: tuple[int, ...] = (1,)
+    traffic: float = 0.25
+    calm: float = DEFAULT_CALM
+    broken: str = ""
+    """Name of a deliberately broken variant of the fleet (``simulation.broken``)."""
+    steps: list[Step] = []
+    expects: list[str] = []
+
+    def length(self) -> float:
+        return max((step.at + step.lasts for step in self.steps), default=0.0)
+
+
+class Report(msgspec.Struct, kw_only=True):
+    scenario: str
+    seed: int
+    violations: list[Violation]
+    problems: list[str]
+    """Expectations of the scenario that did not hold."""
+    digest: str = ""
+    simulated_seconds: float = 0.0
+    real_seconds: float = 0.0
+    calls: int = 0
+    succeeded: int = 0
+    runs: int = 0
+    orders: int = 0
+    faults: int = 0
+    timeline: str = ""
+    in_force_seconds: list[float] = []
+    """From each acknowledgement to the first look at each router that showed it."""
+
+    @property
+    def passed(self) -> bool:
+        return not self.violations and not self.problems
+
+    def summary(self) -> str:
+        speed = self.simulated_seconds / max(self.real_seconds, 1e-6)
+        return (
+            f"{self.scenario} seed {self.seed}: {'passed' if self.passed else 'FAILED'}; "
+            f"{self.calls} calls, {self.succeeded} succeeded, {self.orders} orders, {self.faults} faults, "
+            f"{self.simulated_seconds:.0f} simulated s in {self.real_seconds:.1f} s ({speed:.1f}x)"
+        )
+
+    def full(self, timeline: bool = True) -> str:
+        lines = [self.summary()]
+        lines += [f"  {violation}" for violation in self.violations[:20]]
+        if len(self.violations) > 20:
+            lines.append(f"  ... and {len(self.violations) - 20} more")
+        lines += [f"  {problem}" for problem in self.problems]
+        if timeline and not self.passed:
+            lines += ["  time line:", self.timeline]
+        return "\n".join(lines)
+
+
+# -- the lines
+
+Maker = Callable[[re.Match[str]], tuple[Callable[[Fleet], None], float]]
+NAME = r"(?P<name>all [a-z]+|[a-z0-9][a-z0-9-]*)"
+SECONDS = r"(?P<seconds>\d+(?:\.\d+)?)"
+_LINES: list[tuple[re.Pattern[str], Maker, str]] = []
+
+
+def _line(pattern: str, shown: str) -> Callable[[Maker], Maker]:
+    def add(maker: Maker) -> Maker:
+        _LINES.append((re.compile(pattern), maker, shown))
+        return maker
+
+    return add
+
+
+def help_text() -> str:
+    return "\n".join(f"at T {shown}" for _, _, shown in _LINES)
+
+
+def _seconds(match: re.Match[str], default: float = 0.0) -> float:
+    found = match.groupdict().get("seconds")
+    return float(found) if found else default
+
+
+@_line(rf"kill {NAME}(?: for {SECONDS})?", "kill NAME [for S]          SIGKILL; started again after S (1) seconds")
+def _kill(match: re.Match[str]) -> tuple[Callable[[Fleet], None], float]:
+    seconds = _seconds(match, 1.0)
+    return lambda fleet: fleet.kill(match["name"], seconds), seconds
+
+
+@_line(rf"freeze {NAME} for {SECONDS}", "freeze NAME for S          SIGSTOP, then SIGCONT")
+def _freeze(match: re.Match[str]) -> tuple[Callable[[Fleet], None], float]:
+    return lambda fleet: fleet.freeze(match["name"], _seconds(match)), _seconds(match)
+
+
+@_line(rf"terminate {NAME}", "terminate NAME             SIGTERM; started again when it has left")
+def _terminate(match: re.Match[str]) -> tuple[Callable[[Fleet], None], float]:
+    return lambda fleet: fleet.terminate(match["name"]), 25.0
+
+
+@_line(rf"roll {NAME} every {SECONDS}", "roll NAME every S          SIGTERM to one after another")
+def _roll(match: re.Match[str]) -> tuple[Callable[[Fleet], None], float]:
+    every = _seconds(match)
+
+    def roll(fleet: Fleet) -> None:
+        for number, process in enumerate(fleet.processes_named(match["name"])):
+            fleet.world.at(fleet.world.now + number * every, lambda name=process.name: fleet.terminate(name))  # type: ignore[misc]
+
+    return roll, every * 14 + 25.0
+
+
+@_line(rf"power off {NAME} for {SECONDS}", "power off NAME for S       the machine is gone in silence, then boots")
+def _power_off(match: re.Match[str]) -> tuple[Callable[[Fleet], None], float]:
+    return lambda fleet: fleet.power_off(match["name"], _seconds(match)), _seconds(match)
+
+
+@_line(
+    rf"cut {NAME} (?P<way>from|to) (?P<other>[a-z0-9][a-z0-9-]*) for {SECONDS}",
+    "cut NAME from OTHER for S  both ways; `to` instead of `from`: one way only",
+)
+def _cut(match: re.Match[str]) -> tuple[Callable[[Fleet], None], float]:
+    both = match["way"] == "from"
+    return lambda fleet: fleet.cut(match["name"], match["other"], _seconds(match), both), _seconds(match)
+
+
+@_line(
+    rf"cut off {NAME}(?P<way> inward| outward)? for {SECONDS}",
+    "cut off NAME [inward|outward] for S   from all daemons and workers; callers and operators still reach it",
+)
+def _cut_off(match: re.Match[str]) -> tuple[Callable[[Fleet], None], float]:
+    direction = {" inward": "in", " outward": "out", None: "both"}[match["way"]]
+    return lambda fleet: fleet.cut_off(match["name"], _seconds(match), direction), _seconds(match)
+
+
+@_line(rf"isolate {NAME} for {SECONDS}", "isolate NAME for S         from everything")
+def _isolate(match: re.Match[str]) -> tuple[Callable[[Fleet], None], float]:
+    return lambda fleet: fleet.isolate(match["name"], _seconds(match)), _seconds(match)
+
+
+@_line(
+    rf"replace {NAME}", "replace CONTROL            its machine is lost; an empty one at a new address takes its place"
+)
+def _replace(match: re.Match[str]) -> tuple[Callable[[Fleet], None], float]:
+    return lambda fleet: _ignore(fleet.replace_control(match["name"])), 1.0
+
+
+@_line(
+    rf"wipe {NAME}(?P<under> under it)?",
+    "wipe NAME [under it]       the disk is emptied; the process is killed first unless `under it`",
+)
+def _wipe(match: re.Match[str]) -> tuple[Callable[[Fleet], None], float]:
+    return lambda fleet: fleet.wipe(match["name"], kill=not match["under"]), 1.0
+
+
+@_line(
+    rf"disk {NAME} (?P<mode>slow|stalled|full|failing) for {SECONDS}",
+    "disk NAME slow|stalled|full|failing for S",
+)
+def _disk(match: re.Match[str]) -> tuple[Callable[[Fleet], None], float]:
+    return lambda fleet: fleet.disk(match["name"], match["mode"], _seconds(match)), _seconds(match)
+
+
+@_line(
+    rf"slow {NAME} by (?P<by>\d+(?:\.\d+)?) for {SECONDS}",
+    "slow NAME by D for S       all its traffic takes D seconds longer",
+)
+def _slow(match: re.Match[str]) -> tuple[Callable[[Fleet], None], float]:
+    return lambda fleet: fleet.slow(match["name"], float(match["by"]), _seconds(match)), _seconds(match)
+
+
+@_line(
+    rf"worker {NAME} drains", "worker NAME drains         says that it leaves, then ends; a new life starts 10 s later"
+)
+def _worker_drains(match: re.Match[str]) -> tuple[Callable[[Fleet], None], float]:
+    def drain(fleet: Fleet) -> None:
+        fleet.world.note("world", "drain", worker=match["name"])
+
+        async def work() -> None:
+            fleet.workers[match["name"]].drain()
+
+        fleet.world.spawn(fleet.world.processes[match["name"]], work(), "drain")
+        fleet.world.at(fleet.world.now + 10.0, lambda: fleet.world.restart(match["name"]))
+
+    return drain, 10.0
+
+
+@_line(
+    rf"worker {NAME} restarts empty", "worker NAME restarts empty a new life at the same address, without its KV cache"
+)
+def _worker_restarts(match: re.Match[str]) -> tuple[Callable[[Fleet], None], float]:
+    def restart(fleet: Fleet) -> None:
+        fleet.fault("worker-restart", match["name"], ended=True)
+        fleet.world.restart(match["name"])
+
+    return restart, 0.5
+
+
+_WORKER_FAULTS = {
+    "breaks mid-event": "break-mid-event",
+    "trails stray bytes": "stray-bytes",
+    "lies about its load": "lie-about-load",
+    "closes without an answer": "close-without-answer",
+    "answers late": "late",
+    "answers errors": "error-status",
+}
+
+
+@_line(
+    rf"worker {NAME} (?P<fault>{'|'.join(_WORKER_FAULTS)}) for {SECONDS}",
+    "worker NAME breaks mid-event|trails stray bytes|lies about its load|closes without an answer|"
+    "answers late|answers errors for S",
+)
+def _worker_fault(match: re.Match[str]) -> tuple[Callable[[Fleet], None], float]:
+    def switch(fleet: Fleet) -> None:
+        fault = fleet.fault(f"worker-{_WORKER_FAULTS[match['fault']]}", match["name"])
+        fleet.world.note("world", "worker-fault", worker=match["name"], fault=match["fault"])
+        kind: Any = _WORKER_FAULTS[match["fault"]]
+        fleet.workers[match["name"]].switchboard.switch(WorkerFault(kind, seconds=3.0))
+
+        def back() -> None:
+            fleet.workers[match["name"]].switchboard.switch(WorkerFault("none"))
+            fleet.end_fault(fault)
+
+        fleet.world.at(fleet.world.now + _seconds(match), back)
+
+    return switch, _seconds(match)
+
+
+@_line(
+    r"push set (?P<field>[a-z]+/[a-z0-9-]+\.[a-z_]+)=(?P<value>\S+)(?P<lost> losing the answer)?(?: via (?P<via>\S+))?"
+    r"(?: by (?P<operator>operator-[12]))?",
+    "push set SLICE.FIELD=VALUE [losing the answer] [via DAEMON] [by OPERATOR]",
+)
+def _push(match: re.Match[str]) -> tuple[Callable[[Fleet], None], float]:
+    value = msgspec.json.decode(match["value"])
+
+    def push(fleet: Fleet) -> None:
+        operator = fleet.operators[match["operator"] or "operator-1"]
+        change = set_field(match["field"], value)
+        fleet.by_operator(
+            operator.name,
+            operator.push(change, match["field"], via=match["via"], lose_answers=1 if match["lost"] else 0),
+        )
+        if match["field"].endswith(".paid_rate"):
+            tenant = match["field"].partition("/")[2].partition(".")[0]
+            fleet.history.paid_rates.append((fleet.world.now, tenant, float(value)))
+
+    return push, 0.5
+
+
+@_line(
+    r"race set (?P<field>[a-z]+/[a-z0-9-]+\.[a-z_]+)=(?P<one>\S+) against (?P<other>\S+)",
+    "race set SLICE.FIELD=ONE against OTHER   two operators on one version",
+)
+def _race(match: re.Match[str]) -> tuple[Callable[[Fleet], None], float]:
+    def race(fleet: Fleet) -> None:
+        for name, value in (("operator-1", match["one"]), ("operator-2", match["other"])):
+            operator = fleet.operators[name]
+            change = set_field(match["field"], msgspec.json.decode(value))
+            fleet.by_operator(name, operator.push(change, f"race {match['field']}={value}"))
+
+    return race, 0.5
+
+
+@_line(
+    rf"storm of (?P<count>\d+) pushes in {SECONDS}", "storm of N pushes in S     by both operators, one after another"
+)
+def _storm(match: re.Match[str]) -> tuple[Callable[[Fleet], None], float]:
+    count, seconds = int(match["count"]), _seconds(match)
+
+    def storm(fleet: Fleet) -> None:
+        async def pushes(name: str) -> None:
+            operator = fleet.operators[name]
+            begun = fleet.world.now
+            for number in range(count // 2):
+                value: dict[str, object] = {"name": f"storm-{name}", "weight": 1.0 + number}
+                pushing = operator.push(
+                    put_slice(f"class/storm-{name}", value), f"storm {number}", on_conflict_again=True
+                )
+                await pushing
+                await asyncio.sleep(max(0.0, begun + seconds * (number + 1) / (count // 2) - fleet.world.now))
+
+        for name in ("operator-1", "operator-2"):
+            fleet.by_operator(name, pushes(name))
+
+    return storm, seconds
+
+
+@_line(r"push invalid", "push invalid               wrong signature, wrong root, unknown pool, no JSON: all refused")
+def _invalid(match: re.Match[str]) -> tuple[Callable[[Fleet], None], float]:
+    def push(fleet: Fleet) -> None:
+        operator = fleet.operators["operator-2"]
+
+        async def work() -> None:
+            base, before = await operator.newest()
+            for spoiled in _spoiled(before):
+                seen, order = operator.prepare(base, before, spoiled, "invalid")
+                seen.intended = "invalid"
+                await operator.send(seen, order)
+            seen, order = operator.prepare(base, before, dict(before), "wrong signature")
+            seen.intended = "invalid"
+            manifest = msgspec.structs.replace(order.manifest, signature=bytes(64))
+            await operator.send(seen, msgspec.structs.replace(order, manifest=manifest))
+
+        fleet.by_operator(operator.name, work())
+
+    return push, 2.0
+
+
+def _spoiled(before: Slices) -> list[Slices]:
+    service = next(name for name in sorted(before) if name.startswith("service/"))
+    tenant = next(name for name in sorted(before) if name.startswith("tenant/"))
+    unknown = {**msgspec.json.decode(before[tenant]), "priority_class": "no-such-class"}
+    odd = {**msgspec.json.decode(before[service]), "deadline": "soon"}
+    return [
+        {**before, tenant: canonical_json(unknown)},
+        {**before, service: canonical_json(odd)},
+        {**before, service: b"{"},
+        {**before, SliceName("nonsense"): b"{}"},
+    ]
+
+
+@_line(r"push large (?P<kilobytes>\d+) KB", "push large N KB            a valid bundle that grows by that much")
+def _large(match: re.Match[str]) -> tuple[Callable[[Fleet], None], float]:
+    def push(fleet: Fleet) -> None:
+        operator = fleet.operators["operator-1"]
+
+        def grow(slices: Slices) -> Slices:
+            grown = dict(slices)
+            for number in range(int(match["kilobytes"]) // 50):
+                keys = [f"{number:016x}{index:048x}" for index in range(700)]
+                value: dict[str, object] = {
+                    "name": f"large-{number}",
+                    "priority_class": fleet.shape.classes[0].name,
+                    "paid_rate": 1.0,
+                    "keys": keys,
+                }
+                grown[SliceName(f"tenant/large-{number}")] = canonical_json(value)
+            return grown
+
+        fleet.by_operator(operator.name, operator.push(grow, "large"))
+
+    return push, 2.0
+
+
+@_line(rf"remove key of {NAME}", "remove key of TENANT       its callers go on with it; a new one is not given")
+def _remove_key(match: re.Match[str]) -> tuple[Callable[[Fleet], None], float]:
+    def remove(fleet: Fleet) -> None:
+        operator = fleet.operators["operator-2"]
+        key = fleet.caller_keys[match["name"]]
+        change = set_field(f"tenant/{match['name']}.keys", [])
+        fleet.by_operator(operator.name, operator.push(change, f"remove key of {match['name']}", removed_keys=(key,)))
+
+    return remove, 0.5
+
+
+@_line(
+    rf"flood {NAME} (?P<service>[a-z-]+) (?P<rate>\d+)/s for {SECONDS}(?: through (?P<door>\S+))?",
+    "flood TENANT SERVICE N/s for S [through ROUTER]",
+)
+def _flood(match: re.Match[str]) -> tuple[Callable[[Fleet], None], float]:
+    def flood(fleet: Fleet) -> None:
+        callers = fleet.callers[match["name"]]
+        fleet.world.note("world", "flood", tenant=match["name"], rate=match["rate"])
+        process = fleet.world.processes[callers.plan.machine]
+        work = callers.flood(match["service"], float(match["rate"]), _seconds(match))
+        if match["door"]:
+            callers.only_door = match["door"]
+
+            def free() -> None:
+                callers.only_door = None
+
+            fleet.world.at(fleet.world.now + _seconds(match) + 1.0, free)
+        fleet.world.spawn(process, work, "flood")
+
+    return flood, _seconds(match)
+
+
+@_line(rf"crowd (?P<factor>\d+(?:\.\d+)?) for {SECONDS}", "crowd F for S              F times the scenario's traffic")
+def _crowd(match: re.Match[str]) -> tuple[Callable[[Fleet], None], float]:
+    def crowd(fleet: Fleet) -> None:
+        usual = {name: callers.factor for name, callers in fleet.callers.items()}
+        fault = fleet.fault("crowd", "all routers")
+        for callers in fleet.callers.values():
+            callers.factor *= float(match["factor"])
+
+        def leave() -> None:
+            for name, callers in fleet.callers.items():
+                callers.factor = usual[name]
+            fleet.end_fault(fault)
+
+        fleet.world.at(fleet.world.now + _seconds(match), leave)
+
+    return crowd, _seconds(match)
+
+
+def _ignore(_: object) -> None:
+    return None
+
+
+# -- reading
+
+
+def read_step(line: str) -> Step:
+    """``at T WHAT``; raises ScenarioProblem."""
+    match = re.fullmatch(r"at (\d+(?:\.\d+)?) (.+)", line)
+    if match is None:
+        raise ScenarioProblem(f"{line!r}: expected `at SECONDS WHAT`")
+    at, what = float(match[1]), match[2]
+    for pattern, maker, _ in _LINES:
+        found = pattern.fullmatch(what)
+        if found is not None:
+            action, lasts = maker(found)
+            return Step(at, line, action, lasts)
+    raise ScenarioProblem(f"{line!r}: not known; the lines are\n{help_text()}")
+
+
+def read_scenario(text: str, name: str) -> Scenario:
+    scenario = Scenario(name=name)
+    about = []
+    for number, raw in enumerate(text.splitlines(), 1):
+        line = raw.strip()
+        try:
+            if line.startswith("#"):
+                about.append(line.lstrip("# "))
+            elif line:
+                _read_line(scenario, line)
+        except (ScenarioProblem, ValueError) as problem:
+            raise ScenarioProblem(f"{name}, line {number}: {problem}") from None
+    scenario.about = " ".join(about)
+    scenario.steps.sort(key=lambda step: step.at)
+    return scenario
+
+
+def _read_line(scenario: Scenario, line: str) -> None:
+    word, _, rest = line.partition(" ")
+    match word:
+        case "at":
+            scenario.steps.append(read_step(line))
+        case "expect":
+            _expectation(rest)
+            scenario.expects.append(rest)
+        case "deployment":
+            scenario.deployment = rest
+        case "seeds":
+            scenario.seeds = tuple(int(seed) for seed in rest.split())
+        case "traffic":
+            scenario.traffic = float(rest)
+        case "calm":
+            scenario.calm = float(rest)
+        case "broken":
+            scenario.broken = rest
+        case _:
+            raise ScenarioProblem(f"{line!r}: expected at, expect, deployment, seeds, traffic, calm or broken")
+
+
+# -- expectations beyond the observer's checks
+
+Expectation = Callable[[Fleet, Sequence[Violation]], str]
+"""Empty when it holds; else what was found."""
+
+
+def _expectation(text: str) -> Expectation:
+    if match := re.fullmatch(r"violation ([a-z-]+)", text):
+        wanted = match[1]
+        return lambda _, violations: (
+            "" if any(each.check == wanted for each in violations) else f"the broken variant was not caught by {wanted}"
+        )
+    if match := re.fullmatch(r"newest version (\d+)", text):
+        version = int(match[1])
+        return lambda fleet, _: _compare(
+            "newest version", version, max(fleet.history.final_versions.values(), default=0)
+        )
+    if match := re.fullmatch(r"(\d+) orders (accepted|conflict|invalid)", text):
+        count, outcome = int(match[1]), match[2]
+        return lambda fleet, _: _compare(
+            f"orders {outcome}",
+            count,
+            sum(any(answer.outcome == outcome for answer in order.answers) for order in fleet.history.orders[1:]),
+        )
+    if match := re.fullmatch(r"at least (\d+)% of calls succeed", text):
+        share = int(match[1])
+        return lambda fleet, _: _enough(share, fleet)
+    raise ScenarioProblem(
+        f"{text!r}: expected `violation CHECK`, `newest version N`, `N orders accepted|conflict|invalid` "
+        "or `at least N% of calls succeed`"
+    )
+
+
+def _compare(what: str, expected: object, found: object) -> str:
+    return "" if expected == found else f"{what}: expected {expected}, found {found}"
+
+
+def _enough(share: int, fleet: Fleet) -> str:
+    calls = [call for call in fleet.history.calls if call.attempts]
+    succeeded = sum(call.succeeded for call in calls)
+    return "" if succeeded * 100 >= share * len(calls) else f"{succeeded} of {len(calls)} calls succeeded, not {share}%"
+
+
+# -- running
+
+
+def bounds_for(fleet: Fleet) -> Bounds:
+    removed = fleet.shape.removed_key_bound
+    return Bounds(removed_key=None if removed is None else removed + 0.3)
+
+
+def places_of(fleet: Fleet) -> Places:
+    controls = set()
+    for process in fleet.world.processes.values():
+        if process.tags.get("role") == "control":
+            controls |= {process.name, process.machine.name}
+    return Places(
+        machine_of={process.name: process.machine.name for process in fleet.world.processes.values()},
+        controls=frozenset(controls),
+    )
+
+
+def run_scenario(scenario: Scenario, seed: int, builds: Builds | None = None) -> Report:
+    """One run; what it saw is judged and summed up."""
+    begun = time.perf_counter()
+    shape = shape_named(scenario.deployment)
+    if scenario.broken:
+        from .broken import broken_builds  # noqa: PLC0415
+
+        builds = broken_builds(scenario.broken)
+    with World(seed, network_shape(shape)) as world:
+        fleet = Fleet(world, shape, builds)
+        report = Report(scenario=scenario.name, seed=seed, violations=[], problems=[])
+        try:
+            _drive(scenario, fleet)
+            fleet.read_back()
+        except TimeoutError as late:
+            report.problems.append(str(late))
+        _judge(scenario, fleet, report)
+        report.digest = world.digest()
+        report.simulated_seconds = world.now
+        report.timeline = _timeline(fleet)
+    report.real_seconds = time.perf_counter() - begun
+    return report
+
+
+def _drive(scenario: Scenario, fleet: Fleet) -> None:
+    world = fleet.world
+    fleet.start()
+    fleet.put_in_force(LONGEST_WAIT_FOR_FIRST_BUNDLE)
+    start = world.now
+    world.note("world", "first-bundle-in-force")
+    fleet.set_traffic(scenario.traffic)
+    for step in scenario.steps:
+        fleet.run(max(0.0, start + step.at - world.now))
+        world.note("world", "step", line=step.line)
+        step.action(fleet)
+    fleet.run(max(0.0, start + scenario.length() - world.now))
+    longest = world.now + 60.0
+    while (
+        any(fault.ended_at is None and fault.kind != "replace" for fault in fleet.history.faults)
+        and world.now < longest
+    ):
+        fleet.run(0.5)
+    fleet.run(scenario.calm)
+    fleet.set_traffic(0.0)
+    for callers in fleet.callers.values():
+        callers.stopped = True
+    fleet.run(LAST_ANSWERS)
+
+
+def _judge(scenario: Scenario, fleet: Fleet, report: Report) -> None:
+    history, world = fleet.history, fleet.world
+    violations = judge(history, places_of(fleet), bounds_for(fleet), world.now)
+    for text in world.broken_invariants:
+        first, _, trace = text.partition("\n")
+        at, _, where = first.partition(" ")
+        last = trace.strip().splitlines()[-1] if trace.strip() else ""
+        violations.append(Violation(float(at), "broken-invariant", f"{where}: {last}"))
+    wanted = {text.removeprefix("violation ") for text in scenario.expects if text.startswith("violation ")}
+    for text in scenario.expects:
+        problem = _expectation(text)(fleet, violations)
+        if problem:
+            report.problems.append(f"expect {text}: {problem}")
+    report.violations = [] if wanted else sorted(violations)
+    report.calls = len(history.calls)
+    report.succeeded = sum(call.succeeded for call in history.calls)
+    report.runs = len(history.runs)
+    report.orders = len(history.orders)
+    report.faults = len(history.faults)
+    report.in_force_seconds = _in_force_seconds(fleet)
+
+
+def _in_force_seconds(fleet: Fleet) -> list[float]:
+    found = []
+    for order in fleet.history.orders:
+        if order.accepted is None:
+            continue
+        for router in fleet.names("router"):
+            looks = [
+                look.answered_at
+                for look in fleet.history.versions
+                if look.daemon == router and look.version >= order.accepted.version
+            ]
+            if looks:
+                found.append(max(0.0, looks[0] - order.accepted.answered_at))
+    return found
+
+
+TIMELINE_NAMES = {
+    "step",
+    "kill",
+    "start",
+    "freeze",
+    "wake",
+    "cut",
+    "cut-off",
+    "isolate",
+    "heal",
+    "power-off",
+    "power-on",
+    "wipe",
+    "disk",
+    "replaced",
+    "terminate",
+    "drain",
+    "worker-fault",
+    "order-answered",
+    "order-given-up",
+    "operator-gave-up",
+    "door-ready",
+    "door-not-ready",
+    "invariant-broken",
+    "unhandled-exception",
+    "process-stopped",
+    "not-started",
+    "first-bundle-in-force",
+}
+
+
+def _timeline(fleet: Fleet) -> str:
+    return fleet.world.timeline(last=150, names=TIMELINE_NAMES)
+
+
+def find_scenarios(root: Path) -> list[Path]:
+    return sorted(path for path in root.rglob("*.scenario") if ".venv" not in path.parts)
+
+
+def load(path: Path) -> Scenario:
+    return read_scenario(path.read_text(), path.stem.removeprefix("scenario_"))
--- /dev/null
+++ b/simulation/tests/test_scenario_reading.py
@@ -0,0 +1,34 @@
+"""Scenario files can be read, and what can't be read is named."""
+
+from __future__ import annotations
+
+import unittest
+from pathlib import Path
+
+from simulation.broken import VARIANTS
+from simulation.explore import Composer, scenario_of
+from simulation.scenario import ScenarioProblem, find_scenarios, load, read_scenario
+
+ROOT = Path(__file__).resolve().parents[2]
+
+
+class Reading(unittest.TestCase):
+    def test_unknown_line_names_the_line_and_what_could_stand_there(self) -> None:
+        with self.assertRaisesRegex(ScenarioProblem, "line 2.*at 3 explode.*\\n(.*\\n)*at T kill NAME"):
+            read_scenario("deployment despensa\nat 3 explode router-1\n", "x")
+
+    def test_unknown_expectation_is_refused(self) -> None:
+        with self.assertRaisesRegex(ScenarioProblem, "line 1.*expected `violation CHECK`"):
+            read_scenario("expect wonders", "x")
+
+    def test_all_files_can_be_read_and_say_what_they_show(self) -> None:
+        found = [load(path) for path in find_scenarios(ROOT)]
+        self.assertGreater(len(found), 20)
+        self.assertEqual([scenario.name for scenario in found if not scenario.about], [])
+        self.assertEqual({scenario.broken for scenario in found} - {""} - set(VARIANTS), set())
+
+    def test_explored_schedules_can_be_read_and_are_the_same_for_the_same_seed(self) -> None:
+        for seed in range(200):
+            lines = Composer(seed, "despensa").schedule()
+            self.assertEqual(lines, Composer(seed, "despensa").schedule())
+            self.assertEqual(len(scenario_of(seed, "despensa", lines, 0.2).steps), len(lines))
