--- a/simulation/run.py
+++ b/simulation/run.py
@@ -1,4 +1,4 @@
-"""Runs one scenario file and prints what came of it: ``python -m simulation.run FILE`` (docs/DESIGN.md section 16.4)."""
+"""Runs scenario files and prints what came of them: ``python -m simulation.run FILE`` (section 16.4)."""
 
 from __future__ import annotations
 
