--- a/wingwood/control/core.py
+++ b/wingwood/control/core.py
@@ -655,8 +655,9 @@
                     await self._form()
             if known is None or known.seat(self._me) is None:
                 continue
-            if now - self._heard >= self._silence_borne(known) and now >= self._not_before:
-                if now - looked >= 0.2 and await self._may_stand(known):
+            silent = now - self._heard >= self._silence_borne(known)
+            if silent and now >= self._not_before and now - looked >= self._limits.look:
+                if await self._may_stand(known):
                     await self._take_over()
                 looked = self._now()
 
--- a/wingwood/control/limits.py
+++ b/wingwood/control/limits.py
@@ -14,6 +14,8 @@
     replicate: Seconds = Seconds(1.1)
     silence: Seconds = Seconds(1.0)
     """After which a member looks whether the others hear the primary."""
+    look: Seconds = Seconds(0.2)
+    """Between two such looks."""
     heard: Seconds = Seconds(0.9)
     """A primary heard within this counts as heard when another asks."""
     member_silent: Seconds = Seconds(0.9)
