Load and experiment tool: open-loop callers, HDR histograms, hit rate, picture, comparison

Sessions arrive open-loop by the shape's traffic, spread over ready routers, try once more elsewhere; probes straight to a worker give the added latency in the same run; workers tell hit rate, load and calls run twice. An emulated worker that is asked to leave ends within 15 s even when nobody acknowledges.

--- /dev/null
+++ b/bench/load/measure.py
@@ -0,0 +1,168 @@
+"""What a run of load measured: histograms, counts by reason, tenant, worker and second."""
+
+from __future__ import annotations
+
+from collections import Counter
+from collections.abc import Iterable, Sequence
+
+from hdrh.histogram import HdrHistogram
+
+from fleet.caller import CallOutcome, CallPlan
+
+HIGHEST_MICROSECONDS = 120 * 1_000_000
+PERCENTILES = (50.0, 95.0, 99.0, 99.9)
+
+
+class Timing:
+    """An HDR histogram of durations, kept in microseconds with three significant digits."""
+
+    def __init__(self) -> None:
+        self._histogram = HdrHistogram(1, HIGHEST_MICROSECONDS, 3)
+
+    def add(self, seconds: float) -> None:
+        self._histogram.record_value(min(HIGHEST_MICROSECONDS, max(1, round(seconds * 1_000_000))))
+
+    def add_all(self, many: Iterable[float]) -> None:
+        for seconds in many:
+            self.add(seconds)
+
+    @property
+    def count(self) -> int:
+        return int(self._histogram.get_total_count())
+
+    def percentile(self, percent: float) -> float:
+        """In milliseconds; 0 without values."""
+        return self._histogram.get_value_at_percentile(percent) / 1000 if self.count else 0.0
+
+    def percentiles(self, percents: Sequence[float]) -> list[float]:
+        """Milliseconds at rising ``percents``, in one pass."""
+        values = self._histogram.get_percentile_to_value_dict(list(percents))
+        return [values.get(percent, 0.0) / 1000 for percent in percents]
+
+    def summary(self) -> dict[str, float]:
+        """Milliseconds."""
+        told = {f"p{percent:g}": self.percentile(percent) for percent in PERCENTILES}
+        highest = self._histogram.get_max_value() / 1000 if self.count else 0.0
+        mean = self._histogram.get_mean_value() / 1000 if self.count else 0.0
+        return {"count": self.count, "mean": round(mean, 4), **told, "max": highest}
+
+    def encoded(self) -> str:
+        """The HDR log form, so that results can be put together and compared later."""
+        return str(self._histogram.encode().decode())
+
+    @staticmethod
+    def decoded(text: str) -> Timing:
+        timing = Timing()
+        timing._histogram.decode_and_add(text.encode())
+        return timing
+
+
+TIMINGS = (
+    "first_token",
+    "first_token_later_turns",
+    "between_tokens",
+    "plain",
+    "added_first_token",
+    "added_plain",
+    "transit_routed",
+    "direct_first_token",
+    "direct_plain",
+    "transit_direct",
+)
+
+
+class Measurements:
+    """``added_*``: seen by the caller, less what the worker says that it took; ``direct_*`` is the same to a worker.
+
+    The difference of routed and direct is what the router adds.
+    """
+
+    def __init__(self) -> None:
+        self.timings = {name: Timing() for name in TIMINGS}
+        self.outcomes: Counter[str] = Counter()
+        """By how calls ended, all their tries taken together."""
+        self.refusals: Counter[str] = Counter()
+        """Router-made answers by ``status code run``, each try."""
+        self.faults: Counter[str] = Counter()
+        self.problems: Counter[str] = Counter()
+        """What must never be; empty in a good run."""
+        self.tenants: dict[str, Counter[str]] = {}
+        self.awards: Counter[str] = Counter()
+        self.routers: Counter[str] = Counter()
+        self.tries = 0
+        self.events = 0
+        self.tokens = {"prompt": 0, "cached": 0, "later_prompt": 0, "later_cached": 0}
+        self.seconds: dict[int, Counter[str]] = {}
+        self.direct_problems: Counter[str] = Counter()
+
+    def begun(self, tenant: str, second: int) -> None:
+        self.tenants.setdefault(tenant, Counter())["calls"] += 1
+        self.seconds.setdefault(second, Counter())["calls"] += 1
+
+    def tried(self, plan: CallPlan, outcome: CallOutcome, router: str, turn: int) -> None:
+        """One try at one router."""
+        self.tries += 1
+        self.routers[router] += 1
+        if outcome.router_made:
+            self.refusals[f"{outcome.status} {outcome.code} {outcome.run}"] += 1
+        elif outcome.fault:
+            self.faults[outcome.fault] += 1
+        if outcome.problem:
+            self.problems[outcome.problem] += 1
+        if award := outcome.headers.get("wingwood-award"):
+            self.awards[award] += 1
+        if not outcome.events:
+            if outcome.looks_whole:
+                self.timings["plain"].add(outcome.ended_after)
+                if outcome.worker_seconds is not None:
+                    self.timings["added_plain"].add(outcome.ended_after - outcome.worker_seconds)
+            return
+        self.events += outcome.events
+        if outcome.first_event_after is not None:
+            self.timings["first_token"].add(outcome.first_event_after)
+            if turn:
+                self.timings["first_token_later_turns"].add(outcome.first_event_after)
+            if outcome.worker_seconds is not None:
+                self.timings["added_first_token"].add(outcome.first_event_after - outcome.worker_seconds)
+        self.timings["between_tokens"].add_all(outcome.gaps)
+        self.timings["transit_routed"].add_all(outcome.transits)
+        prompt, cached = outcome.number("prompt-tokens"), outcome.number("cached-tokens")
+        if prompt is not None and cached is not None:
+            self.tokens["prompt"] += prompt
+            self.tokens["cached"] += cached
+            if turn:
+                self.tokens["later_prompt"] += prompt
+                self.tokens["later_cached"] += cached
+
+    def ended(self, tenant: str, how: str, second: int, events: int) -> None:
+        """The call's last try: ``whole``, ``hung-up``, ``refused CODE``, ``cut`` or ``no answer``."""
+        self.outcomes[how] += 1
+        self.tenants.setdefault(tenant, Counter())[how.partition(" ")[0]] += 1
+        counts = self.seconds.setdefault(second, Counter())
+        counts[how.partition(" ")[0]] += 1
+        counts["events"] += events
+
+    def direct(self, outcome: CallOutcome) -> None:
+        """A probe that went straight to a worker."""
+        if not outcome.looks_whole or outcome.problem:
+            self.direct_problems[outcome.problem or outcome.fault or str(outcome.status)] += 1
+            return
+        if outcome.first_event_after is None:
+            if outcome.worker_seconds is not None:
+                self.timings["direct_plain"].add(outcome.ended_after - outcome.worker_seconds)
+            return
+        if outcome.worker_seconds is not None:
+            self.timings["direct_first_token"].add(outcome.first_event_after - outcome.worker_seconds)
+        self.timings["transit_direct"].add_all(outcome.transits)
+
+
+def how_it_ended(outcome: CallOutcome) -> str:
+    if outcome.hung_up:
+        return "hung-up"
+    if outcome.looks_whole:
+        return "whole"
+    if outcome.router_made:
+        return f"refused {outcome.code}"
+    if outcome.status >= 300:
+        return f"error {outcome.status}"
+    return "cut" if outcome.status else "no answer"
--- /dev/null
+++ b/bench/load/run.py
@@ -0,0 +1,92 @@
+"""One run of load against a fleet that is up."""
+
+from __future__ import annotations
+
+import asyncio
+import random
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+import click
+
+from fleet.caller import Caller
+from fleet.http import JsonClient
+from wingwood.context.curl_client import CurlHttpClient
+from wingwood.context.real import RealClock
+
+from .measure import Measurements
+from .report import result_of
+from .target import RouterAddresses, Target
+from .traffic import Callers, LoadOptions
+from .workers import WorkerWatch
+
+PROGRESS_EVERY = 2.0
+
+
+class Platform:
+    """Spreads callers over the routers that say they are ready, as the platform does."""
+
+    def __init__(self, target: Target, http: JsonClient) -> None:
+        self._target = target
+        self._http = http
+        self.ready: Sequence[RouterAddresses] = target.routers
+
+    async def watch(self) -> None:
+        while True:
+            replies = await asyncio.gather(
+                *(self._http.get(router.operator, "/ready", patience=1.0) for router in self._target.routers)
+            )
+            self.ready = tuple(
+                router for router, reply in zip(self._target.routers, replies, strict=True) if reply.good
+            )
+            await asyncio.sleep(0.5)
+
+
+async def run_load(target: Target, options: LoadOptions, quiet: bool = False) -> tuple[dict[str, Any], Callers]:
+    """The result and the callers with their records."""
+    clock = RealClock()
+    http = JsonClient()
+    curl = CurlHttpClient()
+    callers = Callers(target, options, Caller(curl, clock), clock, Measurements())
+    platform = Platform(target, http)
+    callers.ready = lambda: platform.ready
+    watch = WorkerWatch(target, http)
+    await watch.begin()
+    beside = [asyncio.create_task(watch.sample()), asyncio.create_task(platform.watch())]
+    if not quiet:
+        beside.append(asyncio.create_task(_progress(callers, options)))
+    try:
+        await callers.run()
+        elapsed = callers.elapsed()
+    finally:
+        for task in beside:
+            task.cancel()
+    pools = await watch.report()
+    curl.close()
+    http.close()
+    return result_of(callers, options, pools, elapsed), callers
+
+
+async def _progress(callers: Callers, options: LoadOptions) -> None:
+    while True:
+        await asyncio.sleep(PROGRESS_EVERY)
+        measured = callers.measurements
+        first = measured.timings["first_token"]
+        click.echo(
+            f"{callers.elapsed():6.1f}/{options.seconds:.0f} s  calls {sum(measured.outcomes.values()):>6}"
+            f"  under way {callers.under_way:>4}  whole {measured.outcomes['whole']:>6}"
+            f"  refused {sum(measured.refusals.values()):>5}  pieces {measured.events:>8}"
+            f"  first token p50 {first.percentile(50):7.1f} p95 {first.percentile(95):7.1f} ms"
+            f"  problems {sum(measured.problems.values())}",
+            err=True,
+        )
+
+
+def new_run_name() -> str:
+    return f"{random.SystemRandom().getrandbits(24):06x}"
+
+
+def result_files(folder: Path, name: str) -> tuple[Path, Path]:
+    folder.mkdir(parents=True, exist_ok=True)
+    return folder / f"{name}.json", folder / f"{name}.png"
--- /dev/null
+++ b/bench/load/traffic.py
@@ -0,0 +1,195 @@
+"""Open-loop callers: sessions arrive at their rate whether or not the fleet keeps up."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Sequence
+from random import Random
+from typing import Literal
+
+import msgspec
+
+from fleet.caller import Caller, CallOutcome, CallPlan, shared_text
+from fleet.shape import ServiceShape, Traffic
+from wingwood.context.protocols import Clock
+from wingwood.identifiers import Address, parse_address
+
+from .measure import Measurements, how_it_ended
+from .target import RouterAddresses, Target
+
+RETRY_PAUSE = 0.1
+
+
+class LoadOptions(msgspec.Struct, frozen=True, kw_only=True):
+    seconds: float = 60.0
+    scale: float = 1.0
+    """Times the shape's rates."""
+    spread: Literal["every-turn", "per-session"] = "every-turn"
+    """Whether each turn comes to another router, or a session stays with one."""
+    unhinted: float = 0.0
+    """Share of turns whose caller goes away before the end, so that the router gets no hint of the next."""
+    direct_share: float = 0.05
+    """Share of calls beside which a probe goes straight to a worker."""
+    retries: int = 1
+    seed: int = 1
+    run_name: str = "run"
+
+
+class CallRecord(msgspec.Struct, frozen=True):
+    """What an observer keeps of each call that carried an idempotency key."""
+
+    idempotency_key: str
+    tries: tuple[tuple[int, str, str, bool], ...]
+    """Per try: HTTP status, code, run, whether it looks whole."""
+
+
+class Callers:
+    """All callers of one run."""
+
+    def __init__(
+        self, target: Target, options: LoadOptions, caller: Caller, clock: Clock, measurements: Measurements
+    ) -> None:
+        self.target = target
+        self.options = options
+        self.measurements = measurements
+        self.records: list[CallRecord] = []
+        self.ready: Callable[[], Sequence[RouterAddresses]] = lambda: target.routers
+        """The routers over which the platform spreads callers now."""
+        self._caller = caller
+        self._clock = clock
+        self._began = clock.monotonic()
+        self._random = Random(options.seed)
+        self._services = {service.name: service for service in target.shape.services}
+        self._number = 0
+        self._sessions: set[asyncio.Task[None]] = set()
+
+    async def run(self) -> None:
+        """Arrivals for ``seconds``, then waits for calls under way; no new turns after the end."""
+        self._began = self._clock.monotonic()
+        await asyncio.gather(*(self._arrivals(traffic) for traffic in self.target.shape.traffic))
+        if self._sessions:
+            await asyncio.wait(self._sessions)
+
+    @property
+    def under_way(self) -> int:
+        return len(self._sessions)
+
+    def elapsed(self) -> float:
+        return self._clock.monotonic() - self._began
+
+    async def _arrivals(self, traffic: Traffic) -> None:
+        rate = traffic.per_second * self.options.scale
+        random = Random(f"{self.options.seed}/{traffic.name}")
+        due = 0.0
+        while rate > 0:
+            due += random.expovariate(rate)
+            if due >= self.options.seconds:
+                return
+            await asyncio.sleep(max(0.0, due - self.elapsed()))
+            self._number += 1
+            session = asyncio.get_running_loop().create_task(self._session(traffic, self._number))
+            self._sessions.add(session)
+            session.add_done_callback(self._session_ended)
+
+    def _session_ended(self, session: asyncio.Task[None]) -> None:
+        self._sessions.discard(session)
+        if not session.cancelled():
+            session.result()
+
+    async def _session(self, traffic: Traffic, number: int) -> None:
+        random = Random(f"{self.options.seed}/{traffic.name}/{number}")
+        service = self._services[traffic.service]
+        tenants = self.target.shape.tenants
+        tenant = random.choices(tenants, [each.traffic_share for each in tenants])[0].name
+        shared, prefix = self._start_of_prompt(traffic, random)
+        session = f"{self.options.run_name}-{traffic.name}-{number}"
+        own = shared_text(max(1, traffic.own_tokens), session)
+        home = random.choice(self.target.routers)
+        for turn in range(traffic.turns):
+            if turn:
+                think = random.expovariate(1 / traffic.think_seconds)
+                if self.elapsed() + think >= self.options.seconds:
+                    return
+                await asyncio.sleep(think)
+                own += shared_text(max(1, traffic.own_tokens // 4), f"{session}-{turn}")
+            tokens = max(1, round(traffic.answer_tokens * random.uniform(0.5, 1.5)))
+            mark = f"{session}-{turn}"
+            plan = CallPlan(
+                path=service.path,
+                key=self.target.keys[tenant],
+                mark=mark,
+                messages=(*shared, own),
+                max_tokens=tokens if service.kind == "model" else 1,
+                stream=service.streaming,
+                prefix="/".join([*prefix, session]) if service.kind == "model" else None,
+                idempotency_key=None if service.repeatable else mark,
+                first_byte_patience=service.first_byte_patience,
+                hang_up_after=max(1, tokens - 2) if random.random() < self.options.unhinted else None,
+            )
+            if random.random() < self.options.direct_share:
+                await self._probe(plan, service, number, turn)
+            outcome = await self._call(plan, tenant, home, turn, random)
+            if not outcome.looks_whole and not outcome.hung_up:
+                return
+            own += outcome.text
+
+    def _start_of_prompt(self, traffic: Traffic, random: Random) -> tuple[tuple[str, ...], tuple[str, ...]]:
+        if not traffic.shared_prefixes:
+            return (), ()
+        ranks = range(1, traffic.shared_prefixes + 1)
+        rank = random.choices(ranks, [1 / rank for rank in ranks])[0]
+        name = f"{traffic.name}-shared-{rank}"
+        return (shared_text(traffic.shared_tokens, name),), (name,)
+
+    async def _call(self, plan: CallPlan, tenant: str, home: RouterAddresses, turn: int, random: Random) -> CallOutcome:
+        self.measurements.begun(tenant, int(self.elapsed()))
+        tries: list[CallOutcome] = []
+        router = self._router(home, random, ())
+        for _ in range(1 + self.options.retries):
+            outcome = await self._caller.call(plan, _address(router.caller))
+            self.measurements.tried(plan, outcome, router.name, turn)
+            tries.append(outcome)
+            if not _worth_another_try(outcome):
+                break
+            await asyncio.sleep(RETRY_PAUSE)
+            router = self._router(home, random, (router,))
+        last = tries[-1]
+        events = sum(outcome.events for outcome in tries)
+        self.measurements.ended(tenant, how_it_ended(last), int(self.elapsed()), events)
+        if plan.idempotency_key is not None:
+            seen = tuple((each.status, each.code, each.run, each.looks_whole) for each in tries)
+            self.records.append(CallRecord(plan.idempotency_key, seen))
+        return last
+
+    def _router(self, home: RouterAddresses, random: Random, tried: tuple[RouterAddresses, ...]) -> RouterAddresses:
+        ready = list(self.ready()) or list(self.target.routers)
+        if self.options.spread == "per-session" and home in ready and home not in tried:
+            return home
+        left = [router for router in ready if router not in tried] or ready
+        return random.choice(left)
+
+    async def _probe(self, plan: CallPlan, service: ServiceShape, number: int, turn: int) -> None:
+        workers = [worker for worker in self.target.workers.values() if worker.pool == service.pool]
+        worker = workers[(number + turn) % len(workers)]
+        probe = msgspec.structs.replace(
+            plan,
+            prefix=f"direct/{plan.mark}" if plan.prefix else None,
+            messages=plan.messages[-1:],
+            max_tokens=min(plan.max_tokens, 20),
+            idempotency_key=None,
+            hang_up_after=None,
+        )
+        self.measurements.direct(await self._caller.call(probe, _address(worker.address)))
+
+
+def _worth_another_try(outcome: CallOutcome) -> bool:
+    """Callers try once more when nothing came, and when a router says that it is not the time."""
+    if outcome.looks_whole or outcome.events:
+        return False
+    if outcome.router_made:
+        return outcome.status == 503
+    return outcome.status == 0 or bool(outcome.fault)
+
+
+def _address(text: str) -> Address:
+    return parse_address(text)
--- a/emulator/announcer.py
+++ b/emulator/announcer.py
@@ -46,6 +46,8 @@
         self.acknowledged: Announcement | None = None
         """The last one that a daemon acknowledged."""
         self.refused = 0
+        self.gone = asyncio.Event()
+        """That it is gone was acknowledged, or there is nobody to tell."""
 
     def changed(self) -> None:
         self._changed.set()
@@ -63,12 +65,13 @@
                     announcement = self._current() or announcement
                 self.acknowledged = announcement
                 if announcement.state == "gone":
-                    return
+                    break
             try:
                 async with asyncio.timeout(self._every):
                     await self._changed.wait()
             except TimeoutError:
                 continue
+        self.gone.set()
 
     async def _announce(self, announcement: Announcement) -> bool:
         address = self._addresses[self._next % len(self._addresses)]
--- a/emulator/process.py
+++ b/emulator/process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import os
 import random
 import signal
@@ -22,6 +23,9 @@
 
 from .worker import EmulatedWorker, Run, WorkerOptions
 
+LEAVE_WITHIN = 15.0
+"""Seconds from SIGTERM to exit at most, for calls under way and for a daemon to acknowledge."""
+
 
 def _write_runs(path: Path) -> Callable[[Run], None]:
     """Appends each start and end of a run as a JSON line, so that observers have them after a kill too."""
@@ -58,8 +62,10 @@
 
     async def leave() -> None:
         worker.drain()
-        while worker.announcer.acknowledged is None or worker.announcer.acknowledged.state != "gone":
-            await asyncio.sleep(0.05)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(LEAVE_WITHIN):
+                await worker.idle.wait()
+                await worker.announcer.gone.wait()
         ended.set()
 
     loop = asyncio.get_running_loop()
--- a/fleet/launcher.py
+++ b/fleet/launcher.py
@@ -119,8 +119,10 @@
         """For tools that were started apart, such as the load tool."""
         told = {
             "shape": msgspec.to_builtins(self.shape),
-            "routers": [daemon.caller for daemon in self.routers()],
-            "operators": [daemon.operator for daemon in self.daemons.values()],
+            "routers": [
+                {"name": daemon.name, "caller": daemon.caller, "operator": daemon.operator} for daemon in self.routers()
+            ],
+            "controls": [{"name": daemon.name, "operator": daemon.operator} for daemon in self.controls()],
             "workers": {
                 worker.name: {"address": worker.address, "pool": worker.pool.name} for worker in self.workers.values()
             },
