--- /dev/null
+++ b/wingwood/forward/chain.py
@@ -0,0 +1,36 @@
+"""The visible chain of policies through which each call goes (docs/DESIGN.md section 12.4)."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from .protocols import Answer, IncomingCall, Policy, Proceed
+
+
+class Chain:
+    """Policies in order; each is given the rest as ``proceed``. The last answers itself."""
+
+    def __init__(self, policies: Sequence[Policy]) -> None:
+        self._policies = tuple(policies)
+        proceed: Proceed = _past_the_end
+        for policy in reversed(self._policies):
+            proceed = _bind(policy, proceed)
+        self._first = proceed
+
+    async def run(self, call: IncomingCall) -> Answer:
+        return await self._first(call)
+
+    def describe(self) -> tuple[tuple[str, str], ...]:
+        """Names of the policies in order, each with what it does."""
+        return tuple((policy.name, (type(policy).__doc__ or "").strip().split("\n", 1)[0]) for policy in self._policies)
+
+
+def _bind(policy: Policy, proceed: Proceed) -> Proceed:
+    def apply(call: IncomingCall) -> object:
+        return policy.apply(call, proceed)
+
+    return apply  # type: ignore[return-value]
+
+
+async def _past_the_end(call: IncomingCall) -> Answer:
+    raise AssertionError(f"no policy answered call {call.request}")
--- /dev/null
+++ b/wingwood/forward/limits.py
@@ -0,0 +1,39 @@
+"""Bounds of the request path (docs/DESIGN.md section 12). Sizes in bytes, times in seconds."""
+
+from __future__ import annotations
+
+import msgspec
+
+from ..identifiers import Seconds
+
+
+class PathLimits(msgspec.Struct, frozen=True, kw_only=True):
+    connections: int = 8000
+    head_bytes: int = 32 * 1024
+    body_bytes: int = 4 * 1024 * 1024
+    bodies_held: int = 256 * 1024 * 1024
+    """Bytes of all request bodies that are held at one time."""
+    idle: Seconds = Seconds(75.0)
+    """Longest pause between two calls of one connection."""
+    head_time: Seconds = Seconds(10.0)
+    """From a call's first byte to the end of its headers."""
+    body_time: Seconds = Seconds(10.0)
+    """For a call's body, plus one second per ``body_pace`` bytes."""
+    body_pace: int = 64 * 1024
+    linger: Seconds = Seconds(1.0)
+    """How long a refused sender may go on sending before its connection is closed, so that it can read why."""
+    in_flight: int = 2000
+    """Calls under way in one router; above three quarters of it tenants get their weighted shares."""
+    ledger_patience: Seconds = Seconds(2.0)
+    head_hold: Seconds = Seconds(0.05)
+    """How long a worker's head waits for the first piece, so that a break in between can still be retried."""
+    end_hold: Seconds = Seconds(1.0)
+    """How long a worker may take from its end marker to the end of its answer."""
+    stall: Seconds = Seconds(0.1)
+    """An event loop that stood still longer than this has not yet seen which callers left."""
+    answer_margin: Seconds = Seconds(0.1)
+    """A silent worker is given up this long before the callers' patience ends."""
+    tries: int = 4
+    """Most tries of one call, those that reached no worker included."""
+    accept_while_draining: Seconds = Seconds(1.0)
+    """How long new calls are still taken after the daemon says that it is not ready."""
--- /dev/null
+++ b/wingwood/forward/policies/admission.py
@@ -0,0 +1,58 @@
+"""How many calls run side by side, and whose (docs/DESIGN.md section 12.4)."""
+
+from __future__ import annotations
+
+from ...identifiers import Seconds, TenantName
+from ..protocols import Answer, IncomingCall, Proceed, Refused
+
+_CROWDED_FROM = 0.75
+
+
+class AdmissionPolicy:
+    """Bounds the calls in flight; when crowded, each tenant gets its weighted share and no call waits.
+
+    Nothing is queued, so no call waits behind a flood. Below three quarters of the bound anyone may
+    come in. Above, a tenant below its weighted share of the bound still may, others are refused at
+    once; the shares sum to the bound, so a flooding tenant shrinks to its own as its calls end.
+    """
+
+    name = "admission"
+
+    def __init__(self, in_flight_limit: int) -> None:
+        self._limit = in_flight_limit
+        self._in_flight: dict[TenantName, int] = {}
+        self._weights: dict[TenantName, float] = {}
+        self.total = 0
+
+    async def apply(self, call: IncomingCall, proceed: Proceed) -> Answer:
+        assert call.tenant is not None and call.bundle is not None
+        tenant = call.tenant.name
+        priority = call.bundle.classes.get(call.tenant.priority_class)
+        weight = 1.0 if priority is None else max(priority.weight, 0.001)
+        running = self._in_flight.get(tenant, 0)
+        if not self._may_enter(tenant, weight, running):
+            return Refused(
+                status=503,
+                code="crowded",
+                reason="this router has as many calls under way as it takes",
+                retry_after=Seconds(1.0),
+            )
+        self._in_flight[tenant] = running + 1
+        self._weights[tenant] = weight
+        self.total += 1
+        try:
+            return await proceed(call)
+        finally:
+            self.total -= 1
+            left = self._in_flight[tenant] - 1
+            if left:
+                self._in_flight[tenant] = left
+            else:
+                del self._in_flight[tenant], self._weights[tenant]
+
+    def _may_enter(self, tenant: TenantName, weight: float, running: int) -> bool:
+        if self.total < self._limit * _CROWDED_FROM:
+            return True
+        others = sum(other for name, other in self._weights.items() if name != tenant)
+        share = self._limit * weight / (weight + others)
+        return self.total < self._limit and running < share
--- /dev/null
+++ b/wingwood/forward/policies/at_most_once.py
@@ -0,0 +1,70 @@
+"""Calls that may not be repeated run once over the whole fleet (docs/DESIGN.md section 13)."""
+
+from __future__ import annotations
+
+from ...context.protocols import Context
+from ...identifiers import Seconds
+from ...ledger.protocols import CallKey, Known, Ledger, Unreachable
+from ..caller_format import IDEMPOTENCY_KEY, idempotency_key
+from ..limits import PathLimits
+from ..protocols import Answer, Forwarded, IncomingCall, Proceed, Refused, RunState
+
+_KNOWN: dict[str, tuple[str, RunState, Seconds | None]] = {
+    "running": ("the first call with this key is under way", "unknown", Seconds(1.0)),
+    "ran": ("the call with this key ran; its answer is not sent again", "ran", None),
+    "unknown": ("a call with this key may have run; it will not run again", "unknown", None),
+}
+
+
+class AtMostOncePolicy:
+    """Claims the idempotency key of a call that may not be repeated before it is sent anywhere."""
+
+    name = "at-most-once"
+
+    def __init__(self, context: Context, ledger: Ledger, limits: PathLimits) -> None:
+        self._context = context
+        self._ledger = ledger
+        self._limits = limits
+
+    async def apply(self, call: IncomingCall, proceed: Proceed) -> Answer:
+        assert call.service is not None and call.tenant is not None
+        if call.service.repeatable:
+            return await proceed(call)
+        given = idempotency_key(call)
+        if given is None:
+            return Refused(
+                status=400,
+                code="idempotency-key-missing",
+                reason=f"calls of this service need one header {IDEMPOTENCY_KEY} of at most 200 plain characters",
+            )
+        key = CallKey(call.tenant.name, call.service.name, given)
+        claim = await self._ledger.claim(key, self._limits.ledger_patience)
+        match claim:
+            case Known(known):
+                reason, run, retry_after = _KNOWN[known]
+                return Refused(status=409, code=f"call-{known}", reason=reason, run=run, retry_after=retry_after)
+            case Unreachable():
+                return Refused(
+                    status=503,
+                    code="ledger-unreachable",
+                    reason="the record of calls that may not be repeated can't be reached; this call was not sent",
+                    retry_after=Seconds(1.0),
+                )
+        call.claimed = True
+        state: RunState = "unknown"
+        try:
+            answer = await proceed(call)
+            state = outcome_of(call, answer)
+            return answer
+        finally:
+            self._context.tasks.spawn("settle", self._settle(key, claim.ticket, state))
+
+    async def _settle(self, key: CallKey, ticket: str, state: RunState) -> None:
+        await self._ledger.settle(key, ticket, state)
+
+
+def outcome_of(call: IncomingCall, answer: Answer) -> RunState:
+    """What is known of the call after all its tries."""
+    if isinstance(answer, Forwarded):
+        return "ran"
+    return answer.run if answer.run != "not-run" else call.run
--- /dev/null
+++ b/wingwood/forward/policies/limits.py
@@ -0,0 +1,29 @@
+"""Paid shares, and what calls earn for tries beyond the first (docs/DESIGN.md section 14)."""
+
+from __future__ import annotations
+
+from ...limits.protocols import RetryBudget, Shares
+from ..protocols import Answer, IncomingCall, Proceed, Refused
+
+
+class PaidSharePolicy:
+    """Refuses what goes past the tenant's paid share; what stays earns its service's retry budget."""
+
+    name = "paid-share"
+
+    def __init__(self, shares: Shares, retry_budget: RetryBudget) -> None:
+        self._shares = shares
+        self._retry_budget = retry_budget
+
+    async def apply(self, call: IncomingCall, proceed: Proceed) -> Answer:
+        assert call.tenant is not None and call.service is not None
+        over = await self._shares.take(call.tenant)
+        if over is not None:
+            return Refused(
+                status=429,
+                code="share-exceeded",
+                reason="the tenant's paid share is used up",
+                retry_after=over.retry_after,
+            )
+        self._retry_budget.earned(call.service)
+        return await proceed(call)
--- /dev/null
+++ b/wingwood/forward/policies/placement.py
@@ -0,0 +1,89 @@
+"""Which worker takes the call (docs/DESIGN.md sections 11 and 12.4)."""
+
+from __future__ import annotations
+
+from returns.result import Failure
+
+from ...identifiers import RequestId
+from ...limits.protocols import Admission
+from ...placement.protocols import Choice, Placement, Turn
+from ...registry.protocols import Registry
+from ..caller_format import prefix_parts
+from ..protocols import Answer, IncomingCall, NotAnswered, Proceed, Refused
+
+_BYTES_PER_TOKEN = 4
+_NO_WORKER = {
+    "none-ready": "no worker of the service is ready",
+    "all-full": "all workers of the service are full",
+}
+
+
+class PlacementPolicy:
+    """Has a worker chosen, refuses a first token that would come too late, and asks whether it still takes turns."""
+
+    name = "placement"
+
+    def __init__(self, placement: Placement, registry: Registry, admission: Admission) -> None:
+        self._placement = placement
+        self._registry = registry
+        self._admission = admission
+        self._turns = 0
+
+    async def apply(self, call: IncomingCall, proceed: Proceed) -> Answer:
+        turn = call.turn or self._turn(call)
+        call.turn = turn
+        chosen = await self._placement.choose(turn, call.excluded)
+        if isinstance(chosen, Failure):
+            none = chosen.failure()
+            return Refused(
+                status=503,
+                code=f"workers-{none.reason}",
+                reason=_NO_WORKER[none.reason],
+                run=call.run,
+                retry_after=none.retry_after,
+            )
+        choice: Choice = chosen.unwrap()
+        call.choice = choice
+        call.worker_outcome = "cancelled"
+        call.try_first_token_after = None
+        try:
+            return await self._on(call, choice, proceed)
+        finally:
+            self._placement.finished(
+                turn, choice, call.worker_outcome, call.generated_tokens, call.try_first_token_after
+            )
+
+    async def _on(self, call: IncomingCall, choice: Choice, proceed: Proceed) -> Answer:
+        assert call.service is not None
+        late = self._admission.refuse(call.service, choice.first_token)
+        if late is not None:
+            return Refused(
+                status=503,
+                code="too-late",
+                reason="the first token would come after the callers' patience",
+                run=call.run,
+                retry_after=late.retry_after,
+            )
+        if not await self._registry.confirm(choice.worker):
+            call.worker_outcome = "refused"
+            return NotAnswered(
+                code="worker-not-ready",
+                reason="the chosen worker takes no new turns",
+                run="not-run",
+                counts=False,
+            )
+        return await proceed(call)
+
+    def _turn(self, call: IncomingCall) -> Turn:
+        assert call.service is not None and call.tenant is not None and call.bundle is not None
+        self._turns += 1
+        priority = call.bundle.classes.get(call.tenant.priority_class)
+        return Turn(
+            # Callers may give the same id to several calls; placement tells them apart.
+            request=RequestId(f"{call.request}#{self._turns}"),
+            service=call.service,
+            tenant=call.tenant.name,
+            weight=1.0 if priority is None else priority.weight,
+            prefix=prefix_parts(call) or (),
+            prompt_tokens=len(call.body) // _BYTES_PER_TOKEN,
+        )
--- /dev/null
+++ b/wingwood/forward/policies/retry.py
@@ -0,0 +1,69 @@
+"""Further tries on other workers (docs/DESIGN.md sections 12.4 and 14)."""
+
+from __future__ import annotations
+
+import asyncio
+
+from ...identifiers import Seconds
+from ...limits.protocols import RetryBudget
+from ..limits import PathLimits
+from ..protocols import Answer, Cut, IncomingCall, NotAnswered, Proceed, Refused
+
+
+class RetryPolicy:
+    """Tries another worker while nothing was sent to the caller, within the service's budget.
+
+    A call that may not be repeated is only tried again when nothing of it can have run.
+    """
+
+    name = "retry"
+
+    def __init__(self, budget: RetryBudget, limits: PathLimits) -> None:
+        self._budget = budget
+        self._limits = limits
+
+    async def apply(self, call: IncomingCall, proceed: Proceed) -> Answer:
+        left = self._limits.tries
+        while True:
+            answer = await proceed(call)
+            if not isinstance(answer, NotAnswered):
+                return answer
+            left -= 1
+            if answer.exclude and call.choice is not None:
+                call.excluded = (*call.excluded, call.choice.worker.instance)
+            if answer.run != "not-run":
+                call.run = answer.run
+            if call.caller.gone.is_set():
+                return Cut("caller-gone", call.run)
+            if not left or not answer.again or not self._may_try_again(call, answer):
+                return Refused(
+                    status=answer.status,
+                    code=answer.code,
+                    reason=answer.reason,
+                    run=call.run,
+                    retry_after=Seconds(1.0) if answer.status == 503 else None,
+                )
+            await asyncio.sleep(0)  # After a standstill: first see which callers left.
+
+    def reserve(self, call: IncomingCall) -> bool:
+        """Whether the try under way may be given up for another one; takes the budget for it."""
+        if not self._repeatable(call) or call.tries >= self._limits.tries or call.retry_reserved:
+            return False
+        assert call.service is not None
+        call.retry_reserved = self._budget.take(call.service.name)
+        return call.retry_reserved
+
+    def _may_try_again(self, call: IncomingCall, answer: NotAnswered) -> bool:
+        if answer.run != "not-run" and not self._repeatable(call):
+            return False
+        if not answer.counts:
+            return True
+        if call.retry_reserved:
+            call.retry_reserved = False
+            return True
+        assert call.service is not None
+        return self._budget.take(call.service.name)
+
+    @staticmethod
+    def _repeatable(call: IncomingCall) -> bool:
+        return call.service is not None and call.service.repeatable
--- a/wingwood/forward/protocols.py
+++ b/wingwood/forward/protocols.py
@@ -9,8 +9,8 @@
 import msgspec
 
 from ..bundle.model import Bundle, Service, Tenant
-from ..identifiers import Address, Instant, RequestId, Seconds
-from ..placement.protocols import Turn
+from ..identifiers import Address, Instant, KeyDigest, RequestId, Seconds, WorkerInstance
+from ..placement.protocols import Choice, Turn
 
 RunState = Literal["not-run", "unknown", "ran"]
 
@@ -28,6 +28,10 @@
         """Set when the caller has closed its connection."""
         ...
 
+    def on_gone(self, callback: Callable[[], None] | None) -> None:
+        """Calls it when ``gone`` is set, at once when it is already; one callback at a time, None takes it away."""
+        ...
+
     async def start(self, status: int, headers: tuple[tuple[str, str], ...]) -> None: ...
 
     async def write(self, piece: bytes) -> None:
@@ -58,6 +62,31 @@
     deadline: Instant = Instant(float("inf"))
     turn: Turn | None = None
     tries: int = 0
+    """Tries of which something was sent to a worker."""
+    run: RunState = "not-run"
+    """Of all tries so far."""
+    claimed: bool = False
+    """The ledger gave this call's idempotency key to it."""
+    excluded: tuple[WorkerInstance, ...] = ()
+    """Workers that a further try leaves out."""
+    choice: Choice | None = None
+    worker_outcome: Literal["whole", "refused", "broken", "cancelled"] = "cancelled"
+    """Of the try under way, for placement."""
+    try_first_token_after: Seconds | None = None
+    """From the start of the try under way to its first piece."""
+    retry_reserved: bool = False
+    """The budget for one more try has been taken."""
+    key: KeyDigest | None = None
+    """Of the key that was accepted."""
+    worker: WorkerInstance | None = None
+    """The last one to which the call was sent."""
+    how: str = ""
+    """Why that worker was chosen."""
+    first_token_after: Seconds | None = None
+    """From the call's arrival to the first piece given to the caller."""
+    pieces: int = 0
+    bytes_out: int = 0
+    generated_tokens: int = 0
 
     def header(self, name: str) -> str | None:
         lowered = name.lower()
@@ -87,7 +116,24 @@
     retry_after: Seconds | None = None
 
 
-Answer = Forwarded | Cut | Refused
+class NotAnswered(msgspec.Struct, frozen=True, kw_only=True):
+    """A try that ended before anything was sent to the caller; the retry policy decides what becomes of it."""
+
+    code: str
+    reason: str
+    run: RunState
+    """Of this try alone."""
+    status: int = 503
+    """Of the router-made answer when there is no further try."""
+    counts: bool = True
+    """Whether another try would be one beyond the first; not when nothing of this one reached a worker."""
+    exclude: bool = True
+    """Whether a further try leaves this worker out."""
+    again: bool = True
+    """Whether another worker may do better."""
+
+
+Answer = Forwarded | Cut | Refused | NotAnswered
 Proceed = Callable[[IncomingCall], Awaitable[Answer]]
 
 
--- /dev/null
+++ b/wingwood/forward/recording.py
@@ -0,0 +1,72 @@
+"""A router's day as compact JSON lines, for the replay tool (docs/DESIGN.md section 17). No bodies, no keys."""
+
+from __future__ import annotations
+
+import hashlib
+from collections.abc import Callable
+
+import msgspec
+
+from ..context.protocols import Clock
+from .metrics import outcome_name
+from .protocols import Answer, Forwarded, IncomingCall, Refused
+
+
+class RecordedCall(msgspec.Struct, frozen=True, omit_defaults=True):
+    """One line. Times in seconds since the recording began."""
+
+    at: float
+    tenant: str
+    service: str
+    method: str
+    path: str
+    """Without its query."""
+    prefix: tuple[str, ...] = ()
+    """A digest for each part, so that the same parts are seen to be the same and no more."""
+    body_bytes: int = 0
+    outcome: str = ""
+    status: int = 0
+    worker: str = ""
+    how: str = ""
+    tries: int = 0
+    first_piece: float | None = None
+    """Seconds from arrival."""
+    total: float = 0.0
+    tokens: int = 0
+    bytes_out: int = 0
+
+
+class DayRecorder:
+    """Gives one line for each call to ``write``, which must not wait."""
+
+    def __init__(self, clock: Clock, write: Callable[[bytes], None]) -> None:
+        self._clock = clock
+        self._write = write
+        self._begun = clock.monotonic()
+
+    def record(self, call: IncomingCall, answer: Answer) -> None:
+        now = self._clock.monotonic()
+        status = answer.status if isinstance(answer, Forwarded | Refused) else 0
+        line = RecordedCall(
+            at=round(call.arrived - self._begun, 4),
+            tenant="" if call.tenant is None else str(call.tenant.name),
+            service="" if call.service is None else str(call.service.name),
+            method=call.method,
+            path=call.path.partition("?")[0],
+            prefix=tuple(_digest(part) for part in call.turn.prefix) if call.turn is not None else (),
+            body_bytes=len(call.body),
+            outcome=outcome_name(answer),
+            status=status,
+            worker="" if call.worker is None else str(call.worker),
+            how=call.how,
+            tries=call.tries,
+            first_piece=None if call.first_token_after is None else round(call.first_token_after, 4),
+            total=round(now - call.arrived, 4),
+            tokens=call.generated_tokens,
+            bytes_out=call.bytes_out,
+        )
+        self._write(msgspec.json.encode(line) + b"\n")
+
+
+def _digest(part: str) -> str:
+    return hashlib.blake2b(part.encode(), digest_size=6).hexdigest()
--- /dev/null
+++ b/wingwood/forward/request_path.py
@@ -0,0 +1,208 @@
+"""The request path of one router: callers' edge, chain of policies, answers, log line (docs/DESIGN.md section 12)."""
+
+from __future__ import annotations
+
+import asyncio
+
+from returns.result import Failure, Result, Success
+
+from ..context.protocols import Context, NetworkFault
+from ..distribution.protocols import BundleInForce
+from ..identifiers import Seconds
+from ..ledger.protocols import Ledger
+from ..limits.protocols import Admission, RetryBudget, Shares
+from ..placement.protocols import Placement
+from ..registry.protocols import Registry
+from ..settings.model import DaemonSettings
+from .caller_edge import CallerEdge
+from .caller_format import IDEMPOTENCY_KEY, router_answer
+from .chain import Chain
+from .limits import PathLimits
+from .metrics import RequestMetrics, outcome_name
+from .policies.admission import AdmissionPolicy
+from .policies.at_most_once import AtMostOncePolicy, outcome_of
+from .policies.authentication import AuthenticationPolicy
+from .policies.forwarding import ForwardingPolicy
+from .policies.limits import PaidSharePolicy
+from .policies.placement import PlacementPolicy
+from .policies.retry import RetryPolicy
+from .protocols import Answer, Cut, Forwarded, IncomingCall, NotAnswered, Refused, RunState
+from .recording import DayRecorder
+
+
+class RequestPath:
+    """Takes callers' calls from ``start`` to ``stop``."""
+
+    def __init__(
+        self,
+        context: Context,
+        settings: DaemonSettings,
+        bundle_in_force: BundleInForce,
+        shares: Shares,
+        retry_budget: RetryBudget,
+        ledger: Ledger,
+        placement: Placement,
+        registry: Registry,
+        admission: Admission,
+        metrics: RequestMetrics,
+        limits: PathLimits | None = None,
+        recorder: DayRecorder | None = None,
+    ) -> None:
+        assert settings.caller is not None, "routers have a caller address"
+        self._context = context
+        self._settings = settings
+        self._bundle_in_force = bundle_in_force
+        self._limits = limits or PathLimits(body_bytes=settings.body_bytes)
+        self._metrics = metrics
+        self._recorder = recorder
+        self._edge = CallerEdge(context, settings.caller, self._limits, self._take)
+        authentication = AuthenticationPolicy(bundle_in_force)
+        retry = RetryPolicy(retry_budget, self._limits)
+        self._chain = Chain(
+            (
+                authentication,
+                PaidSharePolicy(shares, retry_budget),
+                AdmissionPolicy(self._limits.in_flight),
+                AtMostOncePolicy(context, ledger, self._limits),
+                retry,
+                PlacementPolicy(placement, registry, admission),
+                ForwardingPolicy(context, registry, self._limits, authentication.still_accepted, retry.reserve),
+            )
+        )
+        self._calls: dict[int, IncomingCall] = {}
+        self._number = 0
+        self._quiet = asyncio.Event()
+        """Set while no call is under way."""
+        self._quiet.set()
+        self._started = False
+        self._draining = False
+        self._refusing = False
+
+    def start(self) -> Result[None, NetworkFault]:
+        match self._edge.start():
+            case Success(_):
+                self._started = True
+                return Success(None)
+            case Failure(fault):
+                return Failure(fault)
+        raise AssertionError("a result is a success or a failure")
+
+    def ready(self) -> bool:
+        """Whether the platform should send callers here."""
+        return self._started and not self._draining and self._bundle_in_force.may_serve()
+
+    def describe(self) -> tuple[tuple[str, str], ...]:
+        """The chain of policies: names in order, each with what it does."""
+        return self._chain.describe()
+
+    def in_flight(self) -> int:
+        return len(self._calls)
+
+    async def drain(self) -> None:
+        """Not ready at once; new calls are taken for a moment, then refused; returns when the last has ended.
+
+        Bounded by ``settings.stop_within``: what still runs then is broken off visibly.
+        """
+        if self._draining:
+            await self._quiet.wait()
+            return
+        self._draining = True
+        self._edge.closing = True
+        self._context.log.event("draining", in_flight=len(self._calls))
+        within = self._settings.stop_within
+        try:
+            async with asyncio.timeout(within):
+                await self._context.clock.sleep(Seconds(min(self._limits.accept_while_draining, within / 4)))
+                self._refusing = True
+                self._edge.stop_listening()
+                self._edge.close_idle()
+                await self._quiet.wait()
+        except TimeoutError:
+            self._context.log.event("drain-too-long", broken_off=len(self._calls))
+        self.stop()
+
+    def stop(self) -> None:
+        """Ends everything now; answers under way are broken off visibly."""
+        self._draining = self._refusing = True
+        self._edge.stop_listening()
+        for call in list(self._calls.values()):
+            call.caller.abort()
+        self._edge.close_all()
+
+    async def _take(self, call: IncomingCall) -> None:
+        self._number += 1
+        number = self._number
+        self._calls[number] = call
+        self._quiet.clear()
+        self._metrics.in_flight.set(len(self._calls))
+        self._metrics.connections.set(self._edge.connections())
+        try:
+            answer = await self._answer(call)
+        finally:
+            del self._calls[number]
+            self._metrics.in_flight.set(len(self._calls))
+            if not self._calls:
+                self._quiet.set()
+        self._note(call, answer)
+
+    async def _answer(self, call: IncomingCall) -> Answer:
+        if self._refusing:
+            answer: Answer = Refused(
+                status=503, code="router-draining", reason="this router is going down", retry_after=Seconds(0.1)
+            )
+        else:
+            answer = await self._chain.run(call)
+        match answer:
+            case Refused():
+                await self._refuse(call, answer)
+            case NotAnswered():
+                raise AssertionError("the retry policy turns these into answers")
+            case Cut():
+                call.caller.abort()
+        return answer
+
+    async def _refuse(self, call: IncomingCall, refused: Refused) -> None:
+        if call.caller.begun:
+            call.caller.abort()
+            return
+        told = Refused(
+            status=refused.status,
+            code=refused.code,
+            reason=refused.reason,
+            run=told_run(call, refused),
+            retry_after=refused.retry_after,
+        )
+        headers, body = router_answer(told, call.request)
+        await call.caller.start(told.status, headers)
+        await call.caller.write(body)
+        await call.caller.finish()
+
+    def _note(self, call: IncomingCall, answer: Answer) -> None:
+        total = self._context.clock.monotonic() - call.arrived
+        self._metrics.count(call, answer, total)
+        if self._recorder is not None:
+            self._recorder.record(call, answer)
+        first = call.first_token_after
+        self._context.log.event(
+            "call",
+            request=call.request,
+            tenant="-" if call.tenant is None else call.tenant.name,
+            service="-" if call.service is None else call.service.name,
+            worker=call.worker or "-",
+            how=call.how or "-",
+            tries=call.tries,
+            status=answer.status if isinstance(answer, Forwarded | Refused) else 0,
+            outcome=outcome_name(answer),
+            run=told_run(call, answer) if isinstance(answer, Refused) else outcome_of(call, answer),
+            first_ms="-" if first is None else round(first * 1000, 1),
+            total_ms=round(total * 1000, 1),
+            pieces=call.pieces,
+        )
+
+
+def told_run(call: IncomingCall, refused: Refused) -> RunState:
+    """What the caller is told. An idempotency key that the ledger has not given to this call may have run before."""
+    run = outcome_of(call, refused)
+    if run != "not-run" or call.claimed or (call.service is not None and call.service.repeatable):
+        return run
+    return "unknown" if call.header(IDEMPOTENCY_KEY) is not None else run
--- /dev/null
+++ b/wingwood/forward/tests/stand_ins.py
@@ -0,0 +1,466 @@
+"""A router's request path with stand-ins for the other slices, in simulated time, and badly behaved workers."""
+
+from __future__ import annotations
+
+import asyncio
+import hashlib
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Literal
+
+import msgspec
+from prometheus_client import CollectorRegistry
+from returns.result import Failure, Result, Success
+from tornado.iostream import BaseIOStream, StreamClosedError
+
+from simulation import Process, World, address_of
+
+from ...bundle.model import Bundle, Manifest, PriorityClass, Route, Service, Tenant
+from ...context.protocols import Context
+from ...identifiers import (
+    Address,
+    BundleVersion,
+    ClassName,
+    DaemonName,
+    Digest,
+    Instant,
+    KeyDigest,
+    OrderId,
+    PoolName,
+    Seconds,
+    ServiceName,
+    TenantName,
+    WallTime,
+    WorkerInstance,
+    Zone,
+)
+from ...ledger.protocols import CallKey, Claimed, Known, Unreachable
+from ...limits.protocols import ShareRefused
+from ...placement.protocols import Choice, NoWorker, Turn
+from ...registry.protocols import Worker
+from ...settings.model import DaemonSettings
+from ..limits import PathLimits
+from ..metrics import RequestMetrics
+from ..recording import DayRecorder
+from ..request_path import RequestPath
+
+KEY = "secret-key"
+OTHER_KEY = "other-key"
+
+
+def digest_of(key: str) -> KeyDigest:
+    return KeyDigest(hashlib.sha256(key.encode()).hexdigest())
+
+
+CHAT = Service(name=ServiceName("chat"), pool=PoolName("model"))
+CARDS = Service(name=ServiceName("cards"), pool=PoolName("plain"), kind="plain", repeatable=False, streaming=False)
+PLAIN = Service(name=ServiceName("plain"), pool=PoolName("plain"), kind="plain", streaming=False)
+
+
+def bundle_of(
+    services: Sequence[Service] = (CHAT, CARDS, PLAIN), keys: Sequence[str] = (KEY,), tenant: str = "estate"
+) -> Bundle:
+    owner = Tenant(
+        name=TenantName(tenant),
+        priority_class=ClassName("gold"),
+        paid_rate=100.0,
+        keys=tuple(digest_of(key) for key in keys),
+        services=tuple(service.name for service in services if service.name != "forbidden"),
+    )
+    other = Tenant(
+        name=TenantName("other"),
+        priority_class=ClassName("gold"),
+        paid_rate=1.0,
+        keys=(digest_of(OTHER_KEY),),
+    )
+    manifest = Manifest(
+        version=BundleVersion(1),
+        base=BundleVersion(0),
+        root=Digest(""),
+        order=OrderId(""),
+        signed_at=WallTime(0.0),
+        signer="",
+    )
+    routes = [
+        Route(name=str(service.name), path_prefix=f"/{service.name}", service=service.name) for service in services
+    ]
+    return Bundle(
+        manifest=manifest,
+        slices={},
+        services={service.name: service for service in services},
+        routes=tuple(sorted(routes, key=lambda route: -len(route.path_prefix))),
+        tenants={owner.name: owner, other.name: other},
+        classes={ClassName("gold"): PriorityClass(name=ClassName("gold"), weight=4.0)},
+        keys={**dict.fromkeys(owner.keys, owner.name), **dict.fromkeys(other.keys, other.name)},
+    )
+
+
+class StandInBundle:
+    def __init__(self) -> None:
+        self.bundle: Bundle | None = bundle_of()
+        self.serving = True
+
+    def current(self) -> Bundle | None:
+        return self.bundle
+
+    def proven_newest_at(self) -> Instant | None:
+        return None
+
+    def may_serve(self) -> bool:
+        return self.serving
+
+    def on_change(self, callback: Callable[[Bundle], None]) -> None: ...
+
+
+class StandInLimits:
+    """Shares, retry budget and admission."""
+
+    def __init__(self) -> None:
+        self.share_refused: ShareRefused | None = None
+        self.too_late: ShareRefused | None = None
+        self.budget = 10
+        self.earned_by: list[str] = []
+        self.shares_taken = 0
+        self.waits = Seconds(0.0)
+        """How long taking a share takes."""
+
+    async def take_share(self, tenant: Tenant) -> ShareRefused | None:
+        self.shares_taken += 1
+        await asyncio.sleep(self.waits)
+        return self.share_refused
+
+    def earned(self, service: Service) -> None:
+        self.earned_by.append(service.name)
+
+    def take(self, service: ServiceName) -> bool:
+        self.budget -= 1
+        return self.budget >= 0
+
+    def refuse(self, service: Service, predicted_first_token: Seconds) -> ShareRefused | None:
+        return self.too_late
+
+
+class _Shares:
+    def __init__(self, limits: StandInLimits) -> None:
+        self._limits = limits
+
+    async def take(self, tenant: Tenant) -> ShareRefused | None:
+        return await self._limits.take_share(tenant)
+
+
+class StandInLedger:
+    def __init__(self) -> None:
+        self.answer: Claimed | Known | Unreachable | None = None
+        """In place of the table, when set."""
+        self.table: dict[CallKey, str] = {}
+        self.claims = 0
+        self.waits = Seconds(0.0)
+
+    async def claim(self, key: CallKey, timeout: Seconds) -> Claimed | Known | Unreachable:
+        self.claims += 1
+        await asyncio.sleep(self.waits)
+        if self.answer is not None:
+            return self.answer
+        state = self.table.get(key)
+        if state is not None:
+            return Known(state)  # type: ignore[arg-type]
+        self.table[key] = "running"
+        return Claimed("ticket")
+
+    async def settle(self, key: CallKey, ticket: str, state: Literal["ran", "unknown", "not-run"]) -> bool:
+        assert ticket == "ticket"
+        if state == "not-run":
+            del self.table[key]
+        else:
+            self.table[key] = state
+        return True
+
+
+class StandInPlacement:
+    """The first worker that is not left out; and the registry."""
+
+    def __init__(self) -> None:
+        self.workers: list[Worker] = []
+        self.first_token = Seconds(0.01)
+        self.finishes: list[tuple[str, str, int]] = []
+        self.turns: list[Turn] = []
+        self.running = 0
+        self.suspects: list[str] = []
+        self.not_confirmed: set[str] = set()
+
+    async def choose(self, turn: Turn, excluded: Sequence[WorkerInstance]) -> Result[Choice, NoWorker]:
+        self.turns.append(turn)
+        for worker in self.workers:
+            if worker.instance not in excluded:
+                self.running += 1
+                return Success(Choice(worker=worker, how="award", first_token=self.first_token))
+        return Failure(NoWorker("none-ready", Seconds(2.0)))
+
+    def finished(
+        self,
+        turn: Turn,
+        choice: Choice,
+        outcome: Literal["whole", "refused", "broken", "cancelled"],
+        generated_tokens: int,
+        first_token_after: Seconds | None,
+    ) -> None:
+        self.running -= 1
+        self.finishes.append((str(choice.worker.instance), outcome, generated_tokens))
+
+    def ready(self, pool: PoolName) -> Sequence[Worker]:
+        return self.workers
+
+    def find(self, instance: WorkerInstance) -> Worker | None:
+        return None
+
+    async def confirm(self, worker: Worker) -> bool:
+        return worker.instance not in self.not_confirmed
+
+    def suspect(self, instance: WorkerInstance) -> None:
+        self.suspects.append(instance)
+
+    def on_change(self, callback: Callable[[Worker], None]) -> None: ...
+
+
+class Request(msgspec.Struct):
+    head: str
+    body: bytes
+    at: float
+
+    def header(self, name: str) -> str | None:
+        for line in self.head.split("\r\n")[1:]:
+            key, _, value = line.partition(":")
+            if key.lower() == name.lower():
+                return value.strip()
+        return None
+
+
+Script = Callable[[BaseIOStream, Request], Awaitable[None]]
+
+OK = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = OK + b"Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+DONE = b"data: [DONE]\n\n"
+
+
+def chunk(data: bytes) -> bytes:
+    return b"%x\r\n%s\r\n" % (len(data), data)
+
+
+def sends(*steps: bytes | float, keep_open: bool = False) -> Script:
+    """Sends the bytes, sleeps the numbers (virtual seconds), then closes unless it keeps the connection open."""
+
+    async def script(stream: BaseIOStream, request: Request) -> None:
+        for step in steps:
+            if isinstance(step, bytes):
+                await stream.write(step)
+            else:
+                await asyncio.sleep(step)
+        if keep_open:
+            await stream.read_until_close()
+
+    return script
+
+
+def streams(events: int, pause: float = 0.01) -> Script:
+    steps: list[bytes | float] = [CHUNKED]
+    for number in range(events):
+        steps += [pause, chunk(b"data: %d\n\n" % number)]
+    return sends(*steps, chunk(DONE), b"0\r\n\r\n")
+
+
+def says(body: bytes, status: str = "200 OK", *headers: str) -> Script:
+    lines = "".join(f"{header}\r\n" for header in headers)
+    return sends(f"HTTP/1.1 {status}\r\nContent-Length: {len(body)}\r\n{lines}\r\n".encode() + body)
+
+
+class NastyWorker:
+    def __init__(self, world: World, name: str, script: Script) -> None:
+        self.world = world
+        self.requests: list[Request] = []
+        self.connections = 0
+        self.lost: list[float] = []
+        """When the router closed a connection before the script had ended."""
+        self.script = script
+        self.process: Process = world.start(name, self._main)
+        self.worker = Worker(
+            instance=WorkerInstance(f"{name}-1"),
+            address=address_of(self.process.machine, 80),
+            pool=PoolName("model"),
+            zone=Zone("a"),
+            slots=8,
+        )
+
+    async def _main(self, context: Context) -> None:
+        assert isinstance(context.network.listen(self.worker.address, self._serve), Success)
+
+    async def _serve(self, stream: BaseIOStream, peer: Address) -> None:
+        self.connections += 1
+        stream.set_close_callback(lambda: self.lost.append(self.world.now))
+        try:
+            head = (await stream.read_until(b"\r\n\r\n")).decode("latin-1")
+            request = Request(head[:-4], b"", self.world.now)
+            request.body = await stream.read_bytes(int(request.header("Content-Length") or "0"))
+            self.requests.append(request)
+            await self.script(stream, request)
+        except StreamClosedError:
+            return
+        stream.set_close_callback(None)
+        stream.close()
+
+
+class Reply(msgspec.Struct):
+    """What a caller saw."""
+
+    status: int
+    headers: dict[str, str]
+    raw: bytes
+    """All bytes after the head."""
+    ended_whole: bool
+    at: float
+
+    def body(self) -> bytes:
+        if self.headers.get("transfer-encoding") != "chunked":
+            return self.raw
+        body, rest = b"", self.raw
+        while rest:
+            size, _, rest = rest.partition(b"\r\n")
+            body += rest[: int(size, 16)]
+            rest = rest[int(size, 16) + 2 :]
+        return body
+
+    def json(self) -> dict[str, object]:
+        return msgspec.json.decode(self.raw, type=dict[str, object])
+
+
+class Caller:
+    """One connection of a caller; reads what comes, as it comes."""
+
+    def __init__(self, world: World, stream: BaseIOStream) -> None:
+        self.world = world
+        self.stream = stream
+        self.seen: list[tuple[float, bytes]] = []
+
+    def send(self, data: bytes) -> None:
+        self.stream.write(data).add_done_callback(lambda future: future.cancelled() or future.exception())
+
+    async def reply(self, without_body: bool = False) -> Reply:
+        head = (await self.stream.read_until(b"\r\n\r\n")).decode("latin-1")
+        first, *lines = head[:-4].split("\r\n")
+        headers = {line.partition(":")[0].lower(): line.partition(":")[2].strip() for line in lines}
+        reply = Reply(int(first.split(" ")[1]), headers, b"", False, self.world.now)
+        try:
+            if without_body:
+                reply.ended_whole = True
+            elif headers.get("transfer-encoding") == "chunked":
+                await self._chunks(reply)
+            elif "content-length" in headers:
+                left = int(headers["content-length"])
+                while left:
+                    piece = await self.stream.read_bytes(left, partial=True)
+                    self._saw(reply, piece)
+                    left -= len(piece)
+                reply.ended_whole = True
+            else:
+                reply.raw = await self.stream.read_until_close()
+        except StreamClosedError:
+            pass
+        reply.at = self.world.now
+        return reply
+
+    async def _chunks(self, reply: Reply) -> None:
+        while True:
+            line = await self.stream.read_until(b"\r\n")
+            data = await self.stream.read_bytes(int(line, 16) + 2)
+            if int(line, 16) == 0:
+                reply.ended_whole = True
+                return
+            self._saw(reply, line + data)
+
+    def _saw(self, reply: Reply, piece: bytes) -> None:
+        self.seen.append((self.world.now, piece))
+        reply.raw += piece
+
+
+class PathWorld:
+    """A router with its request path; ``start`` it, then send calls."""
+
+    def __init__(self, world: World, limits: PathLimits | None = None, stop_within: float = 5.0) -> None:
+        self.world = world
+        self.bundle = StandInBundle()
+        self.limits = StandInLimits()
+        self.ledger = StandInLedger()
+        self.placement = StandInPlacement()
+        self.recorded: list[bytes] = []
+        self.metrics = CollectorRegistry()
+        self.path: RequestPath
+        self._path_limits = limits
+        self._stop_within = Seconds(stop_within)
+        self.router = world.start("router", self._main)
+        self.address = address_of(self.router.machine, 81)
+        world.run(0.001)
+
+    async def _main(self, context: Context) -> None:
+        settings = DaemonSettings(
+            name=DaemonName("router"),
+            role="router",
+            zone=Zone("a"),
+            internal=Address("10.1.0.1", 1),
+            operator=Address("10.1.0.1", 2),
+            caller=self.address,
+            seeds=(),
+            fleet_key=b"",
+            operator_keys=(),
+            stop_within=self._stop_within,
+        )
+        self.path = RequestPath(
+            context,
+            settings,
+            self.bundle,
+            _Shares(self.limits),
+            self.limits,
+            self.ledger,
+            self.placement,
+            self.placement,
+            self.limits,
+            RequestMetrics(self.metrics),
+            limits=self._path_limits,
+            recorder=DayRecorder(context.clock, self.recorded.append),
+        )
+        assert isinstance(self.path.start(), Success)
+
+    def worker(self, name: str, script: Script) -> NastyWorker:
+        worker = NastyWorker(self.world, name, script)
+        self.placement.workers.append(worker.worker)
+        self.world.run(0.001)
+        return worker
+
+    async def connect(self) -> Caller:
+        process = self.world.processes.get("caller") or self.world.start("caller", _nothing)
+        context = self.world.context_for(process)
+        opened = await context.network.connect(self.address, Seconds(1.0))
+        return Caller(self.world, opened.unwrap())
+
+    async def send(self, data: bytes) -> Caller:
+        caller = await self.connect()
+        caller.send(data)
+        return caller
+
+    def call(self, path: str = "/chat", body: bytes = b"{}", **headers: str) -> Reply:
+        """Sends one call and waits for its answer."""
+
+        async def run() -> Reply:
+            return await (await self.send(request(path, body, **headers))).reply()
+
+        return self.world.complete(run())
+
+    def log_lines(self) -> list[dict[str, object]]:
+        return [event.fields for event in self.world.events if event.source == "router" and event.name == "call"]
+
+
+async def _nothing(context: Context) -> None: ...
+
+
+def request(path: str = "/chat", body: bytes = b"{}", method: str = "POST", **headers: str) -> bytes:
+    fields = {"Host": "router", "Authorization": f"Bearer {KEY}", "Content-Length": str(len(body))}
+    fields.update({name.replace("_", "-"): value for name, value in headers.items()})
+    lines = "".join(f"{name}: {value}\r\n" for name, value in fields.items() if value)
+    return f"{method} {path} HTTP/1.1\r\n{lines}\r\n".encode("latin-1") + body
--- /dev/null
+++ b/wingwood/forward/tests/test_forwarding.py
@@ -0,0 +1,464 @@
+"""Calls through the chain to badly behaved workers, in simulated time (docs/DESIGN.md section 12.5)."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import unittest
+
+import msgspec
+
+from simulation import World
+
+from ...identifiers import Seconds
+from ...ledger.protocols import Unreachable
+from .stand_ins import (
+    CARDS,
+    CHAT,
+    CHUNKED,
+    DONE,
+    OK,
+    Caller,
+    NastyWorker,
+    PathWorld,
+    bundle_of,
+    chunk,
+    request,
+    says,
+    sends,
+    streams,
+)
+
+EVENT = b"data: 1\n\n"
+
+
+class PathCase(unittest.TestCase):
+    def setUp(self) -> None:
+        self.world = World(seed=11).__enter__()
+        self.addCleanup(self.world.close)
+        self.path = PathWorld(self.world)
+
+    def tearDown(self) -> None:
+        self.world.run(0.1)
+        self.assertEqual(self.world.broken_invariants, [])
+
+    def worker(self, script: object, name: str = "w1") -> NastyWorker:
+        return self.path.worker(name, script)  # type: ignore[arg-type]
+
+
+class WholeAnswers(PathCase):
+    def test_stream_goes_through_piece_by_piece(self) -> None:
+        worker = self.worker(streams(20, pause=0.05))
+
+        async def run() -> Caller:
+            caller = await self.path.send(request(body=b"prompt", Prefix="a/s1", X_Request_Id="r1"))
+            reply = await caller.reply()
+            self.assertTrue(reply.ended_whole)
+            self.assertEqual(reply.body(), b"".join(b"data: %d\n\n" % number for number in range(20)) + DONE)
+            self.assertEqual(reply.headers["content-type"], "text/event-stream")
+            self.assertEqual(reply.headers["x-request-id"], "r1")
+            self.assertEqual(reply.headers["wingwood-worker"], "w1-1")
+            self.assertEqual(reply.headers["wingwood-award"], "award")
+            return caller
+
+        caller = self.world.complete(run())
+        times = [at for at, _ in caller.seen][:20]
+        self.assertTrue(all(0.04 < later - earlier < 0.06 for earlier, later in itertools.pairwise(times)))
+        sent = worker.requests[0]
+        self.assertEqual(
+            (sent.body, sent.header("Prefix"), sent.header("Expect-Instance")), (b"prompt", "a/s1", "w1-1")
+        )
+        self.assertEqual((sent.header("X-Request-Id"), sent.header("X-Tenant")), ("r1", "estate"))
+        self.assertIsNone(sent.header("Authorization"))
+        self.assertEqual(self.path.placement.finishes, [("w1-1", "whole", 20)])
+        self.assertEqual(self.path.placement.turns[0].prefix, ("a", "s1"))
+        line = self.path.log_lines()[0]
+        self.assertEqual((line["status"], line["run"], line["tries"], line["how"]), (200, "ran", 1, "award"))
+
+    def test_errors_of_the_worker_are_passed_on(self) -> None:
+        self.worker(says(b'{"error": 1}', "500 Broken", "Content-Type: application/json", "X-Own: 1"))
+        reply = self.path.call()
+        self.assertEqual((reply.status, reply.raw, reply.headers["x-own"]), (500, b'{"error": 1}', "1"))
+        self.assertNotIn("wingwood-answer", reply.headers)
+        self.assertEqual(self.path.placement.finishes, [("w1-1", "refused", 0)])
+
+    def test_hop_by_hop_headers_stay_on_their_side(self) -> None:
+        worker = self.worker(says(b"x", "200 OK", "Connection: X-Hop", "X-Hop: 1", "Keep-Alive: 5", "X-End: 1"))
+        reply = self.path.call("/plain", Connection="X-Mine", X_Mine="1", Te="trailers", X_Rest="1")
+        self.assertNotIn("x-hop", reply.headers)
+        self.assertNotIn("keep-alive", reply.headers)
+        self.assertEqual(reply.headers["x-end"], "1")
+        sent = worker.requests[0]
+        self.assertEqual((sent.header("X-Mine"), sent.header("TE"), sent.header("X-Rest")), (None, None, "1"))
+
+    def test_stray_bytes_never_reach_a_caller(self) -> None:
+        stray = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray"
+        self.worker(sends(CHUNKED, chunk(EVENT + DONE), b"0\r\n\r\n" + stray))
+        self.assertEqual(self.path.call().body(), EVENT + DONE)
+        self.path.placement.workers.clear()
+        self.worker(sends(CHUNKED, chunk(EVENT + DONE + stray), chunk(stray), b"0\r\n\r\n"), "w2")
+        reply = self.path.call()
+        self.assertEqual((reply.body(), reply.ended_whole), (EVENT + DONE, True))
+
+    def test_stream_ended_by_closing_is_whole_with_its_marker_only(self) -> None:
+        self.worker(sends(OK + b"Content-Type: text/event-stream\r\n\r\n", EVENT, DONE))
+        self.assertTrue(self.path.call().ended_whole)
+        self.path.placement.workers.clear()
+        self.worker(sends(OK + b"Content-Type: text/event-stream\r\n\r\n", EVENT), "w2")
+        reply = self.path.call()
+        self.assertEqual((reply.body(), reply.ended_whole), (EVENT, False))
+
+    def test_answer_without_body(self) -> None:
+        self.worker(sends(b"HTTP/1.1 204 No Content\r\n\r\n"))
+
+        async def run() -> None:
+            reply = await (await self.path.send(request("/plain"))).reply(without_body=True)
+            self.assertEqual((reply.status, reply.headers.get("transfer-encoding")), (204, None))
+
+        self.world.complete(run())
+
+    def test_pieces_of_a_slow_head_are_not_kept_for_its_first_event(self) -> None:
+        self.worker(sends(CHUNKED, 1.0, chunk(EVENT + DONE) + b"0\r\n\r\n"))
+
+        async def run() -> None:
+            caller = await self.path.send(request())
+            sent = self.world.now
+            await caller.stream.read_until(b"\r\n\r\n")
+            self.assertLess(self.world.now - sent, 0.1)
+
+        self.world.complete(run())
+
+    def test_slow_caller_holds_the_worker_back(self) -> None:
+        sent: list[int] = []
+
+        async def script(stream: object, _: object) -> None:
+            await stream.write(OK + b"Content-Length: 16777216\r\n\r\n")  # type: ignore[attr-defined]
+            for _number in range(1024):
+                await stream.write(b"z" * 16384)  # type: ignore[attr-defined]
+                sent.append(16384)
+
+        self.worker(script)
+
+        async def run() -> int:
+            caller = await self.path.send(request("/plain"))
+            await caller.stream.read_until(b"\r\n\r\n")
+            await asyncio.sleep(5.0)
+            held = sum(sent)
+            total = len(await caller.stream.read_bytes(16777216))
+            self.assertEqual(total, 16777216)
+            return held
+
+        self.assertLess(self.world.complete(run()), 2 * 1024 * 1024)
+
+
+class BrokenAnswers(PathCase):
+    def cut(self, script: object, path: str = "/chat") -> None:
+        self.worker(script)
+        reply = self.path.call(path)
+        self.assertEqual(reply.status, 200)
+        self.assertFalse(reply.ended_whole)
+        self.assertEqual(self.path.placement.finishes[-1][1], "broken")
+        self.assertEqual(self.path.log_lines()[-1]["run"], "unknown")
+
+    def test_break_in_the_middle_of_an_event(self) -> None:
+        self.cut(sends(CHUNKED, chunk(EVENT), 0.1, b"20\r\ndata: ha"))
+
+    def test_clean_end_without_marker(self) -> None:
+        self.cut(sends(CHUNKED, chunk(EVENT), 0.1, b"0\r\n\r\n"))
+
+    def test_clean_end_in_the_middle_of_an_event(self) -> None:
+        self.cut(sends(CHUNKED, chunk(EVENT + b"data: [DONE]\n"), 0.1, b"0\r\n\r\n"))
+
+    def test_break_short_of_its_length(self) -> None:
+        self.cut(sends(OK + b"Content-Length: 100\r\n\r\n", b"short", 0.1), "/plain")
+
+    def test_marker_without_the_end_of_the_chunks(self) -> None:
+        self.cut(sends(CHUNKED, chunk(EVENT + DONE), 0.1))
+
+    def test_marker_and_then_silence(self) -> None:
+        self.cut(sends(CHUNKED, chunk(EVENT + DONE), keep_open=True))
+
+    def test_silence_after_the_first_piece(self) -> None:
+        self.cut(sends(CHUNKED, chunk(EVENT), keep_open=True))
+        self.assertEqual(self.path.placement.suspects, ["w1-1"])
+        self.assertAlmostEqual(self.world.now, CHAT.silence_patience, delta=0.5)
+
+    def test_deadline_cuts_a_long_stream(self) -> None:
+        self.path.bundle.bundle = bundle_of([msgspec.structs.replace(CHAT, deadline=Seconds(2.0))])
+        self.worker(streams(1000, pause=0.1))
+        reply = self.path.call()
+        self.assertFalse(reply.ended_whole)
+        self.assertAlmostEqual(self.world.now, 2.0, delta=0.2)
+
+    def test_answer_whose_end_can_not_be_known_is_refused(self) -> None:
+        self.worker(sends(OK + b"\r\n", b"looks whole"))
+        reply = self.path.call("/plain")
+        self.assertEqual(
+            (reply.status, reply.json()["code"], reply.json()["run"]), (502, "answer-without-end", "unknown")
+        )
+
+    def test_silence_is_answered_before_the_callers_patience_ends(self) -> None:
+        self.path.limits.budget = 0
+        self.worker(sends(keep_open=True))
+        reply = self.path.call()
+        self.assertEqual(
+            (reply.status, reply.json()["run"], reply.headers["wingwood-answer"]), (504, "unknown", "router")
+        )
+        self.assertTrue(CHAT.first_byte_patience - 0.3 < reply.at < CHAT.first_byte_patience)
+        self.assertEqual(self.path.placement.suspects, ["w1-1"])
+
+
+class FurtherTries(PathCase):
+    def two(self, first: object, path: str = "/chat", **headers: str) -> tuple[NastyWorker, NastyWorker, int, str]:
+        one, two = self.worker(first, "w1"), self.worker(streams(3) if path == "/chat" else says(b"two"), "w2")
+        reply = self.path.call(path, b"{}", **headers)
+        return one, two, reply.status, str(reply.headers.get("wingwood-worker") or reply.json()["run"])
+
+    def test_closed_without_answer_is_tried_on_another_worker(self) -> None:
+        one, two, status, by = self.two(sends())
+        self.assertEqual((len(one.requests), len(two.requests), status, by), (1, 1, 200, "w2-1"))
+        self.assertEqual([outcome for _, outcome, _ in self.path.placement.finishes], ["broken", "whole"])
+        self.assertEqual(self.path.limits.budget, 9)
+
+    def test_no_try_without_budget(self) -> None:
+        self.path.limits.budget = 0
+        _, two, status, run = self.two(sends())
+        self.assertEqual((len(two.requests), status, run), (0, 502, "unknown"))
+
+    def test_break_between_head_and_first_piece_is_tried_again(self) -> None:
+        _, _, status, by = self.two(sends(CHUNKED, 0.02))
+        self.assertEqual((status, by), (200, "w2-1"))
+
+    def test_nothing_is_tried_again_once_the_caller_has_something(self) -> None:
+        _, two, status, by = self.two(sends(CHUNKED, chunk(EVENT)))
+        self.assertEqual((status, by, len(two.requests)), (200, "w1-1", 0))
+
+    def test_silent_worker_is_given_up_while_there_is_time_for_another(self) -> None:
+        one, _, status, by = self.two(sends(keep_open=True))
+        self.assertEqual((status, by, len(one.requests)), (200, "w2-1", 1))
+        self.assertLess(self.world.now, CHAT.first_byte_patience)
+        self.assertEqual(len(one.lost), 1)
+
+    def test_unreachable_worker_costs_no_budget(self) -> None:
+        one = self.worker(streams(3), "w1")
+        self.world.kill(one.process)
+        self.worker(streams(3), "w2")
+        self.assertEqual(self.path.call().status, 200)
+        self.assertEqual((self.path.limits.budget, self.path.placement.suspects), (10, ["w1-1"]))
+        self.assertEqual(self.path.log_lines()[0]["tries"], 1)
+
+    def test_worker_that_is_not_confirmed_is_left_out(self) -> None:
+        self.path.placement.not_confirmed.add("w1-1")
+        one, _, status, by = self.two(streams(3))
+        self.assertEqual((one.connections, status, by), (0, 200, "w2-1"))
+
+    def test_another_instance_did_not_run_it(self) -> None:
+        _, _, status, by = self.two(says(b"", "412 Precondition Failed"), "/cards", Idempotency_Key="k")
+        self.assertEqual((status, by), (200, "w2-1"))
+
+    def test_not_run_by_the_worker(self) -> None:
+        _, _, status, by = self.two(says(b"", "503 Draining", "Not-Run: true"), "/cards", Idempotency_Key="k")
+        self.assertEqual((status, by), (200, "w2-1"))
+
+    def test_plain_503_is_an_answer(self) -> None:
+        _, two, status, by = self.two(says(b"", "503 Busy"))
+        self.assertEqual((status, by, len(two.requests)), (503, "w1-1", 0))
+
+    def test_calls_that_may_not_be_repeated_run_on_no_second_worker(self) -> None:
+        for script in (
+            sends(),
+            sends(OK + b"Content-Length: 9\r\n\r\n"),
+            sends(b"nonsense\r\n\r\n"),
+            sends(keep_open=True),
+        ):
+            with self.subTest():
+                self.setUp()
+                _, two, status, run = self.two(script, "/cards", Idempotency_Key="k")
+                self.assertIn(status, (502, 504))
+                self.assertEqual((len(two.requests), run), (0, "unknown"))
+                self.assertEqual(list(self.path.ledger.table.values()), ["unknown"])
+
+    def test_run_stays_unknown_when_the_second_try_finds_no_worker(self) -> None:
+        self.worker(sends())
+        reply = self.path.call()
+        self.assertEqual(
+            (reply.status, reply.json()["code"], reply.json()["run"]), (503, "workers-none-ready", "unknown")
+        )
+
+
+class LeavingCallers(PathCase):
+    def leave_after(self, script: object, seconds: float, extra: bytes = b"") -> NastyWorker:
+        worker = self.worker(script)
+
+        async def run() -> None:
+            caller = await self.path.send(request() + extra)
+            await asyncio.sleep(seconds)
+            caller.stream.close()
+
+        self.world.complete(run())
+        left = self.world.now
+        self.world.run(1.0)
+        self.assertEqual(len(worker.lost), 1)
+        self.assertLess(worker.lost[0] - left, 0.1)
+        self.assertEqual(self.path.placement.finishes, [("w1-1", "cancelled", self.path.placement.finishes[0][2])])
+        self.assertEqual(self.path.path.in_flight(), 0)
+        return worker
+
+    def test_before_the_answer(self) -> None:
+        self.leave_after(sends(keep_open=True), 0.5)
+
+    def test_within_the_answer(self) -> None:
+        self.leave_after(streams(1000), 0.5)
+
+    def test_with_bytes_beyond_the_request(self) -> None:
+        self.leave_after(sends(keep_open=True), 0.5, extra=b"\r\nPOST /chat")
+
+    def test_slow_reader_is_cut_at_the_deadline(self) -> None:
+        self.path.bundle.bundle = bundle_of([msgspec.structs.replace(CHAT, deadline=Seconds(3.0))])
+        worker = self.worker(sends(CHUNKED, *[chunk(b"data: %s\n\n" % (b"x" * 16000))] * 200, keep_open=True))
+
+        async def run() -> Caller:
+            return await self.path.send(request())
+
+        caller = self.world.complete(run())
+        self.world.run(5.0)
+        self.assertAlmostEqual(worker.lost[0], 3.0, delta=0.1)
+        self.assertEqual(self.path.path.in_flight(), 0)
+        self.assertFalse(caller.stream.closed())
+
+
+class FrozenRouters(PathCase):
+    """A router that wakes must not send a call whose caller left, whose deadline passed or whose key was removed."""
+
+    def freeze_before_sending(self, seconds: float, leave: bool, meanwhile: object = None) -> NastyWorker:
+        self.path.limits.waits = Seconds(0.2)
+        worker = self.worker(streams(3))
+
+        async def run() -> Caller:
+            return await self.path.send(request())
+
+        caller = self.world.complete(run())
+        self.world.run(0.1)
+        self.world.freeze("router")
+        self.world.run(seconds / 2)
+        if leave:
+            caller.stream.close()
+        if callable(meanwhile):
+            meanwhile()
+        self.world.run(seconds / 2)
+        self.world.wake("router")
+        self.world.run(2.0)
+        return worker
+
+    def test_control_a_short_freeze_changes_nothing(self) -> None:
+        self.assertEqual(len(self.freeze_before_sending(0.5, leave=False).requests), 1)
+
+    def test_caller_left(self) -> None:
+        self.assertEqual(self.freeze_before_sending(0.5, leave=True).requests, [])
+
+    def test_patience_passed(self) -> None:
+        self.assertEqual(self.freeze_before_sending(CHAT.first_byte_patience + 1, leave=False).requests, [])
+        self.assertEqual(self.path.log_lines()[0]["run"], "not-run")
+
+    def test_key_removed(self) -> None:
+        def remove() -> None:
+            self.path.bundle.bundle = bundle_of(keys=())
+
+        self.assertEqual(self.freeze_before_sending(0.5, leave=False, meanwhile=remove).requests, [])
+        self.assertEqual(self.path.log_lines()[0]["outcome"], "key-unknown")
+
+    def test_proof_of_the_bundle_lost(self) -> None:
+        def lose() -> None:
+            self.path.bundle.serving = False
+
+        self.assertEqual(self.freeze_before_sending(0.5, leave=False, meanwhile=lose).requests, [])
+
+    def test_frozen_between_connecting_and_writing(self) -> None:
+        """Whatever the moment of the freeze: a caller that left meanwhile is not served."""
+        for step in range(60):
+            with self.subTest(step=step):
+                self.setUp()
+                worker = self.worker(streams(3))
+
+                async def run() -> Caller:
+                    return await self.path.send(request())
+
+                caller = self.world.complete(run())
+                at = self.world.now + step * 0.00005
+                self.world.run_until(at)
+                sent_before = self.path.path.in_flight() and worker.connections
+                self.world.freeze("router")
+                self.world.run(0.5)
+                requests_before = len(worker.requests)
+                caller.stream.close()
+                self.world.run(0.5)
+                self.world.wake("router")
+                self.world.run(1.0)
+                self.assertEqual(len(worker.requests), requests_before, f"sent after the freeze at step {sent_before}")
+
+
+class NonRepeatable(PathCase):
+    def test_runs_once_and_the_retry_is_told(self) -> None:
+        worker = self.worker(says(b"card"))
+        self.assertEqual(self.path.call("/cards", Idempotency_Key="k").raw, b"card")
+        reply = self.path.call("/cards", Idempotency_Key="k")
+        self.assertEqual((reply.status, reply.json()["code"], reply.json()["run"]), (409, "call-ran", "ran"))
+        self.assertEqual(self.path.call("/cards", Idempotency_Key="k2").status, 200)
+        self.assertEqual(len(worker.requests), 2)
+        self.assertEqual(worker.requests[0].header("Idempotency-Key"), "k")
+
+    def test_key_is_needed(self) -> None:
+        worker = self.worker(says(b"card"))
+        for key in ("", "x" * 300):
+            reply = self.path.call("/cards", Idempotency_Key=key)
+            self.assertEqual((reply.status, reply.json()["code"]), (400, "idempotency-key-missing"))
+        self.assertEqual((worker.connections, self.path.ledger.claims), (0, 0))
+
+    def test_not_run_frees_the_key(self) -> None:
+        worker = self.worker(says(b"card"))
+        self.world.kill(worker.process)
+        reply = self.path.call("/cards", Idempotency_Key="k")
+        self.assertEqual((reply.status, reply.json()["run"]), (503, "not-run"))
+        self.world.run(0.1)
+        self.assertEqual(self.path.ledger.table, {})
+
+    def test_caller_that_left_leaves_the_run_unknown(self) -> None:
+        worker = self.worker(sends(keep_open=True))
+
+        async def run() -> None:
+            caller = await self.path.send(request("/cards", Idempotency_Key="k"))
+            await asyncio.sleep(0.5)
+            caller.stream.close()
+
+        self.world.complete(run())
+        self.world.run(0.5)
+        self.assertEqual((len(worker.requests), list(self.path.ledger.table.values())), (1, ["unknown"]))
+
+    def test_caller_that_left_during_the_claim_frees_the_key(self) -> None:
+        self.path.ledger.waits = Seconds(1.0)
+        worker = self.worker(says(b"card"))
+
+        async def run() -> None:
+            caller = await self.path.send(request("/cards", Idempotency_Key="k"))
+            await asyncio.sleep(0.5)
+            caller.stream.close()
+
+        self.world.complete(run())
+        self.world.run(2.0)
+        self.assertEqual((worker.requests, self.path.ledger.table), ([], {}))
+
+    def test_ledger_that_can_not_be_asked(self) -> None:
+        """The call is not sent; whether an earlier one of its key ran is not known, so not-run is not said."""
+        self.path.ledger.answer = Unreachable()
+        worker = self.worker(says(b"card"))
+        reply = self.path.call("/cards", Idempotency_Key="k")
+        self.assertEqual(
+            (reply.status, reply.json()["code"], reply.json()["run"]), (503, "ledger-unreachable", "unknown")
+        )
+        self.assertEqual(worker.connections, 0)
+
+    def test_services_that_may_be_repeated_need_no_ledger(self) -> None:
+        self.worker(says(b"x"))
+        self.assertEqual(self.path.call("/plain", Idempotency_Key="k").status, 200)
+        self.assertEqual(self.path.ledger.claims, 0)
+        self.assertFalse(CARDS.repeatable)
--- a/wingwood/forward/worker_format.py
+++ b/wingwood/forward/worker_format.py
@@ -15,6 +15,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from typing import Final
 
 import msgspec
@@ -85,6 +86,7 @@
     tenant: TenantName | None,
     headers: tuple[tuple[str, str], ...],
     body: bytes,
+    last_check: Callable[[], bool] | None = None,
 ) -> HttpRequest:
     """``path`` with its query; ``headers`` as the caller sent them."""
     own = [(EXPECT_INSTANCE, str(instance)), (REQUEST_ID, str(request))]
@@ -97,6 +99,7 @@
         headers=(*end_to_end(headers, _OURS_TO_WORKER), *own),
         body=body,
         connect_timeout=CONNECT_TIMEOUT,
+        last_check=last_check,
     )
 
 
