Callers' edge under hostile callers: tests, and room for others beside a lone tenant

23 tests in simulated time: malformed requests, floods of headers, large and slow bodies, connections and held bodies bounded, keep-alive with a key taken away, pipelining, HTTP/1.0, drain. One failed on a real fault: a tenant alone could take all places of a router, so that a second one found none until calls ended. A lone tenant now leaves a quarter free.

--- a/wingwood/forward/policies/admission.py
+++ b/wingwood/forward/policies/admission.py
@@ -53,6 +53,7 @@
     def _may_enter(self, tenant: TenantName, weight: float, running: int) -> bool:
         if self.total < self._limit * _CROWDED_FROM:
             return True
-        others = sum(other for name, other in self._weights.items() if name != tenant)
+        # A tenant alone leaves room as well, for one of its own weight that may come.
+        others = sum(other for name, other in self._weights.items() if name != tenant) or weight
         share = self._limit * weight / (weight + others)
         return self.total < self._limit and running < share
--- a/wingwood/forward/tests/stand_ins.py
+++ b/wingwood/forward/tests/stand_ins.py
@@ -338,6 +338,7 @@
         self.world = world
         self.stream = stream
         self.seen: list[tuple[float, bytes]] = []
+        stream.set_close_callback(lambda: None)  # Else tornado would not notice a close between reads.
 
     def send(self, data: bytes) -> None:
         self.stream.write(data).add_done_callback(lambda future: future.cancelled() or future.exception())
--- /dev/null
+++ b/wingwood/forward/tests/test_caller_edge.py
@@ -0,0 +1,357 @@
+"""The callers' side: bounds, refusals, keep-alive, old and careless callers (docs/DESIGN.md section 12.3)."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+
+import msgspec
+from tornado.iostream import StreamClosedError
+
+from simulation import World
+
+from ...identifiers import Seconds, ServiceName
+from ...limits.protocols import ShareRefused
+from ..limits import PathLimits
+from .stand_ins import (
+    CHUNKED,
+    KEY,
+    OK,
+    OTHER_KEY,
+    PLAIN,
+    Caller,
+    NastyWorker,
+    PathWorld,
+    Reply,
+    bundle_of,
+    chunk,
+    request,
+    says,
+    sends,
+    streams,
+)
+
+FORBIDDEN = msgspec.structs.replace(PLAIN, name=ServiceName("forbidden"))
+SMALL = PathLimits(head_bytes=2048, body_bytes=10_000, bodies_held=25_000, in_flight=8, connections=20)
+
+
+class EdgeCase(unittest.TestCase):
+    limits = SMALL
+
+    def setUp(self) -> None:
+        self.world = World(seed=12).__enter__()
+        self.addCleanup(self.world.close)
+        self.path = PathWorld(self.world, self.limits)
+        self.worker: NastyWorker = self.path.worker("w1", says(b"answer"))
+
+    def tearDown(self) -> None:
+        self.world.run(0.1)
+        self.assertEqual(self.world.broken_invariants, [])
+
+    def exchange(self, *parts: bytes | float) -> tuple[Reply, float, bool]:
+        """Sends the parts with pauses; the answer, when it came, and whether the connection stayed open."""
+
+        async def run() -> tuple[Reply, float, bool]:
+            caller = await self.path.connect()
+            begun = self.world.now
+
+            async def send() -> None:
+                for part in parts:
+                    if isinstance(part, bytes):
+                        caller.send(part)
+                    else:
+                        await asyncio.sleep(part)
+
+            sending = asyncio.ensure_future(send())
+            reply = await caller.reply()
+            sending.cancel()
+            await asyncio.sleep(2.0)
+            return reply, reply.at - begun, not caller.stream.closed()
+
+        return self.world.complete(run())
+
+    def refused(self, code: str, status: int, *parts: bytes | float) -> float:
+        reply, seconds, stays = self.exchange(*parts)
+        self.assertEqual((reply.status, reply.json()["code"], reply.json()["run"]), (status, code, "not-run"))
+        self.assertEqual(reply.headers["wingwood-answer"], "router")
+        self.assertFalse(stays)
+        return seconds
+
+
+class Refusals(EdgeCase):
+    def test_malformed_requests(self) -> None:
+        for data in (
+            b"nonsense\r\n\r\n",
+            b"\x16\x03\x01\x02\x00\x01\x00\x01\xfc\x03\x03\r\n\r\n",
+            b"POST /chat HTTP/2.0\r\n\r\n",
+            b"POST /chat HTTP/1.1\r\nno colon\r\n\r\n",
+            b"POST /chat HTTP/1.1\r\nHost: a\r\nContent-Length: x\r\n\r\n",
+            b"POST /chat HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nhello",
+            b"POST /chat HTTP/1.1\r\nHost: a\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+            b"POST /chat HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: gzip\r\n\r\n",
+            b"POST /chat HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+            b"POST /chat HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n" + b"1" * 200,
+            b"POST /chat HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabcde\r\n",
+        ):
+            with self.subTest(data=data):
+                self.refused("malformed-request", 400, data)
+        self.assertEqual(self.worker.requests, [])
+
+    def test_header_floods(self) -> None:
+        self.refused("headers-too-large", 431, b"POST /chat HTTP/1.1\r\n" + b"X: y\r\n" * 1000)
+        self.refused("headers-too-large", 431, b"POST /chat HTTP/1.1\r\nX: " + b"y" * 3000 + b"\r\n\r\n")
+
+    def test_large_bodies(self) -> None:
+        self.refused("body-too-large", 413, request(body=b"x" * 10_001))
+        head = request(Content_Length="99999999999999999999")
+        self.refused("body-too-large", 413, head)
+        head = request(Content_Length="", Transfer_Encoding="chunked").removesuffix(b"{}")
+        self.refused("body-too-large", 413, head, *[chunk(b"x" * 1000)] * 11)
+        self.assertEqual(self.exchange(request("/plain", body=b"x" * 10_000))[0].status, 200)
+
+    def test_sender_of_a_large_body_can_read_why(self) -> None:
+        self.refused("body-too-large", 413, request(body=b"x" * 2_000_000))
+
+    def test_bodies_held_at_one_time_are_bounded(self) -> None:
+        async def run() -> tuple[int, int]:
+            callers = [await self.path.send(request("/plain", body=b"x" * 10_000)[:-1]) for _ in range(2)]
+            refused = await (await self.path.send(request("/plain", body=b"x" * 10_000))).reply()
+            for caller in callers:
+                caller.send(b"x")
+                self.assertEqual((await caller.reply()).status, 200)
+            return refused.status, (await (await self.path.send(request("/plain", body=b"x" * 10_000))).reply()).status
+
+        self.assertEqual(self.world.complete(run()), (503, 200))
+
+    def test_slow_senders(self) -> None:
+        drip: list[bytes | float] = [b"POST /chat HTTP/1.1\r\n"]
+        for _ in range(100):
+            drip += [b"X: y\r\n", 1.0]
+        seconds = self.refused("too-slow", 408, *drip)
+        self.assertAlmostEqual(seconds, SMALL.head_time, delta=0.1)
+        drip = [request(body=b"x" * 1000)[:-1000]]
+        for _ in range(100):
+            drip += [b"x", 1.0]
+        self.assertLess(self.refused("too-slow", 408, *drip), SMALL.body_time + 1)
+
+    def test_connections_are_bounded_and_idle_ones_end(self) -> None:
+        async def run() -> list[Caller]:
+            return [await self.path.connect() for _ in range(20)]
+
+        callers = self.world.complete(run())
+        self.world.run(0.1)
+        self.assertEqual(self.exchange()[0].status, 503)
+        self.world.run(SMALL.idle)
+        self.assertTrue(all(caller.stream.closed() for caller in callers))
+        self.assertEqual(self.path.call("/plain").status, 200)
+
+    def test_refusals_of_authentication(self) -> None:
+        for code, status, data in (
+            ("key-missing", 401, request(Authorization="")),
+            ("key-missing", 401, request(Authorization="Basic abc")),
+            ("key-unknown", 401, request(Authorization="Bearer wrong")),
+            ("no-route", 404, request("/nowhere")),
+            ("no-route", 404, request("/chatter")),
+            ("method-not-allowed", 405, request(method="GET", Content_Length="", body=b"")),
+            ("path-malformed", 400, request("/chat/../cards")),
+            ("path-malformed", 400, request("/chat/%2e%2e/cards")),
+            ("path-malformed", 400, request("//chat")),
+            ("path-malformed", 400, request("http://elsewhere/chat")),
+            ("prefix-malformed", 400, request(Prefix="a//b")),
+            ("prefix-malformed", 400, request(Prefix="x" * 1500)),
+        ):
+            with self.subTest(code=code, data=data):
+                reply, _, stays = self.exchange(data)
+                self.assertEqual((reply.status, reply.json()["code"], stays), (status, code, True))
+        self.path.bundle.bundle = bundle_of([*bundle_of().services.values(), FORBIDDEN])
+        self.assertEqual(self.path.call("/forbidden").json()["code"], "service-not-allowed")
+        self.assertEqual(self.path.call("/forbidden", Authorization=f"Bearer {OTHER_KEY}").status, 200)
+        self.path.bundle.serving = False
+        self.assertEqual(self.path.call().json()["code"], "bundle-not-proven")
+        self.path.bundle.serving, self.path.bundle.bundle = True, None
+        self.assertEqual(self.path.call().json()["code"], "bundle-not-proven")
+        self.assertEqual(self.path.limits.shares_taken, 1)
+
+    def test_refused_calls_never_tell_not_run_of_a_key_the_ledger_was_not_asked_about(self) -> None:
+        """Its first call may have run on another router."""
+        self.path.limits.share_refused = ShareRefused(Seconds(2.5))
+        reply = self.path.call("/cards", b"{}", Idempotency_Key="k")
+        self.assertEqual((reply.status, reply.json()["run"], reply.headers["retry-after"]), (429, "unknown", "3"))
+        self.assertEqual(reply.json()["retry_after"], 2.5)
+        self.assertEqual(self.path.call("/plain", b"{}", Idempotency_Key="k").json()["run"], "not-run")
+        self.assertEqual(self.path.call("/chat").json()["run"], "not-run")
+
+    def test_too_late_for_the_callers_patience(self) -> None:
+        self.path.limits.too_late = ShareRefused(Seconds(1.0))
+        reply = self.path.call()
+        self.assertEqual((reply.status, reply.json()["code"]), (503, "too-late"))
+        self.assertEqual((self.worker.connections, self.path.placement.running), (0, 0))
+
+
+class Connections(EdgeCase):
+    def test_each_call_of_a_connection_is_authenticated(self) -> None:
+        async def run() -> list[int]:
+            caller = await self.path.connect()
+            statuses = []
+            for key in (KEY, "wrong", KEY):
+                caller.send(request("/plain", Authorization=f"Bearer {key}"))
+                statuses.append((await caller.reply()).status)
+            self.path.bundle.bundle = bundle_of(keys=())
+            caller.send(request("/plain"))
+            return [*statuses, (await caller.reply()).status]
+
+        self.assertEqual(self.world.complete(run()), [200, 401, 200, 401])
+
+    def test_pipelined_calls_are_answered_in_order(self) -> None:
+        async def run() -> list[str]:
+            caller = await self.path.connect()
+            caller.send(request("/plain", X_Request_Id="one") + request("/plain", X_Request_Id="two")[:30])
+            first = await caller.reply()
+            caller.send(request("/plain", X_Request_Id="two")[30:])
+            return [reply.headers["x-request-id"] for reply in (first, await caller.reply())]
+
+        self.assertEqual(self.world.complete(run()), ["one", "two"])
+
+    def test_old_callers_get_an_end_they_can_read(self) -> None:
+        self.worker.script = streams(3)
+        data = request(Connection="keep-alive").replace(b"HTTP/1.1", b"HTTP/1.0")
+        reply, _, stays = self.exchange(data)
+        self.assertIn(b"[DONE]", reply.raw)
+        self.assertNotIn("transfer-encoding", reply.headers)
+        self.assertNotEqual(reply.headers.get("connection", "").lower(), "keep-alive")
+        self.assertFalse(stays)
+
+    def test_caller_that_asks_for_the_end_gets_it(self) -> None:
+        reply, _, stays = self.exchange(request("/plain", Connection="close"))
+        self.assertEqual((reply.status, reply.headers["connection"], stays), (200, "close", False))
+
+    def test_request_in_single_bytes_and_chunks(self) -> None:
+        head = request("/plain", Content_Length="", Transfer_Encoding="chunked").removesuffix(b"{}")
+        data = head + chunk(b"ab") + b"3;x=y\r\ncde\r\n" + b"0\r\n\r\n"
+        reply, _, stays = self.exchange(*[data[index : index + 1] for index in range(len(data))])
+        if reply.status == 200:
+            self.assertEqual((self.worker.requests[0].body, stays), (b"abcde", True))
+        else:
+            self.assertEqual(reply.status, 400)  # Tornado takes no chunk extensions.
+        data = head + chunk(b"ab") + chunk(b"cde") + b"0\r\n\r\n"
+        reply, _, stays = self.exchange(*[data[index : index + 1] for index in range(len(data))])
+        self.assertEqual((reply.status, self.worker.requests[-1].body, stays), (200, b"abcde", True))
+
+    def test_sender_that_waits_to_continue(self) -> None:
+        async def run() -> Reply:
+            caller = await self.path.send(request("/plain", body=b"hello", Expect="100-continue")[:-5])
+            self.assertIn(b" 100 ", await caller.stream.read_until(b"\r\n\r\n"))
+            caller.send(b"hello")
+            return await caller.reply()
+
+        self.assertEqual(self.world.complete(run()).status, 200)
+        self.assertIsNone(self.worker.requests[0].header("Expect"))
+
+    def test_request_ids(self) -> None:
+        given = [
+            self.path.call("/plain", b"{}", X_Request_Id=name).headers["x-request-id"] for name in ("r 1", "r" * 200)
+        ]
+        self.assertTrue(all(len(name) == 16 for name in given))
+        self.assertEqual(self.path.call("/plain", b"{}", X_Request_Id="r-1").headers["x-request-id"], "r-1")
+
+    def test_caller_gone_while_it_sends(self) -> None:
+        async def run() -> None:
+            caller = await self.path.send(request("/plain", body=b"x" * 9000)[:-10])
+            await asyncio.sleep(0.1)
+            caller.stream.close()
+            await asyncio.sleep(0.1)
+
+        self.world.complete(run())
+        self.assertEqual((self.worker.connections, self.path.path._edge.bodies_held), (0, 0))
+        self.assertEqual(self.path.path._edge.connections(), 0)
+
+
+class Crowds(EdgeCase):
+    def test_full_router_refuses_at_once_and_keeps_room_for_other_tenants(self) -> None:
+        self.worker.script = sends(1.0, CHUNKED + chunk(b"data: [DONE]\n\n") + b"0\r\n\r\n")
+
+        async def run() -> tuple[list[int], list[int]]:
+            flood = [await self.path.send(request()) for _ in range(18)]
+            await asyncio.sleep(0.2)
+            others = [await self.path.send(request(Authorization=f"Bearer {OTHER_KEY}")) for _ in range(2)]
+            replies = [await caller.reply() for caller in [*flood, *others]]
+            return [reply.status for reply in replies[:18]], [reply.status for reply in replies[18:]]
+
+        flood, others = self.world.complete(run())
+        self.assertEqual((flood.count(200), flood.count(503)), (6, 12))
+        self.assertEqual(others, [200, 200])
+
+    def test_no_wait_before_a_refusal(self) -> None:
+        self.worker.script = sends(5.0, OK + b"Content-Length: 0\r\n\r\n")
+
+        async def run() -> float:
+            for _ in range(6):
+                await self.path.send(request("/plain"))
+            await asyncio.sleep(0.1)
+            begun = self.world.now
+            reply = await (await self.path.send(request("/plain"))).reply()
+            self.assertEqual((reply.status, reply.json()["code"]), (503, "crowded"))
+            self.assertEqual(reply.headers["retry-after"], "1")
+            return self.world.now - begun
+
+        self.assertLess(self.world.complete(run()), 0.01)
+
+
+class LifeCycle(EdgeCase):
+    def test_drain_finishes_streams_and_refuses_new_calls(self) -> None:
+        self.worker.script = streams(30, pause=0.1)
+
+        async def run() -> tuple[Reply, Reply, Reply, float]:
+            running = await self.path.send(request())
+            idle = await self.path.connect()
+            await asyncio.sleep(0.1)
+            self.assertTrue(self.path.path.ready())
+            drained = asyncio.ensure_future(self.path.path.drain())
+            await asyncio.sleep(0.1)
+            self.assertFalse(self.path.path.ready())
+            self.worker.script = says(b"late")
+            early = await (await self.path.send(request("/plain"))).reply()
+            await asyncio.sleep(0.5)
+            with self.assertRaises(StreamClosedError):
+                await idle.stream.read_bytes(1)
+            whole = await running.reply()
+            await drained
+            return early, whole, early, self.world.now
+
+        early, whole, _, now = self.world.complete(run())
+        self.assertEqual((early.status, early.headers["connection"]), (200, "close"))
+        self.assertTrue(whole.ended_whole)
+        self.assertLess(now, 4.0)
+
+    def test_drain_breaks_off_visibly_what_does_not_end_in_time(self) -> None:
+        self.worker.script = streams(10_000, pause=0.1)
+
+        async def run() -> tuple[Reply, float]:
+            running = await self.path.send(request())
+            await asyncio.sleep(0.1)
+            await self.path.path.drain()
+            drained = self.world.now
+            return await running.reply(), drained
+
+        reply, drained = self.world.complete(run())
+        self.assertFalse(reply.ended_whole)
+        self.assertLess(drained, 5.3)
+        self.world.run(0.2)
+        self.assertEqual(self.path.path.in_flight(), 0)
+
+    def test_chain_is_visible_and_each_call_leaves_a_line_and_a_record(self) -> None:
+        self.assertEqual(
+            [name for name, _ in self.path.path.describe()],
+            ["authentication", "paid-share", "admission", "at-most-once", "retry", "placement", "forwarding"],
+        )
+        self.assertTrue(all(what for _, what in self.path.path.describe()))
+        self.path.call("/plain?secret=1", b"the body", Prefix="shared/private-session")
+        line = self.path.log_lines()[0]
+        self.assertEqual((line["tenant"], line["service"], line["outcome"]), ("estate", "plain", "answered"))
+        told = str(line) + self.path.recorded[0].decode()
+        for secret in (KEY, "the body", "private-session", "secret=1"):
+            self.assertNotIn(secret, told)
+        self.assertIn('"body_bytes":8', told)
+        self.assertEqual(
+            self.path.metrics.get_sample_value("wingwood_calls_total", {"service": "plain", "outcome": "answered"}), 1
+        )
