--- a/fleet/launcher.py
+++ b/fleet/launcher.py
@@ -310,6 +310,44 @@
     def controls(self) -> list[DaemonPlan]:
         return [daemon for daemon in self.daemons.values() if daemon.role == "control"]
 
+    async def version_on(self, name: str) -> int:
+        """The bundle version in force on a daemon; 0 without one."""
+        reply = await self.http.get(self.daemons[name].operator, "/control/v1/bundle")
+        return int(reply.body["version"]) if reply.good else 0
+
+    async def control_reports(self) -> dict[str, Any]:
+        """What each control daemon that answers says of the control core (``control`` of its health)."""
+        reports = {}
+        for daemon in self.controls():
+            reply = await self.http.get(daemon.operator, "/control/v1/health")
+            if reply.good and reply.body.get("control"):
+                reports[daemon.name] = reply.body["control"]
+        return reports
+
+    async def control_complete(self) -> bool:
+        """Whether the primary takes orders and says that any one control daemon may be lost."""
+        reports = (await self.control_reports()).values()
+        return any(report["own_role"] == "primary" and report["complete"] for report in reports)
+
+    async def primary(self) -> str | None:
+        """The control daemon that says it leads and takes orders."""
+        for name, report in (await self.control_reports()).items():
+            if report["own_role"] == "primary" and report["accepts_orders"]:
+                return name
+        return None
+
+    async def runs(self) -> list[dict[str, Any]]:
+        """All runs of all workers so far, as their files of runs tell; killed ones' too."""
+        return await asyncio.to_thread(self._read_runs)
+
+    def _read_runs(self) -> list[dict[str, Any]]:
+        latest: dict[tuple[str, int], dict[str, Any]] = {}
+        for file in sorted((self.folder / "runs").glob("*.jsonl")):
+            for line in file.read_text().splitlines():
+                run = json.loads(line)
+                latest[(run["instance"], run["number"])] = run
+        return list(latest.values())
+
     def command(self, *arguments: str) -> CommandResult:
         """One call of the operators' command line."""
         done = subprocess.run(
@@ -370,7 +408,8 @@
     )
     if made.code:
         raise FleetProblem(f"wingwood bundle sign failed: {made.errors or made.output}")
-    pushed = await fleet.run_command("bundle", "push", str(signed), "--to", fleet.controls()[0].operator, "--json")
+    to = [word for daemon in fleet.controls() for word in ("--to", daemon.operator)]
+    pushed = await fleet.run_command("bundle", "push", str(signed), *to, "--json")
     if pushed.code:
         raise FleetProblem(f"wingwood bundle push failed: {pushed.errors or pushed.output}")
     return int(pushed.json()["version"])
--- a/fleet/tests/test_plan.py
+++ b/fleet/tests/test_plan.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import tempfile
 import tomllib
 import unittest
 from pathlib import Path
@@ -10,6 +11,9 @@
 import msgspec
 from returns.result import Failure, Success
 
+from wingwood.command_line.source import check_bundle, read_source
+from wingwood.settings.load import check_settings
+
 from ..plan import CallerKeys, bundle_text, plan_fleet, settings_text
 from ..shape import check_shape, read_shape
 
@@ -69,6 +73,23 @@
             self.assertEqual("caller" in settings, daemon.role == "router")
             self.assertEqual(settings["removed_key_bound"], 5.0)
 
+    def test_the_daemons_own_reader_takes_all_settings(self) -> None:
+        for daemon in self.plan.daemons:
+            text = settings_text(daemon, self.shape, self.plan.seeds, "ab" * 32, "11" * 32, Path("folder"))
+            read = check_settings(tomllib.loads(text), f"{daemon.name}.toml")
+            self.assertIsInstance(read, Success, read)
+
+    def test_the_operators_own_reader_takes_the_bundle_of_each_shape(self) -> None:
+        for name in ("despensa", "sabarmati", "demo"):
+            shape = read_shape(FOLDER / f"{name}.toml").unwrap()
+            keys = CallerKeys({tenant.name: f"secret-{tenant.name}" for tenant in shape.tenants})
+            with tempfile.TemporaryDirectory() as folder:
+                file = Path(folder) / "bundle.toml"
+                file.write_text(bundle_text(shape, keys))
+                bundle = check_bundle(read_source(file))
+            self.assertEqual(len(bundle.services), len(shape.services))
+            self.assertEqual(len(bundle.keys), len(shape.tenants))
+
     def test_the_bundle_holds_digests_of_the_keys_and_never_the_keys(self) -> None:
         keys = CallerKeys({tenant.name: f"secret-{tenant.name}" for tenant in self.shape.tenants})
         text = bundle_text(self.shape, keys)
