--- a/fleet/tests/test_plan.py
+++ b/fleet/tests/test_plan.py
@@ -9,8 +9,10 @@
 from pathlib import Path
 
 import msgspec
+from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
 from returns.result import Failure, Success
 
+from wingwood.bundle.signing import public_hex
 from wingwood.command_line.source import check_bundle, read_source
 from wingwood.settings.load import check_settings
 
@@ -74,8 +76,9 @@
             self.assertEqual(settings["removed_key_bound"], 5.0)
 
     def test_the_daemons_own_reader_takes_all_settings(self) -> None:
+        operator = public_hex(Ed25519PrivateKey.from_private_bytes(bytes(32)))
         for daemon in self.plan.daemons:
-            text = settings_text(daemon, self.shape, self.plan.seeds, "ab" * 32, "11" * 32, Path("folder"))
+            text = settings_text(daemon, self.shape, self.plan.seeds, "ab" * 32, operator, Path("folder"))
             read = check_settings(tomllib.loads(text), f"{daemon.name}.toml")
             self.assertIsInstance(read, Success, read)
 
