--- a/wingwood/command_line/daemons.py
+++ b/wingwood/command_line/daemons.py
@@ -37,6 +37,7 @@
     "history_versions": "How many past versions' slices control keeps",
     "body_bytes": "Largest body of a call",
     "bundle_bytes": "Largest bundle",
+    "begin_empty_when_damaged": "For one start: put a damaged journal aside and be filled by the peers",
 }
 
 
@@ -62,6 +63,8 @@
 def _typed(name: str, text: str) -> object:
     """Numbers in flags become numbers; what they must be is checked with the file's keys."""
     types = str(DaemonSettings.__annotations__[name])
+    if types == "bool" and text in ("true", "false"):
+        return text == "true"
     if not any(word in types for word in ("int", "Seconds")):
         return text
     try:
--- /dev/null
+++ b/wingwood/daemons/control.py
@@ -0,0 +1,195 @@
+"""One control daemon, put together from its slices (docs/DESIGN.md section 15)."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from prometheus_client import CollectorRegistry, Gauge
+from returns.result import Failure, Result, Success
+
+from ..bundle.model import Bundle, OrderOutcome
+from ..bundle.parse import parse_bundle
+from ..bundle.reading import BundleAnswer, HistoryAnswer, LocalBundleReader, NotReadable, RemoteBundleReader
+from ..bundle.state import BundleState
+from ..context.protocols import Context
+from ..control.bundle_source import CommittedBundles
+from ..control.client import ControlClient
+from ..control.core import ReplicatedCore
+from ..control.protocols import NotDecided, SubmitOrder
+from ..control.store import Contents, ControlStore, open_store
+from ..distribution.publisher import BundlePublisher
+from ..identifiers import Address, BundleVersion, Incarnation, Seconds
+from ..ledger.state import LedgerState
+from ..membership.keeper import SessionKeeper
+from ..operator_api.orders import OrderRoutes
+from ..operator_api.reading import HealthReport, ReadRoutes
+from ..operator_api.server import OperatorServer
+from ..registry.worker_registry import WorkerRegistry
+from ..settings.model import DaemonSettings
+from ..transport.frames import Identity
+from ..transport.messenger import TcpMessenger
+from .process import NotStarted, run_daemon
+
+
+class ControlDaemon:
+    """Its parts are made in ``start``, once the data folder has told which incarnation this is."""
+
+    def __init__(self, context: Context, settings: DaemonSettings) -> None:
+        self._context = context
+        self._settings = settings
+        self._parts: _Parts | None = None
+
+    async def start(self) -> Result[None, NotStarted]:
+        match await open_store(self._context, self._settings.begin_empty_when_damaged):
+            case Success((store, contents)):
+                self._parts = _Parts(self._context, self._settings, store, contents)
+                return self._parts.start()
+            case Failure(fault):
+                return Failure(NotStarted(fault.detail))
+        raise AssertionError("a result is a success or a failure")
+
+    async def drain(self) -> None:
+        if self._parts is not None:
+            self._parts.core.give_way()
+            await self._context.clock.sleep(Seconds(0.3))
+
+    def stop(self) -> None:
+        if self._parts is not None:
+            self._parts.stop()
+
+
+class _Parts:
+    def __init__(self, context: Context, settings: DaemonSettings, store: ControlStore, contents: Contents) -> None:
+        self._context = context
+        self._settings = settings
+        self._identity = Identity(
+            name=settings.name,
+            incarnation=Incarnation(store.incarnation),
+            role="control",
+            zone=settings.zone,
+            internal=settings.internal,
+            operator=settings.operator,
+        )
+        self.messenger = TcpMessenger(context, self._identity, settings.fleet_key)
+        self.keeper = SessionKeeper(context, self.messenger, settings.seeds)
+        self.state = BundleState(
+            settings.operator_keys, settings.outcome_retention, settings.history_versions, settings.bundle_bytes
+        )
+        self.ledger = LedgerState(context.clock, settings.ledger_retention, self.keeper.is_member)
+        self.core = ReplicatedCore(
+            context,
+            self.messenger,
+            store,
+            contents,
+            (self.state, self.ledger),
+            settings.seeds,
+            self.keeper.knows_of_history,
+            self.keeper.known_controls,
+        )
+        self.source = CommittedBundles(self.core, self.state)
+        self.publisher = BundlePublisher(context, self.messenger, self.core, self.source, self.keeper)
+        self.keeper.tell(self.publisher.news)
+        self.registry = WorkerRegistry(context, self.messenger, self.keeper, settings)
+        self.client = ControlClient(context, self.messenger, self.core.control_addresses)
+        self.local_reader = LocalBundleReader(self.state, lambda: self.source.version)
+        self.local_reader.serve(self.messenger)
+        self.remote_reader = RemoteBundleReader(self.messenger, self._primary)
+        self.metrics = CollectorRegistry()
+        self._gauges(self.metrics)
+        self._parsed: Bundle | None = None
+        self.operator_server = OperatorServer(context)
+        self.registry.add_routes(self.operator_server)
+        OrderRoutes(self._submit, settings.bundle_bytes).add_to(self.operator_server)
+        ReadRoutes(
+            current=self.current,
+            reader=self,
+            members=self.keeper.members,
+            workers=self.registry.all_workers,
+            health=self.health,
+            metrics=self.metrics,
+        ).add_to(self.operator_server)
+
+    def start(self) -> Result[None, NotStarted]:
+        if isinstance(listening := self.messenger.start(), Failure):
+            return Failure(NotStarted(f"internal address: {listening.failure().detail}"))
+        if isinstance(listening := self.operator_server.start(self._settings.operator), Failure):
+            return Failure(NotStarted(f"operator address: {listening.failure().detail}"))
+        self.keeper.start()
+        self.core.start()
+        self.publisher.start()
+        self.registry.start()
+        return Success(None)
+
+    def stop(self) -> None:
+        self.publisher.stop()
+        self.keeper.stop()
+        self.operator_server.stop()
+        self.messenger.stop()
+
+    async def _submit(self, command: SubmitOrder, within: Seconds) -> Result[OrderOutcome, NotDecided]:
+        return await self.client.submit(command, within)
+
+    def current(self) -> Bundle | None:
+        """The newest durable bundle, on primary and backup."""
+        manifest = self.source.newest()
+        if manifest is None:
+            return None
+        if self._parsed is None or self._parsed.version != manifest.version:
+            slices = self.state.slices_at(manifest.version)
+            parsed = None if slices is None else parse_bundle(manifest, slices)
+            self._parsed = parsed.unwrap() if isinstance(parsed, Success) else None
+        return self._parsed
+
+    def health(self) -> HealthReport:
+        now = self._context.clock.monotonic()
+        report = self.core.report()
+        session = self.keeper.session_proven_at()
+        news = self.publisher.news()
+        return HealthReport(
+            name=self._settings.name,
+            role="control",
+            zone=self._settings.zone,
+            incarnation=self._identity.incarnation,
+            ready=report.own_role in ("primary", "backup", "witness") and report.primary is not None,
+            reasons=(report.detail,) if report.detail else (),
+            version=BundleVersion(max(self.source.version, news.proof_version)),
+            bundle_proven_age=news.proof_age,
+            session_age=None if session is None else Seconds(now - session),
+            members=len(self.keeper.members()),
+            workers_ready=sum(worker.state == "ready" for worker in self.registry.all_workers()),
+            control=report,
+        )
+
+    # -- BundleReader: own state where it is kept, else the primary's
+
+    async def bundle(self, version: BundleVersion) -> Result[BundleAnswer, NotReadable]:
+        return await (self.local_reader if self._keeps_bundles() else self.remote_reader).bundle(version)
+
+    async def history(self, most: int) -> Result[HistoryAnswer, NotReadable]:
+        return await (self.local_reader if self._keeps_bundles() else self.remote_reader).history(most)
+
+    def _keeps_bundles(self) -> bool:
+        return self.core.report().own_role in ("primary", "backup")
+
+    def _primary(self) -> Sequence[Address]:
+        primary = self.core.primary_address()
+        return () if primary is None else (primary,)
+
+    def _gauges(self, registry: CollectorRegistry) -> None:
+        leads = Gauge("wingwood_control_leads", "1 while this daemon is primary", registry=registry)
+        leads.set_function(lambda: float(self.core.leads()))
+        complete = Gauge("wingwood_control_complete", "1 while another loss could be borne", registry=registry)
+        complete.set_function(lambda: float(self.core.report().complete))
+        epoch = Gauge("wingwood_control_epoch", "Newest epoch known", registry=registry)
+        epoch.set_function(lambda: float(self.core.epoch()))
+        version = Gauge("wingwood_control_version", "Newest durable bundle version known here", registry=registry)
+        version.set_function(lambda: float(self.source.version))
+
+
+def build(context: Context, settings: DaemonSettings) -> ControlDaemon:
+    return ControlDaemon(context, settings)
+
+
+def run(settings: DaemonSettings) -> int:
+    """The process ``wingwood control``; returns its exit code."""
+    return run_daemon(settings, build)
--- /dev/null
+++ b/wingwood/daemons/day_file.py
@@ -0,0 +1,44 @@
+"""Writes a router's recorded day to its data folder, a batch a second (docs/DESIGN.md section 17)."""
+
+from __future__ import annotations
+
+from ..context.protocols import Context, DiskFault
+from ..identifiers import Seconds
+
+BATCH_EVERY = Seconds(1.0)
+MOST_WAITING = 8 * 1024 * 1024
+
+
+class DayFile:
+    """Lines wait in memory for at most a second; above the bound they are dropped and counted, never waited for."""
+
+    def __init__(self, context: Context, name: str) -> None:
+        self._context = context
+        self._name = name
+        self._waiting: list[bytes] = []
+        self._bytes = 0
+        self.dropped = 0
+
+    def start(self) -> None:
+        self._context.tasks.spawn("day file", self._write_forever())
+
+    def write(self, line: bytes) -> None:
+        if self._bytes + len(line) > MOST_WAITING:
+            self.dropped += 1
+            return
+        self._waiting.append(line)
+        self._bytes += len(line)
+
+    async def flush(self) -> None:
+        if not self._waiting:
+            return
+        batch, self._waiting, self._bytes = b"".join(self._waiting), [], 0
+        written = await self._context.disk.append(self._name, batch)
+        fault = written.swap().value_or(None)
+        if isinstance(fault, DiskFault):
+            self._context.log.event("day-file-not-written", fault=fault.kind, detail=fault.detail, bytes=len(batch))
+
+    async def _write_forever(self) -> None:
+        while True:
+            await self._context.clock.sleep(BATCH_EVERY)
+            await self.flush()
--- /dev/null
+++ b/wingwood/daemons/router.py
@@ -0,0 +1,167 @@
+"""One router daemon, put together from its slices (docs/DESIGN.md section 15)."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+
+from prometheus_client import CollectorRegistry
+from returns.result import Failure, Result, Success
+
+from ..bundle.model import Tenant
+from ..bundle.reading import RemoteBundleReader
+from ..context.protocols import Context
+from ..control.client import ControlClient
+from ..distribution.follower import BundleFollower
+from ..forward.metrics import RequestMetrics
+from ..forward.recording import DayRecorder
+from ..forward.request_path import RequestPath
+from ..identifiers import Address, Incarnation, Seconds, TenantName
+from ..ledger.client import RouterLedger
+from ..limits.admission import PatienceAdmission
+from ..limits.retry_budget import ServiceRetryBudget
+from ..limits.shares import FleetShares
+from ..membership.client import MembershipClient
+from ..operator_api.orders import OrderRoutes
+from ..operator_api.reading import HealthReport, ReadRoutes
+from ..operator_api.server import OperatorServer
+from ..placement.policies import placement_of
+from ..registry.protocols import Worker
+from ..registry.worker_registry import WorkerRegistry
+from ..settings.model import DaemonSettings
+from ..transport.frames import Identity
+from ..transport.messenger import TcpMessenger
+from .day_file import DayFile
+from .process import NotStarted, run_daemon
+
+
+class RouterDaemon:
+    def __init__(self, context: Context, settings: DaemonSettings) -> None:
+        self._context = context
+        self._settings = settings
+        self._identity = Identity(
+            name=settings.name,
+            incarnation=Incarnation(f"{context.random.getrandbits(64):016x}"),
+            role="router",
+            zone=settings.zone,
+            internal=settings.internal,
+            operator=settings.operator,
+            caller=settings.caller,
+        )
+        self.messenger = TcpMessenger(context, self._identity, settings.fleet_key)
+        self.membership = MembershipClient(context, self.messenger, settings.seeds)
+        self.follower = BundleFollower(
+            context, self.messenger, self.membership, settings.operator_keys, settings.removed_key_bound
+        )
+        self.control = ControlClient(context, self.messenger, self._control_addresses)
+        self.registry = WorkerRegistry(context, self.messenger, self.membership, settings)
+        self.placement = placement_of(context, self.messenger, self.membership, self.registry, settings)
+        self.shares = FleetShares(context, self.messenger, self.membership, self._tenant)
+        self.ledger = RouterLedger(context, self._identity.incarnation, self.control)
+        self.metrics = CollectorRegistry()
+        self._day_file = None if settings.record_file is None else DayFile(context, settings.record_file)
+        self.path = RequestPath(
+            context,
+            settings,
+            self.follower,
+            self.shares,
+            ServiceRetryBudget(),
+            self.ledger,
+            self.placement,
+            self.registry,
+            PatienceAdmission(),
+            RequestMetrics(self.metrics),
+            recorder=None if self._day_file is None else DayRecorder(context.clock, self._day_file.write),
+        )
+        self.operator_server = OperatorServer(context)
+        self.registry.add_routes(self.operator_server)
+        OrderRoutes(self.control.submit, settings.bundle_bytes).add_to(self.operator_server)
+        ReadRoutes(
+            current=self.follower.current,
+            reader=RemoteBundleReader(self.messenger, self._control_addresses),
+            members=self.membership.members,
+            workers=self._workers,
+            health=self.health,
+            metrics=self.metrics,
+        ).add_to(self.operator_server)
+        self._stopping = False
+
+    async def start(self) -> Result[None, NotStarted]:
+        if isinstance(listening := self.messenger.start(), Failure):
+            return Failure(NotStarted(f"internal address: {listening.failure().detail}"))
+        if isinstance(listening := self.operator_server.start(self._settings.operator), Failure):
+            return Failure(NotStarted(f"operator address: {listening.failure().detail}"))
+        if isinstance(listening := self.path.start(), Failure):
+            return Failure(NotStarted(f"caller address: {listening.failure().detail}"))
+        self.membership.start()
+        self.follower.start()
+        self.registry.start()
+        self.shares.start()
+        self.ledger.start()
+        if self._day_file is not None:
+            self._day_file.start()
+        return Success(None)
+
+    async def drain(self) -> None:
+        self._stopping = True
+        await self.path.drain()
+        self.shares.give_all_back()
+        await self.ledger.drain(Seconds(2.0))
+        if self._day_file is not None:
+            await self._day_file.flush()
+        self.membership.stop()
+
+    def stop(self) -> None:
+        self._stopping = True
+        self.path.stop()
+        self.follower.stop()
+        self.operator_server.stop()
+        self.messenger.stop()
+
+    def health(self) -> HealthReport:
+        reasons = []
+        if self._stopping:
+            reasons.append("stopping")
+        bundle = self.follower.current()
+        if bundle is None:
+            reasons.append("no bundle yet")
+        elif not self.follower.may_serve():
+            reasons.append("the bundle in force cannot be proven to be the newest")
+        if self.membership.session_proven_at() is None:
+            reasons.append("no session with a control daemon yet")
+        now = self._context.clock.monotonic()
+        proven, session = self.follower.proven_newest_at(), self.membership.session_proven_at()
+        return HealthReport(
+            name=self._settings.name,
+            role="router",
+            zone=self._settings.zone,
+            incarnation=self._identity.incarnation,
+            ready=self.path.ready(),
+            reasons=tuple(reasons),
+            version=self.follower.version(),
+            bundle_proven_age=None if proven is None else Seconds(now - proven),
+            session_age=None if session is None else Seconds(now - session),
+            members=len(self.membership.members()),
+            workers_ready=sum(worker.state == "ready" for worker in self._workers()),
+        )
+
+    def _tenant(self, name: TenantName) -> Tenant | None:
+        bundle = self.follower.current()
+        return None if bundle is None else bundle.tenants.get(name)
+
+    def _control_addresses(self) -> Sequence[Address]:
+        """The presumed primary first, so that its answers come without a detour."""
+        primary = self.membership.primary_address()
+        known = self.membership.known_controls()
+        return known if primary is None else list(dict.fromkeys([primary, *known]))
+
+    def _workers(self) -> Sequence[Worker]:
+        return self.registry.all_workers()
+
+
+def build(context: Context, settings: DaemonSettings) -> RouterDaemon:
+    return RouterDaemon(context, settings)
+
+
+def run(settings: DaemonSettings) -> int:
+    """The process ``wingwood router``; returns its exit code."""
+    return run_daemon(settings, build)
--- a/wingwood/settings/load.py
+++ b/wingwood/settings/load.py
@@ -105,6 +105,12 @@
     return bytes.fromhex(value)
 
 
+def _yes_or_no(value: Any) -> bool:
+    if not isinstance(value, bool):
+        raise _Expected("expected true or false")
+    return value
+
+
 _NAME = _text(r"[A-Za-z0-9][A-Za-z0-9._-]{0,63}", "1 to 64 letters of A-Z a-z 0-9 . _ -")
 _PATH = _text(r"[^\x00\n]{1,1024}", "a path as text")
 
@@ -137,6 +143,7 @@
     "outcome_retention": _whole(1_000, 10_000_000),
     "history_versions": _whole(10, 100_000),
     "body_bytes": _whole(1024, 64 * 1024 * 1024),
+    "begin_empty_when_damaged": _yes_or_no,
     "bundle_bytes": _whole(64 * 1024, 64 * 1024 * 1024),
 }
 """One check per key of ``DaemonSettings``; a test holds the two together."""
