`wingwood health` asks only the primary whether control is complete

A healthy fleet's backup and witness were shown as INCOMPLETE and the command ended with 6, since only a primary can tell; the test's stand-in had every control daemon say "complete", unlike the real ones.

--- a/wingwood/command_line/looking.py
+++ b/wingwood/command_line/looking.py
@@ -61,11 +61,12 @@
     problem: str | None = None
 
     def well(self) -> bool:
-        """Answers, is ready, and its view of control could bear another loss."""
+        """Answers, is ready and, on the primary (only it can tell), control could bear another loss."""
         report = self.health
         if report is None or not report.ready:
             return False
-        return report.control is None or (report.control.accepts_orders and report.control.complete)
+        control = report.control
+        return control is None or control.own_role != "primary" or (control.accepts_orders and control.complete)
 
 
 @click.command()
@@ -107,9 +108,11 @@
     control = report.control
     state = None
     if control is not None:
-        whole = "complete" if control.complete else "INCOMPLETE"
-        orders = "takes orders" if control.accepts_orders else "takes no orders"
-        state = f"{control.own_role} of epoch {control.epoch}, {whole}, {orders}"
+        state = f"{control.own_role} of epoch {control.epoch}"
+        if control.own_role == "primary":
+            whole = "complete" if control.complete else "INCOMPLETE"
+            orders = "takes orders" if control.accepts_orders else "takes no orders"
+            state = f"{state}, {whole}, {orders}"
     age = report.bundle_proven_age
     notes = "; ".join([*report.reasons, *([control.detail] if control and control.detail else [])])
     return [
