--- a/wingwood/bundle/tests/test_state.py
+++ b/wingwood/bundle/tests/test_state.py
@@ -88,6 +88,11 @@
             outcome = submit(self.state, msgspec.structs.replace(self.first, manifest=manifest))
             self.assertEqual(outcome.outcome, "invalid")
         self.assertEqual((small.version, self.state.version), (0, 1))
+        size = sum(map(len, self.slices.values()))
+        grown = BundleState(OPERATOR_KEYS, bundle_bytes=size + 20)
+        submit(grown, self.first)
+        more = {**self.slices, **dict([slice_of(PriorityClass(name=ClassName("more"), weight=1.0))])}
+        self.assertIn("the bundle has", submit(grown, order_between(1, self.slices, more)).reason)
 
     def test_a_whole_order_drops_what_it_does_not_name(self) -> None:
         fewer = {name: data for name, data in self.slices.items() if name != "tenant/tenant-4"}
@@ -132,6 +137,19 @@
         self.assertIsNone(state.manifest_at(BundleVersion(3)))
         self.assertEqual([entry.version for entry in state.history(durable)], [1])
 
+    def test_a_holder_from_before_a_forgotten_removal_gets_everything_also_after_a_restart(self) -> None:
+        state, slices = BundleState(OPERATOR_KEYS, history_versions=2), sample_slices()
+        fewer = {name: data for name, data in slices.items() if name != "tenant/tenant-4"}
+        for base, (before, after) in enumerate([({}, slices), (slices, fewer), *[(fewer, fewer)] * 4]):
+            self.assertEqual(submit(state, order_between(base, before, after)).outcome, "accepted")
+        for each in (state, restarted(state, history_versions=2)):
+            delta = each.delta_since(BundleVersion(1), BundleVersion(6))
+            assert delta is not None
+            self.assertEqual((delta.since, delta.changed), (0, dict(sorted(fewer.items()))))
+            later = each.delta_since(BundleVersion(2), BundleVersion(6))
+            assert later is not None
+            self.assertEqual((later.since, later.changed, later.removed), (2, {}, ()))
+
     @settings(max_examples=60, deadline=None, derandomize=True)
     @given(st.lists(st.tuples(st.integers(0, 5), st.sampled_from([0.0, 1.0, 2.0])), min_size=1, max_size=25), st.data())
     def test_any_holder_reaches_any_kept_version(self, steps: list[tuple[int, float]], data: st.DataObject) -> None:
--- a/wingwood/command_line/tests/test_command_line.py
+++ b/wingwood/command_line/tests/test_command_line.py
@@ -160,6 +160,11 @@
             ("--set", "riders", "write it as KIND/NAME.FIELD=VALUE"),
             ("--remove", "service/chat", "there is no service/chat in the bundle"),
             ("--remove-key", "0" * 64, "0 keys start so"),
+            (
+                "--remove-key",
+                self.json_("bundle", "show", *fleet.to)["slices"]["tenant/riders"]["keys"][0][:7],
+                "too short",
+            ),
             ("--add-key", "tenant/riders=short", "64 hex digits"),
         ):
             self.assertIn(said, self.change(fleet, flag, value, code=1).output)
--- a/wingwood/operator_api/tests/test_server.py
+++ b/wingwood/operator_api/tests/test_server.py
@@ -147,7 +147,7 @@
 
     def test_bodies_and_connections_are_bounded_over_all_callers(self) -> None:
         world = self.rig.world
-        held = request("POST /large", b"", "Content-Length: 2000000") + b"x"
+        held = request("POST /large", b"", "Content-Length: 2000000")
 
         async def hold(context: Context) -> None:
             stream = (await context.network.connect(self.rig.address, LIMITS.idle)).unwrap()
@@ -161,6 +161,7 @@
         world.start("third", hold, machine="client")
         world.run(0.1)
         self.assertEqual(self.rig.talk(request("GET /below/x")), b"|closed")
+        self.assertLessEqual(self.rig.servers[0].bodies, LIMITS.bodies_bytes)
         for name in ("holder", "second", "third"):
             world.kill(name)
         world.run(0.1)
