Smoke test of a small real fleet that waits for conditions only

What: three routers, three control daemons, four workers as processes; bundle in force, a session's second turn awarded at another router, a call that may not be repeated run once, the primary killed and another taking an order, a worker killed and back, all processes ended in order. It looks for free ports, so that it runs beside other fleets.

--- a/fleet/launcher.py
+++ b/fleet/launcher.py
@@ -13,7 +13,7 @@
 import subprocess
 import sys
 import tempfile
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 from pathlib import Path
 from types import TracebackType
 from typing import Any
@@ -131,17 +131,9 @@
         (self.folder / "fleet.json").write_text(json.dumps(told, indent=2))
 
     def _check_ports(self) -> None:
-        ports = [daemon.first_port + offset for daemon in self.daemons.values() for offset in range(3)]
-        ports += [worker.port for worker in self.workers.values()]
-        for port in ports:
-            with socket.socket() as probe:
-                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-                try:
-                    probe.bind((HOST, port))
-                except OSError as problem:
-                    raise FleetProblem(
-                        f"port {port} is taken by another program; set first_port in the shape"
-                    ) from problem
+        taken = first_taken(range(self.shape.first_port, self.plan.next_port))
+        if taken is not None:
+            raise FleetProblem(f"port {taken} is taken by another program; set first_port in the shape")
 
     # Processes
 
@@ -359,6 +351,27 @@
         return await asyncio.to_thread(self.command, *arguments)
 
 
+def first_taken(ports: Iterable[int]) -> int | None:
+    """The first of the loopback ports on which another program listens."""
+    for port in ports:
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((HOST, port))
+            except OSError:
+                return port
+    return None
+
+
+def free_first_port(shape: Shape, lowest: int = 28000, highest: int = 29900) -> int:
+    """Where a fleet of this shape finds all its ports free, with room for replacements; for tests beside others."""
+    span = plan_fleet(shape).next_port - shape.first_port + 20
+    for first in range(lowest, highest - span, span):
+        if first_taken(range(first, first + span)) is None:
+            return first
+    raise FleetProblem(f"no {span} ports in a row are free from {lowest} to {highest}")
+
+
 def open_shape(file: Path) -> Shape:
     """Reads it or raises FleetProblem; a bare name is looked for beside this file."""
     if not file.exists() and (ROOT / "fleet" / f"{file.name}.toml").exists():
--- /dev/null
+++ b/fleet/tests/test_smoke.py
@@ -0,0 +1,131 @@
+"""A small fleet of real processes, start to end (docs/DESIGN.md section 17). Waits for conditions, never for times."""
+
+from __future__ import annotations
+
+import asyncio
+import tempfile
+import unittest
+from pathlib import Path
+
+import msgspec
+
+from wingwood.context.curl_client import CurlHttpClient
+from wingwood.context.real import RealClock
+from wingwood.identifiers import parse_address
+
+from ..caller import Caller, CallOutcome, CallPlan
+from ..launcher import Fleet, free_first_port, open_shape, push_bundle
+from ..waiting import wait_until
+
+
+class SmallRealFleet(unittest.TestCase):
+    def test_from_start_to_end_with_the_primary_and_a_worker_lost(self) -> None:
+        asyncio.run(self.whole())
+
+    async def whole(self) -> None:
+        shape = open_shape(Path("demo"))
+        shape = msgspec.structs.replace(shape, first_port=free_first_port(shape))
+        with tempfile.TemporaryDirectory() as folder:
+            async with Fleet(shape, Path(folder)) as fleet:
+                await self.use(fleet)
+                await fleet.stop()
+                codes = {name: child.exit_code() for name, child in fleet.children.items()}
+                self.assertEqual({name: code for name, code in codes.items() if code}, {})
+
+    async def use(self, fleet: Fleet) -> None:
+        await fleet.start()
+        await wait_until("control is complete", fleet.control_complete)
+        version = await push_bundle(fleet)
+        await self.in_force(fleet, version)
+        await fleet.ready()
+        self.caller = Caller(CurlHttpClient(), RealClock())
+        await self.turns(fleet)
+        await self.once_only(fleet, "before")
+        await self.lose_the_primary(fleet)
+        await self.lose_a_worker(fleet)
+        await self.once_only(fleet, "after")
+
+    async def ask(self, fleet: Fleet, router: int, path: str, mark: str, **fields: object) -> CallOutcome:
+        plan = CallPlan(path=path, key=fleet.keys.by_tenant["web-shop"], mark=mark, messages=("x" * 400,), max_tokens=5)
+        plan = msgspec.structs.replace(plan, **fields)
+        return await self.caller.call(plan, parse_address(str(fleet.routers()[router].caller)))
+
+    async def turns(self, fleet: Fleet) -> None:
+        """Whole streams through every router; the session's worker is found again from another router."""
+
+        async def second_turn_is_awarded() -> bool:
+            first = await self.ask(fleet, 0, "/v1/chat", "first", prefix="smoke/session")
+            self.assertEqual((first.looks_whole, first.events, first.problem), (True, 5, ""), first)
+            second = await self.ask(fleet, 1, "/v1/chat", "second", prefix="smoke/session")
+            self.assertEqual((second.looks_whole, second.events, second.problem), (True, 5, ""), second)
+            return second.headers["wingwood-award"] == "award" and (
+                second.headers["wingwood-worker"] == first.headers["wingwood-worker"]
+            )
+
+        await wait_until("the next turn at another router goes to the awarded worker", second_turn_is_awarded)
+
+    async def once_only(self, fleet: Fleet, key: str) -> None:
+        """Asked until it has run; later calls of the key are told so, and the workers ran it once."""
+
+        async def answered() -> bool:
+            outcome = await self.ask(fleet, 0, "/v1/product-cards", key, stream=False, idempotency_key=key)
+            if outcome.looks_whole:
+                return True
+            self.assertIn(outcome.run, ("not-run", ""), outcome)
+            self.assertNotEqual(outcome.fault, "broken", outcome)
+            return False
+
+        await wait_until("a call that may not be repeated is answered", answered)
+        again = await self.ask(fleet, 2, "/v1/product-cards", key, stream=False, idempotency_key=key)
+        self.assertEqual((again.router_made, again.run), (True, "ran"), again)
+        self.assertEqual(sum(run["idempotency_key"] == key for run in await fleet.runs()), 1)
+
+    async def lose_the_primary(self, fleet: Fleet) -> None:
+        """Another takes over with all that was acknowledged, and takes orders; the lost one comes back."""
+        lost = await wait_until("there is a primary", fleet.primary)
+        fleet.kill(lost)
+
+        async def another_leads() -> bool:
+            return await fleet.primary() not in (None, lost)
+
+        await wait_until("another control daemon takes orders", another_leads)
+        key = str(fleet.operator_key_file)
+        to = [word for daemon in fleet.controls() for word in ("--to", daemon.operator)]
+        changed = await fleet.run_command(
+            "bundle", "change", "--set", "class/gold.weight=5", "--key", key, "--json", *to
+        )
+        self.assertEqual(changed.code, 0, changed)
+        self.assertEqual(changed.json()["version"], 2)
+        await self.in_force(fleet, 2)
+        fleet.restart(lost)
+        await wait_until("control is complete again", fleet.control_complete)
+
+    async def lose_a_worker(self, fleet: Fleet) -> None:
+        """Every router goes on to answer; none of the calls ends as a cut that looks whole."""
+        victim = next(name for name, worker in fleet.workers.items() if worker.pool.kind == "model")
+        fleet.kill(victim)
+        for router in range(3):
+
+            async def whole(router: int = router) -> bool:
+                outcome = await self.ask(fleet, router, "/v1/chat", "lost", prefix="smoke/session")
+                self.assertEqual(outcome.problem, "")
+                return outcome.looks_whole
+
+            await wait_until(f"router {router} answers without the lost worker", whole)
+        fleet.restart(victim)
+        address = fleet.workers[victim].address
+
+        async def known() -> bool:
+            listed = await fleet.http.get(fleet.routers()[0].operator, "/control/v1/workers")
+            health = await fleet.http.get(address, "/health")
+            instances = [worker["instance"] for worker in listed.body] if listed.good else []
+            return health.good and health.body["instance"] in instances
+
+        await wait_until("the worker's new life is known", known)
+
+    async def in_force(self, fleet: Fleet, version: int) -> None:
+        async def look() -> bool:
+            fleet.check_children()
+            return all([await fleet.version_on(router.name) >= version for router in fleet.routers()])
+
+        await wait_until(f"version {version} in force on all routers", look)
