Ledger: the second copy of an answered claim is closed; random walks over a rough control core

What: every answer but claimed, ran and closed closes the claim's number by a record. Tests of the client (time bound, cancel, freeze, batches, bounds, drain) and walks with kills, freezes, lost, late, doubled commands and take-overs; four broken variants are caught.

--- a/wingwood/ledger/state.py
+++ b/wingwood/ledger/state.py
@@ -64,7 +64,7 @@
 
 
 class Effect(msgspec.Struct, frozen=True, array_like=True):
-    what: Literal["claim", "ran", "unknown", "free"]
+    what: Literal["claim", "ran", "unknown", "free", "close"]
     number: int
     key: bytes
 
@@ -191,6 +191,8 @@
             elif isinstance(found, Held):
                 if (found.router, found.number) != (command.router, claim.number):
                     answers.append(self._state_told(found))
+                    # A second copy of this claim may come when the key is free again: nobody waits for it then.
+                    effects.append(Effect("close", claim.number, claim.key))
                 elif found.state == "unknown":
                     answers.append("unknown")
                 else:
@@ -201,6 +203,7 @@
                 answers.append("closed")
             elif room <= 0:
                 answers.append("full")
+                effects.append(Effect("close", claim.number, claim.key))
             else:
                 room -= 1
                 changed[claim.key] = Held(command.router, claim.number, "running", 0)
@@ -251,7 +254,7 @@
             if own:
                 self._held[effect.key] = Held(router, effect.number, "unknown", self._time)
         else:
-            if own:
+            if own and effect.what == "free":
                 del self._held[effect.key]
             if effect.number >= fence.floor:
                 fence.closed.add(effect.number)
--- /dev/null
+++ b/wingwood/ledger/tests/ledger_world.py
@@ -0,0 +1,285 @@
+"""Routers that claim and run calls, callers that give up and ask elsewhere, and an observer.
+
+The control core is either ``RoughControl`` (one that loses, delays, doubles and reorders commands and
+changes its primary, as roughly as the real one may) or the real one (see test_core).
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import Counter
+from collections.abc import Callable
+from typing import TypeVar
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from simulation import World
+from simulation.virtual_time import VirtualTask
+
+from ...context.protocols import Context
+from ...control.protocols import NotDecided
+from ...identifiers import IdempotencyKey, Incarnation, Instant, Seconds, ServiceName, TenantName, WallTime
+from ..client import DecideClient, RouterLedger
+from ..protocols import CallKey, Claimed, Known
+from ..state import LedgerBatch, LedgerState
+
+Reply = TypeVar("Reply", bound=msgspec.Struct)
+MakeLedger = Callable[[Context, Incarnation, DecideClient], RouterLedger]
+RETENTION = Seconds(1800.0)
+
+
+def call_key(number: int) -> CallKey:
+    return CallKey(TenantName("sabarmati"), ServiceName("gate"), IdempotencyKey(f"pass {number}"))
+
+
+class Observer:
+    """Sees what callers were told and what workers ran. ``faults`` lists what must never happen."""
+
+    def __init__(self) -> None:
+        self.runs: Counter[int] = Counter()
+        self.told_not_run: set[tuple[int, int]] = set()
+        self.faults: list[str] = []
+        self.claimed = 0
+        self.told: Counter[str] = Counter()
+
+    def run(self, now: float, key: int, attempt: int) -> None:
+        self.runs[key] += 1
+        if self.runs[key] > 1:
+            self.faults.append(f"{now:.3f} call {key} ran twice")
+        if (key, attempt) in self.told_not_run:
+            self.faults.append(f"{now:.3f} call {key} attempt {attempt} ran after it was told not-run")
+
+    def tell(self, now: float, key: int, attempt: int, told: str) -> None:
+        self.told[told] += 1
+        if told == "not-run":
+            self.told_not_run.add((key, attempt))
+        if told == "ran" and not self.runs[key]:
+            self.faults.append(f"{now:.3f} call {key} was told as ran and has not run")
+
+
+class WorldClock:
+    """For a state that is called from many processes, whose own clocks differ."""
+
+    def __init__(self, world: World) -> None:
+        self._world = world
+
+    def monotonic(self) -> Instant:
+        return Instant(self._world.now)
+
+    def wall(self) -> WallTime:
+        raise AssertionError("no decision rests on wall time")
+
+    async def sleep(self, seconds: Seconds) -> None:
+        raise AssertionError("the ledger's state does not wait")
+
+
+class RoughControl:
+    """Runs commands in one ``LedgerState`` at a time; what it has acknowledged survives ``take_over``."""
+
+    def __init__(self, world: World, make_state: Callable[[], LedgerState], hasty: bool = False) -> None:
+        self._world = world
+        self._make_state = make_state
+        self._hasty = hasty
+        """A broken variant: answers before a record is durable."""
+        self.state = make_state()
+        self._log: list[bytes] = []
+        self._durable = 0
+        self._term = 0
+        self.rough = True
+
+    def take_over(self) -> None:
+        """A new primary that has all that was acknowledged, and by chance some of the rest."""
+        self._term += 1
+        kept = self._world.random.randint(self._durable, len(self._log))
+        self._log = self._log[:kept]
+        self._durable = kept
+        self.state = self._make_state()
+        if kept > 10:
+            # As a journal that was rewritten: a snapshot, then the records after it.
+            for record in self._log[:10]:
+                self.state.apply(record)
+            snapshot = self.state.snapshot()
+            self.state = self._make_state()
+            self.state.restore(snapshot)
+        for record in self._log[10 if kept > 10 else 0 :]:
+            self.state.apply(record)
+
+    async def decide(
+        self, kind: str, command: msgspec.Struct, reply_type: type[Reply], timeout: Seconds
+    ) -> Result[Reply, NotDecided]:
+        random = self._world.random
+        fate = random.random() if self.rough else 1.0
+        lost = Failure(NotDecided("unknown", detail="no answer"))
+        if fate < 0.05:
+            await asyncio.sleep(timeout)
+            return lost
+        if fate < 0.12:
+            self._world.at(self._world.now + random.uniform(0.0, 6.0), lambda: self._late(command))
+            await asyncio.sleep(timeout)
+            return lost
+        await asyncio.sleep(random.uniform(0.001, 0.02))
+        term = self._term
+        encoded = msgspec.msgpack.encode(command)
+        record, reply = self.state.decide(msgspec.msgpack.decode(encoded, type=LedgerBatch))
+        if record is not None:
+            self.state.apply(record)
+            self._log.append(record)
+        place = len(self._log)
+        if not self._hasty:
+            await asyncio.sleep(random.uniform(0.001, 0.02))
+        if self._term != term:
+            return lost
+        self._durable = max(self._durable, 0 if self._hasty else place)
+        if fate < 0.2:
+            await asyncio.sleep(timeout)
+            return lost
+        if fate < 0.25:
+            self._world.at(self._world.now + random.uniform(0.0, 6.0), lambda: self._late(command))
+        return Success(msgspec.msgpack.decode(msgspec.msgpack.encode(reply), type=reply_type))
+
+    def _late(self, command: msgspec.Struct) -> None:
+        """A command that lay in some buffer, or its second copy."""
+        record, _ = self.state.decide(command)
+        if record is not None:
+            self.state.apply(record)
+            self._log.append(record)
+
+
+class LedgerRouters:
+    """Routers ``r0``... and callers with keys of their own; keys are sometimes sent to two routers at once."""
+
+    def __init__(
+        self,
+        world: World,
+        routers: int,
+        control: Callable[[Context, str], DecideClient],
+        make_ledger: MakeLedger = RouterLedger,
+    ) -> None:
+        self.world = world
+        self.control = control
+        self.make_ledger = make_ledger
+        self.observer = Observer()
+        self.ledgers: dict[str, RouterLedger] = {}
+        self.incarnations: dict[str, Incarnation] = {}
+        self.keys = 0
+        self.crashed_keys: set[int] = set()
+        """Keys that a router held when it was killed: their outcome may stay unknown."""
+        self._held: dict[str, set[tuple[int, int]]] = {}
+        self.names = [f"r{number}" for number in range(routers)]
+        for name in self.names:
+            world.start(name, self._main(name), zone="ab"[int(name[1:]) % 2])
+        world.run(0.01)
+
+    def _main(self, name: str):  # type: ignore[no-untyped-def]
+        async def main(context: Context) -> None:
+            incarnation = Incarnation(f"{name}-{context.random.randrange(1 << 30):x}")
+            self.incarnations[name] = incarnation
+            self._held[name] = set()
+            self.ledgers[name] = self.make_ledger(context, incarnation, self.control(context, name))
+
+        return main
+
+    def is_member(self, incarnation: Incarnation) -> bool:
+        return any(
+            known == incarnation and self.world.processes[name].alive and not self.world.processes[name].frozen
+            for name, known in self.incarnations.items()
+        )
+
+    def kill_router(self, name: str) -> None:
+        self.crashed_keys |= {key for key, _ in self._held[name]}
+        self.world.restart(name)
+
+    async def _serve(self, name: str, key: int, attempt: int) -> str:
+        """What a router does with a call that may not be repeated; its outcome as the caller is told."""
+        process, ledger = self.world.processes[name], self.ledgers[name]
+        context = self.world.context_for(process)
+        deadline = context.clock.monotonic() + 3.0
+        self._held[name].add((key, attempt))
+        answer = await ledger.claim(call_key(key), Seconds(1.5))
+        if isinstance(answer, Known):
+            self._held[name].discard((key, attempt))
+            return answer.state
+        if not isinstance(answer, Claimed):
+            return "not-run"
+        self.observer.claimed += 1
+        try:
+            if context.random.random() < 0.3:
+                await context.clock.sleep(Seconds(context.random.uniform(0.0, 1.0)))
+        except asyncio.CancelledError:
+            ledger.settle_soon(call_key(key), answer.ticket, "not-run")
+            raise
+        if context.random.random() < 0.1 or context.clock.monotonic() >= deadline:
+            await ledger.settle(call_key(key), answer.ticket, "not-run")
+            return "not-run"
+        self.observer.run(self.world.now, key, attempt)
+        try:
+            await context.clock.sleep(Seconds(context.random.uniform(0.0, 0.5)))
+        except asyncio.CancelledError:
+            ledger.settle_soon(call_key(key), answer.ticket, "unknown")
+            raise
+        ledger.settle_soon(call_key(key), answer.ticket, "ran")
+        return "answered"
+
+    async def call(self, key: int, attempt: int, name: str, patience: float) -> str:
+        """One try of a caller: what it was told, or "gave-up"."""
+        told: asyncio.Future[str] = asyncio.get_running_loop().create_future()
+        serving: list[VirtualTask] = []
+
+        async def serve() -> None:
+            task = asyncio.current_task()
+            assert isinstance(task, VirtualTask)
+            serving.append(task)
+            outcome = await self._serve(name, key, attempt)
+            self.observer.tell(self.world.now, key, attempt, outcome)
+            if not told.done():
+                told.set_result(outcome)
+
+        if not self.world.processes[name].alive:
+            return "gave-up"
+        self.world.spawn(self.world.processes[name], serve(), "serve")
+        await asyncio.wait((told,), timeout=patience)
+        if told.done():
+            return told.result()
+        for task in serving:
+            task.cancel()
+        return "gave-up"
+
+    async def caller(self) -> None:
+        """Calls without end, each retried once elsewhere when it was not answered."""
+        random = self.world.random
+        while True:
+            self.keys += 1
+            key = self.keys
+            first, second = random.choice(self.names), random.choice(self.names)
+            if random.random() < 0.2:
+                await asyncio.gather(self.call(key, 1, first, 2.5), self.call(key, 2, second, 2.5))
+            elif await self.call(key, 1, first, random.choice((0.3, 2.5))) in ("gave-up", "not-run", "running"):
+                await self.call(key, 2, second, 2.5)
+            await asyncio.sleep(random.uniform(0.0, 0.1))
+
+    def start_callers(self, number: int) -> None:
+        for _ in range(number):
+            self.world.loop.create_task(self.caller(), name="caller")
+
+    def blocked_keys(self) -> list[int]:
+        """Asked in calm: keys that no router holds and that still can't be run, though they never ran."""
+        blocked: list[int] = []
+        process = self.world.processes[self.names[0]]
+        ledger = self.ledgers[self.names[0]]
+
+        async def ask(key: int) -> None:
+            answer = await ledger.claim(call_key(key), Seconds(1.5))
+            if not isinstance(answer, Claimed):
+                blocked.append(key)
+
+        async def ask_all(keys: list[int], done: list[bool]) -> None:
+            for start in range(0, len(keys), 50):
+                await asyncio.gather(*(ask(key) for key in keys[start : start + 50]))
+            done.append(True)
+
+        keys = [key for key in range(1, self.keys + 1) if not self.observer.runs[key] and key not in self.crashed_keys]
+        done: list[bool] = []
+        self.world.spawn(process, ask_all(keys, done), "ask")
+        assert self.world.wait_for(lambda: bool(done), 120.0)
+        return sorted(blocked)
--- /dev/null
+++ b/wingwood/ledger/tests/test_client.py
@@ -0,0 +1,254 @@
+"""The routers' side of the ledger, over a control core that behaves roughly (docs/DESIGN.md section 13)."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from collections.abc import Callable, Coroutine
+from typing import Any
+from unittest import mock
+
+import msgspec
+from returns.result import Failure
+
+from simulation import World
+
+from ...context.protocols import Context
+from ...control.protocols import NotDecided
+from ...identifiers import Incarnation, Seconds
+from ..client import DecideClient, LedgerBounds, RouterLedger
+from ..protocols import Claimed, Known, Unreachable
+from ..state import ClaimKey, Held, LedgerBatch, LedgerState
+from .ledger_world import RETENTION, LedgerRouters, MakeLedger, RoughControl, WorldClock, call_key
+
+CALM = 20.0
+
+
+class ClientTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.world = World(seed=7)
+        self.world.__enter__()
+        self.addCleanup(self.world.close)
+
+    def routers(self, bounds: LedgerBounds | None = None) -> tuple[LedgerRouters, RoughControl]:
+        control = RoughControl(self.world, lambda: LedgerState(WorldClock(self.world), RETENTION))
+        control.rough = False
+        routers = LedgerRouters(
+            self.world,
+            2,
+            lambda context, name: control,
+            lambda context, incarnation, decide: RouterLedger(context, incarnation, decide, bounds),
+        )
+        return routers, control
+
+    def on_router(
+        self, name: str, work: Callable[[RouterLedger], Coroutine[Any, Any, Any]], within: float = 30.0
+    ) -> Any:
+        """Runs it inside that router's process."""
+        results: list[Any] = []
+
+        async def run() -> None:
+            results.append(await work(self.fleet.ledgers[name]))
+
+        self.world.spawn(self.world.processes[name], run(), "test")
+        self.assertTrue(self.world.wait_for(lambda: bool(results), within, every=0.005))
+        return results[0]
+
+    def test_a_retry_elsewhere_waits_a_little_for_the_outcome(self) -> None:
+        self.fleet, _ = self.routers()
+        claimed = self.on_router("r0", lambda ledger: ledger.claim(call_key(1), Seconds(1.0)))
+        assert isinstance(claimed, Claimed)
+        self.world.spawn(self.world.processes["r0"], self._settle_later(0.5, claimed.ticket), "settle")
+        began = self.world.now
+        answer = self.on_router("r1", lambda ledger: ledger.claim(call_key(1), Seconds(2.0)))
+        self.assertEqual(answer, Known("ran"))
+        self.assertLess(self.world.now - began, 1.0)
+
+    async def _settle_later(self, seconds: float, ticket: str) -> None:
+        await asyncio.sleep(seconds)
+        self.assertTrue(await self.fleet.ledgers["r0"].settle(call_key(1), ticket, "ran"))
+
+    def test_a_claim_is_answered_within_its_time_and_then_given_up(self) -> None:
+        self.fleet, control = self.routers()
+        with mock.patch.object(RoughControl, "decide", _silent):
+            began = self.world.now
+            answer = self.on_router("r0", lambda ledger: ledger.claim(call_key(1), Seconds(1.0)))
+            self.assertIsInstance(answer, Unreachable)
+            self.assertLess(self.world.now - began, 1.02)
+            self.assertEqual(self.fleet.ledgers["r0"].unsettled(), 1)
+        self.world.run(3.0)
+        self.assertEqual(self.fleet.ledgers["r0"].unsettled(), 0)
+        late = LedgerBatch(self.fleet.incarnations["r0"], 1, (ClaimKey(1, b"k" * 16),))
+        self.assertEqual(control.state.decide(late)[1].claims, ("closed",))  # type: ignore[attr-defined]
+
+    def test_a_caller_that_goes_away_leaves_no_claim_behind(self) -> None:
+        self.fleet, control = self.routers()
+
+        async def claim_and_leave(ledger: RouterLedger) -> bool:
+            task = asyncio.ensure_future(ledger.claim(call_key(1), Seconds(1.0)))
+            await asyncio.sleep(0.006)
+            task.cancel()
+            return True
+
+        self.on_router("r0", claim_and_leave)
+        self.world.run(1.0)
+        self.assertEqual(control.state.entries(), 0)
+        answer = self.on_router("r1", lambda ledger: ledger.claim(call_key(1), Seconds(1.0)))
+        self.assertIsInstance(answer, Claimed)
+
+    def test_a_claim_answered_while_the_router_was_frozen_is_not_taken(self) -> None:
+        self.fleet, control = self.routers()
+        answers: list[object] = []
+
+        async def claim() -> None:
+            answers.append(await self.fleet.ledgers["r0"].claim(call_key(1), Seconds(1.0)))
+
+        self.world.spawn(self.world.processes["r0"], claim(), "claim")
+        self.world.run(0.004)
+        self.world.freeze("r0")
+        self.world.run(5.0)
+        self.world.wake("r0")
+        self.world.run(1.0)
+        self.assertIsInstance(answers[0], Unreachable)
+        self.assertEqual(control.state.entries(), 0)
+
+    def test_many_claims_at_once_travel_in_few_batches(self) -> None:
+        self.fleet, control = self.routers()
+        with mock.patch.object(control.state, "decide", wraps=control.state.decide) as decide:
+
+            async def many(ledger: RouterLedger) -> list[object]:
+                return list(await asyncio.gather(*(ledger.claim(call_key(key), Seconds(1.0)) for key in range(1, 501))))
+
+            answers = self.on_router("r0", many)
+        self.assertEqual(sum(isinstance(answer, Claimed) for answer in answers), 500)
+        self.assertLess(decide.call_count, 10)
+
+    def test_waiting_claims_and_unsettled_outcomes_are_bounded(self) -> None:
+        self.fleet, _ = self.routers(LedgerBounds(waiting=3, unsettled=5))
+        with mock.patch.object(RoughControl, "decide", _silent):
+
+            async def many(ledger: RouterLedger) -> list[object]:
+                return list(await asyncio.gather(*(ledger.claim(call_key(key), Seconds(0.3)) for key in range(1, 11))))
+
+            for _ in range(4):
+                self.assertTrue(all(isinstance(answer, Unreachable) for answer in self.on_router("r0", many)))
+            self.assertLessEqual(self.fleet.ledgers["r0"].unsettled(), 5 + 3)
+
+    def test_draining_waits_for_the_outcomes_and_takes_no_more_claims(self) -> None:
+        self.fleet, _ = self.routers()
+        claimed = self.on_router("r0", lambda ledger: ledger.claim(call_key(1), Seconds(1.0)))
+        assert isinstance(claimed, Claimed)
+
+        async def stop(ledger: RouterLedger) -> int:
+            ledger.settle_soon(call_key(1), claimed.ticket, "ran")
+            return await ledger.drain(Seconds(2.0))
+
+        self.assertEqual(self.on_router("r0", stop), 0)
+        answer = self.on_router("r0", lambda ledger: ledger.claim(call_key(2), Seconds(1.0)))
+        self.assertIsInstance(answer, Unreachable)
+        answer = self.on_router("r1", lambda ledger: ledger.claim(call_key(1), Seconds(1.0)))
+        self.assertEqual(answer, Known("ran"))
+
+
+async def _silent(control: RoughControl, kind: str, command: object, reply_type: type, timeout: Seconds) -> object:
+    await asyncio.sleep(timeout)
+    return Failure(NotDecided("unknown"))
+
+
+def walk(
+    seed: int,
+    seconds: float = 30.0,
+    state_type: type[LedgerState] = LedgerState,
+    hasty: bool = False,
+    make_ledger: MakeLedger = RouterLedger,
+) -> tuple[LedgerRouters, list[int]]:
+    """Random faults for a while, then calm; the keys that stay blocked without a reason."""
+    with World(seed) as world:
+
+        def make_state() -> LedgerState:
+            return state_type(WorldClock(world), RETENTION, lambda router: routers.is_member(router))  # noqa: PLW0108
+
+        control = RoughControl(world, make_state, hasty)
+        routers = LedgerRouters(world, 4, lambda context, name: control, make_ledger)
+        routers.start_callers(12)
+        random = world.random
+        while world.now < seconds:
+            world.run(random.uniform(0.1, 1.0))
+            choice = random.random()
+            name = random.choice(routers.names)
+            if choice < 0.4:
+                control.take_over()
+            elif choice < 0.6:
+                routers.kill_router(name)
+            elif choice < 0.8 and not world.processes[name].frozen:
+                world.freeze(name)
+                life = world.processes[name].lives
+
+                def wake(name: str = name, life: int = life) -> None:
+                    if world.processes[name].lives == life:
+                        world.wake(name)
+
+                world.at(world.now + random.uniform(0.5, 5.0), wake)
+        control.rough = False
+        for name in routers.names:
+            world.wake(name)
+        for task in world.loop_tasks():
+            if task.get_name() == "caller":
+                task.cancel()
+        world.run(CALM)
+        blocked = routers.blocked_keys()
+        if world.broken_invariants:
+            raise AssertionError(world.broken_invariants[0])
+        return routers, blocked
+
+
+class WalkTest(unittest.TestCase):
+    def test_nothing_runs_twice_and_nothing_stays_blocked(self) -> None:
+        for seed in range(4):
+            with self.subTest(seed=seed):
+                routers, blocked = walk(seed)
+                self.assertEqual(routers.observer.faults, [])
+                self.assertEqual(blocked, [])
+                self.assertGreater(routers.observer.claimed, 200)
+
+    def test_a_ledger_that_answers_before_a_claim_is_durable_is_caught(self) -> None:
+        self.assertTrue(any(walk(seed, hasty=True)[0].observer.faults for seed in range(3)))
+
+    def test_a_ledger_that_grants_a_resent_claim_to_another_ticket_is_caught(self) -> None:
+        self.assertTrue(any(walk(seed, state_type=GrantsToAnyTicket)[0].observer.faults for seed in range(3)))
+
+    def test_a_ledger_that_grants_freed_tickets_again_is_caught(self) -> None:
+        self.assertTrue(any(walk(seed, state_type=GrantsFreedTickets)[1] for seed in range(3)))
+
+    def test_a_router_that_does_not_give_up_its_late_claims_is_caught(self) -> None:
+        self.assertTrue(any(walk(seed, make_ledger=NeverGivesUp)[1] for seed in range(3)))
+
+
+class GrantsToAnyTicket(LedgerState):
+    def _find(self, key: bytes) -> Held | Any:
+        held = super()._find(key)
+        if isinstance(held, Held) and self._asker is not None and held.router == self._asker.router:
+            number = next((claim.number for claim in self._asker.claims if claim.key == key), held.number)
+            return msgspec.structs.replace(held, number=number)
+        return held
+
+    _asker: LedgerBatch | None = None
+
+    def decide(self, command: msgspec.Struct) -> tuple[bytes | None, msgspec.Struct]:
+        assert isinstance(command, LedgerBatch)
+        self._asker = command
+        return super().decide(command)
+
+
+class GrantsFreedTickets(LedgerState):
+    def decide(self, command: msgspec.Struct) -> tuple[bytes | None, msgspec.Struct]:
+        assert isinstance(command, LedgerBatch)
+        self._routers.clear()
+        return super().decide(msgspec.structs.replace(command, floor=0))
+
+
+class NeverGivesUp(RouterLedger):
+    def __init__(self, context: Context, incarnation: Incarnation, control: DecideClient) -> None:
+        super().__init__(context, incarnation, control)
+        self._queue_settle = self._queue
+        self._queue = lambda settle: None if settle.state == "not-run" else self._queue_settle(settle)  # type: ignore[method-assign]
--- a/wingwood/ledger/tests/test_state.py
+++ b/wingwood/ledger/tests/test_state.py
@@ -99,6 +99,13 @@
         self.assertEqual(self.claim(NORTH, 8, "other key"), "closed")
         self.assertEqual(self.claim(NORTH, 9), "claimed")
 
+    def test_the_second_copy_of_an_answered_claim_is_not_granted(self) -> None:
+        self.claim(NORTH, 1)
+        self.assertEqual(self.claim(SOUTH, 5), "running")
+        self.settle(NORTH, 1, "not-run")
+        self.assertEqual(self.claim(SOUTH, 5), "closed")
+        self.assertEqual(self.claim(SOUTH, 6), "claimed")
+
     def test_given_up_and_claimed_in_one_batch(self) -> None:
         batch = LedgerBatch(NORTH, 1, (ClaimKey(1, digest("a")),), (SettleKey(1, digest("a"), "not-run"),))
         self.assertEqual(self.run_batch(batch)[1], ("closed",))
