--- a/wingwood/forward/caller_edge.py
+++ b/wingwood/forward/caller_edge.py
@@ -120,6 +120,8 @@
         self._stray = 0
         self._close_callback: Callable[[], None] | None = None
         self._timer: asyncio.TimerHandle | None = None
+        self._phase_end: float | None = None
+        self._waiting_for: str | None = None
         stream.set_close_callback(self._closed)
         self._read_on()
 
@@ -253,21 +255,35 @@
     # Bounds and refusals.
 
     def bound_time(self, seconds: float | None, waiting_for: str | None) -> None:
-        """Ends the connection when the phase takes longer; quietly when ``waiting_for`` is None."""
-        self._end_time_bound()
-        if seconds is not None and not self._shut:
-            self._timer = self._loop.call_later(seconds, self._time_is_up, waiting_for)
+        """Ends the connection when the phase takes longer; quietly when ``waiting_for`` is None.
+
+        A timer that stands for an earlier phase is left to come and go: most calls then need none.
+        """
+        self._waiting_for = waiting_for
+        if seconds is None or self._shut:
+            self._phase_end = None
+            return
+        self._phase_end = self._loop.time() + seconds
+        if self._timer is None or self._timer.when() > self._phase_end:
+            self._end_time_bound()
+            self._timer = self._loop.call_at(self._phase_end, self._time_is_up)
 
     def _end_time_bound(self) -> None:
         if self._timer is not None:
             self._timer.cancel()
             self._timer = None
 
-    def _time_is_up(self, waiting_for: str | None) -> None:
-        if waiting_for is None:
+    def _time_is_up(self) -> None:
+        self._timer = None
+        if self._phase_end is None:
+            return
+        if self._loop.time() < self._phase_end:
+            self._timer = self._loop.call_at(self._phase_end, self._time_is_up)
+        elif self._waiting_for is None:
             self.close()
         else:
-            self.refuse(Refused(status=408, code="too-slow", reason=f"the request's {waiting_for} took too long"))
+            reason = f"the request's {self._waiting_for} took too long"
+            self.refuse(Refused(status=408, code="too-slow", reason=reason))
 
     def refuse(self, refused: Refused, request: RequestId | None = None) -> None:
         """Answers in place of tornado, takes no more input and closes once the sender could read the answer."""
--- a/wingwood/forward/policies/forwarding.py
+++ b/wingwood/forward/policies/forwarding.py
@@ -74,7 +74,15 @@
         self._exchange: HttpExchange
         self._stopped: StopReason | None = None
         self._refused: Refused | None = None
-        self._timers: dict[str, asyncio.TimerHandle] = {}
+        self._timer: asyncio.TimerHandle | None = None
+        self._timer_at = Instant(0.0)
+        self._slow_at: Instant | None = None
+        """Until the worker's head has come: when another worker should have its chance."""
+        self._head_until: Instant | None = None
+        """While the worker's head waits for the first piece: how long."""
+        self._passing = False
+        """The worker's head has come."""
+        self._head: HttpHead
         self._last_tick = self._started
         self._last_piece = self._started
         self._silence = call.service.silence_patience
@@ -96,10 +104,11 @@
             last_check=self._may_write,
         )
         self._exchange = self._policy.context.http.start(request)
-        self._set_timers()
+        self._caller.on_gone(self._caller_gone)
+        self._set_slow()
+        self._watch()
         headed = await self._exchange.head()
-        self._cancel_timer("tick")
-        self._cancel_timer("slow")
+        self._slow_at = None
         if isinstance(headed, Failure):
             return self._without_answer(headed.failure())
         head: HttpHead = headed.unwrap()
@@ -122,9 +131,8 @@
         if self._exchange.request_sent():
             self._call.tries += 1
         self._caller.on_gone(None)
-        for timer in self._timers.values():
-            timer.cancel()
-        self._timers.clear()
+        if self._timer is not None:
+            self._timer.cancel()
         self._exchange.cancel()
 
     # Before the first byte.
@@ -144,28 +152,12 @@
             self._stopped, self._refused = "refused", refused
         return self._stopped is None
 
-    def _set_timers(self) -> None:
-        self._tick()
-        now = self._started
-        # Not for connections that stay idle until the patience ends: the answer is decided in that moment.
-        self._timer("patience", self._patience_end - now, self._stop, "patience")
-        self._timer("deadline", self._call.deadline - now, self._deadline)
-        left = self._patience_end - now
+    def _set_slow(self) -> None:
+        left = self._patience_end - self._started
         predicted = self._choice.first_token
         slow_after = max(0.5 * left, 2.0 * predicted)
         if self._service.repeatable and slow_after < left - max(predicted, 0.1 * left):
-            self._timer("slow", slow_after, self._slow)
-        self._caller.on_gone(self._caller_gone)
-
-    def _tick(self) -> None:
-        """Shows until the call is written that the event loop moves."""
-        self._last_tick = self._now()
-        if not self._exchange.request_sent():
-            self._timer("tick", self._limits.stall / 4, self._tick)
-
-    def _slow(self) -> None:
-        if self._policy.reserve_retry(self._call):
-            self._stop("slow")
+            self._slow_at = Instant(self._started + slow_after)
 
     def _without_answer(self, fault: HttpFault) -> Answer:
         call, sent = self._call, fault.request_sent
@@ -207,9 +199,11 @@
 
     async def _pass_on(self, head: HttpHead, scanner: EventScanner | None) -> Answer:
         call = self._call
-        self._hold_head(head)
         self._last_piece = self._now()
-        self._timer("silence", self._silence, self._check_silence)
+        self._passing = True
+        self._head = head
+        self._head_until = Instant(self._last_piece + self._limits.head_hold)
+        self._watch_by(self._head_until)
         piece: bytes | None
         while True:
             taken = await self._exchange.next_piece()
@@ -223,7 +217,7 @@
                 call.generated_tokens = scanner.events
                 if scanner.ended and self._silence != self._limits.end_hold:
                     self._silence = self._limits.end_hold
-                    self._timer("silence", self._silence, self._check_silence)
+                    self._watch_by(Instant(self._now() + self._silence))
             if piece:
                 await self._write(head, piece)
             if scanner is not None and scanner.ended and head.framing == "close":
@@ -241,16 +235,8 @@
             return Cut("caller-gone", "ran")
         return Forwarded(head.status)
 
-    def _hold_head(self, head: HttpHead) -> None:
-        self._timer("head", self._limits.head_hold, self._start_late, head)
-
-    def _start_late(self, head: HttpHead) -> None:
-        if not self._caller.begun:
-            self._policy.context.tasks.spawn("head", self._start(head))
-
     async def _start(self, head: HttpHead) -> None:
-        self._cancel_timer("head")
-        self._cancel_timer("patience")
+        self._head_until = None
         if self._stopped is not None or self._caller.begun:
             return
         worker = self._choice.worker.instance
@@ -299,25 +285,46 @@
     def _caller_gone(self) -> None:
         self._stop("caller-gone")
 
-    def _deadline(self) -> None:
-        self._stop("deadline")
-        if self._writing:
-            self._caller.abort()  # It reads so slowly that the piece does not go out.
-
-    def _check_silence(self) -> None:
-        left = self._last_piece + self._silence - self._now()
-        if self._writing:
-            left = self._silence
-        if left <= 0.0:
+    def _watch(self) -> None:
+        """The one timer of a try: looks at all that may be due, and comes again when the next may be."""
+        self._timer = None
+        now = self._last_tick = self._now()
+        unsent = not self._exchange.request_sent()
+        if now >= self._call.deadline:
+            self._stop("deadline")
+            if self._writing:
+                self._caller.abort()  # It reads so slowly that the piece does not go out.
+        elif not self._caller.begun and now >= self._patience_end:
+            self._stop("patience")  # The answer is decided in this moment, not when the callers have left.
+        elif self._slow_at is not None and now >= self._slow_at:
+            self._slow_at = None
+            if self._policy.reserve_retry(self._call):
+                self._stop("slow")
+        elif self._passing and not self._writing and now >= self._last_piece + self._silence:
             self._stop("silence")
-        else:
-            self._timer("silence", left, self._check_silence)
-
-    def _timer(self, name: str, seconds: float, callback: Callable[..., None], *arguments: object) -> None:
-        self._cancel_timer(name)
-        self._timers[name] = self._loop.call_later(max(0.0, seconds), callback, *arguments)
-
-    def _cancel_timer(self, name: str) -> None:
-        timer = self._timers.pop(name, None)
-        if timer is not None:
-            timer.cancel()
+        if self._stopped is not None:
+            return
+        if self._head_until is not None and now >= self._head_until:
+            self._head_until = None
+            self._policy.context.tasks.spawn("head", self._start(self._head))
+        due = [self._call.deadline]
+        if unsent:
+            due.append(Instant(now + self._limits.stall / 4))  # Shows until the write that the event loop moves.
+        if not self._caller.begun:
+            due.append(self._patience_end)
+        if self._slow_at is not None:
+            due.append(self._slow_at)
+        if self._head_until is not None:
+            due.append(self._head_until)
+        if self._passing:
+            due.append(Instant((now if self._writing else self._last_piece) + self._silence))
+        self._watch_by(min(due))
+
+    def _watch_by(self, at: Instant) -> None:
+        """Has ``_watch`` come by then, or a little later."""
+        if self._timer is not None:
+            if self._timer_at <= at + self._limits.stall / 4:
+                return
+            self._timer.cancel()
+        self._timer_at = at
+        self._timer = self._loop.call_later(max(0.0, at - self._now()), self._watch)
