Read large bundles in steps, so that a router's streams do not wait for them

Cause: a whole bundle of the largest size held the event loop for 0.47 s (15.7 MB, 43,013 slices), while a piece may stay in the router for 0.1 s at most. What: reading and checking are generators; apply_delta runs them at once, apply_delta_gradually gives way about each millisecond. One code path, same results. The distribution slice still calls apply_delta.

--- a/wingwood/bundle/parse.py
+++ b/wingwood/bundle/parse.py
@@ -6,9 +6,10 @@
 
 from __future__ import annotations
 
+import asyncio
 import re
-from collections.abc import Collection, Mapping
-from typing import Literal
+from collections.abc import Collection, Generator, Mapping
+from typing import Literal, cast
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -40,7 +41,14 @@
 _PATH = re.compile(r"/[!-~]{0,255}")
 _METHODS = ("GET", "POST", "PUT", "PATCH", "DELETE")
 
+STEP_BYTES = 100_000
+"""About a millisecond's worth of slices."""
+STEP_PARTS = 1_000
+SLICE_COST = 500
+"""What reading any slice costs, in bytes of reading more of one."""
+
 Part = Service | Route | PriorityClass | Tenant
+_Steps = Generator[None, None, Result["Bundle", "BundleProblem"]]
 
 
 class BundleProblem(msgspec.Struct, frozen=True, kw_only=True):
@@ -92,6 +100,26 @@
     ``delta.since`` 0 carries everything and replaces all slices; otherwise the holder must have
     ``since`` or a newer version. Never goes back: a version that is not newer is a ``stale`` problem.
     """
+    return _at_once(_delta_steps(bundle, delta, operator_keys))
+
+
+async def apply_delta_gradually(
+    bundle: Bundle | None, delta: BundleDelta, operator_keys: Collection[str]
+) -> Result[Bundle, BundleProblem]:
+    """As ``apply_delta``, but lets other tasks run in between, so that a large bundle holds up no stream.
+
+    The result counts for ``bundle`` as given: whoever holds a newer one meanwhile drops it.
+    """
+    steps = _delta_steps(bundle, delta, operator_keys)
+    while True:
+        try:
+            next(steps)
+        except StopIteration as done:
+            return cast(Result[Bundle, BundleProblem], done.value)
+        await asyncio.sleep(0)
+
+
+def _delta_steps(bundle: Bundle | None, delta: BundleDelta, operator_keys: Collection[str]) -> _Steps:
     held = bundle or empty_bundle()
     manifest = delta.manifest
     reason = verify_manifest(manifest, operator_keys)
@@ -110,7 +138,7 @@
     removed: Collection[SliceName] = delta.removed
     if delta.since == 0:
         removed = [name for name in held.slices if name not in delta.changed]
-    return change_bundle(held, manifest, delta.changed, removed)
+    return (yield from _change_steps(held, manifest, delta.changed, removed))
 
 
 def change_bundle(
@@ -120,14 +148,34 @@
 
     Costs by what changed, apart from one pass over the slices' digests for the root.
     """
+    return _at_once(_change_steps(held, manifest, changed, removed))
+
+
+def _at_once(steps: _Steps) -> Result[Bundle, BundleProblem]:
+    while True:
+        try:
+            next(steps)
+        except StopIteration as done:
+            return cast(Result[Bundle, BundleProblem], done.value)
+
+
+def _change_steps(
+    held: Bundle, manifest: Manifest, changed: Mapping[SliceName, bytes], removed: Collection[SliceName]
+) -> _Steps:
+    """Yields after each ``STEP_BYTES`` of slices that it has read, for others to run."""
     digests = dict(held.digests)
     slices = dict(held.slices)
     for name in removed:
         digests.pop(name, None)
         slices.pop(name, None)
     fresh = {name: data for name, data in changed.items() if slices.get(name) != data}
+    done = 0
     for name, data in fresh.items():
         digests[name] = slice_digest(data)
+        done += len(data)
+        if done > STEP_BYTES:
+            done = 0
+            yield
     slices.update(fresh)
     gone = [name for name in sorted(removed) if name in held.slices and name not in changed]
     root = root_digest(digests)
@@ -140,8 +188,15 @@
                 mend=f"the slices give {root}; a slice was altered, left out or added on the way, send it again whole",
             )
         )
+    parts: list[Part] = []
     try:
-        return Success(_assemble(held, manifest, slices, digests, fresh, gone))
+        for name in sorted(fresh):
+            parts.append(read_part(name, fresh[name]))
+            done += len(fresh[name]) + SLICE_COST
+            if done > STEP_BYTES:
+                done = 0
+                yield
+        return Success((yield from _assemble(held, manifest, slices, digests, parts, gone)))
     except _Broken as broken:
         return Failure(broken.problem)
 
@@ -151,12 +206,11 @@
     manifest: Manifest,
     slices: dict[SliceName, bytes],
     digests: dict[SliceName, Digest],
-    fresh: Mapping[SliceName, bytes],
+    parts: Collection[Part],
     gone: Collection[SliceName],
-) -> Bundle:
+) -> Generator[None, None, Bundle]:
     if len(slices) > SLICE_COUNT:
         raise _Broken(BundleProblem(code="large", value=f"{len(slices)} slices", mend=f"keep below {SLICE_COUNT}"))
-    parts = [read_part(name, fresh[name]) for name in sorted(fresh)]
     services, routes = dict(held.services), {route.name: route for route in held.routes}
     classes, tenants, keys = dict(held.classes), dict(held.tenants), dict(held.keys)
     for name in gone:
@@ -172,7 +226,9 @@
                 del keys[digest]
     changed_tenants: list[Tenant] = []
     changed_routes: list[Route] = []
-    for part in parts:
+    for number, part in enumerate(parts):
+        if number % STEP_PARTS == STEP_PARTS - 1:
+            yield
         match part:
             case Service():
                 services[part.name] = part
@@ -187,9 +243,9 @@
                     del keys[digest]
                 tenants[part.name] = part
                 changed_tenants.append(part)
-    _give_keys(changed_tenants, keys)
+    yield from _give_keys(changed_tenants, keys)
     lost = any(name.startswith(("service/", "class/")) for name in gone)
-    _check_references(
+    yield from _check_references(
         list(routes.values()) if lost else changed_routes,
         list(tenants.values()) if lost else changed_tenants,
         services,
@@ -213,8 +269,10 @@
     )
 
 
-def _give_keys(tenants: Collection[Tenant], keys: dict[KeyDigest, TenantName]) -> None:
-    for tenant in tenants:
+def _give_keys(tenants: Collection[Tenant], keys: dict[KeyDigest, TenantName]) -> Generator[None, None, None]:
+    for number, tenant in enumerate(tenants):
+        if number % STEP_PARTS == STEP_PARTS - 1:
+            yield
         for digest in tenant.keys:
             other = keys.setdefault(digest, tenant.name)
             if other != tenant.name:
@@ -234,11 +292,13 @@
     tenants: Collection[Tenant],
     services: Mapping[ServiceName, Service],
     classes: Mapping[ClassName, PriorityClass],
-) -> None:
+) -> Generator[None, None, None]:
     for route in routes:
         if route.service not in services:
             raise _Broken(_missing(f"route/{route.name}", "service", route.service, "service", services))
-    for tenant in tenants:
+    for number, tenant in enumerate(tenants):
+        if number % STEP_PARTS == STEP_PARTS - 1:
+            yield
         where = f"tenant/{tenant.name}"
         if tenant.priority_class not in classes:
             raise _Broken(_missing(where, "priority_class", tenant.priority_class, "class", classes))
--- a/wingwood/bundle/tests/test_parse.py
+++ b/wingwood/bundle/tests/test_parse.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 
 import msgspec
@@ -13,7 +14,7 @@
 from ..canonical import root_digest, slice_digest
 from ..model import Bundle, BundleDelta, PriorityClass, Route, Service, Tenant
 from ..orders import difference
-from ..parse import BundleProblem, apply_delta, parse_bundle
+from ..parse import BundleProblem, apply_delta, apply_delta_gradually, parse_bundle
 from ..signing import sign_manifest, verify_manifest
 from .samples import OPERATOR, OPERATOR_KEYS, STRANGER, key_digest, order_between, sample_slices, slice_of
 
@@ -220,3 +221,27 @@
                 pass
             case other:
                 self.fail(f"the two ways differ: {other}")
+
+
+class GradualTest(unittest.TestCase):
+    def test_others_run_while_a_large_bundle_is_read_and_the_result_is_the_same(self) -> None:
+        slices = sample_slices(3_000)
+        delta = whole(slices)
+        turns: list[int] = []
+
+        async def count() -> None:
+            while True:
+                turns.append(0)
+                await asyncio.sleep(0)
+
+        async def run() -> Bundle:
+            counting = asyncio.create_task(count())
+            bundle = (await apply_delta_gradually(None, delta, OPERATOR_KEYS)).unwrap()
+            counting.cancel()
+            return bundle
+
+        self.assertEqual(asyncio.run(run()), accepted(None, delta))
+        self.assertGreater(len(turns), 20)
+        forged = msgspec.structs.replace(delta, changed=sample_slices(2_999))
+        problem = asyncio.run(apply_delta_gradually(None, forged, OPERATOR_KEYS)).failure()
+        self.assertEqual(problem.code, "root")
