Request path on real sockets: 7 tests with the curl client

Nagle off on every call of a connection, callers that leave while streams run or before the answer (closed at the worker within 0.1 s), cut answers without end, a reset for HTTP/1.0 callers, 60 streams side by side that keep their own pieces.

--- a/wingwood/forward/tests/stand_ins.py
+++ b/wingwood/forward/tests/stand_ins.py
@@ -139,7 +139,7 @@
         return self.too_late
 
 
-class _Shares:
+class StandInShares:
     def __init__(self, limits: StandInLimits) -> None:
         self._limits = limits
 
@@ -416,7 +416,7 @@
             context,
             settings,
             self.bundle,
-            _Shares(self.limits),
+            StandInShares(self.limits),
             self.limits,
             self.ledger,
             self.placement,
--- /dev/null
+++ b/wingwood/forward/tests/test_real_sockets.py
@@ -0,0 +1,223 @@
+"""The request path on real sockets with the curl client: what the simulator can't show (docs/DESIGN.md section 12)."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import socket
+import unittest
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+from random import Random
+from unittest import mock
+
+from prometheus_client import CollectorRegistry
+
+from ...context.curl_client import CurlHttpClient
+from ...context.protocols import Context
+from ...context.real import RealClock, RealDisk, RealNetwork, RealTasks
+from ...identifiers import Address, DaemonName, PoolName, WorkerInstance, Zone
+from ...registry.protocols import Worker
+from ...settings.model import DaemonSettings
+from ..metrics import RequestMetrics
+from ..request_path import RequestPath
+from .stand_ins import (
+    CHUNKED,
+    DONE,
+    OK,
+    StandInBundle,
+    StandInLedger,
+    StandInLimits,
+    StandInPlacement,
+    StandInShares,
+    chunk,
+    request,
+)
+
+EVENT = b"data: 1\n\n"
+Script = Callable[[asyncio.StreamReader, asyncio.StreamWriter], Awaitable[None]]
+
+
+class RealPath(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.sent = asyncio.Event()
+        self.left = asyncio.Event()
+        """The router closed its connection to the worker."""
+        self.script: Script
+        self.worker_server, worker_port = await self.bind(self.serve)
+        worker = Worker(
+            instance=WorkerInstance("w-1"),
+            address=Address("127.0.0.1", worker_port),
+            pool=PoolName("model"),
+            zone=Zone("a"),
+            slots=8,
+        )
+        self.limits, self.placement = StandInLimits(), StandInPlacement()
+        self.placement.workers.append(worker)
+        log = mock.Mock()
+        client = CurlHttpClient()
+        self.addCleanup(client.close)
+        context = Context(
+            clock=RealClock(),
+            network=RealNetwork(),
+            disk=RealDisk(Path(os.devnull)),
+            http=client,
+            random=Random(1),
+            log=log,
+            tasks=RealTasks(log, self.fail),
+        )
+        for port in range(23500, 23900):
+            settings = DaemonSettings(
+                name=DaemonName("router"),
+                role="router",
+                zone=Zone("a"),
+                internal=Address("127.0.0.1", 1),
+                operator=Address("127.0.0.1", 2),
+                caller=Address("127.0.0.1", port),
+                seeds=(),
+                fleet_key=b"",
+                operator_keys=(),
+            )
+            self.path = RequestPath(
+                context,
+                settings,
+                StandInBundle(),
+                StandInShares(self.limits),
+                self.limits,
+                StandInLedger(),
+                self.placement,
+                self.placement,
+                self.limits,
+                RequestMetrics(CollectorRegistry()),
+            )
+            if self.path.start().value_or(self) is None:
+                self.port = port
+                return
+        raise AssertionError("no free port")
+
+    async def asyncTearDown(self) -> None:
+        self.path.stop()
+        self.worker_server.close()
+
+    async def bind(self, serve: Script) -> tuple[asyncio.Server, int]:
+        for port in range(23400, 23500):
+            try:
+                return await asyncio.start_server(serve, "127.0.0.1", port), port
+            except OSError:
+                continue
+        raise AssertionError("no free port")
+
+    async def serve(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        try:
+            await reader.readuntil(b"\r\n\r\n")
+            await reader.readexactly(2)
+            await self.script(reader, writer)
+        except (ConnectionError, asyncio.IncompleteReadError):
+            self.left.set()
+        except asyncio.CancelledError:
+            return
+        finally:
+            writer.close()
+
+    def sends(self, *parts: bytes, keep_open: bool = False) -> None:
+        async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            for part in parts:
+                writer.write(part)
+                await writer.drain()
+            self.sent.set()
+            if keep_open and await reader.read() == b"":
+                raise ConnectionResetError
+
+        self.script = script
+
+    async def send(self, data: bytes) -> tuple[asyncio.StreamReader, asyncio.StreamWriter]:
+        reader, writer = await asyncio.open_connection("127.0.0.1", self.port)
+        self.addCleanup(writer.close)
+        writer.write(data)
+        return reader, writer
+
+    async def test_streamed_call_and_the_next_on_the_same_connection(self) -> None:
+        self.sends(CHUNKED, chunk(EVENT), chunk(DONE), b"0\r\n\r\n")
+        async with asyncio.timeout(5):
+            reader, writer = await self.send(request())
+            for _ in range(3):
+                self.assertIn(b"200 OK", await reader.readuntil(b"\r\n\r\n"))
+                body = await reader.readuntil(b"0\r\n\r\n")
+                self.assertIn(EVENT, body)
+                self.assertTrue(body.endswith(DONE + b"\r\n0\r\n\r\n"))
+                writer.write(request())
+
+    async def test_pieces_leave_at_once_on_every_call_of_a_connection(self) -> None:
+        """Tornado turns Nagle's algorithm on again after the first."""
+        self.sends(OK + b"Content-Length: 2\r\n\r\nok")
+        async with asyncio.timeout(5):
+            reader, writer = await self.send(request("/plain"))
+            for _ in range(2):
+                await reader.readuntil(b"\r\n\r\nok")
+                connection = next(iter(self.path._edge._connections))
+                raw = connection._stream.socket  # type: ignore[attr-defined]
+                self.assertTrue(raw.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY))
+                writer.write(request("/plain"))
+
+    async def test_first_piece_comes_while_the_worker_goes_on(self) -> None:
+        self.sends(CHUNKED, chunk(EVENT), keep_open=True)
+        async with asyncio.timeout(5):
+            reader, writer = await self.send(request())
+            await reader.readuntil(EVENT)
+            async with asyncio.timeout(0.1):
+                writer.close()
+                await self.left.wait()
+
+    async def test_caller_that_left_in_silence_ends_the_call_at_the_worker(self) -> None:
+        self.sends(keep_open=True)
+        async with asyncio.timeout(5):
+            _, writer = await self.send(request())
+            await self.sent.wait()
+            async with asyncio.timeout(0.1):
+                writer.close()
+                await self.left.wait()
+
+    async def test_cut_answer_has_no_end(self) -> None:
+        self.sends(CHUNKED, chunk(EVENT))
+        async with asyncio.timeout(5):
+            reader, _ = await self.send(request())
+            self.assertFalse((await reader.read()).endswith(b"0\r\n\r\n"))
+
+    async def test_cut_answer_of_an_old_caller_ends_in_an_error(self) -> None:
+        """Its end is the end of the connection, so a plain close would look whole."""
+        self.sends(CHUNKED, chunk(EVENT), keep_open=True)
+        async with asyncio.timeout(5):
+            reader, _ = await self.send(request().replace(b"HTTP/1.1", b"HTTP/1.0"))
+            await reader.readuntil(EVENT)
+            next(iter(self.path._calls.values())).caller.abort()
+            with self.assertRaises(ConnectionResetError):
+                await reader.read()
+
+    async def test_many_streams_side_by_side_keep_their_own_pieces(self) -> None:
+        async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+            number = len(marks)
+            marks.append(number)
+            writer.write(CHUNKED)
+            for _ in range(50):
+                writer.write(chunk(b"data: %d\n\n" % number))
+                await writer.drain()
+                await asyncio.sleep(0)
+            writer.write(chunk(DONE) + b"0\r\n\r\n")
+
+        marks: list[int] = []
+        self.script = script
+
+        async def one() -> bytes:
+            reader, _ = await self.send(request())
+            await reader.readuntil(b"\r\n\r\n")
+            return await reader.readuntil(b"0\r\n\r\n")
+
+        async with asyncio.timeout(20):
+            bodies = await asyncio.gather(*(one() for _ in range(60)))
+        seen = set()
+        for body in bodies:
+            events = [line for line in body.split(b"\r\n") if line.startswith(b"data: ")]
+            told = [event for piece in events for event in piece.split(b"\n\n") if event]
+            self.assertEqual((len(told), told[-1], len(set(told[:-1]))), (51, b"data: [DONE]", 1))
+            seen.add(told[0])
+        self.assertEqual(len(seen), 60)
