--- a/wingwood/command_line/bundle.py
+++ b/wingwood/command_line/bundle.py
@@ -157,7 +157,7 @@
         version, before = _newest(client)
         _push(client, version, before, wanted, _private_key(key_file), order, may_rebase, as_json)
         return
-    _report(_submit(client, _read_order(file), file), as_json, may_rebase=False)
+    _report(_submit(client, _read_order(file), file), as_json, hint="")
 
 
 @bundle.command()
@@ -228,7 +228,7 @@
         wanted = rebase(base, wanted, before)
         check_bundle(wanted)
         order = None
-    _report(outcome, as_json, may_rebase)
+    _report(outcome, as_json, "" if may_rebase else "; --rebase makes the same change to the newest version")
 
 
 def _submit(client: OperatorClient, order: Order, file: Path | None) -> OrderOutcome:
@@ -256,13 +256,12 @@
         ) from None
 
 
-def _report(outcome: OrderOutcome, as_json: bool, may_rebase: bool) -> None:
+def _report(outcome: OrderOutcome, as_json: bool, hint: str) -> None:
     if as_json:
         print_json(outcome)
     elif outcome.outcome == "accepted":
         click.echo(f"accepted: version {outcome.version} (order {outcome.order})")
     elif outcome.outcome == "conflict":
-        hint = "" if may_rebase else "; --rebase makes the same change to the newest version"
         _say(f"conflict: {outcome.reason}{hint}")
     else:
         _say(f"{outcome.outcome}: {outcome.reason}")
--- a/wingwood/command_line/tests/test_command_line.py
+++ b/wingwood/command_line/tests/test_command_line.py
@@ -233,6 +233,7 @@
         self.run_(*sign, "--order", "again")
         refused = self.json_("bundle", "push", signed, *fleet.to, code=3)
         self.assertEqual((refused["outcome"], refused["order"]), ("conflict", "again"))
+        self.assertNotIn("--rebase", self.run_("bundle", "push", signed, *fleet.to, code=3).output)
         self.run_("key", "new", "stranger.key")
         self.run_(*sign[:4], "stranger.key", *sign[5:], *fleet.to)
         self.assertIn("not one of the 1 operator keys", self.run_("bundle", "push", signed, *fleet.to, code=1).output)
