--- a/simulation/scenario.py
+++ b/simulation/scenario.py
@@ -177,7 +177,7 @@
 
 @_line(
     rf"cut off {NAME}(?P<way> inward| outward)?(?P<daemons> from daemons)? for {SECONDS}",
-    "cut off NAME [inward|outward] [from daemons] for S   from all daemons (and workers), not from callers and operators",
+    "cut off NAME [inward|outward] [from daemons] for S   from all daemons (and workers), not from callers",
 )
 def _cut_off(match: re.Match[str]) -> tuple[Callable[[Fleet], None], float]:
     direction = {" inward": "in", " outward": "out", None: "both"}[match["way"]]
