No call is left silent by a slow slice, and none unanswered when its router stops

A patience policy answers 504 when shares, ledger or placement still wait as the callers' patience ends; what they say later is sent nowhere (checked between policies and right before the first byte). Calls without an answer when a drain runs out of time are told so (503, run unknown) in place of a bare close. Accept-Encoding no longer goes to workers: a compressed stream would hide its end marker and be cut. Date and Server of workers pass.

--- a/wingwood/forward/chain.py
+++ b/wingwood/forward/chain.py
@@ -4,11 +4,14 @@
 
 from collections.abc import Sequence
 
-from .protocols import Answer, IncomingCall, Policy, Proceed
+from .protocols import Answer, Cut, IncomingCall, Policy, Proceed
 
 
 class Chain:
-    """Policies in order; each is given the rest as ``proceed``. The last answers itself."""
+    """Policies in order; each is given the rest as ``proceed``. The last answers itself.
+
+    Between two policies a call goes no further when its caller left or was answered meanwhile.
+    """
 
     def __init__(self, policies: Sequence[Policy]) -> None:
         self._policies = tuple(policies)
@@ -26,10 +29,14 @@
 
 
 def _bind(policy: Policy, proceed: Proceed) -> Proceed:
-    def apply(call: IncomingCall) -> object:
-        return policy.apply(call, proceed)
-
-    return apply  # type: ignore[return-value]
+    async def apply(call: IncomingCall) -> Answer:
+        if call.given_up is not None:
+            return call.given_up
+        if call.caller.gone.is_set():
+            return Cut("caller-gone", call.run)
+        return await policy.apply(call, proceed)
+
+    return apply
 
 
 async def _past_the_end(call: IncomingCall) -> Answer:
--- a/wingwood/forward/policies/forwarding.py
+++ b/wingwood/forward/policies/forwarding.py
@@ -49,9 +49,11 @@
 
     async def apply(self, call: IncomingCall, proceed: Proceed) -> Answer:
         attempt = _Attempt(self, call)
+        call.attempting = True
         try:
             return await attempt.run()
         finally:
+            call.attempting = False
             attempt.end()
 
 
@@ -144,7 +146,7 @@
             self._stopped = "caller-gone"
         elif now >= self._call.deadline:
             self._stopped = "deadline"
-        elif now >= self._patience_end:
+        elif now >= self._patience_end or self._call.given_up is not None:
             self._stopped = "patience"
         elif now - self._last_tick > self._limits.stall:
             self._stopped = "stalled"
--- /dev/null
+++ b/wingwood/forward/policies/patience.py
@@ -0,0 +1,46 @@
+"""No call is left silent because something inside the router is slow (docs/DESIGN.md section 12.4)."""
+
+from __future__ import annotations
+
+import asyncio
+
+from ...context.protocols import Context
+from ..limits import PathLimits
+from ..protocols import Answer, Answerer, IncomingCall, Proceed, Refused
+
+
+class PatiencePolicy:
+    """Answers when the callers' patience ends while shares, ledger or placement are still being asked.
+
+    A try that is under way watches its patience itself. What comes after the answer is sent nowhere:
+    the forwarder looks at ``given_up`` right before the first byte.
+    """
+
+    name = "patience"
+
+    def __init__(self, context: Context, limits: PathLimits, answer: Answerer) -> None:
+        self._context = context
+        self._limits = limits
+        self._answer = answer
+
+    async def apply(self, call: IncomingCall, proceed: Proceed) -> Answer:
+        assert call.service is not None
+        left = call.arrived + call.service.first_byte_patience - self._limits.answer_margin
+        now = self._context.clock.monotonic()
+        timer = asyncio.get_running_loop().call_later(max(0.0, left - now), self._patience_ended, call)
+        try:
+            answer = await proceed(call)
+        finally:
+            timer.cancel()
+        return answer if call.given_up is None else call.given_up
+
+    def _patience_ended(self, call: IncomingCall) -> None:
+        if call.attempting or call.caller.begun:
+            return
+        call.given_up = Refused(
+            status=504,
+            code="patience-passed",
+            reason="this router could not place the call within the callers' patience",
+            run=call.run,
+        )
+        self._context.tasks.spawn("give up", self._answer(call, call.given_up))
--- a/wingwood/forward/protocols.py
+++ b/wingwood/forward/protocols.py
@@ -3,8 +3,8 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Awaitable, Callable
-from typing import Literal, Protocol
+from collections.abc import Awaitable, Callable, Coroutine
+from typing import Any, Literal, Protocol
 
 import msgspec
 
@@ -74,6 +74,10 @@
     """Of the try under way, for placement."""
     try_first_token_after: Seconds | None = None
     """From the start of the try under way to its first piece."""
+    attempting: bool = False
+    """A try on a worker is under way."""
+    given_up: Refused | None = None
+    """What the caller was told while policies were still waiting; nothing is sent after that."""
     retry_reserved: bool = False
     """The budget for one more try has been taken."""
     key: KeyDigest | None = None
@@ -135,6 +139,8 @@
 
 Answer = Forwarded | Cut | Refused | NotAnswered
 Proceed = Callable[[IncomingCall], Awaitable[Answer]]
+Answerer = Callable[[IncomingCall, Refused], Coroutine[Any, Any, None]]
+"""Gives the caller a router-made answer."""
 
 
 class Policy(Protocol):
--- a/wingwood/forward/request_path.py
+++ b/wingwood/forward/request_path.py
@@ -24,11 +24,16 @@
 from .policies.authentication import AuthenticationPolicy
 from .policies.forwarding import ForwardingPolicy
 from .policies.limits import PaidSharePolicy
+from .policies.patience import PatiencePolicy
 from .policies.placement import PlacementPolicy
 from .policies.retry import RetryPolicy
 from .protocols import Answer, Cut, Forwarded, IncomingCall, NotAnswered, Refused, RunState
 from .recording import DayRecorder
 
+_STOPPING = Refused(
+    status=503, code="router-stopping", reason="this router stops before the worker answered", run="unknown"
+)
+
 
 class RequestPath:
     """Takes callers' calls from ``start`` to ``stop``."""
@@ -61,6 +66,7 @@
         self._chain = Chain(
             (
                 authentication,
+                PatiencePolicy(context, self._limits, self._refuse),
                 PaidSharePolicy(shares, retry_budget),
                 AdmissionPolicy(self._limits.in_flight),
                 AtMostOncePolicy(context, ledger, self._limits),
@@ -119,6 +125,9 @@
                 await self._quiet.wait()
         except TimeoutError:
             self._context.log.event("drain-too-long", broken_off=len(self._calls))
+            for call in list(self._calls.values()):
+                if not call.caller.begun:
+                    await self._refuse(call, _STOPPING)
         self.stop()
 
     def stop(self) -> None:
@@ -153,7 +162,7 @@
         else:
             answer = await self._chain.run(call)
         match answer:
-            case Refused():
+            case Refused() if answer is not call.given_up:
                 await self._refuse(call, answer)
             case NotAnswered():
                 raise AssertionError("the retry policy turns these into answers")
--- a/wingwood/forward/tests/test_caller_edge.py
+++ b/wingwood/forward/tests/test_caller_edge.py
@@ -339,10 +339,44 @@
         self.world.run(0.2)
         self.assertEqual(self.path.path.in_flight(), 0)
 
+    def test_call_that_has_no_answer_when_the_router_stops_is_told_so(self) -> None:
+        self.worker.script = sends(keep_open=True)
+        self.path.bundle.bundle = bundle_of([msgspec.structs.replace(PLAIN, first_byte_patience=Seconds(20.0))])
+
+        async def run() -> Reply:
+            running = await self.path.send(request("/plain"))
+            await self.path.path.drain()
+            return await running.reply()
+
+        reply = self.world.complete(run())
+        self.assertEqual((reply.status, reply.json()["code"], reply.json()["run"]), (503, "router-stopping", "unknown"))
+        self.world.run(0.2)
+        self.assertEqual((len(self.worker.lost), self.path.path.in_flight()), (1, 0))
+
+    def test_slow_slices_do_not_leave_callers_silent(self) -> None:
+        for path, slow, run in (("/plain", self.path.limits, "not-run"), ("/cards", self.path.ledger, "unknown")):
+            slow.waits = Seconds(30.0)
+            reply = self.path.call(path, b"{}", Idempotency_Key="k")
+            self.assertEqual((reply.status, reply.json()["code"], reply.json()["run"]), (504, "patience-passed", run))
+            slow.waits = Seconds(0.0)
+        self.assertLess(self.world.now, 8.0)
+        self.world.run(60.0)
+        self.assertEqual((self.worker.connections, self.path.ledger.table), (0, {}))
+        self.assertEqual([line["status"] for line in self.path.log_lines()], [504, 504])
+
     def test_chain_is_visible_and_each_call_leaves_a_line_and_a_record(self) -> None:
         self.assertEqual(
             [name for name, _ in self.path.path.describe()],
-            ["authentication", "paid-share", "admission", "at-most-once", "retry", "placement", "forwarding"],
+            [
+                "authentication",
+                "patience",
+                "paid-share",
+                "admission",
+                "at-most-once",
+                "retry",
+                "placement",
+                "forwarding",
+            ],
         )
         self.assertTrue(all(what for _, what in self.path.path.describe()))
         self.path.call("/plain?secret=1", b"the body", Prefix="shared/private-session")
--- a/wingwood/forward/tests/test_forwarding.py
+++ b/wingwood/forward/tests/test_forwarding.py
@@ -84,12 +84,13 @@
 
     def test_hop_by_hop_headers_stay_on_their_side(self) -> None:
         worker = self.worker(says(b"x", "200 OK", "Connection: X-Hop", "X-Hop: 1", "Keep-Alive: 5", "X-End: 1"))
-        reply = self.path.call("/plain", Connection="X-Mine", X_Mine="1", Te="trailers", X_Rest="1")
+        given = {"Connection": "X-Mine", "X-Mine": "1", "TE": "trailers", "X-Rest": "1", "Accept-Encoding": "gzip"}
+        reply = self.path.call("/plain", b"{}", **given)
         self.assertNotIn("x-hop", reply.headers)
         self.assertNotIn("keep-alive", reply.headers)
         self.assertEqual(reply.headers["x-end"], "1")
         sent = worker.requests[0]
-        self.assertEqual((sent.header("X-Mine"), sent.header("TE"), sent.header("X-Rest")), (None, None, "1"))
+        self.assertEqual([sent.header(name) for name in given if name != "Connection"], [None, None, "1", None])
 
     def test_stray_bytes_never_reach_a_caller(self) -> None:
         stray = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nstray"
--- a/wingwood/forward/worker_format.py
+++ b/wingwood/forward/worker_format.py
@@ -49,20 +49,20 @@
     }
 )
 _OURS_TO_WORKER: Final = frozenset(
-    {"authorization", "content-length", "expect", "expect-instance", "host", "x-request-id", "x-tenant"}
-)
-_OURS_TO_CALLER: Final = frozenset(
     {
+        "accept-encoding",  # A compressed stream would hide its events and its end marker.
+        "authorization",
         "content-length",
-        "date",
-        "not-run",
-        "server",
-        "wingwood-answer",
-        "wingwood-award",
-        "wingwood-worker",
+        "expect",
+        "expect-instance",
+        "host",
         "x-request-id",
+        "x-tenant",
     }
 )
+_OURS_TO_CALLER: Final = frozenset(
+    {"content-length", "not-run", "wingwood-answer", "wingwood-award", "wingwood-worker", "x-request-id"}
+)
 _FIELD_BYTES: Final = 64
 """Longest event line of which the content matters: ``data: [DONE]``."""
 
