Bundles hold variants of slices for zones and shares of routers, and roll-outs

Cause: a change reached all routers at once; a bad one had no smaller ground to be tried on. Changed: slices `service/chat@zone=a`, `route/x@share=25`; a router's view is the plain bundle with its own variants laid over (`place`, optional everywhere). `rollout/NAME` says the wanted state, and an order in which it and the slices disagree is invalid. Tenants have no variants: rates are counted once for the fleet by a keeper, keys must go everywhere. What the ledger's key rests on (repeatable, kind, a route's non-repeatable target) may not vary, since a retry may meet another place.

--- a/wingwood/bundle/canonical.py
+++ b/wingwood/bundle/canonical.py
@@ -12,7 +12,9 @@
 
 _encoder = msgspec.json.Encoder(order="sorted")
 
-SLICE_NAME = re.compile(r"(service|route|class|tenant)/([a-z0-9][a-z0-9._-]{0,63})")
+NAME_PATTERN = r"[a-z0-9][a-z0-9._-]{0,63}"
+SLICE_NAME = re.compile(rf"(service|route|class|tenant|rollout)/({NAME_PATTERN})(?:@([a-z]+=[a-z0-9._-]{{1,64}}))?")
+"""Kind, bare name, and for a variant (section 19) whom it is for."""
 EMPTY_ROOT = Digest(hashlib.sha256(b"").hexdigest())
 
 
--- a/wingwood/bundle/model.py
+++ b/wingwood/bundle/model.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 from collections.abc import Mapping
-from typing import Literal
+from typing import Any, Literal
 
 import msgspec
 
@@ -76,6 +76,35 @@
     """Which services it may call; empty means all."""
 
 
+class RolloutChange(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """One slice's fields before and after a roll-out; its canonical JSON is the slice itself."""
+
+    slice: SliceName
+    before: dict[str, Any]
+    after: dict[str, Any]
+
+
+class Rollout(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Slice ``rollout/NAME``: a change that reaches the fleet in stages (docs/DESIGN.md section 19)."""
+
+    name: str
+    stages: tuple[str, ...]
+    """``zone=NAME``, ``share=PERCENT``, and ``all`` as the last; each keeps those before it."""
+    stage: int
+    """Index of the stage reached."""
+    state: Literal["running", "finished", "rolled-back"]
+    changes: tuple[RolloutChange, ...]
+    """Sorted by slice."""
+    watch: Seconds
+    """How long a stage is watched before the next one."""
+    highest_failures: float
+    """Share of the changed services' calls that may fail at the stage's routers."""
+    highest_refusals: float
+    """Share of the changed services' calls that may be refused for want of room at the stage's routers."""
+    reason: str = ""
+    """Why it was rolled back."""
+
+
 class Manifest(msgspec.Struct, frozen=True, kw_only=True):
     """What is signed: Ed25519 over the canonical msgpack of all fields but ``signature``."""
 
@@ -91,7 +120,10 @@
 
 
 class Bundle(msgspec.Struct, frozen=True, kw_only=True):
-    """A whole, verified bundle with its parsed slices. ``slices`` holds canonical JSON by slice name."""
+    """A whole, verified bundle with its parsed slices. ``slices`` holds canonical JSON by slice name.
+
+    At a place (a router's) ``services``, ``routes`` and ``classes`` hold the variants chosen for it.
+    """
 
     manifest: Manifest
     slices: Mapping[SliceName, bytes]
@@ -103,6 +135,11 @@
     keys: Mapping[KeyDigest, TenantName]
     digests: Mapping[SliceName, Digest] = msgspec.field(default_factory=dict)
     """Of all slices; kept so that a change costs one hash per changed slice."""
+    variants: Mapping[SliceName, Service | Route | PriorityClass] = msgspec.field(default_factory=dict)
+    """By full name, such as ``service/chat@zone=a``."""
+    rollouts: Mapping[str, Rollout] = msgspec.field(default_factory=dict)
+    plain: Bundle | None = None
+    """Without any variant chosen; None where this is it."""
 
     @property
     def version(self) -> BundleVersion:
--- a/wingwood/bundle/parse.py
+++ b/wingwood/bundle/parse.py
@@ -9,7 +9,7 @@
 import asyncio
 import re
 from collections.abc import Collection, Generator, Mapping
-from typing import Literal, cast
+from typing import cast
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -26,8 +26,11 @@
     WallTime,
 )
 from .canonical import EMPTY_ROOT, SLICE_NAME, is_canonical, root_digest, slice_digest
-from .model import Bundle, BundleDelta, Manifest, PriorityClass, Route, Service, Tenant
+from .model import Bundle, BundleDelta, Manifest, PriorityClass, Rollout, Route, Service, Tenant
+from .problem import Broken, BundleProblem
+from .rollouts import check_rollout, check_rollouts
 from .signing import verify_manifest
+from .variants import Place, at_place, check_variants, plain_name
 
 SLICE_BYTES = 256 * 1024
 SLICE_COUNT = 100_000
@@ -47,31 +50,8 @@
 SLICE_COST = 500
 """What reading any slice costs, in bytes of reading more of one."""
 
-Part = Service | Route | PriorityClass | Tenant
-_Steps = Generator[None, None, Result["Bundle", "BundleProblem"]]
-
-
-class BundleProblem(msgspec.Struct, frozen=True, kw_only=True):
-    """Why a bundle is refused: where, what stands there, and what to do about it."""
-
-    code: Literal["signature", "root", "gap", "stale", "slice", "field", "reference", "double", "large"]
-    slice: str = ""
-    field: str = ""
-    value: str = ""
-    mend: str
-
-    def __str__(self) -> str:
-        where = " ".join(part for part in (self.slice, self.field and f"field {self.field}") if part)
-        shown = f" is {self.value}" if self.value else ""
-        return f"{where}{shown}: {self.mend}" if where else self.mend
-
-
-class _Broken(Exception):
-    """Carries a problem out of the nested checks; never leaves this module."""
-
-    def __init__(self, problem: BundleProblem) -> None:
-        super().__init__(str(problem))
-        self.problem = problem
+Part = Service | Route | PriorityClass | Tenant | Rollout
+_Steps = Generator[None, None, Result[Bundle, BundleProblem]]
 
 
 def empty_bundle() -> Bundle:
@@ -87,30 +67,33 @@
     return Bundle(manifest=manifest, slices={}, services={}, routes=(), tenants={}, classes={}, keys={}, digests={})
 
 
-def parse_bundle(manifest: Manifest, slices: Mapping[SliceName, bytes]) -> Result[Bundle, BundleProblem]:
+def parse_bundle(
+    manifest: Manifest, slices: Mapping[SliceName, bytes], place: Place | None = None
+) -> Result[Bundle, BundleProblem]:
     """A whole bundle, its root and its cross references checked; the signature is not looked at."""
-    return change_bundle(empty_bundle(), manifest, slices, ())
+    return change_bundle(empty_bundle(), manifest, slices, (), place)
 
 
 def apply_delta(
-    bundle: Bundle | None, delta: BundleDelta, operator_keys: Collection[str]
+    bundle: Bundle | None, delta: BundleDelta, operator_keys: Collection[str], place: Place | None = None
 ) -> Result[Bundle, BundleProblem]:
     """The verified bundle that ``delta`` leads to. ``bundle`` itself stays as it is.
 
     ``delta.since`` 0 carries everything and replaces all slices; otherwise the holder must have
     ``since`` or a newer version. Never goes back: a version that is not newer is a ``stale`` problem.
+    ``place``: whose variants are chosen (section 19); None chooses none.
     """
-    return _at_once(_delta_steps(bundle, delta, operator_keys))
+    return _at_once(_delta_steps(bundle, delta, operator_keys, place))
 
 
 async def apply_delta_gradually(
-    bundle: Bundle | None, delta: BundleDelta, operator_keys: Collection[str]
+    bundle: Bundle | None, delta: BundleDelta, operator_keys: Collection[str], place: Place | None = None
 ) -> Result[Bundle, BundleProblem]:
     """As ``apply_delta``, but lets other tasks run in between, so that a large bundle holds up no stream.
 
     The result counts for ``bundle`` as given: whoever holds a newer one meanwhile drops it.
     """
-    steps = _delta_steps(bundle, delta, operator_keys)
+    steps = _delta_steps(bundle, delta, operator_keys, place)
     while True:
         try:
             next(steps)
@@ -119,7 +102,9 @@
         await asyncio.sleep(0)
 
 
-def _delta_steps(bundle: Bundle | None, delta: BundleDelta, operator_keys: Collection[str]) -> _Steps:
+def _delta_steps(
+    bundle: Bundle | None, delta: BundleDelta, operator_keys: Collection[str], place: Place | None
+) -> _Steps:
     held = bundle or empty_bundle()
     manifest = delta.manifest
     reason = verify_manifest(manifest, operator_keys)
@@ -138,17 +123,21 @@
     removed: Collection[SliceName] = delta.removed
     if delta.since == 0:
         removed = [name for name in held.slices if name not in delta.changed]
-    return (yield from _change_steps(held, manifest, delta.changed, removed))
+    return (yield from _change_steps(held, manifest, delta.changed, removed, place))
 
 
 def change_bundle(
-    held: Bundle, manifest: Manifest, changed: Mapping[SliceName, bytes], removed: Collection[SliceName]
+    held: Bundle,
+    manifest: Manifest,
+    changed: Mapping[SliceName, bytes],
+    removed: Collection[SliceName],
+    place: Place | None = None,
 ) -> Result[Bundle, BundleProblem]:
     """``held`` with those slices put in and taken out, checked against the manifest's root.
 
     Costs by what changed, apart from one pass over the slices' digests for the root.
     """
-    return _at_once(_change_steps(held, manifest, changed, removed))
+    return _at_once(_change_steps(held, manifest, changed, removed, place))
 
 
 def _at_once(steps: _Steps) -> Result[Bundle, BundleProblem]:
@@ -160,9 +149,14 @@
 
 
 def _change_steps(
-    held: Bundle, manifest: Manifest, changed: Mapping[SliceName, bytes], removed: Collection[SliceName]
+    held: Bundle,
+    manifest: Manifest,
+    changed: Mapping[SliceName, bytes],
+    removed: Collection[SliceName],
+    place: Place | None,
 ) -> _Steps:
     """Yields after each ``STEP_BYTES`` of slices that it has read, for others to run."""
+    held = held.plain or held
     digests = dict(held.digests)
     slices = dict(held.slices)
     for name in removed:
@@ -188,16 +182,17 @@
                 mend=f"the slices give {root}; a slice was altered, left out or added on the way, send it again whole",
             )
         )
-    parts: list[Part] = []
+    parts: list[tuple[SliceName, Part]] = []
     try:
         for name in sorted(fresh):
-            parts.append(read_part(name, fresh[name]))
+            parts.append((name, read_part(name, fresh[name])))
             done += len(fresh[name]) + SLICE_COST
             if done > STEP_BYTES:
                 done = 0
                 yield
-        return Success((yield from _assemble(held, manifest, slices, digests, parts, gone)))
-    except _Broken as broken:
+        plain = yield from _assemble(held, manifest, slices, digests, parts, gone)
+        return Success(plain if place is None else at_place(plain, place))
+    except Broken as broken:
         return Failure(broken.problem)
 
 
@@ -206,16 +201,21 @@
     manifest: Manifest,
     slices: dict[SliceName, bytes],
     digests: dict[SliceName, Digest],
-    parts: Collection[Part],
+    parts: Collection[tuple[SliceName, Part]],
     gone: Collection[SliceName],
 ) -> Generator[None, None, Bundle]:
     if len(slices) > SLICE_COUNT:
-        raise _Broken(BundleProblem(code="large", value=f"{len(slices)} slices", mend=f"keep below {SLICE_COUNT}"))
+        raise Broken(BundleProblem(code="large", value=f"{len(slices)} slices", mend=f"keep below {SLICE_COUNT}"))
     services, routes = dict(held.services), {route.name: route for route in held.routes}
     classes, tenants, keys = dict(held.classes), dict(held.tenants), dict(held.keys)
+    variants, rollouts = dict(held.variants), dict(held.rollouts)
     for name in gone:
         kind, _, bare = name.partition("/")
-        if kind == "service":
+        if "@" in bare:
+            del variants[name]
+        elif kind == "rollout":
+            del rollouts[bare]
+        elif kind == "service":
             del services[ServiceName(bare)]
         elif kind == "route":
             del routes[bare]
@@ -226,10 +226,14 @@
                 del keys[digest]
     changed_tenants: list[Tenant] = []
     changed_routes: list[Route] = []
-    for number, part in enumerate(parts):
+    for number, (name, part) in enumerate(parts):
         if number % STEP_PARTS == STEP_PARTS - 1:
             yield
         match part:
+            case Service() | Route() | PriorityClass() if "@" in name:
+                variants[name] = part
+            case Rollout():
+                rollouts[part.name] = part
             case Service():
                 services[part.name] = part
             case Route():
@@ -257,7 +261,7 @@
             sorted(routes.values(), key=lambda route: (-len(route.path_prefix), route.path_prefix, route.name))
         )
         _check_routes_apart(ordered)
-    return Bundle(
+    bundle = Bundle(
         manifest=manifest,
         slices=slices,
         services=services,
@@ -266,7 +270,14 @@
         classes=classes,
         keys=keys,
         digests=digests,
+        variants=variants,
+        rollouts=rollouts,
     )
+    if variants:
+        check_variants(bundle)
+    if rollouts:
+        check_rollouts(bundle)
+    return bundle
 
 
 def _give_keys(tenants: Collection[Tenant], keys: dict[KeyDigest, TenantName]) -> Generator[None, None, None]:
@@ -276,7 +287,7 @@
         for digest in tenant.keys:
             other = keys.setdefault(digest, tenant.name)
             if other != tenant.name:
-                raise _Broken(
+                raise Broken(
                     BundleProblem(
                         code="double",
                         slice=f"tenant/{tenant.name}",
@@ -295,16 +306,16 @@
 ) -> Generator[None, None, None]:
     for route in routes:
         if route.service not in services:
-            raise _Broken(_missing(f"route/{route.name}", "service", route.service, "service", services))
+            raise Broken(_missing(f"route/{route.name}", "service", route.service, "service", services))
     for number, tenant in enumerate(tenants):
         if number % STEP_PARTS == STEP_PARTS - 1:
             yield
         where = f"tenant/{tenant.name}"
         if tenant.priority_class not in classes:
-            raise _Broken(_missing(where, "priority_class", tenant.priority_class, "class", classes))
+            raise Broken(_missing(where, "priority_class", tenant.priority_class, "class", classes))
         for service in tenant.services:
             if service not in services:
-                raise _Broken(_missing(where, "services", service, "service", services))
+                raise Broken(_missing(where, "services", service, "service", services))
 
 
 def _missing(where: str, field: str, value: str, kind: str, known: Collection[str]) -> BundleProblem:
@@ -324,7 +335,7 @@
         for method in route.methods:
             other = taken.setdefault((route.path_prefix, method), route.name)
             if other != route.name:
-                raise _Broken(
+                raise Broken(
                     BundleProblem(
                         code="double",
                         slice=f"route/{route.name}",
@@ -339,38 +350,41 @@
     """One slice read and its own fields checked; raises the module's private problem."""
     matched = SLICE_NAME.fullmatch(name)
     if matched is None:
-        raise _Broken(
+        raise Broken(
             BundleProblem(
                 code="slice",
                 slice=name[:80],
-                mend="slices are called service/NAME, route/NAME, class/NAME or tenant/NAME,"
-                " NAME of 1 to 64 of a-z 0-9 . _ -",
+                mend="slices are called service/NAME, route/NAME, class/NAME, tenant/NAME or rollout/NAME,"
+                " NAME of 1 to 64 of a-z 0-9 . _ -; variants of services, routes and classes end in"
+                " @zone=ZONE or @share=PERCENT",
             )
         )
     if len(data) > SLICE_BYTES:
-        raise _Broken(
+        raise Broken(
             BundleProblem(code="large", slice=name, value=f"{len(data)} bytes", mend=f"keep below {SLICE_BYTES}")
         )
-    kind, bare = matched.groups()
+    kind, bare, whom = matched.groups()
+    if whom is not None:
+        plain_name(name)
     try:
         part = _decoders[kind].decode(data)
     except (msgspec.MsgspecError, RecursionError) as malformed:
-        raise _Broken(BundleProblem(code="slice", slice=name, mend=str(malformed))) from None
+        raise Broken(BundleProblem(code="slice", slice=name, mend=str(malformed))) from None
     if not is_canonical(data):
-        raise _Broken(
+        raise Broken(
             BundleProblem(
                 code="slice", slice=name, mend="write it as JSON with sorted keys, no white space, no key twice"
             )
         )
     if part.name != bare:
-        raise _Broken(
+        raise Broken(
             BundleProblem(
                 code="field", slice=name, field="name", value=part.name, mend=f"must be {bare} as in the slice's name"
             )
         )
     problem = _check_fields(name, part)
     if problem is not None:
-        raise _Broken(problem)
+        raise Broken(problem)
     return part
 
 
@@ -379,6 +393,7 @@
     "route": msgspec.json.Decoder(Route),
     "class": msgspec.json.Decoder(PriorityClass),
     "tenant": msgspec.json.Decoder(Tenant),
+    "rollout": msgspec.json.Decoder(Rollout),
 }
 
 
@@ -429,4 +444,6 @@
                 return problem("keys", "a digest twice", "name each digest once")
             if len(set(part.services)) != len(part.services):
                 return problem("services", part.services, "name each service once")
+        case Rollout():
+            check_rollout(part)
     return None
--- /dev/null
+++ b/wingwood/bundle/rollouts.py
@@ -0,0 +1,103 @@
+"""Staged roll-outs as they stand in a bundle (docs/DESIGN.md section 19.3).
+
+A running roll-out and what the bundle holds of its slices always agree: whoever changes one in an order
+changes the other, else the order is invalid. So there is nothing half done to find out after a lost client.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Mapping
+
+from ..identifiers import SliceName
+from .canonical import NAME_PATTERN, canonical_json
+from .model import Bundle, Rollout
+from .problem import Broken, BundleProblem
+from .variants import KINDS, is_whom
+
+ALL = "all"
+MOST_STAGES = 10
+MOST_CHANGES = 100
+LONGEST_WATCH = 86_400.0
+
+_PLAIN = re.compile(rf"({'|'.join(KINDS)})/{NAME_PATTERN}")
+
+
+def wanted_slices(rollout: Rollout) -> dict[SliceName, bytes]:
+    """What the bundle holds of the changed slices while the roll-out is running: plain ones and variants."""
+    wanted: dict[SliceName, bytes] = {}
+    promoted = rollout.stages[rollout.stage] == ALL
+    for change in rollout.changes:
+        wanted[change.slice] = canonical_json(change.after if promoted else change.before)
+        if not promoted:
+            for whom in rollout.stages[: rollout.stage + 1]:
+                wanted[SliceName(f"{change.slice}@{whom}")] = canonical_json(change.after)
+    return wanted
+
+
+def check_rollouts(bundle: Bundle) -> None:
+    """Raises the package's private problem when a running roll-out and the slices disagree."""
+    holder: dict[SliceName, str] = {}
+    running = [bundle.rollouts[name] for name in sorted(bundle.rollouts) if bundle.rollouts[name].state == "running"]
+    for rollout in running:
+        for change in rollout.changes:
+            other = holder.setdefault(change.slice, rollout.name)
+            if other != rollout.name:
+                raise _problem(
+                    rollout, "changes", change.slice, f"rollout/{other} is changing it; finish that or roll it back"
+                )
+    wanted = {name: data for rollout in running for name, data in wanted_slices(rollout).items()}
+    for name in sorted({*wanted, *(name for name in bundle.variants if name.partition("@")[0] in holder)}):
+        if bundle.slices.get(name) != wanted.get(name):
+            raise _not_as_wanted(bundle.rollouts[holder[SliceName(name.partition("@")[0])]], name, wanted)
+
+
+def _not_as_wanted(rollout: Rollout, name: SliceName, wanted: Mapping[SliceName, bytes]) -> Broken:
+    held = "must stand in the bundle as the roll-out says" if name in wanted else "must not stand in the bundle"
+    return Broken(
+        BundleProblem(
+            code="field",
+            slice=name,
+            mend=f"rollout/{rollout.name} is running and at stage {rollout.stages[rollout.stage]}, so it {held}; "
+            f"to change it otherwise: wingwood rollout roll-back {rollout.name}",
+        )
+    )
+
+
+def check_rollout(rollout: Rollout) -> None:
+    """The slice's own fields; raises the package's private problem."""
+    if not 1 <= len(rollout.stages) <= MOST_STAGES or rollout.stages[-1] != ALL:
+        raise _problem(rollout, "stages", ", ".join(rollout.stages), f"1 to {MOST_STAGES} stages, the last one is all")
+    for whom in rollout.stages[:-1]:
+        if not is_whom(whom):
+            raise _problem(
+                rollout, "stages", whom, "a stage is zone=ZONE, share=PERCENT from 1 to 99, or all at the end"
+            )
+    if len(set(rollout.stages)) != len(rollout.stages):
+        raise _problem(rollout, "stages", ", ".join(rollout.stages), "name each stage once")
+    if not 0 <= rollout.stage < len(rollout.stages):
+        raise _problem(rollout, "stage", str(rollout.stage), f"from 0 to {len(rollout.stages) - 1}")
+    if not 0 <= rollout.watch <= LONGEST_WATCH:
+        raise _problem(rollout, "watch", str(rollout.watch), f"seconds from 0 to {LONGEST_WATCH:.0f}")
+    for field in ("highest_failures", "highest_refusals"):
+        if not 0 <= getattr(rollout, field) <= 1:
+            raise _problem(rollout, field, str(getattr(rollout, field)), "a share from 0 to 1")
+    if len(rollout.reason) > 500:
+        raise _problem(rollout, "reason", rollout.reason, "up to 500 letters")
+    names = [change.slice for change in rollout.changes]
+    if not 1 <= len(names) <= MOST_CHANGES or names != sorted(set(names)):
+        raise _problem(rollout, "changes", f"{len(names)} slices", f"1 to {MOST_CHANGES}, sorted, each once")
+    for change in rollout.changes:
+        if not _PLAIN.fullmatch(change.slice):
+            mend = (
+                "only services, routes and classes are rolled out in stages; tenants and keys change everywhere at once"
+            )
+            raise _problem(rollout, "changes", change.slice, mend)
+        if change.before == change.after:
+            raise _problem(rollout, "changes", change.slice, "before and after are the same")
+
+
+def _problem(rollout: Rollout, field: str, value: str, mend: str) -> Broken:
+    return Broken(
+        BundleProblem(code="field", slice=f"rollout/{rollout.name}", field=field, value=value[:80], mend=mend)
+    )
--- a/wingwood/bundle/state.py
+++ b/wingwood/bundle/state.py
@@ -22,7 +22,8 @@
 from ..identifiers import BundleVersion, OrderId, SliceName, WallTime
 from .model import Bundle, BundleDelta, Manifest, Order, OrderOutcome
 from .orders import difference, fingerprint
-from .parse import BUNDLE_BYTES, BundleProblem, change_bundle, empty_bundle, parse_bundle
+from .parse import BUNDLE_BYTES, change_bundle, empty_bundle, parse_bundle
+from .problem import BundleProblem
 from .signing import verify_manifest
 
 _ORDER_ID = re.compile(r"[!-~]{1,64}")
--- a/wingwood/bundle/tests/test_parse.py
+++ b/wingwood/bundle/tests/test_parse.py
@@ -14,7 +14,8 @@
 from ..canonical import root_digest, slice_digest
 from ..model import Bundle, BundleDelta, PriorityClass, Route, Service, Tenant
 from ..orders import difference
-from ..parse import BundleProblem, apply_delta, apply_delta_gradually, parse_bundle
+from ..parse import apply_delta, apply_delta_gradually, parse_bundle
+from ..problem import BundleProblem
 from ..signing import sign_manifest, verify_manifest
 from .samples import OPERATOR, OPERATOR_KEYS, STRANGER, key_digest, order_between, sample_slices, slice_of
 
--- /dev/null
+++ b/wingwood/bundle/tests/test_variants.py
@@ -0,0 +1,242 @@
+"""Variants for places, and roll-outs in a bundle (docs/DESIGN.md section 19)."""
+
+from __future__ import annotations
+
+import unittest
+
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from returns.result import Failure, Success
+
+from ...identifiers import BundleVersion, ClassName, DaemonName, PoolName, Seconds, ServiceName, SliceName, Zone
+from ..canonical import canonical_json
+from ..model import Bundle, BundleDelta, PriorityClass, Rollout, RolloutChange, Route, Service
+from ..orders import difference
+from ..parse import apply_delta, parse_bundle
+from ..problem import BundleProblem
+from ..rollouts import wanted_slices
+from ..variants import Place, chosen, fits, share_mark
+from .samples import OPERATOR_KEYS, key_digest, order_between, sample_slices, slice_of
+
+Slices = dict[SliceName, bytes]
+CHAT = SliceName("service/chat")
+A = Place(Zone("a"), DaemonName("router-1"))
+B = Place(Zone("b"), DaemonName("router-2"))
+PLACES = (None, *(Place(Zone(zone), DaemonName(f"router-{number}")) for number in range(1, 5) for zone in "ab"))
+
+
+def changed(name: SliceName, /, **fields: object) -> bytes:
+    return canonical_json({**msgspec.json.decode(sample_slices()[name]), **fields})
+
+
+def read(slices: Slices, place: Place | None = None) -> Bundle:
+    return parse_bundle(order_between(0, {}, slices).manifest, slices, place).unwrap()
+
+
+def problem_of(slices: Slices) -> BundleProblem:
+    return parse_bundle(order_between(0, {}, slices).manifest, slices).failure()
+
+
+def rollout_of(stage: int = 0, state: str = "running", name: str = "bigger", **fields: object) -> Rollout:
+    plain = msgspec.json.decode(sample_slices()[CHAT])
+    change = RolloutChange(slice=CHAT, before=plain, after={**plain, "pool": "large"})
+    rollout = Rollout(
+        name=name,
+        stages=("zone=a", "share=25", "all"),
+        stage=stage,
+        state=state,  # type: ignore[arg-type]
+        changes=(change,),
+        watch=Seconds(60.0),
+        highest_failures=0.02,
+        highest_refusals=0.05,
+    )
+    return msgspec.structs.replace(rollout, **fields)
+
+
+def under_way(rollout: Rollout) -> Slices:
+    return {
+        **sample_slices(),
+        **wanted_slices(rollout),
+        SliceName(f"rollout/{rollout.name}"): canonical_json(rollout),
+    }
+
+
+class ChoiceTest(unittest.TestCase):
+    def test_only_the_named_zones_routers_act_on_it(self) -> None:
+        slices = {**sample_slices(), SliceName(f"{CHAT}@zone=a"): changed(CHAT, pool="large")}
+        pools = [read(slices, place).services[ServiceName("chat")].pool for place in (A, B, None)]
+        self.assertEqual(pools, ["large", "model", "model"])
+        self.assertEqual(read(slices, A).slices, read(slices, B).slices)
+
+    def test_routes_and_classes_too(self) -> None:
+        slices = {
+            **sample_slices(),
+            SliceName("route/chat@zone=a"): changed(SliceName("route/chat"), service="summaries"),
+            SliceName("class/gold@zone=a"): changed(SliceName("class/gold"), weight=9.0),
+        }
+        here, there = read(slices, A), read(slices, B)
+        self.assertEqual([route.name for route in here.routes], [route.name for route in there.routes])
+        targets = [next(route.service for route in view.routes if route.name == "chat") for view in (here, there)]
+        self.assertEqual(targets, ["summaries", "chat"])
+        self.assertEqual([view.classes[ClassName("gold")].weight for view in (here, there)], [9.0, 4.0])
+
+    def test_shares_grow_and_a_zone_goes_before_a_share(self) -> None:
+        places = [Place(Zone("a"), DaemonName(f"router-{number}")) for number in range(1000)]
+        insides = [{place.name for place in places if fits(f"share={share}", place)} for share in (10, 25, 99)]
+        self.assertTrue(insides[0] < insides[1] < insides[2])
+        self.assertEqual(insides[0], {place.name for place in places if share_mark(place.name) in range(10)})
+        for share, inside in zip((10, 25, 99), insides, strict=True):
+            self.assertAlmostEqual(len(inside) / 1000, share / 100, delta=0.03)
+        names = [SliceName(f"{CHAT}@{whom}") for whom in ("share=50", "share=99", "zone=a", "zone=b")]
+        early = next(place for place in places if share_mark(place.name) < 50)
+        self.assertEqual(chosen(names, early), {CHAT: f"{CHAT}@zone=a"})
+        self.assertEqual(chosen(names[:2], early), {CHAT: f"{CHAT}@share=50"})
+
+    def test_what_may_not_be_a_variant_is_refused_with_its_reason(self) -> None:
+        tenant, cards = SliceName("tenant/tenant-1"), SliceName("service/cards")
+        for name, data, said in (
+            (f"{tenant}@zone=a", changed(tenant, paid_rate=1.0), "a tenant counts for the whole fleet"),
+            ("rollout/x@zone=a", b"{}", "only services, routes and classes"),
+            (f"{CHAT}@region=a", changed(CHAT), "zone=ZONE or share=PERCENT"),
+            (f"{CHAT}@share=0", changed(CHAT), "from 1 to 99"),
+            (f"{CHAT}@share=100", changed(CHAT), "from 1 to 99"),
+            (f"{CHAT}@zone=a@zone=b", changed(CHAT), "@zone=ZONE"),
+            (f"{CHAT}@zone=", changed(CHAT), "@zone=ZONE"),
+            ("service/new@zone=a", changed(CHAT, name="new"), "a variant needs the plain one"),
+            (f"{CHAT}@zone=a", changed(CHAT, name="new"), "must be chat"),
+            (f"{CHAT}@zone=a", changed(CHAT, repeatable=False), "must be True"),
+            (f"{cards}@zone=a", changed(cards, repeatable=True), "must be False"),
+            (f"{cards}@zone=a", changed(cards, kind="model"), "must be plain"),
+            (f"{CHAT}@zone=a", changed(CHAT, retry_share=0.9), "a share from 0"),
+            ("route/chat@zone=a", changed(SliceName("route/chat"), path_prefix="/x"), "as in the plain one"),
+            ("route/chat@zone=a", changed(SliceName("route/chat"), service="none"), "no service/none"),
+            ("route/chat@zone=a", changed(SliceName("route/chat"), service="cards"), "would run again"),
+            ("route/cards@zone=a", changed(SliceName("route/cards"), service="chat"), "would run again"),
+        ):
+            problem = problem_of({**sample_slices(), SliceName(name): data})
+            self.assertIn(said, str(problem), name)
+            self.assertEqual(problem.slice.partition("@")[0], name.partition("@")[0])
+
+    def test_a_plain_slice_cannot_be_changed_away_from_under_its_variant(self) -> None:
+        variant = SliceName(f"{CHAT}@zone=a")
+        before = {**sample_slices(), variant: changed(CHAT, pool="large")}
+        held = apply_delta(None, whole(before, 1), OPERATOR_KEYS, A).unwrap()
+        after = {**before, CHAT: changed(CHAT, repeatable=False)}
+        self.assertIn("must be False", str(apply_delta(held, step(before, after, 2), OPERATOR_KEYS, A).failure()))
+
+    def test_a_removed_key_stops_everywhere_whatever_is_under_way(self) -> None:
+        before = under_way(rollout_of())
+        tenant = SliceName("tenant/tenant-1")
+        after = {**before, tenant: changed(tenant, keys=[])}
+        for place in PLACES:
+            held = apply_delta(None, whole(before, 1), OPERATOR_KEYS, place).unwrap()
+            self.assertIn(key_digest("key-1"), held.keys)
+            self.assertNotIn(
+                key_digest("key-1"), apply_delta(held, step(before, after, 2), OPERATOR_KEYS, place).unwrap().keys
+            )
+
+
+def whole(slices: Slices, version: int) -> BundleDelta:
+    manifest = order_between(version - 1, {}, slices).manifest
+    return BundleDelta(since=BundleVersion(0), manifest=manifest, changed=slices, removed=())
+
+
+def step(before: Slices, after: Slices, version: int) -> BundleDelta:
+    altered, removed = difference(before, after)
+    manifest = order_between(version - 1, before, after).manifest
+    return BundleDelta(since=BundleVersion(version - 1), manifest=manifest, changed=altered, removed=removed)
+
+
+class RolloutTest(unittest.TestCase):
+    def test_each_stage_keeps_those_before_it_and_the_last_leaves_no_variant(self) -> None:
+        variants = [sorted(read(under_way(rollout_of(stage))).variants) for stage in range(3)]
+        self.assertEqual(variants, [[f"{CHAT}@zone=a"], [f"{CHAT}@share=25", f"{CHAT}@zone=a"], []])
+        self.assertEqual(read(under_way(rollout_of(2)), B).services[ServiceName("chat")].pool, "large")
+
+    def test_slices_and_roll_out_always_agree_while_it_runs(self) -> None:
+        slices = under_way(rollout_of())
+        variant = SliceName(f"{CHAT}@zone=a")
+        for altered, said in (
+            ({**slices, CHAT: changed(CHAT, deadline=9.0)}, "wingwood rollout roll-back bigger"),
+            ({**slices, variant: changed(CHAT, pool="other")}, "at stage zone=a"),
+            ({**slices, SliceName(f"{CHAT}@zone=b"): changed(CHAT)}, "must not stand"),
+            ({name: data for name, data in slices.items() if name != variant}, "must stand"),
+        ):
+            self.assertIn(said, str(problem_of(altered)))
+        # Once it is rolled back, the slices are anyone's again.
+        done = rollout_of(state="rolled-back")
+        read({**sample_slices(), SliceName("rollout/bigger"): canonical_json(done), CHAT: changed(CHAT, deadline=9.0)})
+
+    def test_two_roll_outs_cannot_change_one_slice(self) -> None:
+        slices = {**under_way(rollout_of()), **under_way(rollout_of(name="other"))}
+        self.assertIn("rollout/bigger is changing it", str(problem_of(slices)))
+
+    def test_its_own_fields(self) -> None:
+        tenant = RolloutChange(slice=SliceName("tenant/tenant-1"), before={}, after={"keys": []})
+        same = RolloutChange(slice=CHAT, before={}, after={})
+        for fields, said in (
+            ({"stages": ("zone=a",)}, "the last one is all"),
+            ({"stages": ("half", "all")}, "a stage is zone=ZONE"),
+            ({"stages": ("zone=a", "zone=a", "all")}, "each stage once"),
+            ({"stage": 3}, "from 0 to 2"),
+            ({"watch": Seconds(-1.0)}, "seconds from 0"),
+            ({"highest_failures": 2.0}, "a share"),
+            ({"changes": (tenant,)}, "tenants and keys change everywhere at once"),
+            ({"changes": (same,)}, "the same"),
+            ({"changes": ()}, "1 to 100"),
+        ):
+            slices = {**sample_slices(), SliceName("rollout/bigger"): canonical_json(rollout_of(**fields))}
+            self.assertIn(said, str(problem_of(slices)))
+
+
+letters = st.sampled_from(["a", "b"])
+whoms = st.sampled_from(["", "@zone=a", "@zone=b", "@share=20", "@share=60"])
+parts = st.tuples(
+    st.one_of(
+        st.builds(
+            Service, name=letters, pool=st.sampled_from(["m", "p"]), repeatable=st.sampled_from([True, True, False])
+        ),
+        st.builds(Route, name=letters, path_prefix=st.sampled_from(["/x", "/x", "/y"]), service=letters),
+        st.builds(PriorityClass, name=letters, weight=st.sampled_from([1.0, 2.0])),
+    ),
+    whoms,
+)
+contents = st.lists(parts, max_size=10).map(
+    lambda found: {SliceName(f"{slice_of(part)[0]}{whom}"): slice_of(part)[1] for part, whom in found}
+)
+base = {
+    name: data
+    for letter in "ab"
+    for name, data in (
+        slice_of(Service(name=ServiceName(letter), pool=PoolName("m"))),
+        slice_of(Route(name=letter, path_prefix=f"/{letter}", service=ServiceName(letter))),
+        slice_of(PriorityClass(name=ClassName(letter))),
+    )
+}
+
+
+class SameEitherWayTest(unittest.TestCase):
+    both: int
+
+    def test_a_change_gives_what_reading_the_whole_gives_at_every_place(self) -> None:
+        self.both = 0
+
+        @settings(max_examples=300, deadline=None, derandomize=True)
+        @given(contents, contents)
+        def compare(first: Slices, second: Slices) -> None:
+            before, after = {**base, **first}, {**base, **second}
+            for place in PLACES:
+                held = apply_delta(None, whole(before, 1), OPERATOR_KEYS, place).value_or(None)
+                delta = step(before, after, 2) if held is not None else whole(after, 2)
+                match apply_delta(held, delta, OPERATOR_KEYS, place), parse_bundle(delta.manifest, after, place):
+                    case Success(by_change), Success(by_whole):
+                        self.assertEqual(by_change, by_whole)
+                        self.both += held is not None and by_whole.plain is not None
+                    case Failure(), Failure():
+                        pass
+                    case other:
+                        self.fail(f"the two ways differ: {other}")
+
+        compare()
+        self.assertGreater(self.both, 50, "too few pairs show a variant")
