--- a/simulation/fleet.py
+++ b/simulation/fleet.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import importlib
 from collections.abc import Awaitable, Callable, Sequence
 from pathlib import Path
@@ -29,6 +30,7 @@
     TenantName,
     Zone,
 )
+from wingwood.membership import rendezvous
 from wingwood.settings.model import DaemonSettings
 
 from .callers import CallerPlan, Callers, Door
@@ -38,6 +40,9 @@
 from .workers import ObservedWorker
 from .world import Machine, Process, World, address_of, seeded
 
+# A pure function that fourteen daemons in one process ask for the same pairs.
+rendezvous.weight = functools.lru_cache(maxsize=1_000_000)(rendezvous.weight)
+
 ROUTER_PORTS = (7101, 7102, 8000)
 CONTROL_PORTS = (7001, 7002)
 WORKER_PORT = 9000
--- a/simulation/scenario.py
+++ b/simulation/scenario.py
@@ -20,6 +20,7 @@
 import asyncio
 import re
 import time
+from collections import Counter
 from collections.abc import Callable, Sequence
 from pathlib import Path
 from typing import Any
@@ -31,6 +32,7 @@
 from wingwood.identifiers import SliceName
 
 from .fleet import Builds, Fleet, network_shape, shape_named
+from .history import Attempt
 from .observer import Bounds, Places, Violation, judge
 from .operators import Slices, put_slice, set_field
 from .world import World
@@ -83,6 +85,8 @@
     orders: int = 0
     faults: int = 0
     timeline: str = ""
+    ends: dict[str, int] = {}
+    """How the attempts ended, counted."""
     in_force_seconds: list[float] = []
     """From each acknowledgement to the first look at each router that showed it."""
 
@@ -99,7 +103,7 @@
         )
 
     def full(self, timeline: bool = True) -> str:
-        lines = [self.summary()]
+        lines = [self.summary(), "  " + ", ".join(f"{count} {end}" for end, count in self.ends.items())]
         lines += [f"  {violation}" for violation in self.violations[:20]]
         if len(self.violations) > 20:
             lines.append(f"  ... and {len(self.violations) - 20} more")
@@ -637,6 +641,16 @@
     report.orders = len(history.orders)
     report.faults = len(history.faults)
     report.in_force_seconds = _in_force_seconds(fleet)
+    ends = Counter(_end_of(attempt) for attempt in history.attempts())
+    report.ends = dict(sorted(ends.items(), key=lambda item: (-item[1], item[0])))
+
+
+def _end_of(attempt: Attempt) -> str:
+    if attempt.succeeded:
+        return "succeeded"
+    if attempt.code:
+        return f"{attempt.status} {attempt.code} {attempt.told_run}"
+    return f"{attempt.end} {attempt.status or ''}".strip()
 
 
 def _in_force_seconds(fleet: Fleet) -> list[float]:
--- a/simulation/virtual_time.py
+++ b/simulation/virtual_time.py
@@ -14,7 +14,7 @@
 from collections import deque
 from collections.abc import Callable, Coroutine, Generator
 from random import Random
-from typing import Any
+from typing import Any, cast
 
 from tornado.ioloop import IOLoop
 from tornado.platform.asyncio import BaseAsyncIOLoop
@@ -107,8 +107,10 @@
 
     def __init__(self, number: int) -> None:
         self.number = number
-        self.reader: VirtualHandle | None = None
-        self.writer: VirtualHandle | None = None
+        self.handler: VirtualHandle | None = None
+        """Takes the events; set by tornado's loop."""
+        self.reads = False
+        self.writes = False
         self.reader_queued = False
         self.writer_queued = False
 
@@ -287,60 +289,47 @@
 
     def unwatch(self, descriptor: Descriptor) -> None:
         self._descriptors.pop(descriptor.number, None)
-        descriptor.reader = descriptor.writer = None
-
-    def add_reader(self, fd: int, callback: Callable[..., object], *args: Any) -> None:  # type: ignore[override]
-        descriptor = self._descriptors[fd]
-        descriptor.reader = VirtualHandle(callback, args, contextvars.copy_context())
-        self.input_came(descriptor)
-
-    def remove_reader(self, fd: int) -> bool:  # type: ignore[override]
-        descriptor = self._descriptors.get(fd)
-        if descriptor is None or descriptor.reader is None:
-            return False
-        descriptor.reader = None
-        return True
-
-    def add_writer(self, fd: int, callback: Callable[..., object], *args: Any) -> None:  # type: ignore[override]
-        descriptor = self._descriptors[fd]
-        descriptor.writer = VirtualHandle(callback, args, contextvars.copy_context())
-        self.room_came(descriptor)
-
-    def remove_writer(self, fd: int) -> bool:  # type: ignore[override]
-        descriptor = self._descriptors.get(fd)
-        if descriptor is None or descriptor.writer is None:
-            return False
-        descriptor.writer = None
-        return True
+        descriptor.reads = descriptor.writes = False
+        descriptor.handler = None
+
+    def descriptor(self, number: int) -> Descriptor:
+        return self._descriptors[number]
+
+    def known_descriptor(self, number: int) -> Descriptor | None:
+        return self._descriptors.get(number)
 
     def input_came(self, descriptor: Descriptor) -> None:
-        """Level-triggered: queues the reader when there is one and something can be read."""
-        reader = descriptor.reader
-        if reader is not None and not descriptor.reader_queued and descriptor.readable():
+        """Level-triggered: queues the handler when it wants to read and something can be read."""
+        if descriptor.reads and not descriptor.reader_queued and descriptor.readable():
+            handler = descriptor.handler
+            assert handler is not None
             descriptor.reader_queued = True
-            self._ready.append(VirtualHandle(self._read, (descriptor,), reader._context, is_input=True))
+            self._ready.append(VirtualHandle(self._read, (descriptor,), handler._context, is_input=True))
 
     def room_came(self, descriptor: Descriptor) -> None:
-        writer = descriptor.writer
-        if writer is not None and not descriptor.writer_queued and descriptor.writable():
+        if descriptor.writes and not descriptor.writer_queued and descriptor.writable():
+            handler = descriptor.handler
+            assert handler is not None
             descriptor.writer_queued = True
-            self._ready.append(VirtualHandle(self._write, (descriptor,), writer._context, is_input=True))
+            self._ready.append(VirtualHandle(self._write, (descriptor,), handler._context, is_input=True))
 
     def _read(self, descriptor: Descriptor) -> None:
         descriptor.reader_queued = False
-        reader = descriptor.reader
-        if reader is not None and descriptor.readable():
+        if descriptor.reads and descriptor.readable():
+            handler = descriptor.handler
+            assert handler is not None
             try:
-                reader._callback(*reader._args)
+                handler._callback(*handler._args, IOLoop.READ)
             finally:
                 self.input_came(descriptor)
 
     def _write(self, descriptor: Descriptor) -> None:
         descriptor.writer_queued = False
-        writer = descriptor.writer
-        if writer is not None and descriptor.writable():
+        if descriptor.writes and descriptor.writable():
+            handler = descriptor.handler
+            assert handler is not None
             try:
-                writer._callback(*writer._args)
+                handler._callback(*handler._args, IOLoop.WRITE)
             finally:
                 self.room_came(descriptor)
 
@@ -365,6 +354,29 @@
     def time(self) -> float:
         return self.asyncio_loop.time()
 
+    def add_handler(self, fd: Any, handler: Callable[..., None], events: int) -> None:
+        loop: Any = self.asyncio_loop
+        number, fileobj = self.split_fd(fd)
+        descriptor: Descriptor = loop.descriptor(number)
+        descriptor.handler = VirtualHandle(handler, (fileobj,), contextvars.copy_context())
+        self.update_handler(number, events)
+
+    def update_handler(self, fd: Any, events: int) -> None:
+        loop: Any = self.asyncio_loop
+        descriptor: Descriptor = loop.descriptor(fd)
+        descriptor.reads = bool(events & IOLoop.READ)
+        descriptor.writes = bool(events & IOLoop.WRITE)
+        if descriptor.reads:
+            loop.input_came(descriptor)
+        if descriptor.writes:
+            loop.room_came(descriptor)
+
+    def remove_handler(self, fd: Any) -> None:
+        descriptor: Descriptor | None = cast(Any, self.asyncio_loop).known_descriptor(fd)
+        if descriptor is not None:
+            descriptor.reads = descriptor.writes = False
+            descriptor.handler = None
+
     def _make_current(self) -> None:
         pass
 
