Routers act on the variants for their own place, and read bundles without holding up streams

Cause: `apply_delta` held the loop for as long as a bundle took to read, and knew no place. Changed: the follower awaits `apply_delta_gradually` with its zone and name; a result for a bundle that is no longer the one held is dropped (only one task puts bundles in force; the check keeps it so).

--- a/wingwood/distribution/follower.py
+++ b/wingwood/distribution/follower.py
@@ -9,7 +9,8 @@
 from returns.result import Success
 
 from ..bundle.model import Bundle, BundleDelta
-from ..bundle.parse import apply_delta
+from ..bundle.parse import apply_delta_gradually
+from ..bundle.variants import Place
 from ..context.protocols import Context, Task
 from ..identifiers import Address, BundleVersion, Epoch, Instant, Seconds
 from ..membership.client import MembershipClient
@@ -50,6 +51,7 @@
         self._messenger = messenger
         self._membership = membership
         self._operator_keys = frozenset(operator_keys)
+        self._place = Place(messenger.identity.zone, messenger.identity.name)
         self._bound = removed_key_bound
         self._limits = limits or DistributionLimits()
         self._bundle: Bundle | None = None
@@ -166,7 +168,7 @@
         while True:
             self._wake.clear()
             begun = clock.monotonic()
-            advanced = self._put_posted_in_force()
+            advanced = await self._put_posted_in_force()
             if not advanced and self._may_fetch(begun):
                 advanced = await self._fetch()
             if advanced:
@@ -181,7 +183,7 @@
         except TimeoutError:
             pass
 
-    def _put_posted_in_force(self) -> bool:
+    async def _put_posted_in_force(self) -> bool:
         """All posts that follow on what is held, in one step; what leaves a gap waits for a fetch."""
         posted, self._posted = self._posted, []
         step: BundleDelta | None = None
@@ -193,14 +195,14 @@
         if step is None:
             self._posted = [delta for delta in posted if delta.manifest.version > reached]
             return False
-        if not self._put_in_force(step):
+        if not await self._put_in_force(step):
             return False
         self._posted = [delta for delta in posted if delta.manifest.version > reached] + self._posted
         return True
 
-    def _put_in_force(self, delta: BundleDelta) -> bool:
+    async def _put_in_force(self, delta: BundleDelta) -> bool:
         held = self.version()
-        outcome = apply_delta(self._bundle, delta, self._operator_keys)
+        outcome = await apply_delta_gradually(self._bundle, delta, self._operator_keys, self._place)
         if not isinstance(outcome, Success):
             problem = outcome.failure()
             if problem.code != "stale":
@@ -209,6 +211,8 @@
                 )
             return False
         bundle: Bundle = outcome.unwrap()
+        if self.version() != held:
+            return False  # Another one came in force while this one was read.
         self._bundle = bundle
         self._chain.add(delta, held)
         now = self._context.clock.monotonic()
@@ -235,10 +239,10 @@
             delta = await self._fetch_from(source, self.version())
             if delta is None or delta.manifest.version <= self.version():
                 continue
-            if self._put_in_force(delta):
+            if await self._put_in_force(delta):
                 return True
             whole_delta = await self._fetch_from(source, BundleVersion(0))
-            if whole_delta is not None and self._put_in_force(whole_delta):
+            if whole_delta is not None and await self._put_in_force(whole_delta):
                 return True
         return False
 
