--- /dev/null
+++ b/bench/hollow_daemons.py
@@ -0,0 +1,480 @@
+"""Membership and distribution at growing sizes: hollow daemons against three real control cores.
+
+``python -m bench.hollow_daemons --daemons 11 --daemons 100 --daemons 300 --daemons 1000 --output results.json``
+
+A hollow daemon is a router's MembershipClient and BundleFollower on a real messenger over loopback,
+without callers; many share one process. The three control daemons are processes of their own, each
+with the replicated core (journal in a temporary folder, synced), SessionKeeper and BundlePublisher.
+For each size: an idle phase, a phase with the planned rate of changes (28,000 a day), a storm. Bytes
+are counted twice: what the messengers send and take, and estimated on the wire from the kernel's
+counts of segments (52 bytes of IP and TCP head each).
+"""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import json
+import os
+import random
+import resource
+import signal
+import socket
+import struct
+import subprocess
+import sys
+import tempfile
+import time
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from typing import Any
+
+import click
+import msgspec
+from returns.result import Success
+
+from wingwood.bundle.model import Bundle, OrderOutcome, Tenant
+from wingwood.bundle.state import BundleState
+from wingwood.bundle.tests.samples import OPERATOR_KEYS, order_between, sample_slices, slice_of
+from wingwood.context.protocols import Context
+from wingwood.context.real import RealClock, RealDisk, RealNetwork, RealTasks
+from wingwood.control.bundle_source import CommittedBundles
+from wingwood.control.client import ControlClient
+from wingwood.control.core import ReplicatedCore
+from wingwood.control.protocols import SubmitOrder
+from wingwood.control.store import open_store
+from wingwood.distribution.follower import BundleFollower
+from wingwood.distribution.publisher import BundlePublisher
+from wingwood.identifiers import (
+    Address,
+    BundleVersion,
+    ClassName,
+    DaemonName,
+    Incarnation,
+    Seconds,
+    SliceName,
+    TenantName,
+    Zone,
+)
+from wingwood.membership.client import MembershipClient
+from wingwood.membership.keeper import SessionKeeper
+from wingwood.transport.frames import Identity
+from wingwood.transport.messenger import TcpMessenger
+
+KEY = b"hollow daemons' key, of no worth"
+CONTROL_PORT = 26000
+HOLLOW_PORT = 26010
+HEAD_BYTES = 52
+SEEDS = tuple(Address("127.0.0.1", CONTROL_PORT + number) for number in range(3))
+PLANNED_CHANGES_A_SECOND = 28_000 / 86_400
+
+
+class NoLog:
+    def event(self, name: str, **fields: object) -> None:
+        if name in ("invariant-broken", "bundle-refused", "peer-refused"):
+            print(name, fields, file=sys.stderr, flush=True)
+
+
+def make_context(folder: Path) -> Context:
+    log = NoLog()
+    tasks = RealTasks(log, lambda reason: os._exit(3))
+    return Context(
+        clock=RealClock(),
+        network=RealNetwork(),
+        disk=RealDisk(folder),
+        http=None,  # type: ignore[arg-type]
+        random=random.Random(os.urandom(16)),
+        log=log,
+        tasks=tasks,
+    )
+
+
+def segments() -> tuple[int, int]:
+    """Bytes and segments, in and out, of all TCP sockets of this process so far."""
+    total_bytes = total_segments = 0
+    for name in os.listdir("/proc/self/fd"):
+        try:
+            if not os.readlink(f"/proc/self/fd/{name}").startswith("socket:"):
+                continue
+            held = socket.socket(fileno=os.dup(int(name)))
+        except OSError:
+            continue
+        with held:
+            try:
+                info = held.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, 192)
+            except OSError:
+                continue
+        if len(info) >= 144:
+            acknowledged, received, segments_out, segments_in = struct.unpack_from("QQII", info, 120)
+            total_bytes += acknowledged + received
+            total_segments += segments_out + segments_in
+    return total_bytes, total_segments
+
+
+def own_report(messengers: Sequence[TcpMessenger]) -> dict[str, Any]:
+    usage = resource.getrusage(resource.RUSAGE_SELF)
+    wire_bytes, wire_segments = segments()
+    pages = int(Path("/proc/self/statm").read_text().split()[1])
+    return {
+        "at": time.monotonic(),
+        "processor": usage.ru_utime + usage.ru_stime,
+        "memory": pages * resource.getpagesize(),
+        "messenger_bytes": sum(messenger.bytes_in + messenger.bytes_out for messenger in messengers),
+        "wire_bytes": wire_bytes + HEAD_BYTES * wire_segments,
+    }
+
+
+async def answer_parent(report: Callable[[], dict[str, Any]]) -> None:
+    """One JSON line for each line of standard input; ends when that ends."""
+    reader = asyncio.StreamReader()
+    loop = asyncio.get_running_loop()
+    await loop.connect_read_pipe(lambda: asyncio.StreamReaderProtocol(reader), sys.stdin)
+    while await reader.readline():
+        print(json.dumps(report()), flush=True)
+
+
+@click.group()
+def programs() -> None:
+    """Parts of the bench that run as processes of their own."""
+
+
+@programs.command()
+@click.option("--number", type=int, required=True)
+@click.option("--folder", type=click.Path(path_type=Path), required=True)
+def control(number: int, folder: Path) -> None:
+    """One control daemon."""
+
+    async def main() -> None:
+        context = make_context(folder)
+        opened = await open_store(context)
+        assert isinstance(opened, Success), opened
+        store, contents = opened.unwrap()
+        name = DaemonName(f"c{number + 1}")
+        messenger = TcpMessenger(
+            context, Identity(name, store.incarnation, "control", Zone(f"zone-{number}"), SEEDS[number]), KEY
+        )
+        keeper = SessionKeeper(context, messenger, SEEDS)
+        state = BundleState(OPERATOR_KEYS)
+        core = ReplicatedCore(
+            context,
+            messenger,
+            store,
+            contents,
+            [state],
+            SEEDS,
+            knows_of_history=keeper.knows_of_history,
+            other_controls=keeper.known_controls,
+        )
+        publisher = BundlePublisher(context, messenger, core, CommittedBundles(core, state), keeper)
+        keeper.tell(publisher.news)
+        assert isinstance(messenger.start(), Success)
+        core.start()
+        keeper.start()
+        publisher.start()
+        await answer_parent(
+            lambda: (
+                own_report([messenger])
+                | {"members": len(keeper.members()), "leads": core.leads(), "accepts": core.report().accepts_orders}
+            )
+        )
+
+    asyncio.run(main())
+
+
+@programs.command()
+@click.option("--daemons", type=int, required=True)
+@click.option("--zones", type=int, required=True)
+def hollow(daemons: int, zones: int) -> None:
+    """Many hollow daemons."""
+
+    async def main() -> None:
+        context = make_context(Path("."))
+        gc.collect()
+        empty = own_report([])["memory"]
+        messengers: list[TcpMessenger] = []
+        clients: list[MembershipClient] = []
+        followers: list[BundleFollower] = []
+        in_force: dict[int, list[float]] = {}
+
+        def note(bundle: Bundle) -> None:
+            in_force.setdefault(bundle.version, []).append(time.monotonic())
+
+        for number in range(daemons):
+            identity = Identity(
+                DaemonName(f"r{number:04}"),
+                Incarnation(f"{context.random.getrandbits(64):016x}"),
+                "router",
+                Zone(f"zone-{number % zones}"),
+                Address(f"127.0.{1 + number // 250}.{1 + number % 250}", HOLLOW_PORT),
+            )
+            messenger = TcpMessenger(context, identity, KEY)
+            client = MembershipClient(context, messenger, SEEDS)
+            follower = BundleFollower(context, messenger, client, OPERATOR_KEYS, Seconds(5.0))
+            follower.on_change(note)
+            assert isinstance(messenger.start(), Success)
+            client.start()
+            follower.start()
+            messengers.append(messenger)
+            clients.append(client)
+            followers.append(follower)
+            if number % 50 == 49:
+                await asyncio.sleep(0.05)
+
+        def report() -> dict[str, Any]:
+            seen, in_force_now = dict(in_force), sorted(follower.version() for follower in followers)
+            in_force.clear()
+            return own_report(messengers) | {
+                "empty_memory": empty,
+                "fewest_members": min(len(client.members()) for client in clients),
+                "lowest_version": in_force_now[0],
+                "serving": sum(follower.may_serve() for follower in followers),
+                "in_force": seen,
+            }
+
+        await answer_parent(report)
+
+    asyncio.run(main())
+
+
+class Child:
+    """A process of this bench, ended by its id."""
+
+    def __init__(self, *arguments: str) -> None:
+        self._process = subprocess.Popen(
+            [sys.executable, "-m", "bench.hollow_daemons", *arguments],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+
+    def report(self) -> dict[str, Any]:
+        assert self._process.stdin is not None and self._process.stdout is not None
+        self._process.stdin.write("\n")
+        self._process.stdin.flush()
+        found: dict[str, Any] = json.loads(self._process.stdout.readline())
+        return found
+
+    def end(self) -> None:
+        self._process.send_signal(signal.SIGTERM)
+        self._process.wait(10)
+
+
+class Phase(msgspec.Struct, kw_only=True):
+    """Rates are per second; those of a hollow daemon are one daemon's."""
+
+    name: str
+    seconds: float
+    changes: int
+    daemon_messenger_bytes: float
+    daemon_wire_bytes: float
+    daemon_processor: float
+    """Share of one core."""
+    control_processor: list[float]
+    control_messenger_bytes: list[float]
+    acknowledged_ms: dict[str, float]
+    all_in_force_ms: dict[str, float]
+    """From acknowledgement to the last of all daemons."""
+    each_in_force_ms: dict[str, float]
+    """From acknowledgement to each daemon; versions that were skipped over are not counted."""
+
+
+class Size(msgspec.Struct, kw_only=True):
+    daemons: int
+    zones: int
+    tenants: int
+    formed_after: float
+    """Seconds until all hollow daemons saw all members."""
+    daemon_memory: float
+    """Bytes of one hollow daemon above the empty process (libraries loaded)."""
+    empty_memory: float
+    control_memory: list[float]
+    phases: list[Phase]
+
+
+def spread(values: Sequence[float]) -> dict[str, float]:
+    if not values:
+        return {}
+    ordered = sorted(values)
+    p50, p99 = (round(1000 * ordered[min(len(ordered) - 1, int(share * len(ordered)))], 2) for share in (0.5, 0.99))
+    return {"count": len(ordered), "p50": p50, "p99": p99, "max": round(1000 * ordered[-1], 2)}
+
+
+class Operator:
+    """Signs and sends changes of one tenant each, and notes when each was acknowledged."""
+
+    def __init__(self, context: Context, tenants: int) -> None:
+        identity = Identity(
+            DaemonName("bench"), Incarnation("bench"), "tool", Zone("bench"), Address("127.0.0.2", 26009)
+        )
+        self._client = ControlClient(context, TcpMessenger(context, identity, KEY), lambda: SEEDS)
+        self._tenants = tenants
+        self._slices: dict[SliceName, bytes] = {}
+        self.version = BundleVersion(0)
+        self.took: list[float] = []
+        self.acknowledged: dict[int, float] = {}
+
+    async def change(self) -> None:
+        if self.version == 0:
+            after = sample_slices(self._tenants)
+        else:
+            tenant = Tenant(
+                name=TenantName(f"tenant-{self.version % self._tenants}"),
+                priority_class=ClassName("gold"),
+                paid_rate=10.0 + self.version,
+            )
+            after = self._slices | dict([slice_of(tenant)])
+        order = order_between(self.version, self._slices, after)
+        begun = time.monotonic()
+        outcome = await self._client.decide("bundle", SubmitOrder(order), OrderOutcome, Seconds(15.0))
+        now = time.monotonic()
+        assert isinstance(outcome, Success) and outcome.unwrap().outcome == "accepted", outcome
+        self.version, self._slices = order.manifest.version, after
+        self.took.append(now - begun)
+        self.acknowledged[self.version] = now
+
+
+async def run_phase(
+    name: str,
+    operator: Operator,
+    seconds: float,
+    rate: float,
+    controls: Sequence[Child],
+    hollow_child: Child,
+    daemons: int,
+) -> Phase:
+    before, before_hollow = [child.report() for child in controls], hollow_child.report()
+    operator.took.clear()
+    operator.acknowledged.clear()
+    begun = time.monotonic()
+    changes = 0
+    while (left := begun + seconds - time.monotonic()) > 0:
+        if rate:
+            await operator.change()
+            changes += 1
+            await asyncio.sleep(max(0.0, begun + changes / rate - time.monotonic()))
+        else:
+            await asyncio.sleep(left)
+    await asyncio.sleep(2.5 if rate else 0.0)
+    after, after_hollow = [child.report() for child in controls], hollow_child.report()
+    assert after_hollow["lowest_version"] == operator.version, (after_hollow["lowest_version"], operator.version)
+    assert after_hollow["serving"] == daemons, after_hollow["serving"]
+    passed = after_hollow["at"] - before_hollow["at"]
+
+    def daemon_rate(field: str) -> float:
+        return float(round((after_hollow[field] - before_hollow[field]) / passed / daemons, 6))
+
+    def control_rates(field: str) -> list[float]:
+        pairs = zip(before, after, strict=True)
+        return [float(round((late[field] - early[field]) / (late["at"] - early["at"]), 5)) for early, late in pairs]
+
+    each: list[float] = []
+    last: list[float] = []
+    seen = sorted((int(version), times) for version, times in after_hollow["in_force"].items())
+    for version, acknowledged in sorted(operator.acknowledged.items()):
+        each += [at - acknowledged for found, times in seen if found == version for at in times]
+        # Each daemon has this version when it has it or a later one; the last to do so counts.
+        firsts = sorted(at for found, times in seen if found >= version for at in times)
+        if len(firsts) >= daemons:
+            last.append(_last_of_all(version, seen, daemons) - acknowledged)
+    return Phase(
+        name=name,
+        seconds=round(passed, 3),
+        changes=changes,
+        daemon_messenger_bytes=daemon_rate("messenger_bytes"),
+        daemon_wire_bytes=daemon_rate("wire_bytes"),
+        daemon_processor=daemon_rate("processor"),
+        control_processor=control_rates("processor"),
+        control_messenger_bytes=control_rates("messenger_bytes"),
+        acknowledged_ms=spread(operator.took),
+        all_in_force_ms=spread(last),
+        each_in_force_ms=spread(each),
+    )
+
+
+def _last_of_all(version: int, seen: Sequence[tuple[int, list[float]]], daemons: int) -> float:
+    """An upper bound of when the last daemon had ``version``: the last one's first later version.
+
+    Daemons don't say who they are, so the count of activations of the first version that all daemons
+    put in force is taken where versions were skipped.
+    """
+    for found, times in seen:
+        if found >= version and len(times) >= daemons:
+            return max(times)
+    return max(at for _, times in seen for at in times)
+
+
+async def measure(daemons: int, zones: int, tenants: int, seconds: float, storm: float) -> Size:
+    with tempfile.TemporaryDirectory() as folder:
+        controls = [
+            Child("control", "--number", str(number), "--folder", str(Path(folder) / f"c{number + 1}"))
+            for number in range(3)
+        ]
+        hollow_child = Child("hollow", "--daemons", str(daemons), "--zones", str(zones))
+        try:
+            operator = Operator(make_context(Path(folder)), tenants)
+            begun = time.monotonic()
+            while not any(child.report()["accepts"] for child in controls):
+                await asyncio.sleep(0.2)
+            await operator.change()
+            while True:
+                report = hollow_child.report()
+                if report["fewest_members"] == daemons + 3 and report["lowest_version"] == operator.version:
+                    break
+                if time.monotonic() - begun > 120:
+                    raise TimeoutError(f"the fleet did not form: {report}")
+                await asyncio.sleep(0.2)
+            formed = time.monotonic() - begun
+            await asyncio.sleep(5.0)
+            plan = [("idle", 0.0), ("planned", PLANNED_CHANGES_A_SECOND), ("2 a second", 2.0), ("storm", storm)]
+            phases = [
+                await run_phase(name, operator, seconds, rate, controls, hollow_child, daemons) for name, rate in plan
+            ]
+            report = hollow_child.report()
+            return Size(
+                daemons=daemons,
+                zones=zones,
+                tenants=tenants,
+                formed_after=round(formed, 2),
+                daemon_memory=round((report["memory"] - report["empty_memory"]) / daemons),
+                empty_memory=report["empty_memory"],
+                control_memory=[child.report()["memory"] for child in controls],
+                phases=phases,
+            )
+        finally:
+            for child in (*controls, hollow_child):
+                child.end()
+
+
+@click.command()
+@click.option("--daemons", "sizes", type=int, multiple=True, default=(11, 100, 300, 1000), show_default=True)
+@click.option("--tenants", type=int, default=5, show_default=True, help="Slices of the bundle, about.")
+@click.option("--seconds", type=float, default=15.0, show_default=True, help="Length of each phase.")
+@click.option("--storm", type=float, default=50.0, show_default=True, help="Changes a second in the storm.")
+@click.option("--output", type=click.Path(path_type=Path), help="Results file (JSON).")
+def main(sizes: Sequence[int], tenants: int, seconds: float, storm: float, output: Path | None) -> None:
+    """Measures bytes, processor time, memory and roll-out latency for growing numbers of hollow daemons."""
+    results: list[Size] = []
+    for daemons in sizes:
+        zones = 3 if daemons < 100 else 14
+        size = asyncio.run(measure(daemons, zones, tenants, seconds, storm))
+        results.append(size)
+        click.echo(
+            f"{daemons} daemons, {tenants} tenants: formed in {size.formed_after} s, {size.daemon_memory / 1e6:.2f} MB "
+            f"each above {size.empty_memory / 1e6:.0f} MB, control {max(size.control_memory) / 1e6:.0f} MB"
+        )
+        for phase in size.phases:
+            click.echo(
+                f"  {phase.name:<11} bytes/s {phase.daemon_messenger_bytes:7.0f} (wire {phase.daemon_wire_bytes:7.0f})"
+                f"  core {100 * phase.daemon_processor:6.3f}%  control core "
+                f"{'/'.join(f'{100 * share:.1f}' for share in phase.control_processor)}%"
+                f"  ack {phase.acknowledged_ms}  all in force {phase.all_in_force_ms}  each {phase.each_in_force_ms}"
+            )
+        if output is not None:
+            output.write_bytes(msgspec.json.format(msgspec.json.encode(results)))
+
+
+if __name__ == "__main__":
+    if sys.argv[1:2] in (["control"], ["hollow"]):
+        programs()
+    else:
+        main()
--- a/wingwood/distribution/publisher.py
+++ b/wingwood/distribution/publisher.py
@@ -7,7 +7,7 @@
 from ..bundle.model import Manifest
 from ..context.protocols import Context, Task
 from ..control.protocols import BundleSource, ControlCore
-from ..identifiers import Address, BundleVersion, Epoch, Seconds
+from ..identifiers import Address, BundleVersion, Epoch, Instant, Seconds
 from ..membership.messages import News
 from ..membership.protocols import Membership
 from ..transport.frames import Identity
@@ -45,6 +45,7 @@
         self._prover = self.prover_class(context, messenger, core, source, membership, self._limits)
         self._chunks = ChunkServer(self._limits.chunk_bytes)
         self._posted: dict[Address, tuple[Epoch, BundleVersion]] = {}
+        self._published = Instant(float("-inf"))
         self._wake = asyncio.Event()
         self._task: Task | None = None
         messenger.on_call(FetchBundle, self._on_fetch)
@@ -66,7 +67,11 @@
         return self._prover.news()
 
     def _on_committed(self, manifest: Manifest) -> None:
-        self._wake.set()
+        """Posts in this very turn, before the acknowledgement leaves, unless a post went out just now."""
+        if self._context.clock.monotonic() - self._published >= self._limits.pause:
+            self._publish()
+        else:
+            self._wake.set()
 
     async def _on_fetch(self, peer: Identity, message: FetchBundle) -> BundleChunk:
         newest = self._source.newest()
@@ -81,22 +86,25 @@
         while True:
             await self._wake.wait()
             self._wake.clear()
-            begun = clock.monotonic()
-            newest = self._source.newest()
-            if self._core.leads() and newest is not None:
-                self._publish(newest.version)
-            await clock.sleep(Seconds(max(0.0, begun + self._limits.pause - clock.monotonic())))
+            await clock.sleep(Seconds(max(0.0, self._published + self._limits.pause - clock.monotonic())))
+            self._publish()
 
-    def _publish(self, version: BundleVersion) -> None:
-        epoch = self._core.epoch()
+    def _publish(self) -> None:
+        newest = self._source.newest()
+        if newest is None or not self._core.leads():
+            return
+        self._published = self._context.clock.monotonic()
+        version, epoch = newest.version, self._core.epoch()
         routers = self._membership.routers()
         homes = [home for zone in zones_of(routers) for home in homes_of(BUNDLE_SERVICE, zone, routers)]
         controls = [control.internal for control in self._membership.controls()]
         posted: dict[Address, tuple[Epoch, BundleVersion]] = {}
+        fresh = 0
         posts: dict[BundleVersion, BundlePosted | BundleAnnounced] = {}
         announced = BundleAnnounced(version, epoch)
         for home in homes:
             had_epoch, had = self._posted.get(home.internal, (None, BundleVersion(0)))
+            fresh += (had_epoch, had) != (epoch, version)
             if had_epoch != epoch:
                 self._messenger.post(home.internal, announced)
             elif had < version:
@@ -113,4 +121,5 @@
                     self._messenger.post(control, announced)
                 posted[control] = (epoch, version)
         self._posted = posted
-        self._context.log.event("bundle-published", version=version, epoch=epoch, homes=len(homes))
+        if fresh:
+            self._context.log.event("bundle-published", version=version, epoch=epoch, homes=fresh)
--- a/wingwood/distribution/tests/test_broken_variants.py
+++ b/wingwood/distribution/tests/test_broken_variants.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from ...identifiers import Address, BundleVersion, Instant, Seconds
-from ...membership.keeper import SessionKeeper
+from ...membership.keeper import SessionKeeper, _Peer
 from ...membership.limits import SessionTimes
 from ...membership.messages import Heartbeat, News, Position, SessionsTold
 from ...membership.tests import test_sessions as sessions
@@ -69,6 +69,13 @@
         return super()._renew(peer, msgspec.structs.replace(message, unanswered=Seconds(0.0)), now, was_member)
 
 
+class ForgetfulKeeper(SessionKeeper):
+    """Believes a keeper's young life that nobody holds a session there."""
+
+    def _take(self, peer: _Peer, told: SessionsTold, heard: Instant) -> None:
+        super()._take(peer, msgspec.structs.replace(told, settling=False), heard)
+
+
 class KeeperWithoutRelay(SessionKeeper):
     def _relay(self, unheard: Sequence[Position]) -> list[SessionsTold]:
         return []
@@ -141,6 +148,8 @@
         self.caught(fleet_of(HearsayKeeper), sessions.SessionsTest, deaf)
         apart = "control_daemons_cut_from_each_other_still_see_each_others_sessions"
         self.caught(fleet_of(KeeperWithoutRelay), sessions.SessionsTest, apart)
+        restarted = "control_daemon_restarted_at_once_loses_nobody"
+        self.caught(fleet_of(ForgetfulKeeper), sessions.SessionsTest, restarted)
         graceless = SessionTimes(grace=Seconds(0.3), lost=Seconds(0.3))
         self.caught(fleet_of(times=graceless), sessions.SessionsTest, "no_member_flaps_when_a_control_daemon_dies")
         hasty = SessionTimes(settle=Seconds(0.0))
--- a/wingwood/membership/keeper.py
+++ b/wingwood/membership/keeper.py
@@ -54,11 +54,18 @@
         self.heard: Instant | None = None
         """Own clock before the question whose answer came last, by whatever way."""
         self.heard_directly: Instant | None = None
-        self.told: SessionsTold | None = None
+        self.orphans: dict[Incarnation, tuple[Identity, Instant]] = {}
+        """Sessions of a former life of that keeper, and until when they are kept."""
 
     def position(self) -> Position | None:
         return Position(self.life, self.sequence) if self.life else None
 
+    def held(self, incarnation: Incarnation) -> Identity | None:
+        identity = self.sessions.get(incarnation)
+        if identity is None and incarnation in self.orphans:
+            identity = self.orphans[incarnation][0]
+        return identity
+
 
 class SessionKeeper:
     """A control daemon's part in membership; implements ``Membership`` for that daemon itself."""
@@ -250,7 +257,7 @@
         """Works out anew whether that daemon is a member."""
         identity = self._own.get(incarnation)
         if identity is None:
-            found = (peer.sessions.get(incarnation) for peer in self._peers.values())
+            found = (peer.held(incarnation) for peer in self._peers.values())
             identity = next((entry for entry in found if entry is not None), None)
         changed = self._union.drop(incarnation) if identity is None else self._union.put(identity)
         if changed:
@@ -290,6 +297,10 @@
             elif silent > self._times.lost / 2 and self._replaced_elsewhere(session.identity):
                 self._end_session(incarnation, "superseded")
         for peer in self._peers.values():
+            over = [incarnation for incarnation, (_, until) in peer.orphans.items() if now > until]
+            for incarnation in over:
+                del peer.orphans[incarnation]
+                self._recount(incarnation)
             if peer.heard is None or not len(peer.sessions):
                 continue
             silent = now - peer.heard
@@ -351,6 +362,7 @@
             position=Position(self._life, self._own.sequence),
             digest=self._own.digest,
             whole=changes is None,
+            settling=self.settling(),
             joined=joined,
             left=left,
             relayed=tuple(self._relay(unheard)),
@@ -461,7 +473,11 @@
         changed: list[Incarnation] = []
         if told.whole:
             kept = {identity.incarnation for identity in told.joined}
-            changed = [gone for gone in peer.sessions.incarnations() if gone not in kept and peer.sessions.drop(gone)]
+            missing = [identity for identity in peer.sessions.identities() if identity.incarnation not in kept]
+            changed = [identity.incarnation for identity in missing if peer.sessions.drop(identity.incarnation)]
+            if told.settling:
+                until = Instant(heard + self._times.grace)
+                peer.orphans |= {identity.incarnation: (identity, until) for identity in missing}
         else:
             changed = [gone for gone in told.left if peer.sessions.drop(gone)]
         changed += [identity.incarnation for identity in told.joined if peer.sessions.put(identity)]
--- a/wingwood/membership/messages.py
+++ b/wingwood/membership/messages.py
@@ -115,6 +115,8 @@
     """``joined`` is everything; else it is what changed since the position asked from."""
     joined: tuple[Identity, ...]
     left: tuple[Incarnation, ...]
+    settling: bool = False
+    """The keeper has just started: daemons whose session its former life held may not have found it again."""
     age: Seconds = Seconds(0.0)
     """How long before this answer the keeper told this (0 when it speaks itself)."""
     relayed: tuple[SessionsTold, ...] = ()
--- a/wingwood/membership/tests/test_sessions.py
+++ b/wingwood/membership/tests/test_sessions.py
@@ -96,6 +96,19 @@
                 self.assertEqual([view for view in seen if set(fleet.routers) - set(view[2])], [])
                 self.everybody_seen(fleet, 0.1)
 
+    def test_control_daemon_restarted_at_once_loses_nobody(self) -> None:
+        """Others hear its new life before its daemons have found it again."""
+        for seed in range(6):
+            with self.subTest(seed=seed), World(seed) as world:
+                fleet = self.fleet(world)
+                fleet.settle()
+                seen = self.watch(fleet)
+                for name in ("c2", "c3", "c1"):
+                    world.restart(name)
+                    world.run(4.0)
+                self.assertEqual([view for view in seen if set(fleet.routers) - set(view[2])], [])
+                self.everybody_seen(fleet, 0.1)
+
     def test_all_control_daemons_killed_and_started_empty_of_sessions(self) -> None:
         for seed in range(3):
             with self.subTest(seed=seed), World(seed) as world:
