Faults against a real fleet of processes, judged by what callers, workers and the operator saw

What: python -m bench.real_faults, 17 cases (killed, frozen, wiped, replaced at a new address, all control or all daemons killed together, sockets closed), each on a fleet of its own under light load with an operator who changes the bundle all the time. Checks: nothing run twice, no "not-run" for what ran, no cut that looks whole, each acknowledged order in the history, service back within 12 s.

--- a/bench/load/run.py
+++ b/bench/load/run.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from pathlib import Path
 from typing import Any
 
@@ -43,8 +43,13 @@
             await asyncio.sleep(0.5)
 
 
-async def run_load(target: Target, options: LoadOptions, quiet: bool = False) -> tuple[dict[str, Any], Callers]:
-    """The result and the callers with their records."""
+async def run_load(
+    target: Target,
+    options: LoadOptions,
+    quiet: bool = False,
+    begun: Callable[[Callers], None] | None = None,
+) -> tuple[dict[str, Any], Callers]:
+    """The result and the callers with their records. ``begun`` gets the callers as they begin."""
     clock = RealClock()
     http = JsonClient()
     curl = CurlHttpClient()
@@ -56,6 +61,8 @@
     beside = [asyncio.create_task(watch.sample()), asyncio.create_task(platform.watch())]
     if not quiet:
         beside.append(asyncio.create_task(_progress(callers, options)))
+    if begun is not None:
+        begun(callers)
     try:
         await callers.run()
         elapsed = callers.elapsed()
--- a/bench/load/traffic.py
+++ b/bench/load/traffic.py
@@ -62,6 +62,7 @@
         self._services = {service.name: service for service in target.shape.services}
         self._number = 0
         self._sessions: set[asyncio.Task[None]] = set()
+        self._ends = options.seconds
 
     async def run(self) -> None:
         """Arrivals for ``seconds``, then waits for calls under way; no new turns after the end."""
@@ -70,6 +71,10 @@
         if self._sessions:
             await asyncio.wait(self._sessions)
 
+    def stop(self) -> None:
+        """No arrivals and no new turns from now on."""
+        self._ends = self.elapsed()
+
     @property
     def under_way(self) -> int:
         return len(self._sessions)
@@ -83,9 +88,11 @@
         due = 0.0
         while rate > 0:
             due += random.expovariate(rate)
-            if due >= self.options.seconds:
+            if due >= self._ends:
                 return
             await asyncio.sleep(max(0.0, due - self.elapsed()))
+            if due >= self._ends:
+                return
             self._number += 1
             session = asyncio.get_running_loop().create_task(self._session(traffic, self._number))
             self._sessions.add(session)
@@ -108,7 +115,7 @@
         for turn in range(traffic.turns):
             if turn:
                 think = random.expovariate(1 / traffic.think_seconds)
-                if self.elapsed() + think >= self.options.seconds:
+                if self.elapsed() + think >= self._ends:
                     return
                 await asyncio.sleep(think)
                 own += shared_text(max(1, traffic.own_tokens // 4), f"{session}-{turn}")
--- /dev/null
+++ b/bench/real_faults.py
@@ -0,0 +1,443 @@
+"""A few faults against a real fleet of processes: ``python -m bench.real_faults`` (docs/DESIGN.md section 17).
+
+Each case has a fleet of its own under light load, with an operator who changes the bundle all the time.
+What is checked rests on what callers, workers and the operator saw, not on the daemons' own state.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import subprocess
+import sys
+import tempfile
+import time
+from collections import Counter
+from collections.abc import Awaitable, Callable, Sequence
+from pathlib import Path
+from typing import Any
+
+import click
+import msgspec
+
+from fleet.caller import Caller, CallPlan
+from fleet.launcher import Fleet, free_first_port, open_shape, push_bundle
+from fleet.plan import DaemonPlan
+from fleet.shape import Shape
+from fleet.waiting import FleetProblem, wait_until
+from wingwood.context.curl_client import CurlHttpClient
+from wingwood.context.real import RealClock
+from wingwood.identifiers import parse_address
+
+from .load.run import new_run_name, run_load
+from .load.target import read_target
+from .load.traffic import Callers, CallRecord, LoadOptions
+
+BACK_WITHIN = 12.0
+"""Seconds after the last fault within which service must be back."""
+GIVE_UP = 40.0
+WARM_UP = 3.0
+FROZEN = 6.0
+FROZEN_LONG = 22.0
+PAUSE = 0.1
+
+Action = Callable[[Fleet], Awaitable[None]]
+
+
+class NotRun(Exception):
+    """This machine does not allow the case."""
+
+
+# The faults. Each returns when its last event has happened.
+
+
+async def _primary(fleet: Fleet) -> str:
+    return await wait_until("there is a primary", fleet.primary)
+
+
+async def _backup(fleet: Fleet) -> str:
+    async def look() -> str | None:
+        reports = await fleet.control_reports()
+        return next((name for name, report in reports.items() if report["own_role"] == "backup"), None)
+
+    return await wait_until("there is a backup", look)
+
+
+async def _witness(fleet: Fleet) -> str:
+    async def look() -> str | None:
+        reports = await fleet.control_reports()
+        return next((name for name, report in reports.items() if report["own_role"] == "witness"), None)
+
+    return await wait_until("there is a witness", look)
+
+
+async def _freeze(fleet: Fleet, name: str, seconds: float = FROZEN) -> None:
+    fleet.freeze(name)
+    await asyncio.sleep(seconds)
+    fleet.wake(name)
+
+
+async def router_killed(fleet: Fleet) -> None:
+    fleet.kill("router-1")
+
+
+async def router_frozen(fleet: Fleet) -> None:
+    await _freeze(fleet, "router-1")
+
+
+async def primary_killed(fleet: Fleet) -> None:
+    fleet.kill(await _primary(fleet))
+
+
+async def primary_frozen_long(fleet: Fleet) -> None:
+    await _freeze(fleet, await _primary(fleet), FROZEN_LONG)
+
+
+async def backup_wiped(fleet: Fleet) -> None:
+    fleet.wipe(await _backup(fleet))
+
+
+async def primary_wiped(fleet: Fleet) -> None:
+    fleet.wipe(await _primary(fleet))
+
+
+async def primary_replaced_then_another_killed(fleet: Fleet) -> None:
+    """An empty machine at a new address takes the primary's place; once it counts, a second loss."""
+    fleet.replace(await _primary(fleet))
+    await wait_until("control is complete with the replacement", fleet.control_complete)
+    fleet.kill(await _primary(fleet))
+
+
+async def backup_replaced(fleet: Fleet) -> None:
+    fleet.replace(await _backup(fleet))
+
+
+async def witness_replaced(fleet: Fleet) -> None:
+    fleet.replace(await _witness(fleet))
+
+
+async def all_control_killed(fleet: Fleet) -> None:
+    names = [daemon.name for daemon in fleet.controls()]
+    for name in names:
+        fleet.kill(name)
+    for name in names:
+        fleet.restart(name)
+
+
+async def all_control_killed_one_wiped(fleet: Fleet) -> None:
+    lost = await _primary(fleet)
+    names = [daemon.name for daemon in fleet.controls()]
+    for name in names:
+        fleet.kill(name)
+    fleet.wipe(lost)
+    for name in names:
+        fleet.restart(name)
+
+
+async def all_daemons_killed(fleet: Fleet) -> None:
+    names = list(fleet.daemons)
+    for name in names:
+        fleet.kill(name)
+    for name in names:
+        fleet.restart(name)
+
+
+async def worker_killed(fleet: Fleet) -> None:
+    fleet.kill(_model_worker(fleet))
+
+
+async def worker_frozen(fleet: Fleet) -> None:
+    await _freeze(fleet, _model_worker(fleet))
+
+
+async def worker_replaced(fleet: Fleet) -> None:
+    fleet.replace_worker(_model_worker(fleet))
+
+
+async def sockets_of_primary_closed(fleet: Fleet) -> None:
+    """Every connection between daemons and the primary is closed again and again."""
+    await _close_sockets(fleet.daemons[await _primary(fleet)], 5.0)
+
+
+async def sockets_of_a_router_closed(fleet: Fleet) -> None:
+    await _close_sockets(fleet.daemons["router-2"], 5.0)
+
+
+def _model_worker(fleet: Fleet) -> str:
+    return next(name for name, worker in fleet.workers.items() if worker.pool.kind == "model")
+
+
+async def _close_sockets(daemon: DaemonPlan, seconds: float) -> None:
+    """Only those on this daemon's own ports."""
+    ports = [daemon.first_port + offset for offset in range(3 if daemon.caller else 2)]
+    condition = " or ".join(f"sport = :{port} or dport = :{port}" for port in ports)
+    give_up = time.monotonic() + seconds
+    while time.monotonic() < give_up:
+        done = await asyncio.to_thread(
+            subprocess.run, ["ss", "-K", "-t", "state", "established", condition], capture_output=True, check=False
+        )
+        if done.returncode:
+            raise NotRun(f"sockets can't be closed here: {done.stderr.decode().strip()}")
+        await asyncio.sleep(0.3)
+
+
+CASES: tuple[Action, ...] = (
+    router_killed,
+    router_frozen,
+    primary_killed,
+    primary_frozen_long,
+    backup_wiped,
+    primary_wiped,
+    backup_replaced,
+    witness_replaced,
+    primary_replaced_then_another_killed,
+    all_control_killed,
+    all_control_killed_one_wiped,
+    all_daemons_killed,
+    worker_killed,
+    worker_frozen,
+    worker_replaced,
+    sockets_of_primary_closed,
+    sockets_of_a_router_closed,
+)
+
+
+class CaseReport(msgspec.Struct, kw_only=True):
+    case: str
+    not_run: str = ""
+    calls_back_after: float | None = None
+    """Seconds from the last fault until every live router had answered a chat and a call that runs once."""
+    orders_back_after: float | None = None
+    """... until an order was acknowledged and in force on every live router."""
+    complete_after: float | None = None
+    """... until control could bear another loss."""
+    acknowledged: int = 0
+    outcomes: dict[str, int] = msgspec.field(default_factory=dict)
+    refusals: dict[str, int] = msgspec.field(default_factory=dict)
+    violations: list[str] = msgspec.field(default_factory=list)
+
+
+class Operator:
+    """Changes one field of the bundle all the time and remembers what was acknowledged."""
+
+    def __init__(self, fleet: Fleet) -> None:
+        self._fleet = fleet
+        self.acknowledged: dict[int, str] = {}
+        """Order by version."""
+        self._weight = 1
+
+    async def run(self) -> None:
+        while True:
+            await self.change()
+            await asyncio.sleep(0.5)
+
+    async def change(self, patience: float = 3.0) -> int | None:
+        """The acknowledged version."""
+        self._weight += 1
+        daemons = [*self._fleet.controls(), *self._fleet.routers()]
+        to = [word for daemon in daemons for word in ("--to", daemon.operator)]
+        name = self._fleet.shape.classes[-1].name
+        done = await self._fleet.run_command(
+            "bundle", "change", "--set", f"class/{name}.weight={self._weight % 900 + 1}", "--rebase", "--json",
+            "--patience", str(patience), "--key", str(self._fleet.operator_key_file), *to,
+        )  # fmt: skip
+        if done.code:
+            return None
+        version = int(done.json()["version"])
+        self.acknowledged[version] = str(done.json()["order"])
+        return version
+
+
+class Case:
+    def __init__(self, fleet: Fleet, action: Action) -> None:
+        self.fleet = fleet
+        self.action = action
+        self.report = CaseReport(case=action.__name__)
+        self.operator = Operator(fleet)
+        self.curl = CurlHttpClient()
+        self.caller = Caller(self.curl, RealClock())
+        self._probes = 0
+
+    async def run(self) -> CaseReport:
+        await self.fleet.start()
+        await wait_until("control is complete", self.fleet.control_complete)
+        first = await push_bundle(self.fleet)
+        await wait_until("the first bundle is in force", lambda: self.in_force(first))
+        await self.fleet.ready()
+        target = read_target(self.fleet.folder / "fleet.json")
+        options = LoadOptions(seconds=600.0, direct_share=0.0, run_name=new_run_name())
+        started: list[Callers] = []
+        load = asyncio.create_task(run_load(target, options, quiet=True, begun=started.append))
+        changing = asyncio.create_task(self.operator.run())
+        try:
+            await asyncio.sleep(WARM_UP)
+            await self.action(self.fleet)
+            await self.back(time.monotonic())
+        except NotRun as reason:
+            self.report.not_run = str(reason)
+        finally:
+            changing.cancel()
+            for callers in started:
+                callers.stop()
+            result, callers = await load
+        self.report.outcomes, self.report.refusals = result["outcomes"], result["refusals"]
+        self.report.acknowledged = len(self.operator.acknowledged)
+        self.judge_calls(result, callers.records, await self.fleet.runs())
+        await self.judge_bundles()
+        self.curl.close()
+        return self.report
+
+    # Service back
+
+    async def back(self, since: float) -> None:
+        async def after(what: Callable[[], Awaitable[bool]]) -> float | None:
+            while time.monotonic() - since < GIVE_UP:
+                if await what():
+                    return round(time.monotonic() - since, 2)
+                await asyncio.sleep(PAUSE)
+            return None
+
+        answered: set[str] = set()
+        calls, orders, complete = await asyncio.gather(
+            after(lambda: self.calls_answered(answered)), after(self.order_in_force), after(self.complete)
+        )
+        self.report.calls_back_after, self.report.orders_back_after = calls, orders
+        self.report.complete_after = complete
+        for name, seconds in (("calls", calls), ("orders", orders)):
+            if seconds is None or seconds > BACK_WITHIN:
+                self.report.violations.append(f"{name} back after {seconds} s")
+
+    def live_routers(self) -> list[DaemonPlan]:
+        return [router for router in self.fleet.routers() if self.fleet.children[router.name].running()]
+
+    async def calls_answered(self, answered: set[str]) -> bool:
+        """One whole chat and one whole call that runs once, through each live router."""
+        for router in self.live_routers():
+            if router.name not in answered and await self.both_answered(router):
+                answered.add(router.name)
+        return all(router.name in answered for router in self.live_routers())
+
+    async def both_answered(self, router: DaemonPlan) -> bool:
+        for service in self.fleet.shape.services:
+            self._probes += 1
+            mark = f"probe-{self._probes}"
+            plan = CallPlan(
+                path=service.path,
+                key=self.fleet.keys.by_tenant[self.fleet.shape.tenants[0].name],
+                mark=mark,
+                messages=("hello",),
+                max_tokens=1,
+                stream=service.streaming,
+                idempotency_key=None if service.repeatable else mark,
+                first_byte_patience=1.0,
+            )
+            outcome = await self.caller.call(plan, parse_address(str(router.caller)))
+            if not outcome.looks_whole:
+                return False
+        return True
+
+    async def order_in_force(self) -> bool:
+        version = await self.operator.change(patience=1.0)
+        return version is not None and await self.in_force(version)
+
+    async def complete(self) -> bool:
+        return await self.fleet.control_complete()
+
+    async def in_force(self, version: int) -> bool:
+        return all([await self.fleet.version_on(router.name) >= version for router in self.live_routers()])
+
+    # What must never be
+
+    def judge_calls(self, result: dict[str, Any], records: Sequence[CallRecord], runs: list[dict[str, Any]]) -> None:
+        violations = self.report.violations
+        violations.extend(f"{problem}: {count} times" for problem, count in result["problems"].items())
+        keyed = Counter(run["idempotency_key"] for run in runs if run["idempotency_key"])
+        violations.extend(f"run {times} times: {key}" for key, times in keyed.items() if times > 1)
+        for record in records:
+            told = [run for _, _, run, _ in record.tries]
+            if all(run == "not-run" for run in told) and keyed[record.idempotency_key]:
+                violations.append(f"told not-run, but ran: {record.idempotency_key}")
+            if any(whole for _, _, _, whole in record.tries) and not keyed[record.idempotency_key]:
+                violations.append(f"a success that no worker gave: {record.idempotency_key}")
+        ended = [child.name for child in self.fleet.children.values() if child.expected_to_run and not child.running()]
+        violations.extend(f"{name} ended by itself" for name in ended)
+
+    async def judge_bundles(self) -> None:
+        """Every acknowledged order stands in the history under its version, and the newest is in force."""
+        newest = max(self.operator.acknowledged, default=0)
+        try:
+            await wait_until("the newest acknowledged bundle is in force", lambda: self.in_force(newest), GIVE_UP)
+        except FleetProblem as problem:
+            self.report.violations.append(str(problem))
+        to = [word for daemon in self.fleet.controls() for word in ("--to", daemon.operator)]
+        told = await self.fleet.run_command("bundle", "history", "--most", "1000", "--json", *to)
+        if told.code:
+            self.report.violations.append(f"no history: {told.errors.strip()}")
+            return
+        kept = {entry["version"]: entry["order"] for entry in told.json()["entries"]}
+        lost = [version for version, order in self.operator.acknowledged.items() if kept.get(version) != order]
+        if lost:
+            self.report.violations.append(f"acknowledged and not in the history: versions {sorted(lost)}")
+
+
+async def run_case(shape: Shape, action: Action, logs: Path | None) -> CaseReport:
+    shape = msgspec.structs.replace(shape, first_port=free_first_port(shape))
+    with tempfile.TemporaryDirectory(prefix="wingwood-faults-") as temporary:
+        folder = logs / action.__name__ if logs is not None else Path(temporary)
+        async with Fleet(shape, folder) as fleet:
+            try:
+                return await Case(fleet, action).run()
+            except FleetProblem as problem:
+                return CaseReport(case=action.__name__, violations=[str(problem)])
+
+
+def table(reports: Sequence[CaseReport]) -> str:
+    """Markdown."""
+    lines = [
+        "| case | calls back after s | orders back after s | control complete after s | acknowledged | outcomes "
+        "| refused | violations |",
+        "|---|---|---|---|---|---|---|---|",
+    ]
+    for report in reports:
+        cells = [
+            report.case,
+            *("-" if value is None else f"{value:.2f}" for value in (
+                report.calls_back_after, report.orders_back_after, report.complete_after)),
+            str(report.acknowledged),
+            ", ".join(f"{name}: {count}" for name, count in report.outcomes.items()),
+            ", ".join(f"{name}: {count}" for name, count in report.refusals.items()) or "none",
+            f"not run: {report.not_run}" if report.not_run else "; ".join(report.violations[:5]) or "none",
+        ]  # fmt: skip
+        lines.append(f"| {' | '.join(cells)} |")
+    return "\n".join(lines)
+
+
+@click.command()
+@click.option("--shape", type=click.Path(path_type=Path), default=Path("demo"), show_default=True)
+@click.option("--only", multiple=True, help="Names of cases; all by default.")
+@click.option("--times", default=1, show_default=True, help="How often each.")
+@click.option("--results", type=click.Path(path_type=Path), default=Path("results"), show_default=True)
+@click.option("--logs", type=click.Path(path_type=Path), help="Keep each case's settings, logs and data there.")
+def main(shape: Path, only: tuple[str, ...], times: int, results: Path, logs: Path | None) -> None:
+    """Runs the faults one after the other and writes real-faults.md and .json; exit code 1 after a violation."""
+    try:
+        chosen = open_shape(shape)
+    except FleetProblem as problem:
+        raise click.UsageError(str(problem)) from None
+    reports: list[CaseReport] = []
+    cases = [action for action in CASES if not only or action.__name__ in only]
+    for action in [action for action in cases for _ in range(times)]:
+        report = asyncio.run(run_case(chosen, action, logs))
+        reports.append(report)
+        click.echo(
+            f"{report.case:<40} calls back {report.calls_back_after} s, orders back {report.orders_back_after} s, "
+            f"complete {report.complete_after} s, {report.not_run or report.violations or 'nothing that must not be'}"
+        )
+    results.mkdir(parents=True, exist_ok=True)
+    (results / "real-faults.md").write_text(table(reports) + "\n")
+    (results / "real-faults.json").write_text(json.dumps(msgspec.to_builtins(reports), indent=1))
+    sys.exit(1 if any(report.violations for report in reports) else 0)
+
+
+if __name__ == "__main__":
+    main()
