--- a/wingwood/command_line/bundle.py
+++ b/wingwood/command_line/bundle.py
@@ -17,11 +17,13 @@
 from ..bundle.reading import HistoryAnswer
 from ..identifiers import Address, BundleVersion, OrderId, Seconds, WallTime
 from ..operator_api.reading import ShownBundle
+from ..rollout.plan import keep_rollouts, read_rollouts
 from .change import changed_slices, differences, rebase
 from .client import NoBundle, OperatorClient
 from .keys import read_key
 from .options import json_option, key_option, to_option
 from .output import ExitCode, OutcomeUnknown, Problem, print_json, print_table
+from .rollout_table import print_rollouts
 from .source import Slices, check_bundle, read_source, write_source
 
 EXIT_OF = {"accepted": ExitCode.DONE, "conflict": ExitCode.CONFLICT, "invalid": ExitCode.REFUSED}
@@ -37,13 +39,13 @@
     click.echo(message, err=True)
 
 
-def _client(addresses: Sequence[Address], patience: float = 30.0) -> OperatorClient:
+def operator_client(addresses: Sequence[Address], patience: float = 30.0) -> OperatorClient:
     client = OperatorClient(addresses, _say, Seconds(patience))
     click.get_current_context().call_on_close(client.close)
     return client
 
 
-def _newest(client: OperatorClient) -> tuple[BundleVersion, Slices]:
+def newest_slices(client: OperatorClient) -> tuple[BundleVersion, Slices]:
     """The newest version and its slices; version 0 without any when there is no bundle yet."""
     try:
         shown = client.read("/control/v1/bundle?newest=1", ShownBundle)
@@ -56,12 +58,14 @@
     return {name: bytes(raw) for name, raw in shown.slices.items()}
 
 
-def _sign(base: BundleVersion, before: Slices, after: Slices, private: Ed25519PrivateKey, order: str | None) -> Order:
+def sign_order(
+    base: BundleVersion, before: Slices, after: Slices, private: Ed25519PrivateKey, order: str | None
+) -> Order:
     order_id = OrderId(order or uuid.uuid4().hex)
     return make_order(base, before, after, private, order_id, WallTime(time.time()))
 
 
-def _private_key(key_file: Path | None) -> Ed25519PrivateKey:
+def private_key(key_file: Path | None) -> Ed25519PrivateKey:
     if key_file is None:
         raise Problem("an order must be signed: name the operator's key with --key FILE or in WINGWOOD_KEY")
     return read_key(key_file)
@@ -108,12 +112,12 @@
     """Signs SOURCE as a whole bundle, to be pushed from elsewhere. With --to it builds on the newest version."""
     slices = read_source(source)
     check_bundle(slices)
-    private = _private_key(key_file)
+    private = private_key(key_file)
     before: Slices = {}
     version = BundleVersion(base or 0)
     if base is None and addresses:
-        version, before = _newest(_client(addresses))
-    signed = _sign(version, before, slices, private, order)
+        version, before = newest_slices(operator_client(addresses))
+    signed = sign_order(version, before, slices, private, order)
     if not before:
         signed = msgspec.structs.replace(signed, whole=True)
     try:
@@ -150,14 +154,16 @@
 
     After a lost answer the same order goes to the next daemon; run again with the saved order, it is safe.
     """
-    client = _client(addresses, patience)
+    client = operator_client(addresses, patience)
     if file.is_dir() or file.suffix == ".toml":
         wanted = read_source(file)
         check_bundle(wanted)
-        version, before = _newest(client)
-        _push(client, version, before, wanted, _private_key(key_file), order, may_rebase, as_json)
+        version, before = newest_slices(client)
+        wanted = keep_rollouts(before, wanted)
+        check_bundle(wanted)
+        _push(client, version, before, wanted, private_key(key_file), order, may_rebase, as_json)
         return
-    _report(_submit(client, _read_order(file), file), as_json, hint="")
+    _report(submit(client, _read_order(file), file), as_json, hint="")
 
 
 @bundle.command()
@@ -192,14 +198,14 @@
     """Makes a small change to the newest version: files are put in first, then fields and keys, then removals."""
     if not any((sets, removes, add_keys, remove_keys, files)):
         raise Problem("nothing to change: use --set, --remove, --add-key, --remove-key or --file")
-    client = _client(addresses, patience)
-    version, before = _newest(client)
+    client = operator_client(addresses, patience)
+    version, before = newest_slices(client)
     wanted = changed_slices(before, files=files, sets=sets, add_keys=add_keys, remove_keys=remove_keys, removes=removes)
     check_bundle(wanted)
     if dry_run:
         _print_differences(differences(before, wanted), as_json)
         return
-    _push(client, version, before, wanted, _private_key(key_file), order, may_rebase, as_json)
+    _push(client, version, before, wanted, private_key(key_file), order, may_rebase, as_json)
 
 
 def _push(
@@ -219,19 +225,19 @@
             else:
                 click.echo(f"nothing differs from version {version}; nothing sent")
             return
-        outcome = _submit(client, _sign(version, before, wanted, private, order), None)
+        outcome = submit(client, sign_order(version, before, wanted, private, order), None)
         if outcome.outcome != "conflict" or not may_rebase:
             break
         _say(f"{outcome.reason}; making the same change to the newest version")
         base = before
-        version, before = _newest(client)
+        version, before = newest_slices(client)
         wanted = rebase(base, wanted, before)
         check_bundle(wanted)
         order = None
     _report(outcome, as_json, "" if may_rebase else "; --rebase makes the same change to the newest version")
 
 
-def _submit(client: OperatorClient, order: Order, file: Path | None) -> OrderOutcome:
+def submit(client: OperatorClient, order: Order, file: Path | None) -> OrderOutcome:
     outcome = client.submit(order)
     if outcome is not None:
         return outcome
@@ -277,11 +283,13 @@
 @json_option
 def show(version: int | None, newest: bool, as_toml: bool, addresses: tuple[Address, ...], as_json: bool) -> None:
     """Reads back the bundle in force on a daemon."""
-    shown = _read_version(_client(addresses), version, newest)
+    shown = _read_version(operator_client(addresses), version, newest)
     if as_json:
         print_json(shown)
     elif as_toml:
-        click.echo(write_source(_slices(shown)), nl=False)
+        slices = _slices(shown)
+        owned = keep_rollouts(slices, {})
+        click.echo(write_source({name: data for name, data in slices.items() if name not in owned}), nl=False)
     else:
         _print_bundle(shown)
 
@@ -304,10 +312,14 @@
         rows = []
         for name in sorted(name for name in shown.slices if name.startswith(f"{kind}/")):
             fields = msgspec.json.decode(shown.slices[name], type=dict[str, object])
-            rows.append([fields["name"], *(_shortened(title, fields.get(title)) for title in titles)])
+            rows.append([name.partition("/")[2], *(_shortened(title, fields.get(title)) for title in titles)])
         if rows:
             click.echo()
             print_table((kind, *titles), rows)
+    rollouts = read_rollouts(_slices(shown))
+    if rollouts:
+        click.echo()
+        print_rollouts(rollouts.values())
 
 
 def _shortened(field: str, value: object) -> object:
@@ -328,7 +340,7 @@
 @json_option
 def history(most: int, addresses: tuple[Address, ...], as_json: bool) -> None:
     """Lists versions, newest first: when, by whom, and what changed."""
-    answer = _client(addresses).read(f"/control/v1/history?most={most}", HistoryAnswer)
+    answer = operator_client(addresses).read(f"/control/v1/history?most={most}", HistoryAnswer)
     if as_json:
         print_json(answer)
         return
@@ -352,7 +364,7 @@
 @json_option
 def diff(old: int, new: int | None, addresses: tuple[Address, ...], as_json: bool) -> None:
     """Shows what differs from version OLD to NEW (the newest when left out)."""
-    client = _client(addresses)
+    client = operator_client(addresses)
     before = _slices(_read_version(client, old)) if old else {}
     after = _slices(_read_version(client, new, newest=True))
     _print_differences(differences(before, after), as_json)
--- a/wingwood/command_line/change.py
+++ b/wingwood/command_line/change.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 import tomllib
 from collections.abc import Mapping, Sequence
 from pathlib import Path
@@ -12,6 +13,8 @@
 from .output import Conflict, Problem
 from .source import FIELDS, KINDS, Slices, read_source, slice_from
 
+_FIELD_SET = re.compile(r"([^=@]+(?:@[a-z]+=[^=]+)?)\.([^.=]+)=(.*)", re.DOTALL)
+
 
 class _Keys(msgspec.Struct):
     keys: tuple[str, ...] = ()
@@ -45,10 +48,10 @@
 
 
 def _set_field(slices: Slices, text: str) -> None:
-    target, separator, value = text.partition("=")
-    name, dot, field = target.rpartition(".")
-    if not separator or not dot:
+    matched = _FIELD_SET.fullmatch(text)
+    if matched is None:
         raise Problem(f"--set {text}: write it as KIND/NAME.FIELD=VALUE, such as tenant/web-shop.paid_rate=20")
+    name, field, value = matched.groups()
     slice_name = _existing(slices, name, "--set")
     kind = slice_name.partition("/")[0]
     if field not in FIELDS[kind] or field == "name":
@@ -67,7 +70,8 @@
 
 def _replace(slices: Slices, name: SliceName, fields: Mapping[str, object]) -> None:
     held = msgspec.json.decode(slices[name], type=dict[str, object])
-    new_name, data = slice_from(name.partition("/")[0], {**held, **fields}, name)
+    kind, _, full = name.partition("/")
+    new_name, data = slice_from(kind, {**held, **fields, "name": full}, name)
     slices[new_name] = data
 
 
--- a/wingwood/command_line/main.py
+++ b/wingwood/command_line/main.py
@@ -8,6 +8,7 @@
 from .daemons import control, router, settings_group
 from .keys import caller_key, key
 from .looking import health, members, workers
+from .rollout import rollout
 
 
 @click.group(context_settings={"help_option_names": ["-h", "--help"]})
@@ -19,5 +20,5 @@
     """
 
 
-for command in (router, control, bundle, key, caller_key, workers, members, health, settings_group):
+for command in (router, control, bundle, rollout, key, caller_key, workers, members, health, settings_group):
     main.add_command(command)
--- /dev/null
+++ b/wingwood/command_line/rollout.py
@@ -0,0 +1,363 @@
+"""`wingwood rollout`: a change in stages (docs/DESIGN.md section 19)."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+from pathlib import Path
+
+import click
+import msgspec
+from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
+from returns.result import Failure, Result, Success
+from tornado.httpclient import AsyncHTTPClient, HTTPError, HTTPRequest
+from tornado.simple_httpclient import SimpleAsyncHTTPClient
+
+from ..bundle.model import OrderOutcome, Rollout
+from ..identifiers import Address, BundleVersion, DaemonName, Seconds
+from ..operator_api.reading import HealthReport
+from ..rollout.plan import (
+    NotPlanned,
+    Slices,
+    Step,
+    begin,
+    forget,
+    go_on,
+    read_rollouts,
+    read_stages,
+    roll_back,
+)
+from ..rollout.runner import Lost, RolloutRunner, take_step
+from ..rollout.watch import Look, Sight, in_stage, read_counts
+from ..transport.frames import Identity
+from .bundle import newest_slices, operator_client, private_key, sign_order, submit
+from .change import changed_slices
+from .client import OperatorClient
+from .options import json_option, key_option, to_option
+from .output import Conflict, ExitCode, OutcomeUnknown, Problem, print_json, print_table
+from .rollout_table import print_rollouts
+from .source import check_bundle
+
+LOOK_WITHIN = Seconds(2.0)
+LOOKS_AT_ONCE = 50
+
+
+@click.group()
+def rollout() -> None:
+    """A change in stages: to one zone or share of the routers first, watched, then to the next, or back."""
+
+
+def _say(message: str) -> None:
+    click.echo(message, err=True)
+
+
+class ClientAccess:
+    """``FleetAccess`` over HTTP to operator addresses."""
+
+    def __init__(self, client: OperatorClient, private: Ed25519PrivateKey | None) -> None:
+        self._client = client
+        self._private = private
+
+    async def newest(self) -> Result[tuple[BundleVersion, Slices], Lost]:
+        try:
+            return Success(await asyncio.to_thread(newest_slices, self._client))
+        except Problem as problem:
+            return Failure(Lost(problem.message))
+
+    async def submit(self, base: BundleVersion, before: Slices, after: Slices) -> Result[OrderOutcome, Lost]:
+        assert self._private is not None
+        check_bundle(after)
+        order = sign_order(base, before, after, self._private, None)
+        try:
+            return Success(await asyncio.to_thread(submit, self._client, order, None))
+        except Problem as problem:
+            return Failure(Lost(problem.message))
+
+    async def look(self) -> Result[Sight, Lost]:
+        try:
+            members = await asyncio.to_thread(self._client.read, "/control/v1/members", list[Identity])
+        except Problem as problem:
+            return Failure(Lost(problem.message))
+        client = SimpleAsyncHTTPClient(force_instance=True, max_clients=LOOKS_AT_ONCE)
+        try:
+            routers = [member for member in members if member.role == "router"]
+            looks = await asyncio.gather(*(_look(client, member.operator) for member in routers))
+        finally:
+            client.close()
+        found: dict[DaemonName, Look | None] = dict(zip([each.name for each in routers], looks, strict=True))
+        return Success(Sight(members=tuple(members), looks=found))
+
+
+async def _look(client: AsyncHTTPClient, address: Address | None) -> Look | None:
+    if address is None:
+        return None
+    try:
+        answers = [
+            await client.fetch(
+                HTTPRequest(
+                    f"http://{address}{path}",
+                    connect_timeout=LOOK_WITHIN,
+                    request_timeout=LOOK_WITHIN,
+                    follow_redirects=False,
+                    decompress_response=False,
+                )
+            )
+            for path in ("/control/v1/health", "/metrics")
+        ]
+        health = msgspec.json.decode(answers[0].body, type=HealthReport)
+        counts = read_counts(answers[1].body.decode())
+    except (HTTPError, OSError, msgspec.MsgspecError, ValueError):
+        return None
+    return Look(incarnation=health.incarnation, ready=health.ready, version=health.version, counts=counts)
+
+
+def _take(client: OperatorClient, private: Ed25519PrivateKey, step: Step) -> OrderOutcome:
+    match asyncio.run(take_step(ClientAccess(client, private), step)):
+        case Success(OrderOutcome() as outcome):
+            return outcome
+        case Failure(NotPlanned(kind="conflict", reason=reason)):
+            raise Conflict(reason)
+        case Failure(NotPlanned(reason=reason)):
+            raise Problem(reason)
+        case Failure(Lost(reason=reason)):
+            raise OutcomeUnknown(f"{reason}. `wingwood rollout status` says where it stands")
+    raise AssertionError("a result is a success or a failure")
+
+
+def _report(outcome: OrderOutcome, as_json: bool, told: str) -> None:
+    if as_json:
+        print_json(outcome)
+    else:
+        click.echo(f"accepted: version {outcome.version} (order {outcome.order}); {told}")
+
+
+patience_option = click.option(
+    "--patience", type=click.FloatRange(0, 3600), default=30.0, show_default=True, help="Seconds of trying to be heard."
+)
+share = click.FloatRange(0, 1)
+
+
+@rollout.command()
+@click.argument("name")
+@click.option("--set", "sets", multiple=True, metavar="KIND/NAME.FIELD=VALUE", help="Set a field.")
+@click.option("--file", "files", multiple=True, type=click.Path(path_type=Path), help="Put in the slices of a source.")
+@click.option("--stages", required=True, metavar="STAGES", help="Such as zone=a,25%,all; each keeps those before it.")
+@click.option(
+    "--watch", type=click.FloatRange(0, 86400), default=60.0, show_default=True, help="Seconds to watch each stage."
+)
+@click.option("--highest-failures", type=share, default=0.02, show_default=True, help="Share of calls that may fail.")
+@click.option(
+    "--highest-refusals",
+    type=share,
+    default=0.05,
+    show_default=True,
+    help="Share that may be refused for want of room.",
+)
+@patience_option
+@key_option
+@to_option
+@json_option
+def start(
+    name: str,
+    sets: tuple[str, ...],
+    files: tuple[Path, ...],
+    stages: str,
+    watch: float,
+    highest_failures: float,
+    highest_refusals: float,
+    patience: float,
+    key_file: Path | None,
+    addresses: tuple[Address, ...],
+    as_json: bool,
+) -> None:
+    """Puts the first stage of a change in place, as roll-out NAME. `rollout run NAME` takes it on from there."""
+    if not sets and not files:
+        raise Problem("nothing to change: use --set or --file")
+    match read_stages(stages):
+        case Success(read):
+            pass
+        case Failure(NotPlanned(reason=reason)):
+            raise Problem(f"--stages: {reason}")
+    client = operator_client(addresses, patience)
+    private = private_key(key_file)
+    _check_stages(client, read)
+
+    def change(slices: Slices) -> Result[Slices, NotPlanned]:
+        return Success(changed_slices(slices, files=files, sets=sets))
+
+    step = begin(name, change, read, Seconds(watch), highest_failures, highest_refusals)
+    outcome = _take(client, private, step)
+    _report(outcome, as_json, f"stage {read[0]} of {', '.join(read)}; next: wingwood rollout run {name}")
+
+
+def _check_stages(client: OperatorClient, stages: Sequence[str]) -> None:
+    """Each stage must reach routers that the ones before it don't, by what control knows now."""
+    routers = [each for each in client.read("/control/v1/members", list[Identity]) if each.role == "router"]
+    reached: set[DaemonName] = set()
+    for number, stage in enumerate(stages[:-1]):
+        plan = msgspec.structs.replace(_EMPTY, stages=tuple(stages))
+        names = {each.name for each in routers if in_stage(plan, number, each)}
+        if names == reached:
+            zones = ", ".join(sorted({each.zone for each in routers}))
+            raise Problem(
+                f"--stages: {stage} reaches no further router of the {len(routers)} there are now; "
+                f"the zones are {zones or 'none'}, and with few routers a share must be larger"
+            )
+        reached = names
+
+
+_EMPTY = Rollout(
+    name="",
+    stages=(),
+    stage=0,
+    state="running",
+    changes=(),
+    watch=Seconds(0.0),
+    highest_failures=0.0,
+    highest_refusals=0.0,
+)
+
+
+def _existing(client: OperatorClient, name: str) -> Rollout:
+    _, slices = newest_slices(client)
+    found = read_rollouts(slices)
+    if name not in found:
+        raise Problem(f"there is no rollout/{name}; there are: {', '.join(found) or 'none'}")
+    return found[name]
+
+
+@rollout.command()
+@click.argument("name", required=False)
+@to_option
+@json_option
+def status(name: str | None, addresses: tuple[Address, ...], as_json: bool) -> None:
+    """Lists roll-outs, or says of one which routers act on it and how they stand."""
+    client = operator_client(addresses)
+    if name is None:
+        _, slices = newest_slices(client)
+        rollouts = list(read_rollouts(slices).values())
+        if as_json:
+            print_json(rollouts)
+        elif rollouts:
+            print_rollouts(rollouts)
+        else:
+            click.echo("no roll-outs")
+        return
+    found = _existing(client, name)
+    match asyncio.run(ClientAccess(client, None).look()):
+        case Success(sight):
+            pass
+        case Failure(lost):
+            raise Problem(lost.reason)
+    rows = []
+    for member in sight.routers():
+        look = sight.looks.get(member.name)
+        acts = found.state == "finished" or (found.state == "running" and in_stage(found, found.stage, member))
+        version = None if look is None else look.version
+        rows.append((member.name, member.zone, acts, look is not None and look.ready, version))
+    if as_json:
+        titles = ("router", "zone", "acts_on_it", "ready", "version")
+        print_json({"rollout": found, "routers": [dict(zip(titles, row, strict=True)) for row in rows]})
+        return
+    print_rollouts([found])
+    click.echo()
+    print_table(("router", "zone", "acts on it", "ready", "version"), rows)
+
+
+@rollout.command("go-on")
+@click.argument("name")
+@click.option("--from-stage", "from_stage", metavar="STAGE", help="Only if it stands at this stage.")
+@patience_option
+@key_option
+@to_option
+@json_option
+def go_on_(
+    name: str,
+    from_stage: str | None,
+    patience: float,
+    key_file: Path | None,
+    addresses: tuple[Address, ...],
+    as_json: bool,
+) -> None:
+    """Takes roll-out NAME to its next stage now; after the last one it is finished."""
+    client = operator_client(addresses, patience)
+    found = _existing(client, name)
+    stage = found.stages[found.stage]
+    if from_stage is not None and from_stage != stage:
+        raise Conflict(f"rollout/{name} stands at {stage}")
+    outcome = _take(client, private_key(key_file), go_on(name, found.stage))
+    last = found.stage + 1 == len(found.stages)
+    _report(outcome, as_json, "finished" if last else f"stage {found.stages[found.stage + 1]}")
+
+
+@rollout.command("roll-back")
+@click.argument("name")
+@click.option("--reason", default="by hand", show_default=True, help="Kept in the bundle.")
+@patience_option
+@key_option
+@to_option
+@json_option
+def roll_back_(
+    name: str,
+    reason: str,
+    patience: float,
+    key_file: Path | None,
+    addresses: tuple[Address, ...],
+    as_json: bool,
+) -> None:
+    """Puts everything of roll-out NAME back as it was, as a new version."""
+    client = operator_client(addresses, patience)
+    _existing(client, name)
+    _report(_take(client, private_key(key_file), roll_back(name, reason)), as_json, "rolled back")
+
+
+@rollout.command("forget")
+@click.argument("name")
+@patience_option
+@key_option
+@to_option
+@json_option
+def forget_(name: str, patience: float, key_file: Path | None, addresses: tuple[Address, ...], as_json: bool) -> None:
+    """Takes the record of a finished or rolled back roll-out out of the bundle; the history keeps it."""
+    client = operator_client(addresses, patience)
+    _existing(client, name)
+    _report(_take(client, private_key(key_file), forget(name)), as_json, "forgotten")
+
+
+@rollout.command()
+@click.argument("name")
+@click.option("--fewest-calls", type=click.IntRange(0), default=10, show_default=True, help="To see before going on.")
+@click.option("--every", type=click.FloatRange(0.1, 60), default=1.0, show_default=True, help="Seconds between looks.")
+@click.option(
+    "--give-up",
+    type=click.FloatRange(0, 86400),
+    default=600.0,
+    show_default=True,
+    help="Seconds beyond the watch after which a stage that shows nothing ends the command.",
+)
+@patience_option
+@key_option
+@to_option
+def run(
+    name: str,
+    fewest_calls: int,
+    every: float,
+    give_up: float,
+    patience: float,
+    key_file: Path | None,
+    addresses: tuple[Address, ...],
+) -> None:
+    """Watches roll-out NAME and takes it on stage by stage, or rolls it back. Start it again anywhere, at any time.
+
+    Ends with 0 when finished and 6 when rolled back or given up (it then stays at its stage).
+    """
+    client = operator_client(addresses, patience)
+    private = private_key(key_file)
+    _existing(client, name)
+    runner = RolloutRunner(
+        ClientAccess(client, private), name, click.echo, fewest_calls, Seconds(every), Seconds(give_up)
+    )
+    ended = asyncio.run(runner.run())
+    click.echo(f"{ended.how}: {ended.reason}")
+    if ended.how != "finished":
+        raise click.exceptions.Exit(int(ExitCode.UNHEALTHY))
--- a/wingwood/command_line/source.py
+++ b/wingwood/command_line/source.py
@@ -93,7 +93,14 @@
 
 
 def slice_from(kind: str, fields: Mapping[str, object], where: str) -> tuple[SliceName, bytes]:
-    """One slice from its fields; defaults are written out, so that a signed bundle never changes its meaning."""
+    """One slice from its fields; defaults are written out, so that a signed bundle never changes its meaning.
+
+    A variant's name ends in ``@zone=ZONE`` or ``@share=PERCENT``; the field itself is without that.
+    """
+    whom = ""
+    if isinstance(fields.get("name"), str):
+        bare, at, rest = str(fields["name"]).partition("@")
+        fields, whom = {**fields, "name": bare}, at + rest
     try:
         checked = _SCHEMAS[kind](dict(fields))
     except voluptuous.MultipleInvalid as several:
@@ -105,7 +112,7 @@
             raise Problem(f"{where}: {field} is missing") from None
         raise Problem(f"{where}: {field} is {fields[field]!r}: {first.msg}") from None
     part = KINDS[kind](**checked)
-    return SliceName(f"{kind}/{part.name}"), canonical_json(part)
+    return SliceName(f"{kind}/{part.name}{whom}"), canonical_json(part)
 
 
 def read_source(path: Path) -> Slices:
@@ -167,12 +174,13 @@
 
 
 def write_source(slices: Mapping[SliceName, bytes]) -> str:
-    """Slices as a bundle file that ``read_source`` takes."""
+    """Slices as a bundle file that ``read_source`` takes; roll-outs are no part of it."""
     blocks = []
     for kind in KINDS:
         for name in sorted(name for name in slices if name.startswith(f"{kind}/")):
             fields = msgspec.json.decode(slices[name], type=dict[str, object])
-            title = str(fields.pop("name"))
+            del fields["name"]
+            title = name.partition("/")[2]
             lines = [f"{field} = {msgspec.json.encode(value).decode()}" for field, value in fields.items()]
             blocks.append("\n".join([f'[{kind}."{title}"]', *lines]))
     return "\n\n".join(blocks) + "\n"
--- a/wingwood/command_line/tests/stand_in.py
+++ b/wingwood/command_line/tests/stand_in.py
@@ -5,10 +5,13 @@
 import asyncio
 import random
 import threading
-from collections.abc import Sequence
+from collections.abc import Iterator, Sequence
 from pathlib import Path
 
 import msgspec
+from prometheus_client import CollectorRegistry
+from prometheus_client.core import CounterMetricFamily, Metric
+from prometheus_client.registry import Collector
 from returns.result import Result, Success
 
 from ...bundle.model import Order, OrderOutcome
@@ -43,7 +46,7 @@
         pass
 
 
-class StandIn:
+class StandIn(Collector):
     """``daemons`` addresses from ``first_port`` up. Those in ``losing`` decide an order and lose the answer."""
 
     def __init__(self, operator_keys: Sequence[str], first_port: int, daemons: int = 2) -> None:
@@ -54,6 +57,11 @@
         self.interloper: Order | None = None
         """Another operator's order, decided right before the next one."""
         self.complete = True
+        self.routers = False
+        """Whether members shows router-a and router-b, of one zone each; the daemons answer for them."""
+        self.failing = False
+        """Whether calls through router-a fail from now on."""
+        self._counted = 0
         self.servers: dict[Address, OperatorServer] = {}
         self._loop = asyncio.new_event_loop()
         self._thread = threading.Thread(target=self._loop.run_forever, daemon=True)
@@ -71,6 +79,17 @@
         self._thread.join(10)
         self._loop.close()
 
+    def collect(self) -> Iterator[Metric]:
+        """Ten calls more at each look, of which half fail while ``failing``."""
+        self._counted += 10
+        counted = CounterMetricFamily("wingwood_calls", "Calls by outcome", labels=("service", "outcome"))
+        counted.add_metric(("chat", "answered"), self._counted)
+        counted.add_metric(("chat", "worker-broke"), self._counted if self.failing else 0)
+        yield counted
+
+    def describe(self) -> list[Metric]:
+        return []
+
     @property
     def to(self) -> list[str]:
         return [part for address in self.addresses for part in ("--to", str(address))]
@@ -124,7 +143,18 @@
         )
         worker = Worker(instance=WorkerInstance("w1"), address=address, pool=PoolName("m"), zone=Zone("a"), slots=4)
         identity = Identity(name, Incarnation("1"), "control", Zone("a"), address, address)
+        metrics = CollectorRegistry()
+        if number == 0:
+            metrics.register(self)
+        router_names = [
+            (f"router-{zone}", zone, self.addresses[place]) for place, zone in enumerate("ab"[: len(self.addresses)])
+        ]
+        routers = [
+            Identity(DaemonName(router), Incarnation("1"), "router", Zone(zone), where, where)
+            for router, zone, where in router_names
+        ]
         ReadRoutes(
+            metrics=metrics,
             current=lambda: (
                 None
                 if self.state.version == 0
@@ -134,7 +164,7 @@
                 ).unwrap()
             ),
             reader=LocalBundleReader(self.state, lambda: self.state.version),
-            members=lambda: [identity],
+            members=lambda: [identity, *(routers if self.routers else ())],
             workers=lambda: [worker],
             health=lambda: msgspec.structs.replace(
                 report,
--- a/wingwood/command_line/tests/test_command_line.py
+++ b/wingwood/command_line/tests/test_command_line.py
@@ -263,3 +263,92 @@
         self.assertIn("no daemon answered", self.run_("workers", "--to", "127.0.0.1:22199", code=5).output)
         self.assertIn("--to", self.run_("workers", code=1).output)
         self.assertIn("127.0.0.1:7000", self.run_("workers", "--to", "localhost", code=2).output)
+
+
+class RolloutTest(CommandCase):
+    def setUp(self) -> None:
+        super().setUp()
+        self.fleet = self.stand_in()
+        self.fleet.routers = True
+        self.signed = ("--key", str(self.operator), *self.fleet.to)
+        self.run_("bundle", "push", str(EXAMPLES / "despensa.toml"), *self.signed)
+
+    def rollout(self, *arguments: str, code: int = 0) -> str:
+        return self.run_("rollout", *arguments, *self.signed, code=code).output
+
+    def start(self, *more: str, code: int = 0) -> str:
+        change = ("--set", "service/chat.first_byte_patience=2.5", "--stages", "zone=a,all", "--watch", "0")
+        return self.rollout("start", "patience", *change, *more, code=code)
+
+    def test_start_status_go_on_and_roll_back(self) -> None:
+        self.assertIn("accepted: version 2", self.start())
+        self.assertEqual([order.whole for _, order in self.fleet.orders], [True, False])
+        told = self.run_("rollout", "status", "patience", *self.fleet.to).output
+        self.assertRegex(told, r"router-a +a +yes")
+        self.assertRegex(told, r"router-b +b +no")
+        shown = self.run_("bundle", "show", *self.fleet.to).output
+        self.assertIn("chat@zone=a", shown)
+        self.assertIn("zone=a (1 of 2)", shown)
+        self.assertIn("running already", self.start(code=3))
+        self.assertIn("stands at zone=a", self.rollout("go-on", "patience", "--from-stage", "all", code=3))
+        self.assertIn("stage all", self.rollout("go-on", "patience"))
+        self.assertIn("finished", self.rollout("go-on", "patience"))
+        self.assertIn("rolled back", self.rollout("roll-back", "patience", "--reason", "slow"))
+        self.assertEqual(self.json_("rollout", "status", *self.fleet.to)[0]["reason"], "slow")
+        self.rollout("forget", "patience")
+        self.assertEqual(self.fleet.state.slices_at(BundleVersion(6)), read_source(EXAMPLES / "despensa.toml"))
+        self.assertIn("no roll-outs", self.run_("rollout", "status", *self.fleet.to).output)
+
+    def test_wrong_starts_are_refused_before_anything_is_sent(self) -> None:
+        for arguments, said, code in (
+            (
+                ("--set", "service/chat.pool=x", "--stages", "zone=z,all"),
+                "zone=z reaches no further router of the 2",
+                1,
+            ),
+            (("--set", "service/chat.pool=x", "--stages", "half"), "write zone=NAME", 1),
+            (("--set", "tenant/riders.paid_rate=1", "--stages", "zone=a"), "only services, routes and classes", 1),
+            (("--set", "service/chat.retry_share=1", "--stages", "zone=a"), "a share from 0 to 0.2", 1),
+            (("--set", "service/product-card.repeatable=true", "--stages", "zone=a"), "a variant may not change it", 1),
+            (("--stages", "zone=a"), "nothing to change", 1),
+        ):
+            self.assertIn(said, self.rollout("start", "new", *arguments, code=code))
+        self.assertIn("there is no rollout/new", self.rollout("go-on", "new", code=1))
+        self.assertEqual(len(self.fleet.orders), 1)
+
+    def test_ordinary_orders_while_it_runs(self) -> None:
+        self.start()
+        said = self.run_("bundle", "change", "--set", "service/chat.deadline=9", *self.signed, code=1).output
+        self.assertIn("wingwood rollout roll-back patience", said)
+        self.run_("bundle", "change", "--set", "tenant/riders.paid_rate=20", *self.signed)
+        source = self.write("back.toml", self.run_("bundle", "show", "--toml", *self.fleet.to).output)
+        self.assertNotIn("@", Path(source).read_text())
+        self.assertIn("nothing differs", self.run_("bundle", "push", source, *self.signed).output)
+        other = ("start", "other", "--set", "service/chat.pool=x", "--stages", "zone=a")
+        self.assertIn("service/chat is in rollout/patience", self.rollout(*other, code=3))
+
+    def test_variants_of_ones_own_in_sources_and_changes(self) -> None:
+        part = self.write("part.toml", '[class."gold@zone=b"]\nweight = 7\n')
+        self.run_("bundle", "change", "--file", part, *self.signed)
+        self.run_("bundle", "change", "--set", "class/gold@zone=b.weight=8", *self.signed)
+        slices = self.fleet.state.slices_at(BundleVersion(3)) or {}
+        self.assertEqual(slices[SliceName("class/gold@zone=b")], b'{"name":"gold","weight":8.0}')
+        self.assertNotIn(b"8.0", slices[SliceName("class/gold")])
+        source = self.write("back.toml", self.run_("bundle", "show", "--toml", *self.fleet.to).output)
+        self.assertEqual(read_source(Path(source)), slices)
+        self.assertIn(
+            "has variants of its own",
+            self.rollout("start", "x", "--set", "class/gold.weight=9", "--stages", "all", code=3),
+        )
+
+    def test_run_watches_and_finishes_or_rolls_back(self) -> None:
+        self.start()
+        run = ("run", "patience", "--every", "0.1", "--fewest-calls", "1", "--give-up", "20")
+        told = self.rollout(*run)
+        self.assertIn("stage zone=a (1 of 2)", told)
+        self.assertIn("finished: version 4", told)
+        self.rollout("forget", "patience")
+        self.start("--set", "service/chat.pool=odd")
+        self.fleet.failing = True
+        self.assertIn("rolled-back: ", self.rollout(*run, code=6))
+        self.assertIn("rolled-back", self.run_("rollout", "status", *self.fleet.to).output)
--- /dev/null
+++ b/wingwood/rollout/plan.py
@@ -0,0 +1,203 @@
+"""Orders of a staged roll-out, worked out from the slices that are in force (docs/DESIGN.md section 19.3).
+
+Each step is a function of the newest slices alone, so that after a conflict it is simply worked out again,
+and any operator can take the next one.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Callable, Mapping, Sequence
+from typing import Literal
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from ..bundle.canonical import canonical_json
+from ..bundle.model import Rollout, RolloutChange
+from ..bundle.rollouts import ALL, wanted_slices
+from ..bundle.variants import KINDS, is_whom
+from ..identifiers import Seconds, SliceName
+
+Slices = dict[SliceName, bytes]
+
+_PERCENT = re.compile(r"([0-9]+)%")
+
+
+class NotPlanned(msgspec.Struct, frozen=True):
+    """Why a step can't be taken; ``kind`` ``conflict`` when another order or roll-out is in the way."""
+
+    kind: Literal["conflict", "invalid"]
+    reason: str
+
+
+Step = Callable[[Slices], Result[Slices, NotPlanned]]
+"""From the newest slices to those after the step."""
+
+
+def rollout_slice(name: str) -> SliceName:
+    return SliceName(f"rollout/{name}")
+
+
+def read_rollouts(slices: Mapping[SliceName, bytes]) -> dict[str, Rollout]:
+    """All roll-outs that stand in a bundle, by name."""
+    found = [msgspec.json.decode(slices[name], type=Rollout) for name in sorted(slices) if name.startswith("rollout/")]
+    return {rollout.name: rollout for rollout in found}
+
+
+def read_stages(text: str) -> Result[tuple[str, ...], NotPlanned]:
+    """``zone=a,25%,all``; ``all`` is added at the end when it is left out."""
+    stages = []
+    for part in (each.strip() for each in text.split(",")):
+        percent = _PERCENT.fullmatch(part)
+        stage = f"share={int(percent[1])}" if percent else part
+        if stage == "share=100":
+            stage = ALL
+        if stage != ALL and not is_whom(stage):
+            wrong = f"stage {part!r}: write zone=NAME, a percentage of the routers from 1% to 99%, or all"
+            return Failure(NotPlanned("invalid", wrong))
+        stages.append(stage)
+    return Success(tuple(stages if stages[-1] == ALL else [*stages, ALL]))
+
+
+def begin(
+    name: str,
+    change: Step,
+    stages: Sequence[str],
+    watch: Seconds,
+    highest_failures: float,
+    highest_refusals: float,
+) -> Step:
+    """Puts the first stage of ``change`` in place."""
+
+    def step(slices: Slices) -> Result[Slices, NotPlanned]:
+        held = read_rollouts(slices)
+        if name in held and held[name].state == "running":
+            return _conflict(f"rollout/{name} is running already; take another name or go on with it")
+        match change(slices):
+            case Success(wanted):
+                return _begun(slices, wanted, held)
+            case refused:
+                return refused
+
+    def _begun(slices: Slices, wanted: Slices, held: Mapping[str, Rollout]) -> Result[Slices, NotPlanned]:
+        names = sorted(each for each in {*slices, *wanted} if slices.get(each) != wanted.get(each))
+        if not names:
+            return _invalid("nothing differs from what is in force")
+        holders = {change.slice: each for each in held.values() if each.state == "running" for change in each.changes}
+        for each in names:
+            if each not in slices or each not in wanted:
+                done = "taken out" if each in slices else "new"
+                return _invalid(
+                    f"{each} is {done}: a roll-out changes slices that are there. Add a service by an ordinary order "
+                    "first (it harms nobody while no route leads to it), and take one out when none does any more"
+                )
+            if "@" in each or each.partition("/")[0] not in KINDS:
+                return _invalid(f"{each}: only services, routes and classes are rolled out in stages")
+            if each in holders:
+                return _conflict(f"{each} is in rollout/{holders[each].name}; finish that or roll it back first")
+            if any(other.startswith(f"{each}@") for other in slices):
+                return _conflict(f"{each} has variants of its own; take them out first")
+        rollout = Rollout(
+            name=name,
+            stages=tuple(stages),
+            stage=0,
+            state="running",
+            changes=tuple(
+                RolloutChange(
+                    slice=each, before=msgspec.json.decode(slices[each]), after=msgspec.json.decode(wanted[each])
+                )
+                for each in names
+            ),
+            watch=watch,
+            highest_failures=float(highest_failures),
+            highest_refusals=float(highest_refusals),
+        )
+        return Success(_replaced(slices, None, rollout))
+
+    return step
+
+
+def go_on(name: str, stage: int) -> Step:
+    """From stage ``stage`` to the next one; after the last one the roll-out is finished."""
+
+    def step(slices: Slices) -> Result[Slices, NotPlanned]:
+        rollout = read_rollouts(slices).get(name)
+        if rollout is None or rollout.state != "running" or rollout.stage != stage:
+            return _conflict(_elsewhere(name, rollout, "another operator took it on"))
+        if stage + 1 < len(rollout.stages):
+            after = msgspec.structs.replace(rollout, stage=stage + 1)
+        else:
+            after = msgspec.structs.replace(rollout, state="finished")
+        return Success(_replaced(slices, rollout, after))
+
+    return step
+
+
+def roll_back(name: str, reason: str) -> Step:
+    """Everything as it was before, as a new version; also after it was finished, while nothing else changed it."""
+
+    def step(slices: Slices) -> Result[Slices, NotPlanned]:
+        rollout = read_rollouts(slices).get(name)
+        if rollout is None or rollout.state == "rolled-back":
+            return _conflict(_elsewhere(name, rollout, "nothing to roll back"))
+        for change in rollout.changes:
+            if rollout.state == "finished" and slices.get(change.slice) != canonical_json(change.after):
+                return _conflict(
+                    f"{change.slice} was changed since rollout/{name} was finished; look at it and decide anew"
+                )
+        after = msgspec.structs.replace(rollout, state="rolled-back", reason=reason[:500])
+        return Success(_replaced(slices, rollout, after))
+
+    return step
+
+
+def forget(name: str) -> Step:
+    """Takes the record of a finished or rolled back roll-out out of the bundle."""
+
+    def step(slices: Slices) -> Result[Slices, NotPlanned]:
+        rollout = read_rollouts(slices).get(name)
+        if rollout is None or rollout.state == "running":
+            return _conflict(_elsewhere(name, rollout, "roll it back or let it finish first"))
+        return Success({each: data for each, data in slices.items() if each != rollout_slice(name)})
+
+    return step
+
+
+def _replaced(slices: Slices, before: Rollout | None, after: Rollout) -> Slices:
+    """The slices with the roll-out's own part of them moved from one state to the other."""
+    result = dict(slices)
+    if before is not None and before.state == "running":
+        for name in wanted_slices(before):
+            if "@" in name:
+                result.pop(name, None)
+    if after.state == "running":
+        result.update(wanted_slices(after))
+    elif after.state == "rolled-back":
+        result.update({change.slice: canonical_json(change.before) for change in after.changes})
+    result[rollout_slice(after.name)] = canonical_json(after)
+    return result
+
+
+def keep_rollouts(held: Mapping[SliceName, bytes], wanted: Slices) -> Slices:
+    """``wanted`` from an operator's source, with the roll-outs of the bundle in force and their variants."""
+    kept = {name: data for name, data in held.items() if name.startswith("rollout/")}
+    for rollout in read_rollouts(held).values():
+        if rollout.state == "running":
+            kept.update({name: data for name, data in wanted_slices(rollout).items() if "@" in name})
+    return {**wanted, **kept}
+
+
+def _elsewhere(name: str, rollout: Rollout | None, then: str) -> str:
+    if rollout is None:
+        return f"there is no rollout/{name}"
+    where = f"running at stage {rollout.stages[rollout.stage]}" if rollout.state == "running" else rollout.state
+    return f"rollout/{name} is {where}: {then}"
+
+
+def _conflict(reason: str) -> Result[Slices, NotPlanned]:
+    return Failure(NotPlanned("conflict", reason))
+
+
+def _invalid(reason: str) -> Result[Slices, NotPlanned]:
+    return Failure(NotPlanned("invalid", reason))
--- /dev/null
+++ b/wingwood/rollout/tests/test_rollout.py
@@ -0,0 +1,354 @@
+"""Steps, judgement and loop of staged roll-outs (docs/DESIGN.md section 19)."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from collections.abc import Callable, Sequence
+from random import Random
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from simulation.virtual_time import VirtualTimeLoop
+
+from ...bundle.canonical import canonical_json
+from ...bundle.model import OrderOutcome, Rollout
+from ...bundle.parse import parse_bundle
+from ...bundle.state import BundleState
+from ...bundle.tests.samples import OPERATOR_KEYS, order_between, sample_slices, submit
+from ...identifiers import Address, BundleVersion, DaemonName, Incarnation, Seconds, SliceName, Zone
+from ...transport.frames import Identity
+from ..plan import NotPlanned, Slices, Step, begin, forget, go_on, keep_rollouts, read_rollouts, read_stages, roll_back
+from ..runner import Ended, Lost, RolloutRunner, take_step
+from ..watch import Look, Sight, Verdict, judge, read_counts, tally
+
+CHAT = SliceName("service/chat")
+STAGES = ("zone=a", "share=50", "all")
+
+
+def with_pool(pool: str, name: SliceName = CHAT) -> Step:
+    def change(slices: Slices) -> Result[Slices, NotPlanned]:
+        return Success({**slices, name: canonical_json({**msgspec.json.decode(slices[name]), "pool": pool})})
+
+    return change
+
+
+def beginning(name: str = "bigger", change: Step | None = None, stages: Sequence[str] = STAGES) -> Step:
+    return begin(name, change or with_pool("large"), stages, Seconds(10.0), 0.02, 0.05)
+
+
+def after(slices: Slices, *steps: Step) -> Slices:
+    for step in steps:
+        slices = step(slices).unwrap()
+        checked = parse_bundle(order_between(0, {}, slices).manifest, slices)
+        assert isinstance(checked, Success), checked
+    return slices
+
+
+def without_record(slices: Slices) -> Slices:
+    return {name: data for name, data in slices.items() if not name.startswith("rollout/")}
+
+
+class PlanTest(unittest.TestCase):
+    def test_stages_as_operators_write_them(self) -> None:
+        self.assertEqual(read_stages("zone=a, 25%").unwrap(), ("zone=a", "share=25", "all"))
+        self.assertEqual(read_stages("100%").unwrap(), ("all",))
+        for wrong in ("zone-a", "0%", "", "share=x"):
+            self.assertIn("write zone=NAME", read_stages(wrong).failure().reason)
+
+    def test_from_the_first_stage_to_the_end_and_back_at_each(self) -> None:
+        first = sample_slices()
+        steps = [beginning(), go_on("bigger", 0), go_on("bigger", 1), go_on("bigger", 2)]
+        for taken in range(1, 5):
+            reached = after(first, *steps[:taken])
+            back = after(reached, roll_back("bigger", "slow"))
+            self.assertEqual(without_record(back), first)
+            self.assertEqual(read_rollouts(back)["bigger"].reason, "slow")
+        self.assertEqual(without_record(reached), with_pool("large")(first).unwrap())
+        self.assertEqual(read_rollouts(reached)["bigger"].state, "finished")
+        self.assertEqual(after(back, forget("bigger")), first)
+
+    def test_nobody_takes_a_step_twice_or_from_elsewhere(self) -> None:
+        reached = after(sample_slices(), beginning(), go_on("bigger", 0))
+        for step, said in (
+            (go_on("bigger", 0), "running at stage share=50: another operator took it on"),
+            (go_on("none", 0), "there is no rollout/none"),
+            (forget("bigger"), "roll it back or let it finish"),
+            (beginning(), "is running already"),
+            (beginning("other"), "service/chat is in rollout/bigger"),
+        ):
+            problem = step(reached).failure()
+            self.assertEqual((problem.kind, said in problem.reason), ("conflict", True), problem.reason)
+        self.assertIn(
+            "nothing to roll back", roll_back("bigger", "")(after(reached, roll_back("bigger", ""))).failure().reason
+        )
+        finished = after(reached, go_on("bigger", 1), go_on("bigger", 2), with_pool("third"))
+        self.assertIn("was changed since", roll_back("bigger", "")(finished).failure().reason)
+
+    def test_what_cannot_be_rolled_out(self) -> None:
+        slices = sample_slices()
+        tenant, cards = SliceName("tenant/tenant-1"), SliceName("service/cards")
+        richer = canonical_json({**msgspec.json.decode(slices[tenant]), "paid_rate": 99.0})
+        variant = {**slices, SliceName("service/chat@zone=b"): slices[CHAT]}
+        for held, wanted, said in (
+            (slices, {**slices, tenant: richer}, "only services, routes and classes"),
+            (slices, {name: data for name, data in slices.items() if name != cards}, "service/cards is taken out"),
+            (slices, {**slices, SliceName("class/new"): b"{}"}, "class/new is new"),
+            (slices, slices, "nothing differs"),
+            (variant, with_pool("large")(variant).unwrap(), "has variants of its own"),
+        ):
+            outcome = beginning(change=lambda _, wanted=wanted: Success(wanted))(held)  # type: ignore[misc]
+            self.assertIn(said, outcome.failure().reason)
+
+    def test_a_source_pushed_meanwhile_leaves_the_roll_out_as_it_is(self) -> None:
+        held = after(sample_slices(), beginning())
+        source = {**sample_slices(), SliceName("class/more"): b'{"name":"more","weight":1.0}'}
+        pushed = keep_rollouts(held, source)
+        self.assertEqual(set(pushed) - set(held), {"class/more"})
+        self.assertEqual(set(held) - set(pushed), set())
+        self.assertEqual(without_record(after(pushed, roll_back("bigger", ""))), source)
+
+
+def router(name: str, zone: str) -> Identity:
+    address = Address("127.0.0.1", 1)
+    return Identity(DaemonName(name), Incarnation("1"), "router", Zone(zone), address, address)
+
+
+ROUTERS = tuple(router(f"{zone}-{number}", zone) for zone in "abc" for number in range(3))
+A, B, C = (tuple(each.name for each in ROUTERS if each.zone == zone) for zone in "abc")
+
+
+def sight(
+    counts: dict[str, dict[str, float]] | None = None,
+    away: Sequence[str] = (),
+    versions: dict[str, int] | None = None,
+    lives: dict[str, str] | None = None,
+) -> Sight:
+    """``counts``: chat's outcomes by zone, for each of its routers."""
+    looks: dict[DaemonName, Look | None] = {}
+    for each in ROUTERS:
+        found = {("chat", outcome): count for outcome, count in (counts or {}).get(each.zone, {}).items()}
+        look = Look(
+            incarnation=Incarnation((lives or {}).get(each.name, "1")),
+            ready=True,
+            version=BundleVersion((versions or {}).get(each.name, 7)),
+            counts={**found, ("cards", "worker-broke"): 1000.0 if counts else 0.0},
+        )
+        looks[each.name] = None if each.name in away else look
+    return Sight(members=tuple(each for each in ROUTERS if each.name not in away), looks=looks)
+
+
+class JudgeTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.rollout: Rollout = read_rollouts(after(sample_slices(), beginning()))["bigger"]
+
+    def judge(self, now: Sight, watched: float = 11.0, away_for: float = 0.0, before: Sight | None = None) -> Verdict:
+        routers = {each.name: each for each in ROUTERS}
+        return judge(
+            self.rollout,
+            BundleVersion(7),
+            routers,
+            before or sight(),
+            now,
+            Seconds(watched),
+            Seconds(away_for),
+            10,
+        )
+
+    def test_a_stage_that_does_well_goes_on_when_it_was_watched_for_long_enough(self) -> None:
+        good = {zone: {"answered": 100.0, "worker-broke": 1.0} for zone in "abc"}
+        self.assertEqual(self.judge(sight(good)).do, "go-on")
+        self.assertEqual(self.judge(sight(good), watched=9.0).do, "wait")
+        few = self.judge(sight({"a": {"answered": 3.0}}))
+        self.assertEqual((few.do, "waiting for 10 calls" in few.reason), ("wait", True))
+        behind = self.judge(sight(good, versions={A[0]: 6}))
+        self.assertEqual((behind.do, "a-0" in behind.reason), ("begin-anew", True))
+        self.assertEqual(self.judge(sight(good, versions={B[0]: 6})).do, "go-on")
+
+    def test_failures_and_refusals_over_the_limit_roll_back_at_once_unless_all_do_as_badly(self) -> None:
+        for outcome, what in (
+            ("worker-broke", "failed"),
+            ("cut-worker-broke", "failed"),
+            ("workers-all-full", "refused"),
+        ):
+            bad = {"answered": 90.0, outcome: 10.0}
+            verdict = self.judge(sight({"a": bad, "b": {"answered": 100.0}}), watched=1.0)
+            self.assertEqual((verdict.do, what in verdict.reason), ("roll-back", True), verdict.reason)
+            self.assertEqual(self.judge(sight({zone: bad for zone in "abc"})).do, "begin-anew")
+        callers_own = {"answered": 90.0, "key-unknown": 50.0, "share-exceeded": 50.0, "cut-caller-gone": 50.0}
+        self.assertEqual(self.judge(sight({"a": callers_own})).do, "go-on")
+        self.assertEqual(self.judge(sight({"a": {"answered": 3.0, "worker-broke": 1.0}})).do, "go-on")
+
+    def test_lost_routers(self) -> None:
+        good = {zone: {"answered": 100.0} for zone in "abc"}
+        self.assertEqual(self.judge(sight(good, away=A[:1])).do, "go-on")
+        for seconds, do in ((5.0, "begin-anew"), (11.0, "roll-back")):
+            verdict = self.judge(sight(good, away=A[:2]), away_for=seconds)
+            self.assertEqual((verdict.do, "a-0, a-1" in verdict.reason), (do, True))
+        everywhere = self.judge(sight(good, away=(*A[:2], *B, *C)), away_for=11.0)
+        self.assertEqual((everywhere.do, "so are 6 of the 6 others" in everywhere.reason), ("begin-anew", True))
+
+    def test_a_router_that_restarted_counts_from_its_start(self) -> None:
+        before = sight({"a": {"answered": 1000.0}})
+        now = sight({"a": {"answered": 20.0}}, lives={A[0]: "2"})
+        self.assertEqual(tally(A[:1], before, now, frozenset(["chat"])).calls, 20.0)
+        self.assertEqual(tally(A[:1], before, now, None).failures, 1000.0)
+
+    def test_counts_are_read_from_metrics(self) -> None:
+        text = '# TYPE wingwood_calls counter\nwingwood_calls_total{outcome="answered",service="chat"} 3.0\n'
+        self.assertEqual(read_counts(text + 'other{a="b"} 1\n'), {("chat", "answered"): 3.0})
+
+
+class StandInAccess:
+    """The real bundle state; routers follow at once. ``trouble``: counts a zone's routers show from a version on."""
+
+    def __init__(self) -> None:
+        self.state = BundleState(OPERATOR_KEYS)
+        self.state_orders = 0
+        self.before_submit: list[Callable[[], object]] = []
+        self.lose = 0
+        self.bad_zone = ""
+        self.away: tuple[DaemonName, ...] = ()
+        self.put(sample_slices())
+
+    def put(self, slices: Slices) -> OrderOutcome:
+        version = self.state.version
+        self.state_orders += 1
+        before = self.state.slices_at(version) or {}
+        return submit(self.state, order_between(version, before, slices, f"order-{self.state_orders}"))
+
+    def slices(self) -> Slices:
+        return self.state.slices_at(self.state.version) or {}
+
+    async def newest(self) -> Result[tuple[BundleVersion, Slices], Lost]:
+        return Success((self.state.version, self.slices()))
+
+    async def submit(self, base: BundleVersion, before: Slices, after: Slices) -> Result[OrderOutcome, Lost]:
+        if self.before_submit:
+            self.before_submit.pop(0)()
+        self.state_orders += 1
+        outcome = submit(self.state, order_between(base, before, after, f"order-{self.state_orders}"))
+        if self.lose:
+            self.lose -= 1
+            return Failure(Lost("no daemon said what became of it"))
+        return Success(outcome)
+
+    async def look(self) -> Result[Sight, Lost]:
+        now = asyncio.get_running_loop().time()
+        counts = {zone: {"answered": now * 10} for zone in "abc"}
+        if self.bad_zone:
+            counts[self.bad_zone]["worker-broke"] = now * 5
+        versions = {str(each.name): int(self.state.version) for each in ROUTERS}
+        return Success(sight(counts, away=self.away, versions=versions))
+
+
+class RunnerTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.access = StandInAccess()
+        self.told: list[str] = []
+
+    def run_on_virtual_time(self, *works: Callable[[], object]) -> list[object]:
+        loop = VirtualTimeLoop(Random(1))
+
+        async def all_of_them() -> list[object]:
+            return list(await asyncio.gather(*(work() for work in works)))  # type: ignore[call-overload]
+
+        try:
+            return loop.run_until_complete(all_of_them())
+        finally:
+            loop.close()
+
+    def runner(self, patience: float = 100.0) -> RolloutRunner:
+        return RolloutRunner(self.access, "bigger", self.told.append, patience=Seconds(patience))
+
+    def begin(self) -> None:
+        self.access.put(after(self.access.slices(), beginning()))
+
+    def rollout(self) -> Rollout:
+        return read_rollouts(self.access.slices())["bigger"]
+
+    def test_a_good_change_goes_through_all_stages_each_watched(self) -> None:
+        self.begin()
+        (ended,) = self.run_on_virtual_time(self.runner().run)
+        self.assertEqual(ended, Ended("finished", "version 5"))
+        self.assertIn(b"large", self.access.slices()[CHAT])
+        self.assertEqual(sum("watching left" in line for line in self.told), 30)
+
+    def test_a_bad_change_goes_back_as_a_new_version(self) -> None:
+        self.begin()
+        self.access.bad_zone = "a"
+        (ended,) = self.run_on_virtual_time(self.runner().run)
+        assert isinstance(ended, Ended)
+        self.assertEqual((ended.how, self.access.state.version), ("rolled-back", 3))
+        self.assertIn("calls failed", self.rollout().reason)
+        self.assertEqual(without_record(self.access.slices()), sample_slices())
+
+    def test_lost_routers_have_ten_seconds_to_come_back(self) -> None:
+        self.begin()
+
+        async def a_moment() -> None:
+            await asyncio.sleep(2.5)
+            self.access.away = A
+            await asyncio.sleep(8.0)
+            self.access.away = ()
+            await asyncio.sleep(5.0)
+            self.access.away = A
+            await asyncio.sleep(9.0)
+            self.assertEqual(self.rollout().state, "running")
+
+        ended, _ = self.run_on_virtual_time(self.runner().run, a_moment)
+        assert isinstance(ended, Ended)
+        self.assertEqual((ended.how, self.rollout().stage), ("rolled-back", 0))
+        self.assertIn("away or not ready: a-0, a-1, a-2", self.rollout().reason)
+
+    def test_routers_that_vanish_as_their_stage_begins_count(self) -> None:
+        self.access.put(after(self.access.slices(), beginning(stages=("zone=a", "zone=b", "all"))))
+        self.access.before_submit.append(lambda: setattr(self.access, "away", B))
+        (ended,) = self.run_on_virtual_time(self.runner().run)
+        assert isinstance(ended, Ended)
+        self.assertEqual((ended.how, self.rollout().stage), ("rolled-back", 1))
+        # A runner that came later knows nothing of them; it takes what control says for the fleet.
+        self.assertIn("3 of 6 routers of the stage are away", ended.reason)
+
+    def test_two_operators_run_it_at_once_and_no_stage_is_skipped(self) -> None:
+        self.begin()
+        for _ in range(2):
+            # Other orders come first now and then.
+            self.access.before_submit.append(lambda: None)
+            self.access.before_submit.append(
+                lambda: self.access.put({**self.access.slices(), SliceName("class/x"): b'{"name":"x","weight":1.0}'})
+            )
+        ended = self.run_on_virtual_time(self.runner().run, self.runner().run)
+        self.assertEqual([each.how for each in ended if isinstance(each, Ended)], ["finished", "finished"])
+        seen = []
+        for version in range(2, self.access.state.version + 1):
+            found = read_rollouts(self.access.state.slices_at(BundleVersion(version)) or {})["bigger"]
+            seen.append((found.stage, found.state))
+        self.assertEqual(list(dict.fromkeys(seen)), [(0, "running"), (1, "running"), (2, "running"), (2, "finished")])
+        self.assertGreater(len(seen), 4, "no other order came between")
+
+    def test_a_lost_answer_does_no_harm(self) -> None:
+        self.begin()
+        self.access.lose = 2
+        (ended,) = self.run_on_virtual_time(self.runner().run)
+        self.assertEqual(ended, Ended("finished", "version 5"))
+
+    def test_a_stage_without_calls_is_given_up_where_it_stands(self) -> None:
+        self.begin()
+        self.access.away = tuple(each.name for each in ROUTERS)
+        (ended,) = self.run_on_virtual_time(self.runner(30.0).run)
+        assert isinstance(ended, Ended)
+        self.assertEqual((ended.how, self.rollout().state), ("lost", "running"))
+
+    def test_a_step_is_worked_out_anew_after_a_conflict(self) -> None:
+        other = SliceName("class/gold")
+        richer = canonical_json({"name": "gold", "weight": 9.0})
+        self.access.before_submit.append(lambda: self.access.put({**self.access.slices(), other: richer}))
+        (outcome,) = self.run_on_virtual_time(lambda: take_step(self.access, beginning()))
+        assert isinstance(outcome, Success)
+        self.assertEqual((self.access.state.version, self.access.slices()[other]), (3, richer))
+        self.access.before_submit.append(lambda: self.access.put(after(self.access.slices(), go_on("bigger", 0))))
+        (outcome,) = self.run_on_virtual_time(lambda: take_step(self.access, go_on("bigger", 0)))
+        assert isinstance(outcome, Failure)
+        self.assertEqual(self.rollout().stage, 1)
--- /dev/null
+++ b/wingwood/rollout/watch.py
@@ -0,0 +1,222 @@
+"""How a stage does, judged from what its routers say of themselves (docs/DESIGN.md section 19.4)."""
+
+from __future__ import annotations
+
+from collections.abc import Mapping, Sequence
+from typing import Literal
+
+import msgspec
+from prometheus_client.parser import text_string_to_metric_families
+
+from ..bundle.model import Rollout
+from ..bundle.rollouts import ALL
+from ..bundle.variants import Place, fits
+from ..identifiers import BundleVersion, DaemonName, Incarnation, Seconds
+from ..transport.frames import Identity
+
+FEWEST_BAD = 5
+"""So many bad calls before a share of them says anything."""
+WORSE_BY = 1.5
+"""The stage is to blame when it does so many times worse than the rest of the fleet."""
+MOST_AWAY = 1 / 3
+"""Share of a stage's routers that may be lost or not ready: machines fail on ordinary days too."""
+
+AWAY_FOR = Seconds(10.0)
+"""A frozen machine or a short cut is no reason to roll back."""
+
+CALLERS_OWN = frozenset(
+    [
+        "key-missing",
+        "key-unknown",
+        "path-malformed",
+        "no-route",
+        "method-not-allowed",
+        "service-not-allowed",
+        "prefix-malformed",
+        "idempotency-key-missing",
+        "malformed-request",
+        "headers-too-large",
+        "body-too-large",
+        "too-slow",
+        "too-many-connections",
+        "share-exceeded",
+        "call-running",
+        "call-ran",
+        "call-unknown",
+        "cut-caller-gone",
+    ]
+)
+"""Outcomes that a caller brought on itself; they don't count at all."""
+REFUSALS = frozenset(
+    [
+        "crowded",
+        "overloaded",
+        "too-late",
+        "patience-passed",
+        "bundle-not-proven",
+        "service-changed",
+        "ledger-unreachable",
+        "router-draining",
+        "router-stopping",
+    ]
+)
+"""Outcomes ``not-run`` for want of room or proof; ``workers-...`` too. The rest but ``answered`` are failures."""
+
+Routers = Mapping[DaemonName, Identity]
+Counts = Mapping[tuple[str, str], float]
+"""Calls by service and outcome."""
+
+
+class Look(msgspec.Struct, frozen=True, kw_only=True):
+    """One router at one moment."""
+
+    incarnation: Incarnation
+    ready: bool
+    version: BundleVersion
+    counts: Counts
+
+
+class Sight(msgspec.Struct, frozen=True, kw_only=True):
+    """The routers that control takes for members, and what each said; None: no answer."""
+
+    members: tuple[Identity, ...]
+    looks: Mapping[DaemonName, Look | None]
+
+    def routers(self) -> list[Identity]:
+        return [member for member in self.members if member.role == "router"]
+
+
+class Tally(msgspec.Struct, frozen=True, kw_only=True):
+    calls: float = 0.0
+    failures: float = 0.0
+    refusals: float = 0.0
+
+    def share(self, bad: float) -> float:
+        return bad / self.calls if self.calls else 0.0
+
+    def told(self) -> str:
+        failed, refused = self.share(self.failures), self.share(self.refusals)
+        return f"{self.calls:.0f} calls, {failed:.1%} failed, {refused:.1%} refused"
+
+
+class Verdict(msgspec.Struct, frozen=True, kw_only=True):
+    do: Literal["wait", "begin-anew", "go-on", "roll-back"]
+    """``begin-anew``: the time of watching starts again, since it would show nothing of the change."""
+    reason: str
+
+
+def read_counts(text: str) -> Counts:
+    """``wingwood_calls_total`` from a router's /metrics."""
+    return {
+        (sample.labels["service"], sample.labels["outcome"]): sample.value
+        for family in text_string_to_metric_families(text)
+        for sample in family.samples
+        if sample.name == "wingwood_calls_total"
+    }
+
+
+def in_stage(rollout: Rollout, stage: int, member: Identity) -> bool:
+    place = Place(member.zone, member.name)
+    return any(whom == ALL or fits(whom, place) for whom in rollout.stages[: stage + 1])
+
+
+def changed_services(rollout: Rollout) -> frozenset[str] | None:
+    """Services whose calls tell of the change; None: all."""
+    names: set[str] = set()
+    for change in rollout.changes:
+        kind, _, bare = change.slice.partition("/")
+        if kind == "class":
+            return None
+        names.update([bare] if kind == "service" else [str(change.before["service"]), str(change.after["service"])])
+    return frozenset(names)
+
+
+def tally(names: Sequence[DaemonName], before: Sight, after: Sight, services: frozenset[str] | None) -> Tally:
+    """Calls between two looks. A router that restarted meanwhile counts from its start."""
+    calls = failures = refusals = 0.0
+    for name in names:
+        then, now = before.looks.get(name), after.looks.get(name)
+        if now is None:
+            continue
+        same = then is not None and then.incarnation == now.incarnation
+        for (service, outcome), count in sorted(now.counts.items()):
+            more = count - (then.counts.get((service, outcome), 0.0) if same and then is not None else 0.0)
+            if outcome in CALLERS_OWN or (services is not None and service not in services):
+                continue
+            calls += more
+            if outcome in REFUSALS or outcome.startswith("workers-"):
+                refusals += more
+            elif outcome != "answered":
+                failures += more
+    return Tally(calls=calls, failures=failures, refusals=refusals)
+
+
+def judge(
+    rollout: Rollout,
+    version: BundleVersion,
+    routers: Routers,
+    before: Sight,
+    now: Sight,
+    watched: Seconds,
+    away_for: Seconds,
+    fewest_calls: int,
+) -> Verdict:
+    """What to do about the stage reached.
+
+    ``version`` put the stage in place; ``routers``: all seen since then. ``before`` was seen when the watch
+    began, ``watched`` ago. ``away_for``: how long too many of the stage have been away.
+    """
+    stage, rest = parted(rollout, routers)
+    if not stage:
+        return Verdict(do="begin-anew", reason="no router of this stage is there")
+    away = [name for name in stage if not _serves(now, name)]
+    rest_away = [name for name in rest if not _serves(now, name)]
+    if too_many_away(rollout, routers, now):
+        told = f"{len(away)} of {len(stage)} routers of the stage are away or not ready: {', '.join(away[:5])}"
+        if len(rest_away) > MOST_AWAY * len(rest):
+            return Verdict(do="begin-anew", reason=f"{told}; so are {len(rest_away)} of the {len(rest)} others")
+        return Verdict(do="begin-anew" if away_for < AWAY_FOR else "roll-back", reason=told)
+    behind = [name for name in stage if name not in away and _version(now, name) < version]
+    if behind:
+        return Verdict(do="begin-anew", reason=f"version {version} is not in force yet on {', '.join(behind[:5])}")
+    services = changed_services(rollout)
+    here, there = tally(stage, before, now, services), tally(rest, before, now, services)
+    for what, bad, elsewhere, highest in (
+        ("failed", here.failures, there.failures, rollout.highest_failures),
+        ("refused", here.refusals, there.refusals, rollout.highest_refusals),
+    ):
+        if bad < FEWEST_BAD or here.share(bad) <= highest:
+            continue
+        told = f"{here.share(bad):.1%} of {here.calls:.0f} calls {what} (up to {highest:.1%} may)"
+        if there.calls and here.share(bad) <= WORSE_BY * there.share(elsewhere):
+            return Verdict(
+                do="begin-anew", reason=f"{told}, but so did {there.share(elsewhere):.1%} on the rest of the fleet"
+            )
+        return Verdict(do="roll-back", reason=told)
+    left = rollout.watch - watched
+    if left > 0:
+        return Verdict(do="wait", reason=f"{here.told()}; {left:.0f} s of watching left")
+    if here.calls < fewest_calls:
+        return Verdict(do="wait", reason=f"{here.told()}; waiting for {fewest_calls} calls")
+    return Verdict(do="go-on", reason=here.told())
+
+
+def parted(rollout: Rollout, routers: Routers) -> tuple[list[DaemonName], list[DaemonName]]:
+    """The stage's routers and the others, each by name."""
+    stage = [name for name in sorted(routers) if in_stage(rollout, rollout.stage, routers[name])]
+    return stage, [name for name in sorted(routers) if name not in stage]
+
+
+def too_many_away(rollout: Rollout, routers: Routers, now: Sight) -> bool:
+    stage, _ = parted(rollout, routers)
+    return sum(not _serves(now, name) for name in stage) > MOST_AWAY * len(stage)
+
+
+def _serves(sight: Sight, name: DaemonName) -> bool:
+    look = sight.looks.get(name)
+    return look is not None and look.ready
+
+
+def _version(sight: Sight, name: DaemonName) -> BundleVersion:
+    look = sight.looks.get(name)
+    return BundleVersion(0) if look is None else look.version
