--- a/wingwood/placement/award_placement.py
+++ b/wingwood/placement/award_placement.py
@@ -14,7 +14,7 @@
 from ..identifiers import Instant, PoolName, RequestId, Seconds, WorkerInstance
 from ..membership.protocols import Membership
 from ..membership.rendezvous import ranked
-from ..registry.protocols import Registry, RunningExchange, Worker
+from ..registry.protocols import EngagementExchange, Registry, Worker
 from .kept_prefixes import EvictionModel, SharedPrefixes
 from .protocols import Choice, NoWorker, Turn
 from .session_map import Entry, SessionMap, Unreachable, session_key
@@ -29,19 +29,19 @@
 
     award_for: Seconds = Seconds(300.0)
     """How long an award stands; after that the entry is only a claim."""
-    reserve_for: Seconds = Seconds(10.0)
-    """How long an award counts as expected load at the winner."""
-    reserve_share: float = 0.1
-    """What part of a turn an open award counts for meanwhile."""
-    fullness_cost: Seconds = Seconds(0.3)
-    """What a worker with all slots taken costs beside the wait, growing with the square of its fullness."""
+    expect_for: Seconds = Seconds(20.0)
+    """How long after its last turn a session counts as coming back to its award's winner."""
+    ahead_cost: float = 0.03
+    """Weight of the mean wait foreseen for a turn to come, against the prefill spared."""
+    crowd_cost: float = 0.1
+    """The same for a turn that is here, beside the wait for a free slot, which counts in full."""
     pressure_most: float = 4.0
     """How much more fullness may count for the class that pays least."""
     move_gain: Seconds = Seconds(0.1)
     """A session moves only for a gain above this."""
     bounded_load: float = 1.25
     """A shared prefix goes on to its next worker above this multiple of the mean fullness."""
-    prefix_slots: float = 0.5
+    prefix_slots: float = 0.25
     """Share of a worker's slots that one shared prefix may take before it spreads to one more worker."""
     candidates: int = 3
     """Workers drawn for a session without a shared prefix."""
@@ -60,7 +60,7 @@
         context: Context,
         membership: Membership,
         registry: Registry,
-        exchange: RunningExchange,
+        exchange: EngagementExchange,
         session_map: SessionMap,
         settings: AwardSettings | None = None,
     ) -> None:
@@ -69,7 +69,7 @@
         self._registry = registry
         self._map = session_map
         self._settings = settings or AwardSettings()
-        self._workload = Workload(registry, exchange, self._settings.reserve_share)
+        self._workload = Workload(registry, exchange, self._settings.expect_for)
         self._shared = SharedPrefixes()
         self._evictions = EvictionModel()
         self._top_weight: dict[PoolName, float] = {}
@@ -83,6 +83,8 @@
         """The session map tells of each entry that this router keeps: an even sample for the eviction model."""
         routers = max(2, len(self._membership.routers()))
         capacity = sum(worker.cache_tokens for worker in self._registry.ready(entry.pool))
+        if self._map.keeps(key):
+            self._workload.expect(key, entry.winner or entry.holder, entry.touched_at, self._context.clock.monotonic())
         if capacity:
             self._evictions.touched(entry.pool, key, entry.own_tokens, entry.touched_at, capacity * 2 / routers)
 
@@ -97,7 +99,6 @@
         if isinstance(entry, Unreachable):
             self.counts["unreachable"] += 1
         while True:
-            self._workload.release_old(self._context.clock.monotonic())
             ready = [worker for worker in self._registry.ready(pool) if worker.instance not in tried]
             if not ready:
                 return Failure(NoWorker("none-ready", Seconds(1.0)))
@@ -143,7 +144,6 @@
         self._placed[(turn.request, worker.instance)] = _Placed(now, self._workload.wait(worker))
         self._workload.begin(worker.instance)
         if key is not None and worker.cache_tokens:
-            self._workload.release(key)
             self._shared.sent(turn.service.pool, turn.prefix, key, turn.prompt_tokens, worker.instance, now)
             if known is None or known.holder != worker.instance:
                 self._map.record(key, self._entry(turn, worker, turn.prompt_tokens, now))
@@ -181,13 +181,11 @@
         next_turn = msgspec.structs.replace(turn, prompt_tokens=tokens)
         ready = self._registry.ready(turn.service.pool)
         if ready:
-            winner = self._bid(next_turn, entry, ready)
+            winner = self._bid_ahead(next_turn, entry, ready)
             entry.winner = winner.instance
             entry.award_until = Instant(now + self._settings.award_for)
             self.counts["awards"] += 1
             self.counts["moves"] += winner.instance != holder.instance
-            self._workload.release_old(now)
-            self._workload.reserve(key, winner.instance, Instant(now + self._settings.reserve_for))
         self._map.record(key, entry)
 
     def _entry(self, turn: Turn, holder: Worker, tokens: int, now: Instant) -> Entry:
@@ -213,22 +211,42 @@
             return min(entry.tokens, turn.prompt_tokens)
         return min(turn.prompt_tokens, self._shared.kept(turn.service.pool, turn.prefix, worker.instance, since))
 
-    def _cost(self, turn: Turn, entry: Entry | None, worker: Worker) -> float:
-        """Seconds: queue and fullness, counting more the less the class pays, and the prefill not spared."""
-        fullness = self._workload.load(worker) / worker.slots
-        crowd = self._workload.wait(worker) + self._settings.fullness_cost * fullness * fullness
+    def _cost(self, turn: Turn, entry: Entry | None, worker: Worker, wait: float) -> float:
+        """Seconds: the wait, counting more the less the class pays, and the prefill not spared."""
         uncached = max(0, turn.prompt_tokens - self._kept_tokens(turn, entry, worker))
-        return crowd * self._pressure(turn) + uncached * self._workload.figures(worker).per_token
+        return wait * self._pressure(turn) + uncached * self._workload.figures(worker).per_token
+
+    def _cost_now(self, turn: Turn, entry: Entry | None, worker: Worker) -> float:
+        mean_wait = self._workload.mean_wait(worker, self._workload.load(worker))
+        wait = self._workload.wait(worker) + self._settings.crowd_cost * mean_wait
+        return self._cost(turn, entry, worker, wait)
 
     def _pressure(self, turn: Turn) -> float:
         top = self._top_weight.get(turn.service.pool, turn.weight)
         return min(self._settings.pressure_most, max(1.0, top / max(turn.weight, 1e-9)))
 
     def _bid(self, turn: Turn, entry: Entry, ready: Sequence[Worker]) -> Worker:
-        """The cheapest worker; the holder unless another gains more than the margin."""
-        costs = [(self._cost(turn, entry, worker), worker) for worker in ready]
-        best_cost, best = min(costs, key=lambda pair: (pair[0], pair[1].instance))
-        for cost, worker in costs:
+        """For a turn that is here: the cheapest now; the holder unless another gains more than the margin."""
+        return self._cheapest(entry, [(self._cost_now(turn, entry, worker), worker) for worker in ready])
+
+    def _bid_ahead(self, turn: Turn, entry: Entry, ready: Sequence[Worker]) -> Worker:
+        """For a turn to come: the holder against a few drawn others, so that routers do not all move to one."""
+        others = [worker for worker in ready if worker.instance != entry.holder]
+        drawn = {
+            worker.instance
+            for worker in self._context.random.sample(others, min(self._settings.candidates, len(others)))
+        }
+        ahead = self._workload.loads_ahead(ready)
+        bids = []
+        for worker, load in zip(ready, ahead, strict=True):
+            if worker.instance == entry.holder or worker.instance in drawn:
+                wait = self._settings.ahead_cost * self._workload.mean_wait(worker, load)
+                bids.append((self._cost(turn, entry, worker, wait), worker))
+        return self._cheapest(entry, bids)
+
+    def _cheapest(self, entry: Entry, bids: Sequence[tuple[float, Worker]]) -> Worker:
+        best_cost, best = min(bids, key=lambda pair: (pair[0], pair[1].instance))
+        for cost, worker in bids:
             if worker.instance == entry.holder and cost - best_cost <= self._settings.move_gain:
                 return worker
         return best
@@ -239,7 +257,7 @@
             candidates = self._prefix_candidates(turn, ready)
         else:
             candidates = self._context.random.sample(list(ready), min(self._settings.candidates, len(ready)))
-        return min(candidates, key=lambda worker: (self._cost(turn, None, worker), worker.instance))
+        return min(candidates, key=lambda worker: (self._cost_now(turn, None, worker), worker.instance))
 
     def _prefix_candidates(self, turn: Turn, ready: Sequence[Worker]) -> Sequence[Worker]:
         """The first few in the prefix's rendezvous order: as many as its demand fills, and then one below the bound."""
--- a/wingwood/placement/plain_policies.py
+++ b/wingwood/placement/plain_policies.py
@@ -9,7 +9,7 @@
 from ..context.protocols import Context
 from ..identifiers import Instant, PoolName, RequestId, Seconds, WorkerInstance
 from ..membership.rendezvous import ranked
-from ..registry.protocols import Registry, RunningExchange, Worker
+from ..registry.protocols import EngagementExchange, Registry, Worker
 from .award_placement import Outcome
 from .protocols import Choice, NoWorker, Turn
 from .worker_estimates import Workload
@@ -18,10 +18,10 @@
 class _PlainPlacement:
     """Counts and learns; a subclass picks."""
 
-    def __init__(self, context: Context, registry: Registry, exchange: RunningExchange) -> None:
+    def __init__(self, context: Context, registry: Registry, exchange: EngagementExchange) -> None:
         self._context = context
         self._registry = registry
-        self._workload = Workload(registry, exchange, 0.0)
+        self._workload = Workload(registry, exchange, Seconds(20.0))
         self._placed: dict[tuple[RequestId, WorkerInstance], Instant] = {}
 
     def _order(self, turn: Turn, ready: Sequence[Worker]) -> Sequence[Worker]:
@@ -61,7 +61,7 @@
 
 
 class RoundRobin(_PlainPlacement):
-    def __init__(self, context: Context, registry: Registry, exchange: RunningExchange) -> None:
+    def __init__(self, context: Context, registry: Registry, exchange: EngagementExchange) -> None:
         super().__init__(context, registry, exchange)
         self._turns: dict[PoolName, int] = {}
 
--- a/wingwood/placement/session_map.py
+++ b/wingwood/placement/session_map.py
@@ -53,6 +53,10 @@
 
     def record(self, key: int, entry: Entry) -> None: ...
 
+    def keeps(self, key: int) -> bool:
+        """Whether this router is the one that counts the session."""
+        ...
+
 
 class Unreachable(msgspec.Struct, frozen=True):
     """Neither the keeper nor its stand-in answered in time."""
@@ -80,12 +84,17 @@
 
     def __init__(self) -> None:
         self._entries = RecentEntries(ENTRIES_MOST)
+        self.on_keep: Callable[[int, Entry], None] = lambda key, entry: None
 
     async def find(self, key: int) -> Entry | Unreachable | None:
         return self._entries.get(key)
 
     def record(self, key: int, entry: Entry) -> None:
         self._entries.put(key, entry)
+        self.on_keep(key, entry)
+
+    def keeps(self, key: int) -> bool:
+        return True
 
 
 class KeeperMap:
@@ -150,6 +159,10 @@
             else:
                 self._messenger.post(keeper.internal, KeepNotes((self._note(key, entry),)))
 
+    def keeps(self, key: int) -> bool:
+        pair = self._pair(key % SLOTS)
+        return bool(pair) and pair[0].incarnation == self._messenger.identity.incarnation
+
     # --- keeping ------------------------------------------------------------------------------
 
     def _keep(self, key: int, entry: Entry) -> None:
--- a/wingwood/placement/worker_estimates.py
+++ b/wingwood/placement/worker_estimates.py
@@ -2,12 +2,14 @@
 
 from __future__ import annotations
 
-from collections import Counter
+import math
+from collections import Counter, OrderedDict
+from collections.abc import Sequence
 
 import msgspec
 
 from ..identifiers import Instant, PoolName, Seconds, WorkerInstance
-from ..registry.protocols import Registry, RunningExchange, Worker
+from ..registry.protocols import Engagement, EngagementExchange, Registry, Worker
 
 FOLD = 0.1
 """Weight of one new sample in the moving averages."""
@@ -28,24 +30,25 @@
     """A whole turn."""
 
 
-class _Reservation(msgspec.Struct, frozen=True):
+class _Expected(msgspec.Struct, frozen=True):
     instance: WorkerInstance
-    until: Instant
+    since: Instant
 
 
 class Workload:
-    """Running turns, short reservations of awards, and the figures learnt per worker."""
+    """Running turns, sessions whose next turn is awarded, and the figures learnt per worker."""
 
-    def __init__(self, registry: Registry, exchange: RunningExchange, reserve_share: float) -> None:
+    def __init__(self, registry: Registry, exchange: EngagementExchange, expect_for: Seconds) -> None:
         self._registry = registry
         self._exchange = exchange
-        self._reserve_share = reserve_share
+        self._expect_for = expect_for
         self._running: Counter[WorkerInstance] = Counter()
-        self._reservations: dict[int, _Reservation] = {}
-        self._reserved: Counter[WorkerInstance] = Counter()
+        self._expected: OrderedDict[int, _Expected] = OrderedDict()
+        self._expected_at: Counter[WorkerInstance] = Counter()
+        self._turning: dict[PoolName, float] = {}
         self._figures: dict[WorkerInstance, WorkerFigures] = {}
         self._of_pool: dict[PoolName, WorkerFigures] = {}
-        exchange.count_running_with(self._count)
+        exchange.count_with(self._count)
 
     # --- counting -----------------------------------------------------------------------------
 
@@ -57,42 +60,53 @@
         if self._running[instance] <= 0:
             del self._running[instance]
 
-    def reserve(self, key: int, instance: WorkerInstance, until: Instant) -> None:
-        self.release(key)
-        self._reservations[key] = _Reservation(instance, until)
-        self._reserved[instance] += 1
-
-    def release(self, key: int) -> None:
-        reservation = self._reservations.pop(key, None)
-        if reservation is not None:
-            self._reserved[reservation.instance] -= 1
-            if self._reserved[reservation.instance] <= 0:
-                del self._reserved[reservation.instance]
-
-    def release_old(self, now: Instant) -> None:
-        """Reservations stand in the order of their making, all for the same time."""
-        while self._reservations:
-            key = next(iter(self._reservations))
-            if self._reservations[key].until > now:
-                return
-            self.release(key)
-
-    def own(self, instance: WorkerInstance) -> float:
-        return self._running[instance] + self._reserve_share * self._reserved[instance]
-
-    def _count(self, pool: PoolName) -> dict[WorkerInstance, float]:
+    def expect(self, key: int, instance: WorkerInstance, since: Instant, now: Instant) -> None:
+        """The session's next turn is awarded there; counts for a while, or until its next award."""
+        self._drop(key)
+        self._expected[key] = _Expected(instance, since)
+        self._expected_at[instance] += 1
+        while self._expected and now - next(iter(self._expected.values())).since > self._expect_for:
+            self._drop(next(iter(self._expected)))
+
+    def _drop(self, key: int) -> None:
+        expected = self._expected.pop(key, None)
+        if expected is not None:
+            self._expected_at[expected.instance] -= 1
+            if self._expected_at[expected.instance] <= 0:
+                del self._expected_at[expected.instance]
+
+    def own(self, instance: WorkerInstance) -> Engagement:
+        return Engagement(float(self._running[instance]), float(self._expected_at[instance]))
+
+    def _count(self, pool: PoolName) -> dict[WorkerInstance, Engagement]:
         return {
-            worker.instance: count
+            worker.instance: own
             for worker in self._registry.ready(pool)
-            if (count := self.own(worker.instance)) > 0.0
+            if (own := self.own(worker.instance)) != Engagement()
         }
 
     def load(self, worker: Worker) -> float:
-        """Turns running, waiting or expected there, over all routers."""
-        counted = self.own(worker.instance) + self._exchange.running_elsewhere(worker.instance)
+        """Turns running or waiting there now, over all routers."""
+        counted = self._running[worker.instance] + self._exchange.elsewhere(worker.instance).running
         told = 0 if worker.load is None else worker.load.running + worker.load.waiting
         return max(counted, TOLD_LOAD_TRUST * told)
 
+    def loads_ahead(self, ready: Sequence[Worker]) -> list[float]:
+        """The load that each worker's sessions will make, for a turn that comes seconds later.
+
+        What runs now is little help then. The sessions awarded to a worker are: a part of them is
+        running at any time, and that part is the same for all workers of a pool.
+        """
+        expected = [
+            self._expected_at[worker.instance] + self._exchange.elsewhere(worker.instance).expected for worker in ready
+        ]
+        pool = ready[0].pool
+        turning = self._turning.get(pool, 0.3)
+        if sum(expected) >= 1.0:
+            seen = min(1.0, sum(self.load(worker) for worker in ready) / sum(expected))
+            turning = self._turning[pool] = turning + 0.02 * (seen - turning)
+        return [turning * sessions for sessions in expected]
+
     def is_full(self, worker: Worker) -> bool:
         return self.load(worker) >= FULL_AT * worker.slots
 
@@ -102,10 +116,21 @@
         return self._figures.get(worker.instance) or self._of_pool.get(worker.pool) or WorkerFigures()
 
     def wait(self, worker: Worker) -> float:
-        """Seconds until a slot is free."""
+        """Seconds until a slot is free, from what is there now."""
         over = self.load(worker) - worker.slots + 1
         return max(0.0, over) * self.figures(worker).turn / worker.slots
 
+    def mean_wait(self, worker: Worker, load: float) -> float:
+        """Seconds that turns wait on average at a worker whose mean load is ``load``.
+
+        Sakasegawa's approximation for a queue before several servers; past nine tenths of the slots
+        the queue's growth in a turn's time is added instead of a wait without bound.
+        """
+        step = self.figures(worker).turn / worker.slots
+        use = min(0.9, load / worker.slots)
+        busy = math.pow(use, math.sqrt(2.0 * (worker.slots + 1)) - 1.0)
+        return step * (busy / (1.0 - use) + max(0.0, load - 0.9 * worker.slots))
+
     def first_token(self, worker: Worker, uncached: int) -> Seconds:
         figures = self.figures(worker)
         return Seconds(self.wait(worker) + figures.base + uncached * figures.per_token)
--- a/wingwood/registry/messages.py
+++ b/wingwood/registry/messages.py
@@ -5,7 +5,7 @@
 import msgspec
 
 from ..identifiers import Incarnation, PoolName, Seconds, WorkerInstance
-from .protocols import Worker, WorkerLoad
+from .protocols import Engagement, Worker, WorkerLoad
 
 
 class WorkerEntry(msgspec.Struct, frozen=True, array_like=True):
@@ -53,8 +53,8 @@
     home: Incarnation
     """Whose sequence numbers ``sequence`` counts; empty for none."""
     sequence: int
-    running: dict[WorkerInstance, float]
-    """Turns the asker (a router, or a home for its zone) has running or expects, by worker."""
+    engaged: dict[WorkerInstance, Engagement]
+    """The asker's part (a router's own, or a home's for its zone), by worker."""
     offered: tuple[WorkerEntry, ...] = ()
     """All the asker knows, for a home that is new to it (repair)."""
 
@@ -73,8 +73,8 @@
     entries: tuple[WorkerEntry, ...]
     """Changed after the asked sequence, or all of them when the asker named another home."""
     loads: dict[WorkerInstance, WorkerLoad]
-    running: dict[WorkerInstance, float]
-    """Turns running or expected by all others than the asker."""
+    engaged: dict[WorkerInstance, Engagement]
+    """The part of all others than the asker."""
 
 
 class FeedAnswer(msgspec.Struct, frozen=True):
--- a/wingwood/registry/protocols.py
+++ b/wingwood/registry/protocols.py
@@ -54,13 +54,22 @@
         ...
 
 
-class RunningExchange(Protocol):
-    """How many turns the whole fleet runs on each worker, told along with the feed (section 10.4)."""
+class Engagement(msgspec.Struct, frozen=True, array_like=True):
+    """How taken a worker is, as counted by routers."""
 
-    def count_running_with(self, count: Callable[[PoolName], dict[WorkerInstance, float]]) -> None:
-        """``count`` gives this router's running and expected turns of a pool, by worker; zeros left out."""
+    running: float = 0.0
+    """Turns running or waiting there now."""
+    expected: float = 0.0
+    """Sessions whose next turn is awarded there and whose last one is not long ago."""
+
+
+class EngagementExchange(Protocol):
+    """How engaged the whole fleet has the workers, told along with the feed (section 10.4)."""
+
+    def count_with(self, count: Callable[[PoolName], dict[WorkerInstance, Engagement]]) -> None:
+        """``count`` gives this router's part for a pool, by worker; workers with none left out."""
         ...
 
-    def running_elsewhere(self, instance: WorkerInstance) -> float:
-        """Running and expected turns of all other routers, about a third of a second old; 0 when unknown."""
+    def elsewhere(self, instance: WorkerInstance) -> Engagement:
+        """The part of all other routers, about a third of a second old; zeros when unknown."""
         ...
--- a/wingwood/registry/worker_registry.py
+++ b/wingwood/registry/worker_registry.py
@@ -31,7 +31,7 @@
     WorkerEntry,
 )
 from .pool_table import ORDER, PoolTable
-from .protocols import Worker
+from .protocols import Engagement, Worker
 from .worker_announcements import (
     ANNOUNCE_PATH,
     LIST_PATH,
@@ -59,7 +59,7 @@
 SUSPECT_FIRST = Seconds(0.2)
 SUSPECT_LONGEST = Seconds(5.0)
 SUSPECT_FORGOTTEN = Seconds(30.0)
-RUNNING_TRUSTED = Seconds(2.0)
+ENGAGED_TRUSTED = Seconds(2.0)
 ACKNOWLEDGED_MOST = 20_000
 OFFERED_MOST = 5_000
 
@@ -82,7 +82,7 @@
 
 class _Told(msgspec.Struct, frozen=True):
     at: Instant
-    running: dict[WorkerInstance, float]
+    engaged: dict[WorkerInstance, Engagement]
 
 
 class _Suspicion(msgspec.Struct):
@@ -92,7 +92,7 @@
 
 
 class WorkerRegistry:
-    """Registry and RunningExchange. Runs on every daemon; only routers are homes."""
+    """Registry and EngagementExchange. Runs on every daemon; only routers are homes."""
 
     def __init__(
         self, context: Context, messenger: Messenger, membership: Membership, settings: DaemonSettings
@@ -118,7 +118,7 @@
         self._health: dict[WorkerInstance, tuple[Instant, bool]] = {}
         self._health_asked: dict[WorkerInstance, asyncio.Future[bool]] = {}
         self._listeners: list[Callable[[Worker], None]] = []
-        self._count: Callable[[PoolName], dict[WorkerInstance, float]] = lambda pool: {}
+        self._count: Callable[[PoolName], dict[WorkerInstance, Engagement]] = lambda pool: {}
         self._round = 0
         messenger.on_call(TakeState, self._take_state)
         messenger.on_call(TakeRenewals, self._take_renewals)
@@ -148,6 +148,12 @@
         record = None if pool is None else self._tables[pool].records.get(instance)
         return None if record is None else record.worker
 
+    def all_workers(self) -> Sequence[Worker]:
+        """Every worker known here, of whatever state, by pool and instance; for operators."""
+        return [
+            record.worker for _, table in sorted(self._tables.items()) for _, record in sorted(table.records.items())
+        ]
+
     async def confirm(self, worker: Worker) -> bool:
         """The smallest exception: a feed older than the bound is backed by the worker's own word (section 10.3)."""
         if not self._may_run(worker.instance):
@@ -183,21 +189,21 @@
     def on_change(self, callback: Callable[[Worker], None]) -> None:
         self._listeners.append(callback)
 
-    # --- RunningExchange ----------------------------------------------------------------------
+    # --- EngagementExchange ----------------------------------------------------------------------
 
-    def count_running_with(self, count: Callable[[PoolName], dict[WorkerInstance, float]]) -> None:
+    def count_with(self, count: Callable[[PoolName], dict[WorkerInstance, Engagement]]) -> None:
         self._count = count
 
-    def running_elsewhere(self, instance: WorkerInstance) -> float:
+    def elsewhere(self, instance: WorkerInstance) -> Engagement:
         pool = self._pool_of.get(instance)
         if pool is None:
-            return 0.0
+            return Engagement()
         if self._is_home(pool):
-            return self._running_of_others(pool, self._messenger.identity.incarnation).get(instance, 0.0)
+            return self._engaged_by_others(pool, self._messenger.identity.incarnation).get(instance, Engagement())
         told = self._elsewhere.get(pool)
-        if told is None or self._now() - told.at > RUNNING_TRUSTED:
-            return 0.0
-        return told.running.get(instance, 0.0)
+        if told is None or self._now() - told.at > ENGAGED_TRUSTED:
+            return Engagement()
+        return told.engaged.get(instance, Engagement())
 
     # --- what is known ------------------------------------------------------------------------
 
@@ -368,7 +374,7 @@
         answers = []
         for question in message.pools:
             table = self._table(question.pool)
-            told = _Told(now, question.running)
+            told = _Told(now, question.engaged)
             if peer.role == "router" and peer.zone == self._zone:
                 self._told.setdefault(question.pool, {})[peer.incarnation] = told
             elif peer.role == "router":
@@ -376,14 +382,14 @@
             for entry in question.offered:
                 self._take_handed_over(entry)
             entries, loads = table.changed_since(question.sequence if question.home == own else -1)
-            running = (
-                self._running_of_others(question.pool, peer.incarnation)
+            engaged = (
+                self._engaged_by_others(question.pool, peer.incarnation)
                 if peer.zone == self._zone
-                else self._running_in_zone(question.pool)
+                else self._engaged_in_zone(question.pool)
             )
             home = self._homes.get(question.pool)
             settled = home is not None and home.settled
-            answers.append(PoolAnswer(question.pool, settled, table.sequence, entries, loads, running))
+            answers.append(PoolAnswer(question.pool, settled, table.sequence, entries, loads, engaged))
         known = () if message.pools else tuple(sorted(self._tables))
         age = Seconds(float("inf") if proven is None else now - proven)
         return FeedAnswer(own, age, tuple(answers), known)
@@ -394,23 +400,23 @@
         if self._merge(entry, judge_renewal=False):
             self._push(entry.worker.pool, [entry.worker], previous)
 
-    def _running_in_zone(self, pool: PoolName, without: Incarnation | None = None) -> dict[WorkerInstance, float]:
+    def _engaged_in_zone(self, pool: PoolName, without: Incarnation | None = None) -> dict[WorkerInstance, Engagement]:
         now = self._now()
         own = self._messenger.identity.incarnation
-        totals: dict[WorkerInstance, float] = {} if without == own else dict(self._count(pool))
+        totals: dict[WorkerInstance, Engagement] = {} if without == own else dict(self._count(pool))
         told = self._told.get(pool, {})
         for incarnation in sorted(told):
-            if now - told[incarnation].at > RUNNING_TRUSTED:
+            if now - told[incarnation].at > ENGAGED_TRUSTED:
                 del told[incarnation]
             elif incarnation != without:
-                _add(totals, told[incarnation].running)
+                _add(totals, told[incarnation].engaged)
         return totals
 
-    def _running_of_others(self, pool: PoolName, asker: Incarnation) -> dict[WorkerInstance, float]:
-        totals = self._running_in_zone(pool, without=asker)
+    def _engaged_by_others(self, pool: PoolName, asker: Incarnation) -> dict[WorkerInstance, Engagement]:
+        totals = self._engaged_in_zone(pool, without=asker)
         for _, told in sorted(self._zone_told.get(pool, {}).items()):
-            if self._now() - told.at <= RUNNING_TRUSTED:
-                _add(totals, told.running)
+            if self._now() - told.at <= ENGAGED_TRUSTED:
+                _add(totals, told.engaged)
         return totals
 
     # --- following the homes ------------------------------------------------------------------
@@ -449,7 +455,7 @@
         feed = self._feeds.get(pool)
         if self._is_home(pool):
             sequence = self._homes[pool].pulled.get(identity.incarnation, -1)
-            return PoolQuestion(pool, identity.incarnation, sequence, self._running_in_zone(pool))
+            return PoolQuestion(pool, identity.incarnation, sequence, self._engaged_in_zone(pool))
         if feed is None or feed.home != identity.incarnation:
             offered = self._tables[pool].entries()[:OFFERED_MOST] if self._is_router else ()
             return PoolQuestion(pool, Incarnation(""), -1, self._count(pool), offered)
@@ -480,7 +486,7 @@
                     self._take_handed_over(entry)
                 for instance, load in part.loads.items():
                     table.set_load(instance, load)
-                self._zone_told.setdefault(part.pool, {})[identity.zone] = _Told(self._now(), part.running)
+                self._zone_told.setdefault(part.pool, {})[identity.zone] = _Told(self._now(), part.engaged)
                 self._homes[part.pool].pulled[identity.incarnation] = part.sequence
                 self._settle(part.pool)
             return
@@ -498,7 +504,7 @@
         feed.sequence = max(feed.sequence, part.sequence)
         if part.settled and answer.session_age <= SESSION_BOUND:
             self._proven_at[part.pool] = asked_at
-        self._elsewhere[part.pool] = _Told(self._now(), part.running)
+        self._elsewhere[part.pool] = _Told(self._now(), part.engaged)
 
     def _take_push(self, peer: Identity, push: FeedPush) -> None:
         for entry in push.entries:
@@ -669,6 +675,7 @@
             pause = min(1.0, max(pause, SUSPECT_FIRST) * 1.5)
 
 
-def _add(totals: dict[WorkerInstance, float], more: dict[WorkerInstance, float]) -> None:
-    for instance, running in more.items():
-        totals[instance] = totals.get(instance, 0.0) + running
+def _add(totals: dict[WorkerInstance, Engagement], more: dict[WorkerInstance, Engagement]) -> None:
+    for instance, part in more.items():
+        total = totals.get(instance, Engagement())
+        totals[instance] = Engagement(total.running + part.running, total.expected + part.expected)
