Catch eight more broken fleets; calls without any ready router count as failed

The variant "never starts again" was not caught at first: calls that found no ready router had no attempt and were left out; they count now. Paid rates in force are taken from the orders.

--- a/simulation/broken.py
+++ b/simulation/broken.py
@@ -9,6 +9,7 @@
 import asyncio
 import importlib
 from collections.abc import Callable
+from typing import Any
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -23,6 +24,8 @@
     HttpHead,
     HttpRequest,
 )
+from wingwood.identifiers import Seconds
+from wingwood.limits.protocols import ShareRefused
 from wingwood.settings.model import DaemonSettings
 
 from .fleet import Build, Builds, Daemon
@@ -196,6 +199,150 @@
     return Builds(router=build)
 
 
+class _Spoiled:
+    """A daemon with some object of it spoiled once it has started."""
+
+    def __init__(self, inner: Daemon, spoil: Callable[[Any], None]) -> None:
+        self.inner = inner
+        self._spoil = spoil
+
+    async def start(self) -> Any:
+        started = await self.inner.start()
+        self._spoil(self.inner)
+        return started
+
+    async def drain(self) -> None:
+        await self.inner.drain()
+
+    def stop(self) -> None:
+        self.inner.stop()
+
+
+def _spoiled(router: Callable[[Any], None] | None = None, control: Callable[[Any], None] | None = None) -> Builds:
+    def maker(role: str, spoil: Callable[[Any], None] | None) -> Build | None:
+        if spoil is None:
+            return None
+        return lambda context, settings: _Spoiled(_real(role)(context, settings), spoil)
+
+    return Builds(router=maker("router", router), control=maker("control", control))
+
+
+def _shows_older_versions(router: Any) -> None:
+    """Now and then a router has the version before the one it had."""
+    version, looks = router.follower.version, 0
+
+    def older() -> int:
+        nonlocal looks
+        looks += 1
+        newest = int(version())
+        return newest - 1 if newest > 1 and looks % 5 == 0 else newest
+
+    router.follower.version = older
+
+
+def _trusts_drained_workers(router: Any) -> None:
+    """Workers that were ready once stay so."""
+    ready, known = router.registry.ready, {}
+
+    def all_known(pool: str) -> list[Any]:
+        known.update({worker.instance: worker for worker in ready(pool)})
+        return [worker for _, worker in sorted(known.items()) if worker.pool == pool]
+
+    async def confirmed(_: Any) -> bool:
+        return True
+
+    router.registry.ready = all_known
+    router.registry.confirm = confirmed
+
+
+def _tells_all_orders_accepted(client: Any) -> None:
+    decide = client.decide
+
+    async def lying(kind: str, command: Any, reply_type: Any, timeout: Any) -> Any:
+        decided = await decide(kind, command, reply_type, timeout)
+        if kind == "bundle" and isinstance(decided, Success) and decided.unwrap().outcome == "conflict":
+            version = command.order.manifest.version
+            return Success(msgspec.structs.replace(decided.unwrap(), outcome="accepted", version=version))
+        return decided
+
+    client.decide = lying
+
+
+def _refuses_resent_orders(client: Any) -> None:
+    """Each order's second answer is a conflict."""
+    decide, seen = client.decide, _ORDERS_SEEN
+
+    async def forgetful(kind: str, command: Any, reply_type: Any, timeout: Any) -> Any:
+        decided = await decide(kind, command, reply_type, timeout)
+        if kind != "bundle" or not isinstance(decided, Success):
+            return decided
+        order = command.order.manifest.order
+        if order in seen:
+            return Success(msgspec.structs.replace(decided.unwrap(), outcome="conflict", reason="broken variant"))
+        seen.add(order)
+        return decided
+
+    client.decide = forgetful
+
+
+_ORDERS_SEEN: set[str] = set()
+
+
+def _always_leads(control: Any) -> None:
+    """Says for ever that it takes orders, once it was primary."""
+    core = control._parts.core
+    report, led = core.report, False
+
+    def boast() -> Any:
+        nonlocal led
+        told = report()
+        led = led or told.own_role == "primary"
+        return msgspec.structs.replace(told, own_role="primary", accepts_orders=True) if led else told
+
+    core.report = boast
+
+
+def _lets_all_in(router: Any) -> None:
+    async def take(_: Any) -> None:
+        return None
+
+    router.shares.take = take
+
+
+def _stingy(router: Any) -> None:
+    """Refuses half of the calls as beyond the share."""
+    take, calls = router.shares.take, 0
+
+    async def half(tenant: Any) -> Any:
+        nonlocal calls
+        calls += 1
+        return ShareRefused(Seconds(0.5)) if calls % 2 else await take(tenant)
+
+    router.shares.take = half
+
+
+def _never_starts_again() -> Builds:
+    lives: dict[str, int] = {}
+
+    def build(context: Context, settings: DaemonSettings) -> Daemon:
+        lives[settings.name] = lives.get(settings.name, 0) + 1
+        daemon = _real("router")(context, settings)
+        return daemon if lives[settings.name] == 1 else _Asleep()
+
+    return Builds(router=build)
+
+
+class _Asleep:
+    async def start(self) -> Any:
+        await asyncio.sleep(1e6)
+
+    async def drain(self) -> None:
+        return None
+
+    def stop(self) -> None:
+        return None
+
+
 VARIANTS: dict[str, Callable[[], Builds]] = {
     "sends calls twice": lambda: _with_client(_sent_twice),
     "denies sending": lambda: _wrapping(_DeniesSending),
@@ -206,8 +353,23 @@
     "forgetful disks": _forgetful_disks,
     "keeps removed keys": _keeps_removed_keys,
     "one router knows one operator": _one_router_knows_one_operator,
+    "shows older versions": lambda: _spoiled(router=_shows_older_versions),
+    "trusts drained workers": lambda: _spoiled(router=_trusts_drained_workers),
+    "tells all orders accepted": lambda: _spoiled(
+        router=lambda router: _tells_all_orders_accepted(router.control),
+        control=lambda control: _tells_all_orders_accepted(control._parts.client),
+    ),
+    "refuses resent orders": lambda: _spoiled(
+        router=lambda router: _refuses_resent_orders(router.control),
+        control=lambda control: _refuses_resent_orders(control._parts.client),
+    ),
+    "always leads": lambda: _spoiled(control=_always_leads),
+    "lets all in": lambda: _spoiled(router=_lets_all_in),
+    "refuses half": lambda: _spoiled(router=_stingy),
+    "never starts again": _never_starts_again,
 }
 
 
 def broken_builds(name: str) -> Builds:
+    _ORDERS_SEEN.clear()
     return VARIANTS[name]()
--- a/simulation/callers.py
+++ b/simulation/callers.py
@@ -155,6 +155,7 @@
             if attempt.succeeded or not _worth_another(attempt):
                 break
             await asyncio.sleep(min(attempt.retry_after or RETRY_PAUSE, LONGEST_RETRY_PAUSE))
+        call.ended_at = self.now()
         return call
 
     def _choose(self, tried: Sequence[str]) -> Door | None:
--- a/simulation/fleet.py
+++ b/simulation/fleet.py
@@ -364,7 +364,7 @@
                 f"{[door.name for door in self.doors()]}, orders {self.history.orders}"
             )
         for tenant in self.shape.tenants:
-            self.history.paid_rates.append((self.world.now, tenant.name, tenant.paid_rate))
+            self.history.first_rates[tenant.name] = tenant.paid_rate
         return self.world.now - begun
 
     def by_operator(self, name: str, work: Awaitable[Any]) -> None:
--- a/simulation/history.py
+++ b/simulation/history.py
@@ -65,7 +65,9 @@
     idempotency_key: str
     session: str = ""
     begun_at: float
+    ended_at: float | None = None
     attempts: list[Attempt] = []
+    """None at all when no router was ready."""
 
     @property
     def succeeded(self) -> bool:
@@ -128,6 +130,8 @@
     removed_keys: tuple[str, ...] = ()
     """Callers' keys that stop working with it."""
     added_keys: tuple[str, ...] = ()
+    paid_rates: dict[str, float] = {}
+    """Tenants' calls per second that it changes."""
 
     @property
     def accepted(self) -> OrderAnswer | None:
@@ -182,8 +186,8 @@
     final_versions: dict[str, int] = {}
     """Read back from each daemon at the end."""
     final_history: list[HistoryEntry] | None = None
-    paid_rates: list[tuple[float, str, float]] = []
-    """(since, tenant, calls per second), as acknowledged."""
+    first_rates: dict[str, float] = {}
+    """Tenants' paid calls per second in the first bundle."""
 
     def attempts(self) -> list[Attempt]:
         return [attempt for call in self.calls for attempt in call.attempts]
--- a/simulation/observer.py
+++ b/simulation/observer.py
@@ -411,6 +411,27 @@
 SHARE_CODES = ("share-exceeded",)
 
 
+class _Rates:
+    """Which paid rates of a tenant may have been in force when; each until 2 s after the next was acknowledged."""
+
+    def __init__(self, history: History, tenant: str, in_force: float) -> None:
+        self._spans: list[tuple[float, float, float]] = []
+        since, rate = 0.0, history.first_rates[tenant]
+        for order in sorted(history.orders, key=lambda order: order.answers[0].asked_at if order.answers else 0.0):
+            if tenant not in order.paid_rates or not order.answers:
+                continue
+            begun = order.answers[0].asked_at
+            if order.accepted is not None:
+                self._spans.append((since, order.accepted.answered_at + in_force, rate))
+                since, rate = begun, order.paid_rates[tenant]
+            elif order.answers[-1].outcome in ("unknown", "lost"):
+                self._spans.append((begun, float("inf"), order.paid_rates[tenant]))
+        self._spans.append((since, float("inf"), rate))
+
+    def between(self, start: float, end: float) -> list[float]:
+        return [rate for since, until, rate in self._spans if since <= end and until >= start]
+
+
 def _paid_share_missed(seen: Seen) -> list[Violation]:
     found = []
     sent: dict[str, list[float]] = defaultdict(list)
@@ -419,29 +440,27 @@
         sent[attempt.tenant].append(attempt.sent_at)
         if attempt.mark in seen.arrivals_by_mark:
             let_in[attempt.tenant].append(attempt.sent_at)
-    rates: dict[str, list[tuple[float, float]]] = defaultdict(list)
-    for since, tenant, rate in seen.history.paid_rates:
-        rates[tenant].append((since, rate))
-    window = seen.bounds.share_window
-    for tenant, listed in rates.items():
+    bounds = seen.bounds
+    window = bounds.share_window
+    for tenant in seen.history.first_rates:
+        rates = _Rates(seen.history, tenant, bounds.in_force)
         came = sorted(let_in[tenant])
         offered = sorted(sent[tenant])
         for index, at in enumerate(came):
-            rate = max((rate for since, rate in listed if since <= at + 2.0), default=0.0)
+            rate = max(rates.between(at - window, at))
             count = index + 1 - bisect_left(came, at - window)
-            most = seen.bounds.share_past * rate * window + seen.bounds.share_burst * rate + 3
-            if count > most:
+            if count > bounds.share_past * rate * window + bounds.share_burst * rate + 3:
                 text = f"{tenant}: {count} calls let in within {window:.0f} s; its share is {rate:g} a second"
                 found.append(Violation(at, "paid-share-missed", text))
                 break
         for attempt in seen.attempts:
             if attempt.tenant != tenant or attempt.status != 429 or attempt.code not in SHARE_CODES:
                 continue
-            rate = min((rate for _, rate in listed), default=0.0)
             at = attempt.sent_at
+            rate = min(rates.between(at - 3.0, at))
             counts = [bisect_left(offered, at) + 1 - bisect_left(offered, at - span) for span in (1.0, 3.0)]
-            below = counts[0] < seen.bounds.share_below * rate and counts[1] < seen.bounds.share_below * rate * 3.0
-            if below and at > seen.last_fault_ended(at) + seen.bounds.back_after:
+            below = counts[0] < bounds.share_below * rate and counts[1] < bounds.share_below * rate * 3.0
+            if below and at > seen.last_fault_ended(at) + bounds.back_after:
                 text = (
                     f"{attempt.mark} refused though {tenant} sent {counts} in 1 s, 3 s; its share is {rate:g} a second"
                 )
@@ -456,13 +475,14 @@
     calls = [
         call
         for call in seen.history.calls
-        if call.begun_at >= since and call.attempts and call.attempts[-1].ended_at is not None and not _over_share(call)
+        if call.begun_at >= since and call.ended_at is not None and not _over_share(call)
     ]
     failed = [call for call in calls if not call.succeeded]
     if not calls or len(failed) <= (1.0 - seen.bounds.back_share) * len(calls):
         return []
     first = failed[0]
     ends = ", ".join(f"{each.router}: {each.end} {each.status or ''} {each.code}" for each in first.attempts)
+    ends = ends or "no ready router"
     text = f"{len(failed)} of {len(calls)} calls failed after {since:.1f}; the first, {first.identifier}, by {ends}"
     return [Violation(first.begun_at, "service-not-back", text)]
 
--- a/simulation/operators.py
+++ b/simulation/operators.py
@@ -156,6 +156,7 @@
             what=what,
             removed_keys=removed_keys,
             added_keys=added_keys,
+            paid_rates=_changed_rates(before, after),
         )
         self.history.orders.append(seen)
         return seen, order
@@ -214,6 +215,18 @@
             return None
 
 
+def _changed_rates(before: Slices, after: Slices) -> dict[str, float]:
+    """Tenants whose paid rate differs, with the new rate."""
+    found = {}
+    for name, data in after.items():
+        if name.startswith("tenant/") and before.get(name) != data:
+            try:
+                found[name.removeprefix("tenant/")] = float(msgspec.json.decode(data)["paid_rate"])
+            except (msgspec.MsgspecError, KeyError, ValueError, TypeError):
+                continue
+    return found
+
+
 class _Shown(msgspec.Struct):
     version: BundleVersion
     slices: dict[SliceName, msgspec.Raw]
--- a/simulation/scenario.py
+++ b/simulation/scenario.py
@@ -297,9 +297,6 @@
             operator.name,
             operator.push(change, match["field"], via=match["via"], lose_answers=1 if match["lost"] else 0),
         )
-        if match["field"].endswith(".paid_rate"):
-            tenant = match["field"].partition("/")[2].partition(".")[0]
-            fleet.history.paid_rates.append((fleet.world.now, tenant, float(value)))
 
     return push, 0.5
 
--- a/simulation/tests/test_observer.py
+++ b/simulation/tests/test_observer.py
@@ -117,6 +117,7 @@
                 repeatable=False,
                 idempotency_key=made.call,
                 begun_at=30.0,
+                ended_at=31.0,
                 attempts=[made],
             )
         )
@@ -127,7 +128,7 @@
     history.final_versions = {"router-1": 2, "control-1": 2}
     history.final_history = [HistoryEntry(2, "b"), HistoryEntry(1, "a")]
     history.drains = [SeenDrain(worker="model-1", instance="model-1-a", begun_at=40.0, acknowledged_at=40.1)]
-    history.paid_rates = [(0.0, "x", 10.0)]
+    history.first_rates = {"x": 10.0}
     return history
 
 
@@ -217,7 +218,7 @@
 
 
 def past_share(history: History) -> None:
-    history.paid_rates = [(0.0, "x", 2.0)]
+    history.first_rates = {"x": 2.0}
 
 
 def below_share(history: History) -> None:
@@ -232,6 +233,12 @@
         call.attempts[0].end = "gave-up"
 
 
+def no_router_ready(history: History) -> None:
+    history.faults = [Fault(kind="kill", targets=("router-1",), begun_at=10.0, ended_at=11.0)]
+    for call in history.calls[:3]:
+        call.attempts = []
+
+
 BAD: list[tuple[str, Callable[[History], None]]] = [
     ("call-runs-twice", twice),
     ("told-not-run-but-ran", not_run),
@@ -255,6 +262,7 @@
     ("paid-share-missed", past_share),
     ("paid-share-missed", below_share),
     ("service-not-back", not_back),
+    ("service-not-back", no_router_ready),
 ]
 
 
