--- /dev/null
+++ b/wingwood/replay/day.py
@@ -0,0 +1,102 @@
+"""Reading recorded days (docs/DESIGN.md section 17)."""
+
+from __future__ import annotations
+
+import heapq
+from collections.abc import Iterable, Iterator, Sequence
+
+import msgspec
+
+from ..forward.recording import RecordedCall
+
+LINE_BYTES = 64 * 1024
+"""Longer lines are not calls."""
+
+
+class DayCall(msgspec.Struct, frozen=True):
+    at: float
+    """Seconds from the day's start, over all files."""
+    source: int
+    """Which file: the router that took the call."""
+    call: RecordedCall
+
+
+class DayStart(msgspec.Struct, frozen=True):
+    """An optional line that puts a file on the common clock; files without one begin with the day."""
+
+    began: float
+    """Seconds since 1970."""
+
+
+class DayReader:
+    """The calls of several routers' files in the order of their times, read as they are needed.
+
+    A line that is not a call is counted in ``bad_lines`` and left out. Where times go back in a file its
+    router was started again; what follows is put after the calls before it.
+    """
+
+    def __init__(self, files: Sequence[Iterable[bytes]]) -> None:
+        self._files = files
+        self.bad_lines = 0
+        self._call = msgspec.json.Decoder(RecordedCall)
+        self._start = msgspec.json.Decoder(DayStart)
+
+    def __iter__(self) -> Iterator[DayCall]:
+        streams = [self._read(number, lines) for number, lines in enumerate(self._files)]
+        first = [next(stream, None) for stream in streams]
+        begins = [began for call, began in (pair for pair in first if pair is not None) if began is not None]
+        earliest = min(begins, default=0.0)
+
+        def shifted(
+            stream: Iterator[tuple[DayCall, float | None]], head: tuple[DayCall, float | None] | None
+        ) -> Iterator[DayCall]:
+            if head is None:
+                return
+            yield _moved(head, earliest)
+            for pair in stream:
+                yield _moved(pair, earliest)
+
+        merged = heapq.merge(
+            *(shifted(stream, head) for stream, head in zip(streams, first, strict=True)),
+            key=lambda call: (call.at, call.source),
+        )
+        yield from merged
+
+    def _read(self, number: int, lines: Iterable[bytes]) -> Iterator[tuple[DayCall, float | None]]:
+        began: float | None = None
+        shift = last = 0.0
+        for line in lines:
+            if not line.strip():
+                continue
+            try:
+                if len(line) > LINE_BYTES:
+                    raise msgspec.ValidationError("too long")
+                call = self._call.decode(line)
+            except msgspec.MsgspecError:
+                try:
+                    began = self._start.decode(line).began
+                    shift = last = 0.0
+                except msgspec.MsgspecError:
+                    self.bad_lines += 1
+                continue
+            if call.at + shift < last - 60.0:
+                shift = last
+            # A call is written at its end, so lines stand a little out of order.
+            last = max(last, call.at + shift)
+            yield DayCall(call.at + shift, number, call), began
+
+
+def _moved(pair: tuple[DayCall, float | None], earliest: float) -> DayCall:
+    call, began = pair
+    return call if began is None else msgspec.structs.replace(call, at=call.at + began - earliest)
+
+
+def in_order(calls: Iterable[DayCall], most: int = 50_000) -> Iterator[DayCall]:
+    """Sorted by time as far as ``most`` waiting calls allow: calls are recorded when they end."""
+    waiting: list[tuple[float, int, DayCall]] = []
+    for number, call in enumerate(calls):
+        heapq.heappush(waiting, (call.at, number, call))
+        if len(waiting) > most:
+            yield heapq.heappop(waiting)[2]
+    while waiting:
+        yield heapq.heappop(waiting)[2]
--- /dev/null
+++ b/wingwood/replay/player.py
@@ -0,0 +1,237 @@
+"""Sending a recorded day's calls to a fleet again (docs/DESIGN.md section 17)."""
+
+from __future__ import annotations
+
+import asyncio
+from collections import OrderedDict
+from collections.abc import Iterable, Mapping, Sequence
+from typing import Literal
+
+import msgspec
+from returns.result import Success
+
+from ..context.protocols import Clock, HttpClient, HttpExchange, HttpHead, HttpRequest
+from ..forward.caller_format import ANSWER, AUTHORIZATION, AWARD, IDEMPOTENCY_KEY, RouterAnswer
+from ..forward.recording import RecordedCall
+from ..forward.worker_format import CACHED_TOKENS, END_MARKER, EVENT_STREAM, PREFIX, PROMPT_TOKENS
+from ..identifiers import Address, Instant, Seconds
+from .day import DayCall
+from .report import ReplayReport
+
+REMEMBERED_PARTS = 100_000
+ANSWER_BYTES = 64 * 1024
+TAIL_BYTES = 64
+BODY_BYTES = 4 * 1024 * 1024
+
+
+class PlayerOptions(msgspec.Struct, frozen=True, kw_only=True):
+    name: str = "replay"
+    speed: float = 1.0
+    """Two: the day runs in half its time."""
+    start: float = 0.0
+    """Seconds into the day."""
+    end: float = float("inf")
+    spread: Literal["as-recorded", "every-call"] = "as-recorded"
+    """Each file's calls to one router, or each call to the next one."""
+    in_flight: int = 2000
+    """Calls under way at once; further ones wait and count as late."""
+    shared_part: float = 0.5
+    """How much of the first seen body of a shared prefix is taken as that prefix; lengths of parts aren't recorded."""
+    patience: Seconds = Seconds(30.0)
+    """For the first byte."""
+    longest: Seconds = Seconds(300.0)
+    """Of one call."""
+
+
+class Player:
+    """Replays calls open loop: each is sent at its time whether or not the earlier ones are answered.
+
+    ``keys`` gives each tenant's key; calls of other tenants are skipped. Bodies weren't recorded, so they
+    are filler of the recorded length: the same for the same prefix part, and growing at its end.
+    """
+
+    def __init__(
+        self,
+        clock: Clock,
+        http: HttpClient,
+        routers: Sequence[Address],
+        keys: Mapping[str, str],
+        options: PlayerOptions,
+    ) -> None:
+        if not routers or options.speed <= 0:
+            raise ValueError("a replay needs routers and a speed above zero")
+        self._clock = clock
+        self._http = http
+        self._routers = routers
+        self._keys = keys
+        self._options = options
+        self._number = 0
+        self._shared: OrderedDict[str, int] = OrderedDict()
+        self._room = asyncio.Semaphore(options.in_flight)
+        self._tasks: set[asyncio.Task[None]] = set()
+        self.report = ReplayReport(name=options.name, speed=options.speed, in_flight_bound=options.in_flight)
+        self.at = 0.0
+        """Where in the day it is, in seconds."""
+
+    @property
+    def in_flight(self) -> int:
+        return len(self._tasks)
+
+    async def play(self, calls: Iterable[DayCall]) -> ReplayReport:
+        """Ends when every sent call has ended."""
+        options, report = self._options, self.report
+        began = self._clock.monotonic()
+        for day_call in calls:
+            if day_call.at < options.start:
+                continue
+            if day_call.at > options.end:
+                break
+            self.at = day_call.at
+            planned = Instant(began + (day_call.at - options.start) / options.speed)
+            if not self._may_send(day_call.call):
+                continue
+            if (wait := planned - self._clock.monotonic()) > 0:
+                await self._clock.sleep(Seconds(wait))
+            await self._room.acquire()
+            report.late.add(self._clock.monotonic() - planned)
+            self._number += 1
+            task = asyncio.get_running_loop().create_task(self._send(day_call, self._number))
+            self._tasks.add(task)
+            task.add_done_callback(self._tasks.discard)
+            report.calls += 1
+            report.planned_seconds = planned - began
+        while self._tasks:
+            await asyncio.wait(list(self._tasks))
+        report.took_seconds = self._clock.monotonic() - began
+        return report
+
+    def _may_send(self, call: RecordedCall) -> bool:
+        why = "no-tenant" if not call.tenant else "no-key" if call.tenant not in self._keys else None
+        if why is not None:
+            self.report.skipped[why] = self.report.skipped.get(why, 0) + 1
+        return why is None
+
+    async def _send(self, day_call: DayCall, number: int) -> None:
+        try:
+            turn = day_call.source if self._options.spread == "as-recorded" else number
+            address = self._routers[turn % len(self._routers)]
+            exchange = self._http.start(self._request(day_call.call, address, number))
+            try:
+                outcome = await self._follow(day_call.call, exchange)
+            finally:
+                exchange.cancel()
+            service = self.report.service(day_call.call.service)
+            service.calls += 1
+            service.whole += outcome == "whole"
+            service.outcomes[outcome] = service.outcomes.get(outcome, 0) + 1
+            recorded = day_call.call.outcome or "?"
+            service.recorded_outcomes[recorded] = service.recorded_outcomes.get(recorded, 0) + 1
+            if day_call.call.prefix and day_call.call.how:
+                how = day_call.call.how
+                service.recorded_awards[how] = service.recorded_awards.get(how, 0) + 1
+        finally:
+            self._room.release()
+
+    def _request(self, call: RecordedCall, address: Address, number: int) -> HttpRequest:
+        headers = [
+            ("Content-Type", "application/json"),
+            (AUTHORIZATION, f"Bearer {self._keys[call.tenant]}"),
+            (IDEMPOTENCY_KEY, f"{self._options.name}-{number}"),
+        ]
+        if call.prefix:
+            headers.append((PREFIX, "/".join(call.prefix)))
+        body = b"" if call.method in ("GET", "HEAD") else self._body(call)
+        return HttpRequest(call.method, address, call.path, tuple(headers), body, Seconds(1.0))
+
+    def _body(self, call: RecordedCall) -> bytes:
+        length = min(call.body_bytes, BODY_BYTES)
+        contents: list[str] = []
+        for depth in range(len(call.prefix) - 1):
+            part = "/".join(call.prefix[: depth + 1])
+            size = self._shared.pop(part, None)
+            if size is None:
+                size = int(length * self._options.shared_part / (len(call.prefix) - 1))
+                if len(self._shared) >= REMEMBERED_PARTS:
+                    self._shared.popitem(last=False)
+            self._shared[part] = size
+            contents.append(_filler(part, size))
+        left = max(0, length - sum(map(len, contents)))
+        contents.append(_filler("/".join(call.prefix), left))
+        return msgspec.json.encode(
+            {
+                "messages": [{"content": content} for content in contents],
+                "max_tokens": max(1, call.tokens),
+                "stream": call.tokens > 0,
+            }
+        )
+
+    async def _follow(self, call: RecordedCall, exchange: HttpExchange) -> str:
+        """Reads the answer to its end; how it looked to its caller."""
+        service = self.report.service(call.service)
+        began = self._clock.monotonic()
+        try:
+            async with asyncio.timeout(self._options.longest):
+                try:
+                    async with asyncio.timeout(self._options.patience):
+                        answered = await exchange.head()
+                except TimeoutError:
+                    return "silent"
+                if not isinstance(answered, Success):
+                    fault = answered.failure()
+                    return "cut" if fault.request_sent else "no-connection"
+                head: HttpHead = answered.unwrap()
+                if call.prefix and (how := head.header(AWARD)) is not None:
+                    service.awards[how] = service.awards.get(how, 0) + 1
+                service.prompt_tokens += _number(head, PROMPT_TOKENS)
+                service.cached_tokens += _number(head, CACHED_TOKENS)
+                return await self._read(call, exchange, head, began)
+        except TimeoutError:
+            return "too-long"
+        finally:
+            service.total.add(self._clock.monotonic() - began)
+
+    async def _read(self, call: RecordedCall, exchange: HttpExchange, head: HttpHead, began: float) -> str:
+        service = self.report.service(call.service)
+        router_made = head.header(ANSWER) == "router"
+        streams = (head.header("Content-Type") or "").startswith(EVENT_STREAM)
+        body, tail = bytearray(), b""
+        last: float | None = None
+        while True:
+            got = await exchange.next_piece()
+            if not isinstance(got, Success):
+                return "cut"
+            piece = got.unwrap()
+            if piece is None:
+                break
+            now = self._clock.monotonic()
+            if router_made:
+                if len(body) < ANSWER_BYTES:
+                    body += piece
+            elif last is None:
+                service.first_piece.add(now - began)
+            elif streams:
+                service.between_pieces.add(now - last)
+            last = now
+            tail = (tail + piece)[-TAIL_BYTES:]
+        if router_made:
+            return f"refused {_code(bytes(body))}"
+        if not 200 <= head.status < 300:
+            return f"status {head.status}"
+        return "whole" if not streams or END_MARKER in tail else "cut"
+
+
+def _filler(name: str, size: int) -> str:
+    word = (name or "prompt") + " "
+    return (word * (size // len(word) + 1))[:size]
+
+
+def _number(head: HttpHead, name: str) -> int:
+    value = head.header(name) or ""
+    return int(value) if value.isdigit() and len(value) < 12 else 0
+
+
+def _code(body: bytes) -> str:
+    try:
+        return msgspec.json.decode(body, type=RouterAnswer).code
+    except msgspec.MsgspecError:
+        return "?"
