--- a/simulation/fleet.py
+++ b/simulation/fleet.py
@@ -34,7 +34,7 @@
 from wingwood.settings.model import DaemonSettings
 
 from .callers import CallerPlan, Callers, Door
-from .history import Fault, History, SeenLead, SeenVersion
+from .history import Fault, History, PaidShare, SeenLead, SeenVersion
 from .network import Cut, NetworkShape
 from .operators import Desk, Operator, Slices, ask, digest_of_key
 from .workers import ObservedWorker
@@ -364,7 +364,7 @@
                 f"{[door.name for door in self.doors()]}, orders {self.history.orders}"
             )
         for tenant in self.shape.tenants:
-            self.history.first_rates[tenant.name] = tenant.paid_rate
+            self.history.first_shares[tenant.name] = PaidShare(tenant.paid_rate)
         return self.world.now - begun
 
     def by_operator(self, name: str, work: Awaitable[Any]) -> None:
--- a/simulation/history.py
+++ b/simulation/history.py
@@ -120,6 +120,21 @@
     reason: str = ""
 
 
+class PaidShare(msgspec.Struct, frozen=True):
+    """Calls a second over the fleet, and how many seconds' worth may be saved up."""
+
+    paid_rate: float
+    burst: float = 1.0
+
+
+class SeenNewest(msgspec.Struct, frozen=True):
+    """A daemon's answer to the question for the newest bundle; 0: it said that there is none yet."""
+
+    asked_at: float
+    daemon: str
+    version: int
+
+
 class SeenOrder(msgspec.Struct, kw_only=True):
     order: str
     operator: str
@@ -130,8 +145,8 @@
     removed_keys: tuple[str, ...] = ()
     """Callers' keys that stop working with it."""
     added_keys: tuple[str, ...] = ()
-    paid_rates: dict[str, float] = {}
-    """Tenants' calls per second that it changes."""
+    paid_shares: dict[str, PaidShare] = {}
+    """Of the tenants that it changes."""
 
     @property
     def accepted(self) -> OrderAnswer | None:
@@ -186,8 +201,9 @@
     final_versions: dict[str, int] = {}
     """Read back from each daemon at the end."""
     final_history: list[HistoryEntry] | None = None
-    first_rates: dict[str, float] = {}
-    """Tenants' paid calls per second in the first bundle."""
+    newest_read: list[SeenNewest] = []
+    first_shares: dict[str, PaidShare] = {}
+    """Tenants' shares in the first bundle."""
 
     def attempts(self) -> list[Attempt]:
         return [attempt for call in self.calls for attempt in call.attempts]
--- a/simulation/observer.py
+++ b/simulation/observer.py
@@ -15,7 +15,7 @@
 
 from emulator.worker import word
 
-from .history import Attempt, Call, History, SeenArrival, SeenRun
+from .history import Attempt, Call, History, PaidShare, SeenArrival, SeenRun
 
 
 class Bounds(msgspec.Struct, frozen=True, kw_only=True):
@@ -34,7 +34,6 @@
     share_window: float = 5.0
     share_past: float = 1.3
     share_below: float = 0.8
-    share_burst: float = 1.0
     back_after: float = 12.0
     back_share: float = 0.99
     retransmission: float = 25.0
@@ -339,9 +338,14 @@
 def _acknowledged_bundle_vanishes(seen: Seen) -> list[Violation]:
     found = []
     acknowledged = {order.accepted.version: order for order in seen.history.orders if order.accepted is not None}
-    if not acknowledged or not seen.history.final_versions:
+    if not acknowledged:
         return []
     newest = max(acknowledged)
+    first = min(order.accepted.answered_at for order in acknowledged.values() if order.accepted is not None)
+    for read in seen.history.newest_read:
+        if read.version == 0 and read.asked_at > first + seen.bounds.in_force:
+            text = f"{read.daemon} said that there is no bundle yet; one was acknowledged at {first:.3f}"
+            found.append(Violation(read.asked_at, "acknowledged-bundle-vanishes", text))
     for daemon, version in seen.history.final_versions.items():
         if version < newest:
             text = f"{daemon} shows version {version} at the end; {newest} was acknowledged"
@@ -411,25 +415,25 @@
 SHARE_CODES = ("share-exceeded",)
 
 
-class _Rates:
-    """Which paid rates of a tenant may have been in force when; each until 2 s after the next was acknowledged."""
+class _Shares:
+    """Which paid shares of a tenant may have been in force when; each until 2 s after the next was acknowledged."""
 
     def __init__(self, history: History, tenant: str, in_force: float) -> None:
-        self._spans: list[tuple[float, float, float]] = []
-        since, rate = 0.0, history.first_rates[tenant]
+        self._spans: list[tuple[float, float, PaidShare]] = []
+        since, share = 0.0, history.first_shares[tenant]
         for order in sorted(history.orders, key=lambda order: order.answers[0].asked_at if order.answers else 0.0):
-            if tenant not in order.paid_rates or not order.answers:
+            if tenant not in order.paid_shares or not order.answers:
                 continue
             begun = order.answers[0].asked_at
             if order.accepted is not None:
-                self._spans.append((since, order.accepted.answered_at + in_force, rate))
-                since, rate = begun, order.paid_rates[tenant]
+                self._spans.append((since, order.accepted.answered_at + in_force, share))
+                since, share = begun, order.paid_shares[tenant]
             elif order.answers[-1].outcome in ("unknown", "lost"):
-                self._spans.append((begun, float("inf"), order.paid_rates[tenant]))
-        self._spans.append((since, float("inf"), rate))
+                self._spans.append((begun, float("inf"), order.paid_shares[tenant]))
+        self._spans.append((since, float("inf"), share))
 
-    def between(self, start: float, end: float) -> list[float]:
-        return [rate for since, until, rate in self._spans if since <= end and until >= start]
+    def between(self, start: float, end: float) -> list[PaidShare]:
+        return [share for since, until, share in self._spans if since <= end and until >= start]
 
 
 def _paid_share_missed(seen: Seen) -> list[Violation]:
@@ -442,14 +446,16 @@
             let_in[attempt.tenant].append(attempt.sent_at)
     bounds = seen.bounds
     window = bounds.share_window
-    for tenant in seen.history.first_rates:
-        rates = _Rates(seen.history, tenant, bounds.in_force)
+    for tenant in seen.history.first_shares:
+        shares = _Shares(seen.history, tenant, bounds.in_force)
         came = sorted(let_in[tenant])
         offered = sorted(sent[tenant])
         for index, at in enumerate(came):
-            rate = max(rates.between(at - window, at))
+            in_force = shares.between(at - window, at)
+            rate = max(share.paid_rate for share in in_force)
+            saved = max(share.paid_rate * share.burst for share in in_force)
             count = index + 1 - bisect_left(came, at - window)
-            if count > bounds.share_past * rate * window + bounds.share_burst * rate + 3:
+            if count > bounds.share_past * rate * window + saved + 3:
                 text = f"{tenant}: {count} calls let in within {window:.0f} s; its share is {rate:g} a second"
                 found.append(Violation(at, "paid-share-missed", text))
                 break
@@ -457,7 +463,7 @@
             if attempt.tenant != tenant or attempt.status != 429 or attempt.code not in SHARE_CODES:
                 continue
             at = attempt.sent_at
-            rate = min(rates.between(at - 3.0, at))
+            rate = min(share.paid_rate for share in shares.between(at - 3.0, at))
             counts = [bisect_left(offered, at) + 1 - bisect_left(offered, at - span) for span in (1.0, 3.0)]
             below = counts[0] < bounds.share_below * rate and counts[1] < bounds.share_below * rate * 3.0
             if below and at > seen.last_fault_ended(at) + bounds.back_after:
--- a/simulation/operators.py
+++ b/simulation/operators.py
@@ -17,7 +17,7 @@
 from wingwood.context.protocols import Context, HttpRequest
 from wingwood.identifiers import Address, BundleVersion, OrderId, Seconds, SliceName, WallTime
 
-from .history import History, HistoryEntry, OrderAnswer, SeenOrder
+from .history import History, HistoryEntry, OrderAnswer, PaidShare, SeenNewest, SeenOrder
 from .http_client import PlainExchange
 
 Slices = dict[SliceName, bytes]
@@ -86,12 +86,16 @@
         until = self.now() + within
         while True:
             desk = self.context.random.choice(self.desks())
+            asked_at = self.now()
             answer = await ask(self.context, "GET", desk.address, f"{BUNDLE_PATH}?newest=1", b"", 3.0)
             if answer is not None and answer[0] == 200:
                 shown = msgspec.json.decode(answer[1], type=_Shown)
+                self.history.newest_read.append(SeenNewest(asked_at, desk.name, shown.version))
                 return shown.version, {name: bytes(raw) for name, raw in shown.slices.items()}
             if answer is not None and answer[0] == 404:
-                return BundleVersion(0), {}
+                self.history.newest_read.append(SeenNewest(asked_at, desk.name, 0))
+                if self.history.orders == []:
+                    return BundleVersion(0), {}
             if self.now() > until:
                 raise TimeoutError("no daemon shows the newest bundle")
             await asyncio.sleep(0.2)
@@ -156,7 +160,7 @@
             what=what,
             removed_keys=removed_keys,
             added_keys=added_keys,
-            paid_rates=_changed_rates(before, after),
+            paid_shares=_changed_shares(before, after),
         )
         self.history.orders.append(seen)
         return seen, order
@@ -215,14 +219,14 @@
             return None
 
 
-def _changed_rates(before: Slices, after: Slices) -> dict[str, float]:
-    """Tenants whose paid rate differs, with the new rate."""
+def _changed_shares(before: Slices, after: Slices) -> dict[str, PaidShare]:
+    """Tenants whose slice differs, with their new share."""
     found = {}
     for name, data in after.items():
         if name.startswith("tenant/") and before.get(name) != data:
             try:
-                found[name.removeprefix("tenant/")] = float(msgspec.json.decode(data)["paid_rate"])
-            except (msgspec.MsgspecError, KeyError, ValueError, TypeError):
+                found[name.removeprefix("tenant/")] = msgspec.json.decode(data, type=PaidShare)
+            except msgspec.MsgspecError:
                 continue
     return found
 
--- a/simulation/tests/test_observer.py
+++ b/simulation/tests/test_observer.py
@@ -13,10 +13,12 @@
     History,
     HistoryEntry,
     OrderAnswer,
+    PaidShare,
     SeenArrival,
     SeenDrain,
     SeenEvent,
     SeenLead,
+    SeenNewest,
     SeenOrder,
     SeenRun,
     SeenVersion,
@@ -128,7 +130,7 @@
     history.final_versions = {"router-1": 2, "control-1": 2}
     history.final_history = [HistoryEntry(2, "b"), HistoryEntry(1, "a")]
     history.drains = [SeenDrain(worker="model-1", instance="model-1-a", begun_at=40.0, acknowledged_at=40.1)]
-    history.first_rates = {"x": 10.0}
+    history.first_shares = {"x": PaidShare(10.0)}
     return history
 
 
@@ -202,6 +204,10 @@
     history.final_history = [HistoryEntry(2, "z"), HistoryEntry(1, "a")]
 
 
+def no_bundle_yet(history: History) -> None:
+    history.newest_read = [SeenNewest(30.0, "control-1", 0)]
+
+
 def leads_alone(history: History) -> None:
     history.faults = [Fault(kind="cut-off", targets=("control-1", "front-1"), begun_at=50.0, ended_at=80.0)]
     history.leads = [SeenLead(75.0, "control-1", 3)]
@@ -218,7 +224,7 @@
 
 
 def past_share(history: History) -> None:
-    history.first_rates = {"x": 2.0}
+    history.first_shares = {"x": PaidShare(2.0)}
 
 
 def below_share(history: History) -> None:
@@ -256,6 +262,7 @@
     ("resent-order-refused", resent_refused),
     ("acknowledged-bundle-vanishes", vanished),
     ("acknowledged-bundle-vanishes", vanished_from_history),
+    ("acknowledged-bundle-vanishes", no_bundle_yet),
     ("cut-off-control-leads", leads_alone),
     ("cut-off-control-leads", accepts_alone),
     ("too-many-tries", many_tries),
