Replay: bodies get exactly the recorded length

Cause: in a trial on the demo fleet a recorded body of 139 bytes had come from an 80 byte record: the JSON form was added to the recorded length, so replays of replays would grow. What: the filler is shorter by the form.

--- a/wingwood/replay/player.py
+++ b/wingwood/replay/player.py
@@ -144,26 +144,21 @@
         return HttpRequest(call.method, address, call.path, tuple(headers), body, Seconds(1.0))
 
     def _body(self, call: RecordedCall) -> bytes:
-        length = min(call.body_bytes, BODY_BYTES)
+        parts = max(1, len(call.prefix))
+        length = max(0, min(call.body_bytes, BODY_BYTES) - len(_form([""] * parts, call)))
         contents: list[str] = []
-        for depth in range(len(call.prefix) - 1):
+        for depth in range(parts - 1):
             part = "/".join(call.prefix[: depth + 1])
             size = self._shared.pop(part, None)
             if size is None:
-                size = int(length * self._options.shared_part / (len(call.prefix) - 1))
+                size = int(length * self._options.shared_part / (parts - 1))
                 if len(self._shared) >= REMEMBERED_PARTS:
                     self._shared.popitem(last=False)
             self._shared[part] = size
             contents.append(_filler(part, size))
         left = max(0, length - sum(map(len, contents)))
         contents.append(_filler("/".join(call.prefix), left))
-        return msgspec.json.encode(
-            {
-                "messages": [{"content": content} for content in contents],
-                "max_tokens": max(1, call.tokens),
-                "stream": call.tokens > 0,
-            }
-        )
+        return _form(contents, call)
 
     async def _follow(self, call: RecordedCall, exchange: HttpExchange) -> str:
         """Reads the answer to its end; how it looked to its caller."""
@@ -220,6 +215,11 @@
         return "whole" if not streams or END_MARKER in tail else "cut"
 
 
+def _form(contents: Sequence[str], call: RecordedCall) -> bytes:
+    messages = [{"content": content} for content in contents]
+    return msgspec.json.encode({"messages": messages, "max_tokens": max(1, call.tokens), "stream": call.tokens > 0})
+
+
 def _filler(name: str, size: int) -> str:
     word = (name or "prompt") + " "
     return (word * (size // len(word) + 1))[:size]
