Roll-outs on whole simulated fleets; commands pass over daemons that are cut off

Cause: the trial on the whole fleet showed that a cut-off daemon misleads the operator's client: it lists only its own zone's members, answers with the version it held, or says that there is no bundle (`bundle change` then said "there are: none"; test written first, failed). Changed: the newest version is taken from a daemon that can ask control, members from the longest list, and the runner believes no older version than it has seen. Tests: 2 of whole fleets (11 routers, faults in the middle, all checks of the observer): through zone, half and all while two routers are killed, the stage's zone is cut off for 9 s and the first operator's client is lost for good; and a harmful change is rolled back before it leaves its zone.

--- a/wingwood/command_line/bundle.py
+++ b/wingwood/command_line/bundle.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 import uuid
 from collections.abc import Sequence
@@ -28,6 +29,7 @@
 
 EXIT_OF = {"accepted": ExitCode.DONE, "conflict": ExitCode.CONFLICT, "invalid": ExitCode.REFUSED}
 REBASES = 10
+NEWEST = "/control/v1/bundle?newest=1"
 
 
 @click.group()
@@ -48,7 +50,7 @@
 def newest_slices(client: OperatorClient) -> tuple[BundleVersion, Slices]:
     """The newest version and its slices; version 0 without any when there is no bundle yet."""
     try:
-        shown = client.read("/control/v1/bundle?newest=1", ShownBundle)
+        shown = client.best(NEWEST, ShownBundle, lambda shown: math.inf if shown.newest else shown.version)
     except NoBundle:
         return BundleVersion(0), {}
     return shown.version, _slices(shown)
--- a/wingwood/command_line/client.py
+++ b/wingwood/command_line/client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import time
 from collections.abc import Callable, Sequence
 from typing import Any, TypeVar
@@ -97,6 +98,41 @@
                     reasons.append(f"{lost.address}: {lost.reason}")
         raise Unreachable("no daemon answered: " + "; ".join(reasons))
 
+    def best(self, path: str, type_: type[Value], rank: Callable[[Value], float], enough: float = math.inf) -> Value:
+        """The answer that ranks highest, of all daemons named or up to one that ranks ``enough``.
+
+        A daemon that is cut off answers from what it held then; others know better.
+        """
+        best: Value | None = None
+        problems: list[Problem] = []
+        for address in self.addresses:
+            try:
+                found = self._read_from(address, path, type_)
+            except Problem as problem:
+                problems.append(problem)
+                continue
+            if best is None or rank(found) > rank(best):
+                best = found
+            if rank(found) >= enough:
+                break
+        if best is not None:
+            return best
+        raise next((problem for problem in problems if isinstance(problem, NoBundle)), None) or Unreachable(
+            "no daemon answered: " + "; ".join(problem.message for problem in problems)
+        )
+
+    def _read_from(self, address: Address, path: str, type_: type[Value]) -> Value:
+        match self.ask(address, path):
+            case Success(HTTPResponse(code=200) as response):
+                return decode(response.body, type_, address)
+            case Success(HTTPResponse() as response):
+                error = error_of(response)
+                kind = NoBundle if error.code == "no-bundle" else Problem
+                raise kind(f"{address}: {error.reason}")
+            case Failure(NoAnswer() as lost):
+                raise Unreachable(f"{address}: {lost.reason}")
+        raise AssertionError("a result is a success or a failure")
+
     def submit(self, order: Order) -> OrderOutcome | None:
         """The order's outcome; None when some daemon may have got it and none said what became of it.
 
--- a/wingwood/command_line/rollout.py
+++ b/wingwood/command_line/rollout.py
@@ -75,7 +75,7 @@
 
     async def look(self) -> Result[Sight, Lost]:
         try:
-            members = await asyncio.to_thread(self._client.read, "/control/v1/members", list[Identity])
+            members = await asyncio.to_thread(_members, self._client)
         except Problem as problem:
             return Failure(Lost(problem.message))
         client = SimpleAsyncHTTPClient(force_instance=True, max_clients=LOOKS_AT_ONCE)
@@ -88,6 +88,11 @@
         return Success(Sight(members=tuple(members), looks=found))
 
 
+def _members(client: OperatorClient) -> list[Identity]:
+    """The longest list: whoever is cut off has lost the others."""
+    return client.best("/control/v1/members", list[Identity], len)
+
+
 async def _look(client: AsyncHTTPClient, address: Address | None) -> Look | None:
     if address is None:
         return None
@@ -192,7 +197,7 @@
 
 def _check_stages(client: OperatorClient, stages: Sequence[str]) -> None:
     """Each stage must reach routers that the ones before it don't, by what control knows now."""
-    routers = [each for each in client.read("/control/v1/members", list[Identity]) if each.role == "router"]
+    routers = [each for each in _members(client) if each.role == "router"]
     reached: set[DaemonName] = set()
     for number, stage in enumerate(stages[:-1]):
         plan = msgspec.structs.replace(_EMPTY, stages=tuple(stages))
--- a/wingwood/command_line/tests/stand_in.py
+++ b/wingwood/command_line/tests/stand_in.py
@@ -12,11 +12,11 @@
 from prometheus_client import CollectorRegistry
 from prometheus_client.core import CounterMetricFamily, Metric
 from prometheus_client.registry import Collector
-from returns.result import Result, Success
+from returns.result import Failure, Result, Success
 
 from ...bundle.model import Order, OrderOutcome
 from ...bundle.parse import parse_bundle
-from ...bundle.reading import LocalBundleReader
+from ...bundle.reading import BundleAnswer, LocalBundleReader, NotReadable
 from ...bundle.state import BundleState
 from ...bundle.tests.samples import submit
 from ...context.protocols import Context
@@ -56,6 +56,8 @@
         self.orders: list[tuple[Address, Order]] = []
         self.interloper: Order | None = None
         """Another operator's order, decided right before the next one."""
+        self.cut_off: set[Address] = set()
+        """Daemons that cannot ask control and hold nothing themselves."""
         self.complete = True
         self.routers = False
         """Whether members shows router-a and router-b, of one zone each; the daemons answer for them."""
@@ -90,6 +92,17 @@
     def describe(self) -> list[Metric]:
         return []
 
+    class _Reader(LocalBundleReader):
+        def __init__(self, stand_in: StandIn, address: Address) -> None:
+            super().__init__(stand_in.state, lambda: stand_in.state.version)
+            self._stand_in = stand_in
+            self._address = address
+
+        async def bundle(self, version: BundleVersion) -> Result[BundleAnswer, NotReadable]:
+            if self._address in self._stand_in.cut_off:
+                return Failure(NotReadable("no control daemon answered"))
+            return await super().bundle(version)
+
     @property
     def to(self) -> list[str]:
         return [part for address in self.addresses for part in ("--to", str(address))]
@@ -157,14 +170,14 @@
             metrics=metrics,
             current=lambda: (
                 None
-                if self.state.version == 0
+                if self.state.version == 0 or address in self.cut_off
                 else parse_bundle(
                     self.state.manifest_at(self.state.version) or self.orders[0][1].manifest,
                     self.state.slices_at(self.state.version) or {},
                 ).unwrap()
             ),
-            reader=LocalBundleReader(self.state, lambda: self.state.version),
-            members=lambda: [identity, *(routers if self.routers else ())],
+            reader=self._Reader(self, address),
+            members=lambda: [identity, *(routers if self.routers and address not in self.cut_off else ())],
             workers=lambda: [worker],
             health=lambda: msgspec.structs.replace(
                 report,
--- a/wingwood/command_line/tests/test_command_line.py
+++ b/wingwood/command_line/tests/test_command_line.py
@@ -224,6 +224,16 @@
         self.assertEqual(self.json_("bundle", "push", kept.name, *again.to)["version"], 1)
         self.assertEqual(self.json_("bundle", "push", kept.name, *again.to)["outcome"], "accepted")
 
+    def test_a_daemon_that_cannot_ask_control_is_passed_over(self) -> None:
+        fleet = self.stand_in()
+        self.push(fleet)
+        fleet.cut_off.add(fleet.addresses[0])
+        self.assertIn("accepted: version 2", self.change(fleet, "--set", "tenant/riders.burst=3").output)
+        fleet.routers = True
+        start = ("start", "x", "--set", "class/gold.weight=9", "--stages", "zone=b,all")
+        self.run_("rollout", *start, "--key", str(self.operator), *fleet.to)
+        self.assertIn("router-b", self.run_("rollout", "status", "x", *fleet.to).output)
+
     def test_an_order_signed_elsewhere(self) -> None:
         fleet = self.stand_in()
         source, signed = str(EXAMPLES / "sabarmati.toml"), str(self.folder / "signed")
--- a/wingwood/rollout/runner.py
+++ b/wingwood/rollout/runner.py
@@ -29,6 +29,9 @@
     reason: str
 
 
+STALE = Lost("only an older version than was seen before can be read now")
+
+
 class FleetAccess(Protocol):
     """How an operator reaches the fleet."""
 
@@ -95,6 +98,8 @@
         """This runner took the last step itself, so it saw the routers right before it."""
         self._stage: int | None = None
         self._version = BundleVersion(0)
+        self._newest = BundleVersion(0)
+        """The newest seen: a daemon that is cut off answers from what it held then."""
         self._entered = 0.0
         self._limit = patience
         self._routers: dict[DaemonName, Identity] = {}
@@ -111,9 +116,10 @@
             if clock() - self._entered > self._limit:
                 return Ended("lost", f"nothing could be decided for {self._limit:.0f} s: {self._told}")
             match await self._access.newest():
-                case Success((version, slices)):
-                    pass
-                case Failure(lost):
+                case Success((version, slices)) if version >= self._newest:
+                    self._newest = version
+                case stale_or_lost:
+                    lost = stale_or_lost.failure() if isinstance(stale_or_lost, Failure) else STALE
                     self._tell(lost.reason)
                     await asyncio.sleep(self._every)
                     continue
--- a/wingwood/rollout/tests/test_rollout.py
+++ b/wingwood/rollout/tests/test_rollout.py
@@ -208,6 +208,7 @@
         self.state_orders = 0
         self.before_submit: list[Callable[[], object]] = []
         self.lose = 0
+        self.stale = False
         self.bad_zone = ""
         self.away: tuple[DaemonName, ...] = ()
         self.put(sample_slices())
@@ -222,6 +223,8 @@
         return self.state.slices_at(self.state.version) or {}
 
     async def newest(self) -> Result[tuple[BundleVersion, Slices], Lost]:
+        if self.stale:
+            return Success((BundleVersion(1), sample_slices()))
         return Success((self.state.version, self.slices()))
 
     async def submit(self, base: BundleVersion, before: Slices, after: Slices) -> Result[OrderOutcome, Lost]:
@@ -334,6 +337,18 @@
         (ended,) = self.run_on_virtual_time(self.runner().run)
         self.assertEqual(ended, Ended("finished", "version 5"))
 
+    def test_an_older_version_read_from_a_daemon_that_is_cut_off_is_not_believed(self) -> None:
+        self.begin()
+
+        async def a_moment() -> None:
+            await asyncio.sleep(3.5)
+            self.access.stale = True
+            await asyncio.sleep(5.0)
+            self.access.stale = False
+
+        ended, _ = self.run_on_virtual_time(self.runner().run, a_moment)
+        self.assertEqual(ended, Ended("finished", "version 5"))
+
     def test_a_stage_without_calls_is_given_up_where_it_stands(self) -> None:
         self.begin()
         self.access.away = tuple(each.name for each in ROUTERS)
--- /dev/null
+++ b/wingwood/rollout/tests/test_rollout_on_fleet.py
@@ -0,0 +1,224 @@
+"""Staged roll-outs on whole simulated fleets, with faults in the middle (docs/DESIGN.md section 19.5)."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Callable
+from typing import Any, cast
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from simulation import World
+from simulation.fleet import Fleet, network_shape, shape_named
+from simulation.observer import judge
+from simulation.operators import Operator, ask
+from simulation.scenario import bounds_for, places_of
+
+from ...bundle.canonical import canonical_json
+from ...bundle.model import OrderOutcome, Rollout
+from ...bundle.variants import share_mark
+from ...identifiers import Address, BundleVersion, DaemonName, Seconds, SliceName
+from ...operator_api.reading import HealthReport
+from ...transport.frames import Identity
+from ..plan import NotPlanned, Slices, Step, begin, read_rollouts, roll_back
+from ..runner import Ended, Lost, RolloutRunner, take_step
+from ..watch import Look, Sight, read_counts
+
+RUN_EACH_ALONE = True
+
+
+class SimulatedAccess:
+    """``FleetAccess`` of a simulated operator: its orders and answers go into the history."""
+
+    def __init__(self, operator: Operator) -> None:
+        self._operator = operator
+
+    async def newest(self) -> Result[tuple[BundleVersion, Slices], Lost]:
+        try:
+            version, slices = await self._operator.newest()
+            return Success((version, slices)) if version else Failure(Lost("that daemon knows of no bundle"))
+        except TimeoutError as late:
+            return Failure(Lost(str(late)))
+
+    async def submit(self, base: BundleVersion, before: Slices, after: Slices) -> Result[OrderOutcome, Lost]:
+        seen, order = self._operator.prepare(base, before, after, "roll-out")
+        await self._operator.send(seen, order)
+        if not seen.answers or seen.answers[-1].outcome not in ("accepted", "conflict", "invalid"):
+            return Failure(Lost("no daemon said what became of it"))
+        answer = seen.answers[-1]
+        return Success(
+            OrderOutcome(
+                order=order.manifest.order,
+                outcome=cast(Any, answer.outcome),
+                version=BundleVersion(answer.version),
+                reason=answer.reason,
+            )
+        )
+
+    async def look(self) -> Result[Sight, Lost]:
+        found: tuple[Identity, ...] = ()
+        for desk in self._operator.desks()[:5]:
+            answer = await self._get(desk.address, "/control/v1/members")
+            members = () if answer is None else tuple(msgspec.json.decode(answer, type=list[Identity]))
+            found = max(found, members, key=len)
+        if not found:
+            return Failure(Lost("no daemon answered"))
+        looks: dict[DaemonName, Look | None] = {}
+        for member in found:
+            if member.role == "router" and member.operator is not None:
+                looks[member.name] = await self._look(member.operator)
+        return Success(Sight(members=found, looks=looks))
+
+    async def _look(self, address: Address) -> Look | None:
+        health, metrics = await self._get(address, "/control/v1/health"), await self._get(address, "/metrics")
+        if health is None or metrics is None:
+            return None
+        report = msgspec.json.decode(health, type=HealthReport)
+        counts = read_counts(metrics.decode())
+        return Look(incarnation=report.incarnation, ready=report.ready, version=report.version, counts=counts)
+
+    async def _get(self, address: Address, path: str) -> bytes | None:
+        answer = await ask(self._operator.context, "GET", address, path, b"", 0.5)
+        return bytes(answer[1]) if answer is not None and answer[0] == 200 else None
+
+
+class FleetCase(unittest.TestCase):
+    """A whole fleet with traffic and its first bundle in force."""
+
+    def setUp(self) -> None:
+        shape = shape_named("despensa")
+        self.world = World(7, network_shape(shape))
+        self.world.__enter__()
+        self.addCleanup(self.world.__exit__, None, None, None)
+        self.fleet = Fleet(self.world, shape)
+        self.fleet.start()
+        self.fleet.put_in_force()
+        self.fleet.set_traffic(0.25)
+        self.zone = shape.zones[0]
+        self.summary = SliceName("service/order-summary")
+        self.ended: dict[str, Ended] = {}
+        self.told: list[str] = []
+
+    def change(self, **fields: object) -> Step:
+        def change(slices: Slices) -> Result[Slices, NotPlanned]:
+            held = msgspec.json.decode(slices[self.summary])
+            return Success({**slices, self.summary: canonical_json({**held, **fields})})
+
+        return change
+
+    def start(self, change: Step, *stages: str) -> None:
+        step = begin("trial", change, stages, Seconds(6.0), 0.02, 0.05)
+        self.take("operator-1", step)
+
+    def take(self, name: str, step: Step) -> None:
+        done: list[object] = []
+
+        async def work() -> None:
+            done.append(await take_step(SimulatedAccess(self.fleet.operators[name]), step))
+
+        self.fleet.by_operator(name, work())
+        self.wait(lambda: bool(done), 10.0)
+        self.assertIsInstance(done[0], Success, done[0])
+
+    def run_by(self, name: str) -> None:
+        def say(text: str) -> None:
+            self.told.append(f"{self.world.now:.1f} {name}: {text}")
+
+        runner = RolloutRunner(SimulatedAccess(self.fleet.operators[name]), "trial", say, patience=Seconds(120.0))
+
+        async def work() -> None:
+            self.ended[name] = await runner.run()
+
+        self.fleet.by_operator(name, work())
+
+    def wait(self, condition: Callable[[], bool], within: float) -> None:
+        until = self.world.now + within
+        while not condition():
+            self.assertLess(self.world.now, until, "\n".join(self.told))
+            self.fleet.run(0.5)
+
+    def acting(self, field: str, value: object) -> set[str]:
+        """Routers whose view of the service has that value."""
+        found = set()
+        for name in self.fleet.names("router"):
+            bundle = cast(Any, self.fleet.daemons[name]).follower.current()
+            if self.world.processes[name].alive and bundle is not None:
+                service = bundle.services["order-summary"]
+                found |= {name} if getattr(service, field) == value else set()
+        return found
+
+    def in_zone(self) -> set[str]:
+        return {name for name in self.fleet.names("router") if self.fleet.settings[name].zone == self.zone}
+
+    def rollout(self) -> Rollout:
+        found: list[Rollout] = []
+
+        async def work() -> None:
+            _, slices = await self.fleet.operators["operator-2"].newest()
+            found.append(read_rollouts(slices)["trial"])
+
+        self.fleet.by_operator("operator-2", work())
+        self.wait(lambda: bool(found), 5.0)
+        return found[0]
+
+    def judge(self) -> None:
+        self.fleet.run(20.0)
+        self.fleet.set_traffic(0.0)
+        for callers in self.fleet.callers.values():
+            callers.stopped = True
+        self.fleet.run(4.0)
+        self.fleet.read_back()
+        violations = judge(self.fleet.history, places_of(self.fleet), bounds_for(self.fleet), self.world.now)
+        self.assertEqual([str(each) for each in violations], [])
+        self.assertEqual(self.world.broken_invariants, [])
+        self.assertGreater(sum(call.succeeded for call in self.fleet.history.calls), 300)
+
+
+class RolloutOnFleetTest(FleetCase):
+    def test_through_all_stages_while_routers_zones_and_operators_are_lost(self) -> None:
+        routers = set(self.fleet.names("router"))
+        half = {name for name in routers if share_mark(DaemonName(name)) < 50}
+        self.assertTrue(half - self.in_zone() and routers - half - self.in_zone())
+        self.start(self.change(first_byte_patience=3.5), f"zone={self.zone}", "share=50", "all")
+        self.run_by("operator-1")
+        self.fleet.run(2.0)
+        self.assertEqual(self.acting("first_byte_patience", 3.5), self.in_zone())
+        self.fleet.kill("router-4", 3.0)
+        self.fleet.kill("router-5", 3.0)
+        self.wait(lambda: self.acting("first_byte_patience", 3.5) == self.in_zone() | half, 60.0)
+        # The client of the first operator is lost for good, and the stage's zone is cut off for a while.
+        self.world.kill("operator-1")
+        here = {self.fleet.world.processes[name].machine.name for name in self.in_zone()}
+        for one in sorted(here):
+            for other in sorted({self.world.processes[name].machine.name for name in routers} - here):
+                self.fleet.cut(one, other, 9.0)
+        self.fleet.run(2.0)
+        self.run_by("operator-2")
+        self.wait(lambda: "operator-2" in self.ended, 120.0)
+        self.assertEqual(self.ended["operator-2"].how, "finished", "\n".join(self.told))
+        self.assertIn("away or not ready", "\n".join(self.told))
+        self.assertEqual(self.acting("first_byte_patience", 3.5), routers)
+        # A finished one may go back too: as a new version.
+        newest = max(version.version for version in self.fleet.history.versions)
+        self.take("operator-2", roll_back("trial", "by hand"))
+        self.fleet.run(3.0)
+        self.assertEqual(self.acting("first_byte_patience", 3.5), set())
+        self.assertGreater(max(version.version for version in self.fleet.history.versions), newest)
+        self.world.restart("operator-1")
+        self.fleet.run(1.0)
+        self.judge()
+
+    def test_a_change_that_harms_calls_is_rolled_back_before_it_leaves_its_zone(self) -> None:
+        fault = self.fleet.fault("bad roll-out", "all routers")
+        self.start(self.change(pool="nowhere"), f"zone={self.zone}", "all")
+        self.run_by("operator-2")
+        self.wait(lambda: "operator-2" in self.ended, 60.0)
+        self.fleet.end_fault(fault)
+        self.assertEqual(self.ended["operator-2"].how, "rolled-back", "\n".join(self.told))
+        self.assertIn("calls refused", self.rollout().reason)
+        self.fleet.run(3.0)
+        self.assertEqual(self.acting("pool", "nowhere"), set())
+        refused = {each.router for each in self.fleet.history.attempts() if each.code == "workers-none-ready"}
+        self.assertTrue(refused and refused <= self.in_zone(), refused)
+        self.judge()
