Control core tests on simulated time: losses, replacement, sick disks, deposed primaries

A woken or cut-off primary decides nothing while no member has answered it (it waited for the backup before). A disk that fails at the start can be waited for.

--- a/wingwood/control/core.py
+++ b/wingwood/control/core.py
@@ -949,6 +949,8 @@
         if answer is None or self._lead is not lead:
             return
         self._highest_epoch = max(self._highest_epoch, answer.promised)
+        if answer.accepted and not self.leads():
+            self._turn.set()
         if answer.healthy:
             lead.answered[seat.incarnation] = max(begun, lead.answered.get(seat.incarnation, begun))
         if answer.accepted:
@@ -1072,7 +1074,7 @@
                     for command in batch:
                         self._answer(command, Failure(NotDecided("not-leading", self._other_primary())))
                     break
-                if lead.accepting:
+                if lead.accepting and self.leads():
                     async with lead.batch:
                         if lead.accepting and self._lead is lead:
                             await self._run_batch(lead, batch)
@@ -1083,6 +1085,7 @@
                         self._answer(command, self._undecided(command, "no backup in time"))
                 batch = [command for command in batch if not command.answer.done()]
                 if batch:
+                    # A primary that hears nobody decides nothing, also when it has just woken up.
                     await self._wait_for_turn(min(command.deadline for command in batch) - now)
 
     async def _wait_for_turn(self, patience: float) -> None:
--- a/wingwood/control/store.py
+++ b/wingwood/control/store.py
@@ -170,13 +170,27 @@
 
 
 async def open_store(
-    context: Context, start_empty_when_damaged: bool = False
+    context: Context, start_empty_when_damaged: bool = False, retry_pause: Seconds | None = None
 ) -> Result[tuple[ControlStore, Contents], StoreFault]:
     """Locks the data folder and reads its journal; an empty folder gets a new incarnation.
 
     A damaged journal is a fault, unless the operator said ``start_empty_when_damaged``: then it is put
     aside under another name and the daemon starts as an empty, new incarnation, to be filled by its peers.
+    With ``retry_pause`` a disk that fails or is full is tried again until it is well.
     """
+    while True:
+        opened = await _open_store(context, start_empty_when_damaged)
+        match opened:
+            case Failure(StoreFault(kind="disk", detail=detail)) if retry_pause is not None:
+                context.log.event("control-store-waits", detail=detail)
+                await context.clock.sleep(retry_pause)
+            case _:
+                return opened
+
+
+async def _open_store(
+    context: Context, start_empty_when_damaged: bool
+) -> Result[tuple[ControlStore, Contents], StoreFault]:
     patience = Seconds(60.0)
     match await context.disk.lock():
         case Failure(fault):
--- a/wingwood/control/tests/control_world.py
+++ b/wingwood/control/tests/control_world.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable, Sequence
+from typing import TypeVar
 
 import msgspec
 from returns.result import Failure, Success
@@ -15,12 +16,15 @@
 from ...identifiers import Address, DaemonName, Epoch, Incarnation, Seconds, Zone
 from ...transport.frames import Identity
 from ...transport.messenger import TcpMessenger
-from ..client import ControlClient
+from ..client import ControlClient, ControlClientLimits
 from ..core import ReplicatedCore
 from ..limits import ControlLimits
+from ..protocols import ViewReport
 from ..store import Contents, ControlStore, open_store
 
+Value = TypeVar("Value")
 KEY = b"control tests"
+WALK_LIMITS = ControlLimits(rewrite_bytes=20_000, piece_bytes=4096)
 PORT = 7000
 
 
@@ -86,8 +90,7 @@
     register: Register,
     seeds: Sequence[Address],
 ) -> ReplicatedCore:
-    limits = ControlLimits(rewrite_bytes=20_000, piece_bytes=4096)
-    return ReplicatedCore(context, messenger, store, contents, [register], seeds, limits=limits)
+    return ReplicatedCore(context, messenger, store, contents, [register], seeds, limits=WALK_LIMITS)
 
 
 class Observer:
@@ -135,6 +138,9 @@
         self.observer = Observer()
         self.clients: dict[str, ControlClient] = {}
         self.orders = 0
+        self.begin_empty: set[str] = set()
+        """Daemons whose operator said that they may begin empty when their journal is damaged."""
+        self.quiet_until = 0.0
         for name in start:
             self.start(name)
 
@@ -143,7 +149,7 @@
 
         async def main(context: Context) -> None:
             self.cores.pop(name, None)
-            match await open_store(context):
+            match await open_store(context, name in self.begin_empty, retry_pause=Seconds(0.5)):
                 case Failure(fault):
                     context.log.event("store-fault", kind=fault.kind, detail=fault.detail)
                     return
@@ -168,26 +174,38 @@
         process = self.world.processes.get(name)
         return process is not None and process.alive and not process.frozen and name in self.cores
 
+    def report(self, name: str) -> ViewReport:
+        """As the daemon itself would say it, on its own clock."""
+        return self.inside(name, self.cores[name].report)
+
+    def leads(self, name: str) -> bool:
+        return self.inside(name, self.cores[name].leads)
+
+    def inside(self, name: str, question: Callable[[], Value]) -> Value:
+        self.world.loop.running_life = self.world.processes[name].life
+        try:
+            return question()
+        finally:
+            self.world.loop.running_life = None
+
     def leader(self) -> str | None:
         """A live daemon that accepts orders now."""
-        return next(
-            (name for name in self.cores if self.alive(name) and self.cores[name].report().accepts_orders), None
-        )
+        return next((name for name in self.cores if self.alive(name) and self.report(name).accepts_orders), None)
 
     def complete(self) -> bool:
         leader = self.leader()
-        return leader is not None and self.cores[leader].report().complete
+        return leader is not None and self.report(leader).complete
 
     def epoch(self) -> Epoch:
         return max((core.epoch() for core in self.cores.values()), default=Epoch(0))
 
     def has_role(self, role: str) -> str:
         """The daemon that has the role in the newest view."""
-        return next(name for name in self.cores if self.alive(name) and self.cores[name].report().own_role == role)
+        return next(name for name in self.cores if self.alive(name) and self.report(name).own_role == role)
 
     # -- operators
 
-    def operator(self, name: str = "operator", zone: str = "a") -> None:
+    def operator(self, name: str = "operator", zone: str = "a", limits: ControlClientLimits | None = None) -> None:
         """A process that can send orders (it keeps no state)."""
 
         async def main(context: Context) -> None:
@@ -195,7 +213,7 @@
             identity = Identity(DaemonName(name), Incarnation(name), "tool", Zone(zone), address)
             messenger = TcpMessenger(context, identity, KEY)
             learnt = [address_of(self.world.machine(other), PORT) for other in self.world.processes if other[0] in "cs"]
-            self.clients[name] = ControlClient(context, messenger, lambda: [*self.seeds, *learnt])
+            self.clients[name] = ControlClient(context, messenger, lambda: [*self.seeds, *learnt], limits)
 
         self.world.start(name, main, zone)
         self.world.run(0.01)
@@ -230,6 +248,8 @@
             unanswered: list[Put] = []
             answered: list[Put] = []
             while True:
+                while self.world.now < self.quiet_until:
+                    await asyncio.sleep(0.05)
                 choice = random.random()
                 if unanswered and choice < 0.3:
                     put = unanswered.pop(0)
--- /dev/null
+++ b/wingwood/control/tests/test_core.py
@@ -0,0 +1,316 @@
+"""The control core on simulated time: forming, losses, replacement, sick disks, deposed primaries."""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Callable
+from functools import partial
+
+from returns.result import Success
+
+from ...identifiers import Seconds
+from ..core import ReplicatedCore
+from ..limits import ControlLimits
+from ..protocols import NotDecided
+from .control_world import ControlWorld, MakeCore, Put, make_core
+from .mutants import BackupIgnoresPromise, with_core
+
+GAP = 3.0
+SERVICE_BACK = 12.0
+PATIENT = ControlLimits(replicate=Seconds(6.0), decide=Seconds(8.0))
+"""Bounds so long that only the rules keep a woken primary from acknowledging."""
+
+
+class ControlCase(unittest.TestCase):
+    def fleet(self, seed: int = 1, make: MakeCore = make_core, orders: int = 5) -> ControlWorld:
+        """Three daemons that have formed and acknowledged some orders."""
+        control = ControlWorld(seed, make)
+        self.addCleanup(control.close)
+        control.operator()
+        self.assertTrue(control.world.wait_for(control.complete, 5.0))
+        for _ in range(orders):
+            self.assertIsNotNone(control.send())
+        return control
+
+    def hold(self, control: ControlWorld) -> None:
+        """All that was acknowledged is kept; complete again."""
+        self.assertTrue(control.world.wait_for(control.complete, SERVICE_BACK), control.world.timeline(60))
+        self.assertIsNotNone(control.send())
+        leader = control.leader()
+        assert leader is not None
+        kept = control.registers[leader].kept.outcomes
+        for order, outcome in control.observer.outcomes.items():
+            self.assertEqual(kept.get(order), outcome)
+        self.assertEqual(control.observer.faults, [])
+        self.assertEqual(control.world.broken_invariants, [])
+
+    def served_after(self, control: ControlWorld) -> float:
+        begun = control.world.now
+        while control.send() is None:
+            self.assertLess(control.world.now - begun, 30.0, control.world.timeline(60))
+        return control.world.now - begun
+
+
+class FormingTests(ControlCase):
+    def test_three_empty_seeds_form_one_fleet_and_the_first_leads(self) -> None:
+        control = self.fleet()
+        self.assertEqual(control.leader(), "c1")
+        self.assertEqual([control.report(name).own_role for name in ("c2", "c3")], ["backup", "witness"])
+
+    def test_two_empty_seeds_form_nothing(self) -> None:
+        control = ControlWorld(1, start=("c1", "c2"))
+        self.addCleanup(control.close)
+        control.world.run(20.0)
+        self.assertIsNone(control.leader())
+        control.start("c3")
+        self.assertTrue(control.world.wait_for(control.complete, 5.0))
+
+    def test_nothing_is_formed_where_anyone_knows_of_history(self) -> None:
+        control = ControlWorld(1, start=())
+        self.addCleanup(control.close)
+        for name in ("c1", "c2", "c3"):
+            control.start(name)
+        control.world.run(0.03)
+        control.cores["c3"]._knows_of_history = lambda: True
+        control.world.run(20.0)
+        self.assertIsNone(control.leader())
+
+    def test_two_wiped_disks_beside_a_living_one_found_no_new_fleet(self) -> None:
+        control = self.fleet()
+        for name in ("c1", "c2", "c3"):
+            control.world.kill(name)
+        control.world.wipe("c1")
+        control.world.wipe("c2")
+        for name in ("c1", "c2", "c3"):
+            control.world.restart(name)
+        control.world.run(30.0)
+        self.assertIsNone(control.leader())
+
+
+class LossTests(ControlCase):
+    def test_each_way_to_lose_the_primary_ends_in_a_take_over_within_the_gap(self) -> None:
+        for seed, lose in enumerate(("kill", "freeze", "power_off", "cut_off", "wipe") * 2):
+            with self.subTest(lose=lose, seed=seed):
+                control = self.fleet(seed)
+                leader = control.leader()
+                assert leader is not None
+                getattr(control.world, lose)(leader)
+                if lose == "wipe":
+                    control.world.kill(leader)
+                self.assertLess(self.served_after(control), GAP)
+
+    def test_each_way_to_lose_the_backup_ends_in_a_new_one_within_the_gap(self) -> None:
+        for seed, lose in enumerate(("kill", "freeze", "power_off", "cut_off", "stalled", "failing") * 2):
+            with self.subTest(lose=lose, seed=seed):
+                control = self.fleet(seed)
+                backup = control.has_role("backup")
+                if lose in ("stalled", "failing"):
+                    control.world.machines[backup].disk.set_mode(lose)  # type: ignore[arg-type]
+                else:
+                    getattr(control.world, lose)(backup)
+                self.assertLess(self.served_after(control), GAP)
+
+    def test_all_killed_with_any_one_disk_wiped_keep_everything(self) -> None:
+        for seed, wiped in enumerate((None, "c1", "c2", "c3")):
+            with self.subTest(wiped=wiped):
+                control = self.fleet(seed, orders=30)
+                for name in ("c1", "c2", "c3"):
+                    control.world.kill(name)
+                if wiped is not None:
+                    control.world.wipe(wiped)
+                for name in ("c3", "c1", "c2"):
+                    control.world.restart(name)
+                self.assertLess(self.served_after(control), SERVICE_BACK)
+                self.hold(control)
+
+    def test_an_empty_machine_at_a_new_address_takes_the_seat_and_the_next_loss_is_borne(self) -> None:
+        for seed, role in enumerate(("primary", "backup", "witness")):
+            with self.subTest(role=role):
+                control = self.fleet(seed)
+                lost = control.has_role(role)
+                control.world.power_off(lost)
+                control.world.wipe(lost)
+                control.start("s1")
+                control.world.run(1.0)
+                self.assertFalse(control.complete())
+                self.assertTrue(control.world.wait_for(control.complete, SERVICE_BACK), control.world.timeline(60))
+                second = control.has_role("primary")
+                control.world.power_off(second)
+                control.world.wipe(second)
+                self.assertLess(self.served_after(control), GAP)
+                control.start("s2")
+                self.hold(control)
+
+    def test_a_wiped_machine_at_its_old_address_is_seated_anew(self) -> None:
+        for seed, role in enumerate(("primary", "backup", "witness")):
+            with self.subTest(role=role):
+                control = self.fleet(seed)
+                lost = control.has_role(role)
+                control.world.kill(lost)
+                control.world.wipe(lost)
+                control.world.restart(lost)
+                begun = control.world.now
+                control.world.run(1.2)
+                self.assertTrue(control.world.wait_for(control.complete, GAP), control.world.timeline(60))
+                self.assertLess(control.world.now - begun, GAP + 1.2)
+                self.hold(control)
+
+    def test_a_first_primary_may_lead_again_when_its_successor_was_lost_before_it_had_a_backup(self) -> None:
+        control = self.fleet()
+        first, second = control.has_role("primary"), control.has_role("backup")
+        control.world.kill(first)
+        self.assertTrue(control.world.wait_for(lambda: control.leads(second), GAP, every=0.002))
+        self.assertIsNone(control.leader())
+        control.world.power_off(second)
+        control.world.wipe(second)
+        control.world.restart(first)
+        self.assertLess(self.served_after(control), SERVICE_BACK)
+        control.start("s1")
+        self.hold(control)
+
+    def test_a_damaged_journal_stops_the_daemon_and_peers_fill_it_anew(self) -> None:
+        control = self.fleet()
+        backup = control.has_role("backup")
+        control.world.kill(backup)
+        disk = control.world.machines[backup].disk
+        data = bytearray(disk.visible["control.journal"])
+        data[40] ^= 1
+        disk.visible["control.journal"] = disk.durable["control.journal"] = bytes(data)
+        control.world.restart(backup)
+        control.world.run(1.0)
+        told = [event for event in control.world.events if event.name == "store-fault"]
+        self.assertIn("damaged at byte", str(told[-1].fields["detail"]))
+        control.begin_empty.add(backup)
+        control.world.restart(backup)
+        self.hold(control)
+        self.assertTrue(any("damaged-" in name for name in disk.durable))
+
+
+class SickDiskTests(ControlCase):
+    def test_a_primary_with_a_sick_disk_gives_way_and_is_a_member_again_when_healed(self) -> None:
+        for seed, mode in enumerate(("stalled", "full", "failing", "slow")):
+            with self.subTest(mode=mode):
+                control = self.fleet(seed)
+                sick = control.has_role("primary")
+                disk = control.world.machines[sick].disk
+                disk.slow_factor = 2000.0
+                disk.set_mode(mode)  # type: ignore[arg-type]
+                self.assertLess(self.served_after(control), GAP + 1.0)
+                self.assertNotEqual(control.leader(), sick)
+                disk.set_mode("well")
+                self.hold(control)
+
+    def test_a_folder_wiped_under_the_running_primary_is_noticed_without_any_order(self) -> None:
+        control = self.fleet()
+        wiped = control.has_role("primary")
+        control.world.wipe(wiped)
+        self.assertTrue(control.world.wait_for(lambda: control.leader() not in (None, wiped), 4.0))
+        control.world.restart(wiped)
+        self.hold(control)
+
+
+class DeposedPrimaryTests(ControlCase):
+    def late_batch(self, make: MakeCore, seed: int) -> tuple[ControlWorld, str, list[object]]:
+        """The primary freezes while a batch is held up on its way to the backup, which then leads with the third.
+
+        It wakes with the answer, if there is one, already in its buffers. Third: what it then says.
+        """
+        control = self.fleet(seed, make)
+        old, backup = control.has_role("primary"), control.has_role("backup")
+        control.world.run(0.5)
+        cut = control.world.cut(old, backup, both_ways=False)
+        said: list[object] = []
+        self.spawn(control, old, partial(self.put_at, control, old, Put(999, control.observer.newest), said))
+        control.world.run(0.02)
+        control.world.freeze(old)
+        self.assertTrue(control.world.wait_for(lambda: control.leader() == backup, GAP))
+        control.world.heal(cut)
+        control.world.run(0.9)
+        control.world.wake(old)
+        control.world.run(0.5)
+        return control, old, said
+
+    async def put_at(self, control: ControlWorld, name: str, put: Put, said: list[object]) -> None:
+        said.append(await control.cores[name].decide("register", put))
+
+    def test_a_frozen_primary_acknowledges_nothing_after_it_woke(self) -> None:
+        for seed in range(8):
+            with self.subTest(seed=seed):
+                control, old, said = self.late_batch(with_core(ReplicatedCore, PATIENT), seed)
+                self.assertFalse(control.leads(old))
+                self.assertEqual([answer.failure().kind for answer in said], ["unknown"])  # type: ignore[attr-defined]
+                self.hold(control)
+
+    def test_a_backup_that_ignored_its_promise_would_be_caught(self) -> None:
+        said = [self.late_batch(with_core(BackupIgnoresPromise, PATIENT), seed)[2] for seed in range(8)]
+        self.assertTrue(any(isinstance(answer, Success) for answers in said for answer in answers))
+
+    def test_cut_off_primaries_say_so_and_prove_nothing(self) -> None:
+        for inward, outward in ((True, True), (True, False), (False, True)):
+            with self.subTest(inward=inward, outward=outward):
+                control = self.fleet()
+                old = control.has_role("primary")
+                core = control.cores[old]
+                self.assertEqual(self.ask(control, old, core.prove_lead), [True])
+                cut = control.world.cut_off(old, inward, outward)
+                control.world.run(0.02)
+                self.assertEqual(self.ask(control, old, core.prove_lead), [False])
+                control.world.run(2.0)
+                self.assertFalse(control.leads(old))
+                answers = self.ask(control, old, partial(core.decide, "register", Put(1000, 0)))
+                fault = answers[0].failure()  # type: ignore[attr-defined]
+                self.assertIsInstance(fault, NotDecided)
+                self.assertEqual(fault.kind, "not-leading")
+                self.assertNotIn(control.leader(), (None, old))
+                control.world.heal(cut)
+                self.hold(control)
+
+    def test_one_deaf_member_deposes_nobody(self) -> None:
+        control = self.fleet()
+        leader, backup = control.has_role("primary"), control.has_role("backup")
+        control.world.cut(leader, backup, both_ways=False)
+        control.world.run(15.0)
+        self.assertEqual(control.leader(), leader)
+        self.assertNotEqual(control.has_role("witness"), leader)
+
+    def ask(self, control: ControlWorld, name: str, question: Callable[[], object]) -> list[object]:
+        answers: list[object] = []
+
+        async def run() -> None:
+            answers.append(await question())  # type: ignore[misc]
+
+        control.world.spawn(control.world.processes[name], run(), "ask")
+        control.world.wait_for(lambda: bool(answers), 5.0, every=0.01)
+        return answers
+
+    def test_a_proof_is_never_given_by_a_round_begun_before_the_question(self) -> None:
+        control = self.fleet()
+        leader = control.has_role("primary")
+        core, rounds = control.cores[leader], [0]
+        seen: list[tuple[int, int]] = []
+        real = core._proof_round
+
+        async def counted(lead: object) -> bool:
+            rounds[0] += 1
+            return await real(lead)  # type: ignore[arg-type]
+
+        core._proof_round = counted  # type: ignore[method-assign]
+
+        async def prove() -> None:
+            before = rounds[0]
+            if await core.prove_lead():
+                seen.append((before, rounds[0]))
+
+        for number in range(50):
+            control.world.at(control.world.now + number * 0.0002, lambda: self.spawn(control, leader, prove))
+        control.world.run(1.0)
+        self.assertEqual(len(seen), 50)
+        self.assertTrue(all(after > before for before, after in seen))
+        self.assertLess(rounds[0], 50)
+
+    def spawn(self, control: ControlWorld, name: str, work: Callable[[], object]) -> None:
+        control.world.spawn(control.world.processes[name], work(), "prove")  # type: ignore[arg-type]
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/wingwood/control/tests/walk.py
+++ b/wingwood/control/tests/walk.py
@@ -9,9 +9,13 @@
 
 from collections.abc import Callable, Sequence
 
+import msgspec
+from returns.result import Success
+
 from simulation.network import Cut
 
-from ..messages import View
+from ...journal import scan
+from ..messages import FoundedEntry, View
 from .control_world import ControlWorld, MakeCore, Put, make_core
 
 SERVICE_BACK = 12.0
@@ -66,9 +70,11 @@
             self.heal_cuts,
             self.sicken,
             self.lose,
-            self.lose,
+            self.lose_then_kill,
             self.replace,
             self.kill_all,
+            self.hush,
+            self.slow_wire,
             self.nothing,
         ]
 
@@ -79,6 +85,11 @@
     def nothing(self) -> None:
         pass
 
+    def hush(self) -> None:
+        """The operators are silent for a while."""
+        self.control.quiet_until = self.world.now + self.random.choice((0.5, 2.0, 8.0))
+        self.did("hush")
+
     def up(self) -> list[str]:
         return [name for name in self.names if self.world.processes[name].alive]
 
@@ -139,8 +150,14 @@
         pairs = [(other, name) for other in others if inward] + [(name, other) for other in others if outward]
         self.cuts.append(self.world.network.cut(pairs))
 
+    def slow_wire(self) -> None:
+        one, other = self.random.sample(self.names, 2)
+        self.did(f"slow wire from {one} to {other}")
+        self.world.network.slowness[(one, other)] = self.random.choice((0.01, 0.1, 0.4))
+
     def heal_cuts(self) -> None:
         self.did("heal cuts")
+        self.world.network.slowness.clear()
         for cut in self.cuts:
             self.world.heal(cut)
         self.cuts.clear()
@@ -155,33 +172,58 @@
     def loss_can_be_borne(self) -> bool:
         """Health says so, and it speaks of the machines whose disks are there."""
         leader = self.control.leader()
-        if leader is None or not self.control.cores[leader].report().complete:
+        if leader is None or not self.control.report(leader).complete:
             return False
         view: View | None = self.control.stores[leader].view
         assert view is not None
-        there = {
-            self.control.stores[name].incarnation
-            for name in self.names
-            if name in self.control.stores and "control.journal" in self.world.machines[name].disk.durable
-        }
+        there = {self.incarnation_on_disk(name) for name in self.names}
         return set(view.incarnations()) <= there
 
+    def incarnation_on_disk(self, name: str) -> str | None:
+        match scan(self.world.machines[name].disk.durable.get("control.journal", b"")):
+            case Success(found) if found.payloads:
+                incarnation = str(msgspec.msgpack.decode(found.payloads[0], type=FoundedEntry).incarnation)
+                store = self.control.stores.get(name)
+                # The mutant whose identity survives calls itself otherwise than its journal does.
+                return store.incarnation if store is not None and store.incarnation.startswith("at ") else incarnation
+        return None
+
     def lose(self) -> None:
         """A machine's disk is wiped; often that of the primary or backup, often under the running process."""
         if not self.loss_can_be_borne():
             return
-        name = self.random.choice(self.names)
+        leader = self.control.leader()
+        name = leader if leader is not None and self.random.random() < 0.4 else self.random.choice(self.names)
         self.losses += 1
         self.did(f"wipe {name}")
         if self.random.random() < 0.7 and self.world.processes[name].alive:
             self.kill(name)
         self.world.wipe(name)
 
+    def lose_then_kill(self) -> None:
+        """A disk is lost, its machine is back at once, and right then the primary goes down for a while."""
+        if not self.loss_can_be_borne():
+            return
+        leader = self.control.leader()
+        name = self.random.choice([name for name in self.names if name != leader])
+        self.hush()
+        self.losses += 1
+        self.did(f"wipe {name}, then kill {leader}")
+        self.world.kill(name)
+        self.world.wipe(name)
+        self.start(name)
+        self.world.run(self.random.uniform(0.0, 1.5))
+        if leader is not None and self.world.processes[leader].alive:
+            self.world.kill(leader)
+            self.down[leader] = self.world.now + 4.0
+
     def replace(self) -> None:
         """A machine is gone for good; an empty one starts at a new address, with the old seeds in its settings."""
         if not self.loss_can_be_borne() or len(self.retired) >= 4:
             return
-        name = self.random.choice(self.names)
+        seeds = [name for name in self.names if name.startswith("c")]
+        # A new machine finds the others through the seeds of its settings: one of them must live.
+        name = self.random.choice([name for name in self.names if len(seeds) > 1 or name not in seeds])
         fresh = f"s{len(self.retired) + 1}"
         self.losses += 1
         self.did(f"replace {name} by {fresh}")
@@ -226,6 +268,7 @@
     def end(self) -> None:
         observer = self.control.observer
         self.did("end")
+        self.control.quiet_until = 0.0
         self.heal_cuts()
         self.recover_due(everything=True)
         begun = self.world.now
