--- a/wingwood/forward/caller_edge.py
+++ b/wingwood/forward/caller_edge.py
@@ -35,8 +35,6 @@
 _READ_BYTES: Final = 64 * 1024
 _NO_BOUND: Final = 1 << 62
 """The edge bounds bodies itself, so that it can say so."""
-_STRAY_BYTES: Final = 4 * 1024 * 1024
-"""Most that a refused sender may still send while its connection lingers."""
 _HEAD_END = re.compile(rb"\r?\n\r?\n")
 
 
@@ -117,7 +115,6 @@
         self._more: asyncio.Future[None] | None = None
         self._shut = False
         """Nothing more is taken from it or, beyond a refusal, written to it."""
-        self._stray = 0
         self._close_callback: Callable[[], None] | None = None
         self._timer: asyncio.TimerHandle | None = None
         self._phase_end: float | None = None
@@ -212,11 +209,7 @@
         if future.cancelled() or future.exception() is not None:
             self._closed()
             return
-        if self._shut:
-            self._stray += len(future.result())
-            if self._stray > _STRAY_BYTES:
-                self._stream.close()
-        else:
+        if not self._shut:  # Else a refused sender goes on for a moment.
             self._input += future.result()
             self._wake()
         self._read_on()
--- a/wingwood/forward/policies/forwarding.py
+++ b/wingwood/forward/policies/forwarding.py
@@ -274,7 +274,6 @@
             self._registry.suspect(self._choice.worker.instance)
         if not self._caller.begun:
             return NotAnswered(code=f"worker-{reason}", reason="the answer broke off", run="unknown", status=502)
-        self._caller.abort()
         return Cut(reason, "unknown")
 
     # What may end it.
--- a/wingwood/forward/tests/stand_ins.py
+++ b/wingwood/forward/tests/stand_ins.py
@@ -15,7 +15,8 @@
 from simulation import Process, World, address_of
 
 from ...bundle.model import Bundle, Manifest, PriorityClass, Route, Service, Tenant
-from ...context.protocols import Context
+from ...context.http_exchange import Exchange
+from ...context.protocols import Context, HttpExchange, HttpRequest
 from ...identifiers import (
     Address,
     BundleVersion,
@@ -381,6 +382,17 @@
         reply.raw += piece
 
 
+class HeldClient:
+    """An HTTP client that sends nothing: a test asks ``may_write`` at the moment that it wants."""
+
+    def __init__(self) -> None:
+        self.exchanges: list[Exchange] = []
+
+    def start(self, request: HttpRequest) -> HttpExchange:
+        self.exchanges.append(Exchange(request))
+        return self.exchanges[-1]
+
+
 class PathWorld:
     """A router with its request path; ``start`` it, then send calls."""
 
--- a/wingwood/forward/tests/test_real_sockets.py
+++ b/wingwood/forward/tests/test_real_sockets.py
@@ -177,6 +177,16 @@
                 writer.close()
                 await self.left.wait()
 
+    async def test_sender_of_a_large_body_can_read_why(self) -> None:
+        """It reads only when all is sent; a close with unread bytes would reset the connection under it."""
+        loop = asyncio.get_running_loop()
+        with socket.socket() as raw:
+            raw.setblocking(False)
+            async with asyncio.timeout(5):
+                await loop.sock_connect(raw, ("127.0.0.1", self.port))
+                await loop.sock_sendall(raw, request(Content_Length="50000000") + b"x" * 20_000_000)
+                self.assertIn(b"body-too-large", await loop.sock_recv(raw, 65536))
+
     async def test_cut_answer_has_no_end(self) -> None:
         self.sends(CHUNKED, chunk(EVENT))
         async with asyncio.timeout(5):
--- /dev/null
+++ b/wingwood/forward/tests/test_worker_format.py
@@ -0,0 +1,28 @@
+"""The scanner of event streams, split anywhere (docs/DESIGN.md section 12.1)."""
+
+from __future__ import annotations
+
+import unittest
+
+from ..worker_format import EventScanner
+
+
+class Scanner(unittest.TestCase):
+    def scan(self, stream: bytes, size: int) -> tuple[bytes, int, bool]:
+        scanner = EventScanner()
+        taken = b"".join(scanner.take(stream[at : at + size]).forward for at in range(0, len(stream), size))
+        return taken, scanner.events, scanner.ended
+
+    def test_splits(self) -> None:
+        long = b"data: " + b"[DONE]" * 50 + b"\n\n"
+        odd = b": comment\n\nevent: x\ndata: 1\ndata: [DONE]\n\nid: 7\n\n" + long + b"data:[DONE] not\n\n"
+        for stream, events in (
+            (b"data: 1\n\ndata: 2\n\ndata: [DONE]\n\n", 2),
+            (b"data: 1\r\n\r\ndata: 2\r\n\r\ndata: [DONE]\r\n\r\n", 2),
+            (odd + b"event: end\ndata:[DONE]\n\n", 3),
+        ):
+            for size in (1, 2, 3, 7, 64, 1000):
+                with self.subTest(stream=stream, size=size):
+                    self.assertEqual(self.scan(stream, size), (stream, events, True))
+                    self.assertEqual(self.scan(stream + b"stray\n\n", size), (stream, events, True))
+                    self.assertEqual(self.scan(stream[:-1], size)[1:], (events, False))
