--- a/wingwood/forward/caller_format.py
+++ b/wingwood/forward/caller_format.py
@@ -4,8 +4,9 @@
 ``X-Request-Id`` (echoed) and, for services that may not be repeated, ``Idempotency-Key``.
 
 Answers of workers carry ``Wingwood-Worker`` and ``Wingwood-Award`` (why that worker). Answers that the router made
-itself carry ``Wingwood-Answer: router`` and JSON ``{code, reason, run, request, retry_after?}``; ``run`` is
-``not-run`` (nothing of this call reached a worker, and nothing will), ``unknown`` or ``ran``.
+itself carry ``Wingwood-Answer: router`` and JSON ``{code, reason, run, sent, request, retry_after?}``. ``run`` is
+``not-run`` (no call of this idempotency key ran, and none will unless it is sent again), ``unknown`` or
+``ran``. ``sent`` says whether anything of this one request went to a worker.
 """
 
 from __future__ import annotations
@@ -40,17 +41,23 @@
 
 
 class RouterAnswer(msgspec.Struct, frozen=True, omit_defaults=True):
+    """The JSON body of a router-made answer."""
+
     code: str
     reason: str
     run: RunState
+    sent: bool
     request: RequestId
     retry_after: float | None = None
 
 
-def router_answer(refused: Refused, request: RequestId) -> tuple[tuple[tuple[str, str], ...], bytes]:
+def router_answer(
+    refused: Refused, request: RequestId, sent: bool = False
+) -> tuple[tuple[tuple[str, str], ...], bytes]:
     """Headers and body of a router-made answer."""
     body = msgspec.json.encode(
-        RouterAnswer(refused.code, refused.reason, refused.run, request, refused.retry_after), order="deterministic"
+        RouterAnswer(refused.code, refused.reason, refused.run, sent, request, refused.retry_after),
+        order="deterministic",
     )
     headers = [
         ("Content-Type", "application/json"),
--- a/wingwood/forward/request_path.py
+++ b/wingwood/forward/request_path.py
@@ -181,7 +181,7 @@
             run=told_run(call, refused),
             retry_after=refused.retry_after,
         )
-        headers, body = router_answer(told, call.request)
+        headers, body = router_answer(told, call.request, sent=call.tries > 0 or call.attempting)
         await call.caller.start(told.status, headers)
         await call.caller.write(body)
         await call.caller.finish()
--- a/wingwood/forward/tests/test_forwarding.py
+++ b/wingwood/forward/tests/test_forwarding.py
@@ -211,6 +211,7 @@
         self.assertEqual(
             (reply.status, reply.json()["run"], reply.headers["wingwood-answer"]), (504, "unknown", "router")
         )
+        self.assertEqual(reply.json()["sent"], True)
         self.assertTrue(CHAT.first_byte_patience - 0.3 < reply.at < CHAT.first_byte_patience)
         self.assertEqual(self.path.placement.suspects, ["w1-1"])
 
@@ -492,7 +493,7 @@
         self.assertEqual(
             (reply.status, reply.json()["code"], reply.json()["run"]), (503, "ledger-unreachable", "unknown")
         )
-        self.assertEqual(worker.connections, 0)
+        self.assertEqual((worker.connections, reply.json()["sent"]), (0, False))
 
     def test_services_that_may_be_repeated_need_no_ledger(self) -> None:
         self.worker(says(b"x"))
