--- a/wingwood/placement/tests/test_award_placement.py
+++ b/wingwood/placement/tests/test_award_placement.py
@@ -11,10 +11,11 @@
 from emulator.worker import EmulatedWorker
 from simulation.world import World
 from wingwood.bundle.model import Service
-from wingwood.identifiers import PoolName, RequestId, Seconds, ServiceName, TenantName, WorkerInstance
+from wingwood.identifiers import PoolName, RequestId, Seconds, ServiceName, SessionId, TenantName, WorkerInstance
 from wingwood.placement.award_placement import AwardPlacement, AwardSettings
+from wingwood.placement.messages import KeepNotes, SessionNote
 from wingwood.placement.protocols import Choice, NoWorker, Turn
-from wingwood.placement.session_map import KeeperMap, session_key
+from wingwood.placement.session_map import Entry, KeeperMap, session_key
 from wingwood.registry.protocols import Engagement
 from wingwood.registry.tests.fleet import POOL, Fleet
 
@@ -159,8 +160,68 @@
         fleet = self.fleet(award_for=Seconds(5.0))
         winner = fleet.take("r0", "s").worker
         fleet.run(6.3)
-        again = fleet.take("r1", "s", 2100)
-        self.assertEqual((again.how, again.worker.instance), ("claim", winner.instance))
+        for router in fleet.others_than():
+            again = fleet.choose(router, turn_of("s", 2100))
+            assert isinstance(again, Choice)
+            self.assertEqual((again.how, again.worker.instance), ("claim", winner.instance))
+
+    def test_session_stays_for_a_gain_below_the_margin(self) -> None:
+        for gain, stays in ((0.5, True), (0.0, False)):
+            fleet = self.fleet(move_gain=Seconds(gain), ahead_cost=1.0)
+            first = fleet.take("r0", "s", 200).worker.instance
+            held = fleet.choose("r0", turn := turn_of("s", 300))
+            assert isinstance(held, Choice)
+            fleet.expect_sessions("r0", held.worker.instance, 20)
+            fleet.finish("r0", turn, held, generated=1)
+            fleet.world.run(0.02)
+            after = fleet.choose("r1", turn_of("s", 400))
+            assert isinstance(after, Choice)
+            self.assertEqual(after.worker.instance == first, stays)
+
+    def test_prefix_that_the_model_counts_as_dropped_is_prefilled(self) -> None:
+        fleet = self.fleet()
+        fleet.take("r0", "s", 2000)
+        kept = fleet.choose("r1", turn_of("s", 2100))
+        placement = fleet.placements["r1"]
+
+        async def others_come() -> bool:
+            now = fleet.routers["r1"].context.clock.monotonic()
+            for key in range(100):
+                placement.kept_here(
+                    key, Entry(pool=POOL, holder=WorkerInstance("x"), tokens=0, own_tokens=4000, touched_at=now)
+                )
+            return True
+
+        fleet.inside("r1", others_come)
+        dropped = fleet.choose("r1", turn_of("s", 2100))
+        assert isinstance(kept, Choice) and isinstance(dropped, Choice)
+        self.assertEqual((kept.uncached_tokens, dropped.uncached_tokens), (0, 2100))
+
+    def test_older_news_never_takes_the_place_of_newer(self) -> None:
+        fleet = self.fleet()
+        winner = fleet.take("r0", "s").worker.instance
+        key = session_key(POOL, SessionId("s"))
+        old = SessionNote(
+            key, POOL, WorkerInstance("old"), 100, 100, Seconds(9.0), WorkerInstance("old"), Seconds(99.0)
+        )
+        for name in fleet.keepers("s"):
+            fleet.maps[name]._keep_notes(fleet.routers["r0"].identity, KeepNotes((old,)))
+        choice = fleet.choose("r2", turn_of("s", 2100))
+        assert isinstance(choice, Choice)
+        self.assertEqual((choice.how, choice.worker.instance), ("award", winner))
+
+    def test_own_newer_record_counts_before_the_keepers(self) -> None:
+        fleet = self.fleet()
+        winner = fleet.take("r0", "s").worker.instance
+        router = fleet.others_than(*fleet.keepers("s"))[0]
+        fleet.routers[router].messenger.post = lambda *_: None  # type: ignore[method-assign]
+        turn = turn_of("s", 2100)
+        moved = fleet.choose(router, turn, (winner,))
+        assert isinstance(moved, Choice)
+        fleet.finish(router, turn, moved)
+        again = fleet.choose(router, turn_of("s", 2200))
+        assert isinstance(again, Choice)
+        self.assertEqual((again.how, again.worker.instance), ("award", moved.worker.instance))
 
     def test_turn_without_a_hint_follows_the_claim(self) -> None:
         fleet = self.fleet()
@@ -242,6 +303,22 @@
         self.assertGreaterEqual(len(counts), 3)
         self.assertLessEqual(max(counts.values()), 12)
 
+    def test_prefix_in_demand_gets_more_workers_before_they_are_full(self) -> None:
+        fleet = self.fleet()
+        sizes = []
+        for pause in (5.0, 0.05):
+            for number in range(12):
+                fleet.take("r0", f"lease/{pause}-{number}", 3000, outcome="broken")
+                fleet.run(pause)
+            placement = fleet.placements["r0"]
+            ready = fleet.routers["r0"].registry.ready(POOL)
+
+            async def candidates() -> list[object]:
+                return list(placement._prefix_candidates(turn_of("lease/new"), ready))  # noqa: B023
+
+            sizes.append(len(fleet.inside("r0", candidates)))
+        self.assertEqual(sizes, [2, 4])
+
     def test_cold_shared_prefix_stays_where_it_is_kept(self) -> None:
         fleet = self.fleet()
         workers = set()
--- a/wingwood/registry/tests/fleet.py
+++ b/wingwood/registry/tests/fleet.py
@@ -98,15 +98,15 @@
 
 
 class Fleet:
-    """``count`` routers spread over three zones, in a world of its own."""
+    """``count`` routers spread over zones, in a world of its own."""
 
-    def __init__(self, world: World, count: int = 6) -> None:
+    def __init__(self, world: World, count: int = 6, zones: Sequence[str] = ZONES) -> None:
         self.world = world
         self.roster = Roster()
         self.routers: dict[str, Router] = {}
         self.workers: dict[str, EmulatedWorker] = {}
         for number in range(count):
-            self.start_router(f"r{number}", ZONES[number % len(ZONES)])
+            self.start_router(f"r{number}", zones[number % len(zones)])
         world.run(0.01)
 
     def start_router(self, name: str, zone: str) -> Process:
--- a/wingwood/registry/tests/test_worker_registry.py
+++ b/wingwood/registry/tests/test_worker_registry.py
@@ -151,14 +151,31 @@
         self.assertEqual(self.fleet.ready_at(new), [])
 
     def test_restarted_home_without_memory_learns_final_states_from_its_followers(self) -> None:
+        for zones in (("a", "b", "c"), ("a",)):
+            with self.subTest(zones=zones):
+                self.fleet = Fleet(self.enterContext(World(8)), zones=zones)
+                self.world = self.fleet.world
+                self.worker = self.fleet.start_worker("w0")
+                instance = self.announced()
+                self.fleet.announce(self.worker, state="draining")
+                self.world.run(0.5)
+                home = self.fleet.home("a")
+                self.world.restart(home)
+                self.world.run(1.0)
+                found = self.fleet.routers[home].registry.find(instance)  # type: ignore[arg-type]
+                self.assertEqual(found and found.state, "draining")
+
+    def test_worker_that_was_forgotten_is_announced_in_full_by_its_renewals(self) -> None:
         instance = self.announced()
-        self.fleet.announce(self.worker, state="draining")
-        self.world.run(0.5)
-        home = self.fleet.home("b")
-        self.world.restart(home)
-        self.world.run(1.0)
-        found = self.fleet.routers[home].registry.find(instance)  # type: ignore[arg-type]
-        self.assertEqual(found and found.state, "draining")
+        homes = [self.fleet.home(zone) for zone in "abc"]
+        for edge in (homes[0], self.others_than(*homes)[0]):
+            self.fleet.announce(self.worker, edge)
+            self.world.run(130.0)
+            self.assertIsNone(self.fleet.routers[homes[0]].registry.find(instance))  # type: ignore[arg-type]
+            for _ in range(2):
+                self.fleet.announce(self.worker, edge)
+                self.world.run(0.9)
+            self.assertEqual(self.fleet.ready_at("r5"), [instance])
 
     def test_home_that_missed_a_state_learns_it_from_the_other_homes(self) -> None:
         instance = self.announced()
