A control daemon that holds nothing no longer says that there is no bundle

Any control daemon answered from its own state, spares and witnesses too. Ruled out: a lost bundle; primary and backup had it all the time. Change: answers carry whether they stand for the fleet; only a leading daemon may say that there is none. Readers pass over the others, or say that none could tell.

--- a/wingwood/bundle/reading.py
+++ b/wingwood/bundle/reading.py
@@ -16,7 +16,7 @@
 
 ASK_WITHIN = Seconds(1.0)
 
-Answer = TypeVar("Answer", bound=msgspec.Struct)
+Answer = TypeVar("Answer", "BundleAnswer", "HistoryAnswer")
 
 
 class AskBundle(msgspec.Struct, frozen=True):
@@ -36,6 +36,8 @@
     newest: BundleVersion
     view: BundleView | None
     """None when there is no bundle yet, or the version asked for is not kept."""
+    sure: bool = True
+    """False: ``newest`` 0 only says that this daemon holds nothing; another may."""
 
 
 class AskHistory(msgspec.Struct, frozen=True):
@@ -48,6 +50,7 @@
     newest: BundleVersion
     entries: list[HistoryEntry]
     """Newest first."""
+    sure: bool = True
 
 
 class NotReadable(msgspec.Struct, frozen=True):
@@ -65,11 +68,21 @@
 
 
 class LocalBundleReader:
-    """On a control daemon. ``durable`` tells the newest version that this daemon knows to be durable."""
+    """On a control daemon. ``durable`` tells the newest version that this daemon knows to be durable.
 
-    def __init__(self, state: BundleState, durable: Callable[[], BundleVersion]) -> None:
+    Only one that ``leads`` may say that there is no bundle: a spare or a witness holds none either way.
+    """
+
+    def __init__(
+        self, state: BundleState, durable: Callable[[], BundleVersion], leads: Callable[[], bool] = lambda: True
+    ) -> None:
         self._state = state
         self._durable = durable
+        self._leads = leads
+
+    def is_sure(self) -> bool:
+        """Whether what is read here stands for the fleet."""
+        return self._durable() > 0 or self._leads()
 
     def read_bundle(self, version: BundleVersion) -> BundleAnswer:
         newest = self._durable()
@@ -77,12 +90,12 @@
         manifest = self._state.manifest_at(wanted) if wanted <= newest else None
         slices = self._state.slices_at(wanted) if manifest is not None else None
         if manifest is None or slices is None:
-            return BundleAnswer(newest, None)
+            return BundleAnswer(newest, None, self.is_sure())
         return BundleAnswer(newest, BundleView(manifest, slices))
 
     def read_history(self, most: int) -> HistoryAnswer:
         newest = self._durable()
-        return HistoryAnswer(newest, self._state.history(newest, most))
+        return HistoryAnswer(newest, self._state.history(newest, most), self.is_sure())
 
     async def bundle(self, version: BundleVersion) -> Result[BundleAnswer, NotReadable]:
         return Success(self.read_bundle(version))
@@ -123,8 +136,10 @@
         reasons = []
         for address in self._controls():
             match await self._messenger.call(address, question, answer_type, self._timeout):
-                case Success(answer):
+                case Success(answer) if answer.sure:
                     return Success(answer)
+                case Success():
+                    reasons.append(f"{address} holds none")
                 case Failure(fault):
                     reasons.append(f"{address} {fault.kind}")
         return Failure(NotReadable("no control daemon answered: " + (", ".join(reasons) or "none is known")))
--- a/wingwood/bundle/tests/test_reading.py
+++ b/wingwood/bundle/tests/test_reading.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from collections.abc import Awaitable, Callable
 
 from returns.result import Success
 
@@ -54,3 +55,44 @@
         self.assertIsNone(reader.read_bundle(BundleVersion(2)).view)
         self.assertEqual(found[2], reader.read_history(10))
         self.assertIn("none is known", str(found[3]))
+
+    def test_a_spare_that_holds_nothing_does_not_say_that_there_is_no_bundle(self) -> None:
+        state, slices = BundleState(OPERATOR_KEYS), sample_slices()
+        submit(state, order_between(0, {}, slices))
+        readers = {
+            "spare": LocalBundleReader(BundleState(OPERATOR_KEYS), lambda: BundleVersion(0), lambda: False),
+            "c2": LocalBundleReader(state, lambda: BundleVersion(1), lambda: False),
+        }
+        found: list[object] = []
+
+        with World(1) as world:
+            addresses = {name: address_of(world.machine(name), 7000) for name in ("spare", "c2", "r1")}
+
+            def messenger(context: Context, name: str) -> TcpMessenger:
+                identity = Identity(DaemonName(name), Incarnation("1"), "router", Zone("a"), addresses[name])
+                made = TcpMessenger(context, identity, b"key")
+                assert isinstance(made.start(), Success)
+                return made
+
+            def control(name: str) -> Callable[[Context], Awaitable[None]]:
+                async def main(context: Context) -> None:
+                    readers[name].serve(messenger(context, name))
+
+                return main
+
+            async def router(context: Context) -> None:
+                link = messenger(context, "r1")
+                both = RemoteBundleReader(link, lambda: [addresses["spare"], addresses["c2"]])
+                found.append((await both.bundle(BundleVersion(0))).unwrap().newest)
+                found.append((await both.history(10)).unwrap().newest)
+                alone = RemoteBundleReader(link, lambda: [addresses["spare"]])
+                found.append(str((await alone.bundle(BundleVersion(0))).failure()))
+
+            for name in readers:
+                world.start(name, control(name))
+            world.run(0.01)
+            world.start("r1", router)
+            world.run(5.0)
+            self.assertEqual(world.broken_invariants, [])
+        self.assertEqual(found[:2], [1, 1])
+        self.assertIn("holds none", str(found[2]))
--- a/wingwood/daemons/control.py
+++ b/wingwood/daemons/control.py
@@ -91,7 +91,7 @@
         self.keeper.tell(self.publisher.news)
         self.registry = WorkerRegistry(context, self.messenger, self.keeper, settings)
         self.client = ControlClient(context, self.messenger, self.core.control_addresses)
-        self.local_reader = LocalBundleReader(self.state, lambda: self.source.version)
+        self.local_reader = LocalBundleReader(self.state, lambda: self.source.version, self.core.leads)
         self.local_reader.serve(self.messenger)
         self.remote_reader = RemoteBundleReader(self.messenger, self._primary)
         self.metrics = CollectorRegistry()
@@ -163,13 +163,10 @@
     # -- BundleReader: own state where it is kept, else the primary's
 
     async def bundle(self, version: BundleVersion) -> Result[BundleAnswer, NotReadable]:
-        return await (self.local_reader if self._keeps_bundles() else self.remote_reader).bundle(version)
+        return await (self.local_reader if self.local_reader.is_sure() else self.remote_reader).bundle(version)
 
     async def history(self, most: int) -> Result[HistoryAnswer, NotReadable]:
-        return await (self.local_reader if self._keeps_bundles() else self.remote_reader).history(most)
-
-    def _keeps_bundles(self) -> bool:
-        return self.core.report().own_role in ("primary", "backup")
+        return await (self.local_reader if self.local_reader.is_sure() else self.remote_reader).history(most)
 
     def _primary(self) -> Sequence[Address]:
         primary = self.core.primary_address()
