A silent daemon in --to no longer holds up each step of an order

Changed: what any daemon can answer is waited for 5 s (one daemon named: 10 s as before), and a daemon that was silent once is asked last from then on in that command. `health` no longer prints a note twice. Test: written first, failed.

--- a/wingwood/command_line/client.py
+++ b/wingwood/command_line/client.py
@@ -21,6 +21,8 @@
 
 CONNECT_WITHIN = Seconds(2.0)
 ANSWER_WITHIN = Seconds(10.0)
+READ_WITHIN = Seconds(5.0)
+"""For what any other daemon can answer as well."""
 LARGEST_ANSWER = 64 * 1024 * 1024
 PAUSE = Seconds(0.5)
 """Between two rounds over all daemons."""
@@ -52,6 +54,8 @@
         if not addresses:
             raise Problem("name a daemon with --to 127.0.0.1:7001 (its operator address) or in WINGWOOD_TO")
         self.addresses = tuple(addresses)
+        self._in_turn = list(addresses)
+        """Those that were silent come last: a frozen machine in the list must not hold up an order."""
         self._say = say
         self._patience = patience
         self._pause = pause
@@ -69,7 +73,7 @@
             body=body,
             headers={"Content-Type": "application/json"} if body is not None else {},
             connect_timeout=CONNECT_WITHIN,
-            request_timeout=ANSWER_WITHIN,
+            request_timeout=READ_WITHIN if body is None and len(self.addresses) > 1 else ANSWER_WITHIN,
             follow_redirects=False,
             decompress_response=False,
         )
@@ -80,11 +84,18 @@
         except (HTTPError, OSError) as problem:
             return Failure(NoAnswer(address, not isinstance(problem, ConnectionRefusedError), str(problem)))
 
+    def _ask(self, address: Address, path: str, body: bytes | None = None) -> Result[HTTPResponse, NoAnswer]:
+        answer = self.ask(address, path, body)
+        if isinstance(answer, Failure):
+            self._in_turn.remove(address)
+            self._in_turn.append(address)
+        return answer
+
     def read(self, path: str, type_: type[Value]) -> Value:
         """The first answer of any daemon, decoded; a daemon that can't answer now is passed over."""
         reasons: list[str] = []
-        for address in self.addresses:
-            match self.ask(address, path):
+        for address in list(self._in_turn):
+            match self._ask(address, path):
                 case Success(HTTPResponse(code=200) as response):
                     return decode(response.body, type_, address)
                 case Success(HTTPResponse() as response):
@@ -105,7 +116,7 @@
         """
         best: Value | None = None
         problems: list[Problem] = []
-        for address in self.addresses:
+        for address in list(self._in_turn):
             try:
                 found = self._read_from(address, path, type_)
             except Problem as problem:
@@ -122,7 +133,7 @@
         )
 
     def _read_from(self, address: Address, path: str, type_: type[Value]) -> Value:
-        match self.ask(address, path):
+        match self._ask(address, path):
             case Success(HTTPResponse(code=200) as response):
                 return decode(response.body, type_, address)
             case Success(HTTPResponse() as response):
@@ -143,8 +154,8 @@
         sent = False
         reasons: dict[Address, str] = {}
         while True:
-            for address in self.addresses:
-                match self.ask(address, "/control/v1/orders", body):
+            for address in list(self._in_turn):
+                match self._ask(address, "/control/v1/orders", body):
                     case Success(HTTPResponse() as response):
                         outcome = outcome_of(response, address)
                         if outcome is not None and outcome.outcome != "unknown":
--- a/wingwood/command_line/looking.py
+++ b/wingwood/command_line/looking.py
@@ -114,7 +114,7 @@
             orders = "takes orders" if control.accepts_orders else "takes no orders"
             state = f"{state}, {whole}, {orders}"
     age = report.bundle_proven_age
-    notes = "; ".join([*report.reasons, *([control.detail] if control and control.detail else [])])
+    notes = "; ".join(dict.fromkeys([*report.reasons, *([control.detail] if control and control.detail else [])]))
     return [
         report.name,
         report.role,
--- a/wingwood/command_line/tests/test_command_line.py
+++ b/wingwood/command_line/tests/test_command_line.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import io
 import json
 import os
 import stat
@@ -11,17 +12,22 @@
 from typing import Any
 
 from click.testing import CliRunner, Result
+from returns.result import Failure, Success
+from returns.result import Result as Outcome
+from tornado.httpclient import HTTPRequest, HTTPResponse
 
 from ...bundle.signing import public_hex
 from ...bundle.tests.samples import key_digest, order_between
-from ...identifiers import BundleVersion, SliceName
+from ...identifiers import Address, BundleVersion, SliceName
 from ..change import rebase
+from ..client import NoAnswer, OperatorClient
 from ..keys import read_key
 from ..main import main
 from ..output import Conflict
 from ..source import read_source, write_source
 from .stand_in import StandIn
 
+Response = Outcome[HTTPResponse, NoAnswer]
 EXAMPLES = Path(__file__).parents[3] / "examples"
 FIRST_PORT = 22100
 
@@ -260,6 +266,27 @@
             rebase(base, {one: b"1", two: b"2"}, {**base, three: b"7"})
 
 
+class SilentDaemonTest(unittest.TestCase):
+    def test_a_daemon_that_was_silent_once_is_asked_last_from_then_on(self) -> None:
+        asked: list[str] = []
+
+        class Client(OperatorClient):
+            def ask(self, address: Address, path: str, body: bytes | None = None) -> Response:
+                asked.append(f"{address.port} {'order' if body else 'read'}")
+                if address.port == 1:
+                    return Failure(NoAnswer(address, True, "Timeout during request"))
+                answer = b'{"order":"o","outcome":"accepted","version":2}' if body else b"[1]"
+                request = HTTPRequest(f"http://{address}{path}")
+                return Success(HTTPResponse(request, 200, buffer=io.BytesIO(answer)))
+
+        client = Client([Address("127.0.0.1", port) for port in (1, 2, 3)], lambda text: None)
+        self.addCleanup(client.close)
+        self.assertEqual(client.best("/x", list[int], len, enough=1), [1])
+        self.assertEqual(client.read("/x", list[int]), [1])
+        client.submit(order_between(1, {}, {}))
+        self.assertEqual(asked, ["1 read", "2 read", "2 read", "2 order"])
+
+
 class LookingTest(CommandCase):
     def test_workers_members_and_health(self) -> None:
         fleet = self.stand_in()
