Curl client refuses header names that are none, as tornado does

Found by giving 3,000 mutated answers to both clients: libcurl takes Transfer-Enco<tab>ding for an unknown header and the chunks' framing for the body. Both clients now call it malformed. Left as it is: libcurl takes LF for CRLF behind a chunk, so a chunk that is exactly one byte short passes as whole (6 of 3,000); tornado's client breaks it off.

--- a/wingwood/context/curl_client.py
+++ b/wingwood/context/curl_client.py
@@ -14,7 +14,7 @@
 import pycurl
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 
-from .http_exchange import HEAD_BYTES, Exchange, fault_of_request, framing_of
+from .http_exchange import HEAD_BYTES, Exchange, fault_of_request, framing_of, is_token
 from .protocols import HttpExchange, HttpFault, HttpHead, HttpRequest
 
 _SPARE_HANDLES: Final = 256
@@ -179,9 +179,9 @@
                 self._headers[-1] = (name, f"{value} {text.strip()}")
             return None
         name, separator, value = text.partition(":")
-        if not separator:
-            return self._refuse("header without colon")
-        self._headers.append((name.strip(), value.strip(" \t")))
+        if not separator or not is_token(name):
+            return self._refuse("malformed header")  # libcurl would take it for an unknown one, framing included.
+        self._headers.append((name, value.strip(" \t")))
         return None
 
     def _end_head(self) -> int | None:
--- a/wingwood/context/http_exchange.py
+++ b/wingwood/context/http_exchange.py
@@ -42,6 +42,11 @@
     return "length" if lengths else "close"
 
 
+def is_token(name: str) -> bool:
+    """Whether it may be the name of a header."""
+    return _TOKEN.fullmatch(name) is not None
+
+
 def fault_of_request(request: HttpRequest) -> str | None:
     """Why the request can't be written as HTTP; None when it can."""
     if not _TOKEN.fullmatch(request.method):
--- a/wingwood/context/tests/test_http_clients.py
+++ b/wingwood/context/tests/test_http_clients.py
@@ -261,6 +261,8 @@
                 b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nworld",
                 b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
                 b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
+                b"HTTP/1.1 200 OK\r\nTransfer-Enco\tding: chunked\r\n\r\n0\r\n\r\n",
+                b"HTTP/1.1 200 OK\r\nContent-Length : 5\r\n\r\nworld",
                 b"HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n\r\n",
                 b"HTTP/1.1 200 OK\r\n" + b"X-Flood: 0123456789abcdef\r\n" * 4000 + b"Content-Length: 0\r\n\r\n",
             ):
