--- a/wingwood/forward/worker_format.py
+++ b/wingwood/forward/worker_format.py
@@ -152,6 +152,9 @@
         self._is_marker = False
 
     def take(self, piece: bytes) -> Piece:
+        if self._is_one_event(piece):
+            self.events += 1
+            return Piece(piece, 1)
         before = self.events
         start = 0
         while not self.ended:
@@ -168,6 +171,16 @@
         """Whether the bytes so far end inside an event."""
         return self._line_length > 0 or self._has_data
 
+    def _is_one_event(self, piece: bytes) -> bool:
+        """The common case, seen without looking at each line: exactly one event of one short or long data line."""
+        return (
+            not (self._line_length or self._has_data or self.ended)
+            and piece.startswith(b"data:")
+            and piece.endswith(b"\n\n")
+            and piece.count(b"\n") == 2
+            and END_MARKER not in piece
+        )
+
     def _keep(self, part: bytes, length: int) -> None:
         if len(self._line) < _FIELD_BYTES:
             self._line = (self._line + part)[:_FIELD_BYTES]
