--- a/wingwood/registry/messages.py
+++ b/wingwood/registry/messages.py
@@ -5,13 +5,20 @@
 import msgspec
 
 from ..identifiers import Incarnation, PoolName, Seconds, WorkerInstance
-from .protocols import Engagement, Worker, WorkerLoad
+from .protocols import Worker
+
+LoadFigures = tuple[int, int, int]
+"""Running, waiting, and tokens used in the KV cache."""
+Counts = dict[int, tuple[int, int]]
+"""Running and expected turns (``Engagement``), by the home's number of the worker."""
 
 
 class WorkerEntry(msgspec.Struct, frozen=True, array_like=True):
     worker: Worker
     renewed: bool
     """Whether the sender counts its announcement as renewed."""
+    number: int = -1
+    """The sending home's short name for the worker in what follows; -1 from others."""
 
 
 class TakeState(msgspec.Struct, frozen=True):
@@ -28,7 +35,7 @@
 class Renewal(msgspec.Struct, frozen=True, array_like=True):
     pool: PoolName
     instance: WorkerInstance
-    load: WorkerLoad | None
+    load: LoadFigures | None
 
 
 class TakeRenewals(msgspec.Struct, frozen=True):
@@ -53,8 +60,10 @@
     home: Incarnation
     """Whose sequence numbers ``sequence`` counts; empty for none."""
     sequence: int
-    engaged: dict[WorkerInstance, Engagement]
-    """The asker's part (a router's own, or a home's for its zone), by worker."""
+    load_sequence: int | None
+    """None: no loads or counts wanted this time."""
+    engaged: Counts | None
+    """The asker's part (a router's own, or a home's for its zone)."""
     offered: tuple[WorkerEntry, ...] = ()
     """All the asker knows, for a home that is new to it (repair)."""
 
@@ -72,8 +81,10 @@
     sequence: int
     entries: tuple[WorkerEntry, ...]
     """Changed after the asked sequence, or all of them when the asker named another home."""
-    loads: dict[WorkerInstance, WorkerLoad]
-    engaged: dict[WorkerInstance, Engagement]
+    load_sequence: int
+    loads: dict[int, LoadFigures]
+    """Changed after the asked load sequence, by number."""
+    engaged: Counts | None
     """The part of all others than the asker."""
 
 
--- a/wingwood/registry/pool_table.py
+++ b/wingwood/registry/pool_table.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from ..identifiers import Instant, PoolName, Seconds, WorkerInstance
-from .messages import WorkerEntry
+from .messages import LoadFigures, WorkerEntry
 from .protocols import Worker, WorkerLoad
 
 UNRENEWED_AFTER = Seconds(3.0)
@@ -22,7 +22,8 @@
     renewed: bool
     renewed_at: Instant
     sequence: int
-    load_sequence: int = 0
+    load_sequence: int
+    number: int
     changed_at: Instant
 
 
@@ -32,6 +33,10 @@
     def __init__(self, pool: PoolName) -> None:
         self.pool = pool
         self.sequence = 0
+        self.load_sequence = 0
+        self.numbers: dict[int, WorkerInstance] = {}
+        """Short names, never given twice by one table."""
+        self._next_number = 0
         self.records: dict[WorkerInstance, WorkerRecord] = {}
         self._ready: tuple[Worker, ...] | None = None
 
@@ -66,7 +71,17 @@
         worker = entry.worker
         record = self.records.get(worker.instance)
         if record is None:
-            record = WorkerRecord(worker=worker, renewed=entry.renewed, renewed_at=now, sequence=0, changed_at=now)
+            record = WorkerRecord(
+                worker=worker,
+                renewed=entry.renewed,
+                renewed_at=now,
+                sequence=0,
+                load_sequence=0,
+                number=self._next_number,
+                changed_at=now,
+            )
+            self.numbers[self._next_number] = worker.instance
+            self._next_number += 1
             self.records[worker.instance] = record
             self._set(record, worker, entry.renewed, now)
             return True
@@ -84,8 +99,8 @@
         record = self.records.get(instance)
         if record is None or record.worker.load == load:
             return False
-        self.sequence += 1
-        record.load_sequence = self.sequence
+        self.load_sequence += 1
+        record.load_sequence = self.load_sequence
         record.worker = msgspec.structs.replace(record.worker, load=load)
         self._ready = None
         return True
@@ -119,24 +134,26 @@
             kept_for = FINAL_KEPT_FOR if record.worker.state == "gone" else FORGOTTEN_AFTER
             if (record.worker.state == "gone" or not record.renewed) and now - record.changed_at > kept_for:
                 del self.records[instance]
+                del self.numbers[record.number]
                 self._ready = None
 
     def entries(self, instances: Iterable[WorkerInstance] | None = None) -> tuple[WorkerEntry, ...]:
         wanted = sorted(self.records if instances is None else instances)
         return tuple(
-            WorkerEntry(self.records[instance].worker, self.records[instance].renewed)
+            WorkerEntry(self.records[instance].worker, self.records[instance].renewed, self.records[instance].number)
             for instance in wanted
             if instance in self.records
         )
 
-    def changed_since(self, sequence: int) -> tuple[tuple[WorkerEntry, ...], dict[WorkerInstance, WorkerLoad]]:
-        entries = self.entries(instance for instance, record in self.records.items() if record.sequence > sequence)
-        loads = {
-            instance: record.worker.load
-            for instance, record in sorted(self.records.items())
-            if record.load_sequence > sequence >= record.sequence and record.worker.load is not None
+    def changed_since(self, sequence: int) -> tuple[WorkerEntry, ...]:
+        return self.entries(instance for instance, record in self.records.items() if record.sequence > sequence)
+
+    def loads_since(self, load_sequence: int) -> dict[int, LoadFigures]:
+        return {
+            record.number: (load.running, load.waiting, load.cache_tokens_used)
+            for _, record in sorted(self.records.items())
+            if record.load_sequence > load_sequence and (load := record.worker.load) is not None
         }
-        return entries, loads
 
     def _set(self, record: WorkerRecord, worker: Worker, renewed: bool, now: Instant) -> None:
         self.sequence += 1
--- a/wingwood/registry/worker_registry.py
+++ b/wingwood/registry/worker_registry.py
@@ -17,6 +17,7 @@
 from ..transport.frames import Identity
 from ..transport.messenger import Messenger
 from .messages import (
+    Counts,
     FeedAnswer,
     FeedPush,
     FeedQuestion,
@@ -31,7 +32,7 @@
     WorkerEntry,
 )
 from .pool_table import ORDER, PoolTable
-from .protocols import Engagement, Worker
+from .protocols import Engagement, Worker, WorkerLoad
 from .worker_announcements import (
     ANNOUNCE_PATH,
     LIST_PATH,
@@ -60,15 +61,28 @@
 SUSPECT_LONGEST = Seconds(5.0)
 SUSPECT_FORGOTTEN = Seconds(30.0)
 ENGAGED_TRUSTED = Seconds(2.0)
+LOADS_AT_ONCE = 40
+"""A pool of more workers is told of their loads less often, in proportion."""
+NEIGHBOUR_EVERY = 10
+"""Rounds between the questions to a neighbour for pools not known here."""
 ACKNOWLEDGED_MOST = 20_000
 OFFERED_MOST = 5_000
 
 
 class _Feed(msgspec.Struct):
-    """What this daemon has from the home it follows."""
+    """What this daemon has from a home that it follows."""
 
-    home: Incarnation
-    sequence: int = 0
+    sequence: int = -1
+    load_sequence: int = -1
+    loads_at: Instant = Instant(float("-inf"))
+    """When loads and counts were last asked for."""
+    numbers: dict[int, WorkerInstance] = msgspec.field(default_factory=dict)
+    by_instance: dict[WorkerInstance, int] = msgspec.field(default_factory=dict)
+
+    def name(self, entries: Sequence[WorkerEntry]) -> None:
+        for entry in entries:
+            self.numbers[entry.number] = entry.worker.instance
+            self.by_instance[entry.worker.instance] = entry.number
 
 
 class _Home(msgspec.Struct):
@@ -76,8 +90,8 @@
 
     settled: bool = False
     since: Instant = Instant(0.0)
-    pulled: dict[Incarnation, int] = msgspec.field(default_factory=dict)
-    """The other zones' homes that have answered, with their sequence."""
+    pulled: set[Incarnation] = msgspec.field(default_factory=set)
+    """The other zones' homes that have answered."""
 
 
 class _Told(msgspec.Struct, frozen=True):
@@ -104,7 +118,7 @@
         self._zone = settings.zone
         self._tables: dict[PoolName, PoolTable] = {}
         self._pool_of: dict[WorkerInstance, PoolName] = {}
-        self._feeds: dict[PoolName, _Feed] = {}
+        self._feeds: dict[tuple[PoolName, Incarnation], _Feed] = {}
         self._proven_at: dict[PoolName, Instant] = {}
         self._homes: dict[PoolName, _Home] = {}
         self._home_cache: dict[PoolName, dict[Zone, Identity]] = {}
@@ -198,10 +212,8 @@
         pool = self._pool_of.get(instance)
         if pool is None:
             return Engagement()
-        if self._is_home(pool):
-            return self._engaged_by_others(pool, self._messenger.identity.incarnation).get(instance, Engagement())
         told = self._elsewhere.get(pool)
-        if told is None or self._now() - told.at > ENGAGED_TRUSTED:
+        if told is None or self._now() - told.at > self._engaged_trusted(pool):
             return Engagement()
         return told.engaged.get(instance, Engagement())
 
@@ -258,6 +270,12 @@
         self._notify([table.records[worker.instance].worker])
         return True
 
+    def _loads_every(self, pool: PoolName) -> float:
+        return ASK_EVERY * max(1.0, len(self._tables[pool].records) / LOADS_AT_ONCE)
+
+    def _engaged_trusted(self, pool: PoolName) -> float:
+        return ENGAGED_TRUSTED + 2 * self._loads_every(pool)
+
     def _log_state(self, instance: WorkerInstance) -> None:
         record = self._tables[self._pool_of[instance]].records[instance]
         self._context.log.event(
@@ -319,7 +337,7 @@
         if home is None or home.settled:
             return
         others = {identity.incarnation for zone, identity in self._zone_homes(pool).items() if zone != self._zone}
-        home.settled = others <= home.pulled.keys() or self._now() - home.since > FEED_BOUND
+        home.settled = others <= home.pulled or self._now() - home.since > FEED_BOUND
 
     def _push(self, pool: PoolName, workers: Sequence[Worker], previous: int) -> None:
         if not workers or not self._is_router:
@@ -355,7 +373,8 @@
         for renewal in renewals:
             table = self._table(renewal.pool)
             previous = table.sequence
-            outcome = table.renewed(renewal.instance, renewal.load, self._now())
+            load = None if renewal.load is None else WorkerLoad(*renewal.load)
+            outcome = table.renewed(renewal.instance, load, self._now())
             if outcome is None:
                 unknown.append(renewal.instance)
                 continue
@@ -363,7 +382,7 @@
             if outcome:
                 self._log_state(worker.instance)
                 self._push(renewal.pool, [worker], previous)
-            if outcome or renewal.load is not None:
+            if outcome or load is not None:
                 self._notify([worker])
         return tuple(unknown)
 
@@ -374,26 +393,40 @@
         answers = []
         for question in message.pools:
             table = self._table(question.pool)
-            told = _Told(now, question.engaged)
-            if peer.role == "router" and peer.zone == self._zone:
-                self._told.setdefault(question.pool, {})[peer.incarnation] = told
-            elif peer.role == "router":
-                self._zone_told.setdefault(question.pool, {})[peer.zone] = told
             for entry in question.offered:
                 self._take_handed_over(entry)
-            entries, loads = table.changed_since(question.sequence if question.home == own else -1)
-            engaged = (
-                self._engaged_by_others(question.pool, peer.incarnation)
-                if peer.zone == self._zone
-                else self._engaged_in_zone(question.pool)
-            )
+            follows = question.home == own
+            wanted = question.load_sequence is not None
+            if follows and question.engaged is not None:
+                told = _Told(now, _by_instance(question.engaged, table.numbers))
+                if peer.zone == self._zone:
+                    self._told.setdefault(question.pool, {})[peer.incarnation] = told
+                elif peer.role == "router":
+                    self._zone_told.setdefault(question.pool, {})[peer.zone] = told
             home = self._homes.get(question.pool)
-            settled = home is not None and home.settled
-            answers.append(PoolAnswer(question.pool, settled, table.sequence, entries, loads, engaged))
+            answers.append(
+                PoolAnswer(
+                    question.pool,
+                    home is not None and home.settled,
+                    table.sequence,
+                    table.changed_since(question.sequence if follows else -1),
+                    table.load_sequence,
+                    table.loads_since(question.load_sequence) if follows and question.load_sequence is not None else {},
+                    self._counts_for(peer, table) if wanted else None,
+                )
+            )
         known = () if message.pools else tuple(sorted(self._tables))
         age = Seconds(float("inf") if proven is None else now - proven)
         return FeedAnswer(own, age, tuple(answers), known)
 
+    def _counts_for(self, peer: Identity, table: PoolTable) -> Counts:
+        engaged = (
+            self._engaged_by_others(table.pool, peer.incarnation)
+            if peer.zone == self._zone
+            else self._engaged_in_zone(table.pool)
+        )
+        return _by_number(engaged, {instance: record.number for instance, record in table.records.items()})
+
     def _take_handed_over(self, entry: WorkerEntry) -> None:
         table = self._table(entry.worker.pool)
         previous = table.sequence
@@ -406,7 +439,7 @@
         totals: dict[WorkerInstance, Engagement] = {} if without == own else dict(self._count(pool))
         told = self._told.get(pool, {})
         for incarnation in sorted(told):
-            if now - told[incarnation].at > ENGAGED_TRUSTED:
+            if now - told[incarnation].at > self._engaged_trusted(pool):
                 del told[incarnation]
             elif incarnation != without:
                 _add(totals, told[incarnation].engaged)
@@ -415,7 +448,7 @@
     def _engaged_by_others(self, pool: PoolName, asker: Incarnation) -> dict[WorkerInstance, Engagement]:
         totals = self._engaged_in_zone(pool, without=asker)
         for _, told in sorted(self._zone_told.get(pool, {}).items()):
-            if self._now() - told.at <= ENGAGED_TRUSTED:
+            if self._now() - told.at <= self._engaged_trusted(pool):
                 _add(totals, told.engaged)
         return totals
 
@@ -435,15 +468,16 @@
         for pool in sorted(self._tables):
             homes = self._zone_homes(pool)
             if self._is_home(pool):
+                self._elsewhere[pool] = _Told(self._now(), self._engaged_by_others(pool, own))
                 followed = [identity for other, identity in homes.items() if other != self._zone]
             else:
                 followed = [homes[zone]] if zone in homes else []
             for identity in followed:
                 targets.setdefault(identity.incarnation, (identity, []))[1].append(pool)
+        self._round += 1
         neighbours = [router for router in self._membership.routers() if router.incarnation != own]
-        if neighbours:
-            self._round += 1
-            neighbour = neighbours[self._round % len(neighbours)]
+        if neighbours and (not self._tables or self._round % NEIGHBOUR_EVERY == 0):
+            neighbour = neighbours[self._round // NEIGHBOUR_EVERY % len(neighbours)]
             targets.setdefault(neighbour.incarnation, (neighbour, []))
         for incarnation in sorted(targets):
             if incarnation not in self._asking:
@@ -452,14 +486,18 @@
                 self._context.tasks.spawn(f"ask feed {identity.name}", self._ask(identity, pools))
 
     def _question(self, identity: Identity, pool: PoolName) -> PoolQuestion:
-        feed = self._feeds.get(pool)
-        if self._is_home(pool):
-            sequence = self._homes[pool].pulled.get(identity.incarnation, -1)
-            return PoolQuestion(pool, identity.incarnation, sequence, self._engaged_in_zone(pool))
-        if feed is None or feed.home != identity.incarnation:
-            offered = self._tables[pool].entries()[:OFFERED_MOST] if self._is_router else ()
-            return PoolQuestion(pool, Incarnation(""), -1, self._count(pool), offered)
-        return PoolQuestion(pool, feed.home, feed.sequence, self._count(pool))
+        is_home = self._is_home(pool)
+        feed = self._feeds.get((pool, identity.incarnation))
+        if feed is None:
+            offered = self._tables[pool].entries()[:OFFERED_MOST] if self._is_router and not is_home else ()
+            return PoolQuestion(pool, Incarnation(""), -1, -1, None, offered)
+        now = self._now()
+        if now - feed.loads_at < self._loads_every(pool) - ASK_EVERY / 2:
+            return PoolQuestion(pool, identity.incarnation, feed.sequence, None, None)
+        feed.loads_at = now
+        engaged = self._engaged_in_zone(pool) if is_home else self._count(pool)
+        counts = _by_number(engaged, feed.by_instance)
+        return PoolQuestion(pool, identity.incarnation, feed.sequence, feed.load_sequence, counts)
 
     async def _ask(self, identity: Identity, pools: Sequence[PoolName]) -> None:
         asked_at = self._now()
@@ -480,31 +518,47 @@
 
     def _take_answer(self, identity: Identity, answer: FeedAnswer, part: PoolAnswer, asked_at: Instant) -> None:
         table = self._table(part.pool)
-        if self._is_home(part.pool):
-            if identity.zone != self._zone:
-                for entry in part.entries:
-                    self._take_handed_over(entry)
-                for instance, load in part.loads.items():
-                    table.set_load(instance, load)
-                self._zone_told.setdefault(part.pool, {})[identity.zone] = _Told(self._now(), part.engaged)
-                self._homes[part.pool].pulled[identity.incarnation] = part.sequence
-                self._settle(part.pool)
-            return
-        current = self._home_of(part.pool, self._followed_zone())
-        if current is None or current.incarnation != identity.incarnation:
+        is_home = self._is_home(part.pool)
+        if is_home:
+            follows = identity.zone != self._zone
+        else:
+            current = self._home_of(part.pool, self._followed_zone())
+            follows = current is not None and current.incarnation == identity.incarnation
+        if not follows:
             return
         for entry in part.entries:
-            self._merge(entry, judge_renewal=part.settled)
-        for instance, load in part.loads.items():
-            if table.set_load(instance, load):
-                self._notify([table.records[instance].worker])
-        feed = self._feeds.get(part.pool)
-        if feed is None or feed.home != answer.home:
-            feed = self._feeds[part.pool] = _Feed(answer.home)
+            if is_home:
+                self._take_handed_over(entry)
+            else:
+                self._merge(entry, judge_renewal=part.settled)
+        feed = self._feeds.get((part.pool, answer.home))
+        if feed is None:
+            feed = self._followed_anew(part.pool, answer.home)
+        feed.name(part.entries)
         feed.sequence = max(feed.sequence, part.sequence)
-        if part.settled and answer.session_age <= SESSION_BOUND:
+        for number, load in part.loads.items():
+            instance = feed.numbers.get(number)
+            if instance is not None and table.set_load(instance, WorkerLoad(*load)):
+                self._notify([table.records[instance].worker])
+        if part.engaged is not None:
+            feed.load_sequence = max(feed.load_sequence, part.load_sequence)
+            told = _Told(self._now(), _by_instance(part.engaged, feed.numbers))
+            if is_home:
+                self._zone_told.setdefault(part.pool, {})[identity.zone] = told
+            else:
+                self._elsewhere[part.pool] = told
+        if is_home:
+            self._homes[part.pool].pulled.add(identity.incarnation)
+            self._settle(part.pool)
+        elif part.settled and answer.session_age <= SESSION_BOUND:
             self._proven_at[part.pool] = asked_at
-        self._elsewhere[part.pool] = _Told(self._now(), part.engaged)
+
+    def _followed_anew(self, pool: PoolName, home: Incarnation) -> _Feed:
+        current = {identity.incarnation for identity in self._zone_homes(pool).values()}
+        for key in [key for key in self._feeds if key[0] == pool and key[1] not in current]:
+            del self._feeds[key]
+        feed = self._feeds[(pool, home)] = _Feed()
+        return feed
 
     def _take_push(self, peer: Identity, push: FeedPush) -> None:
         for entry in push.entries:
@@ -513,9 +567,11 @@
                 continue
             current = self._home_of(push.pool, self._followed_zone())
             self._merge(entry, judge_renewal=current is not None and current.incarnation == push.home)
-        feed = self._feeds.get(push.pool)
-        if feed is not None and feed.home == push.home and feed.sequence == push.previous:
-            feed.sequence = push.sequence
+        feed = self._feeds.get((push.pool, push.home))
+        if feed is not None:
+            feed.name(push.entries)
+            if feed.sequence == push.previous:
+                feed.sequence = push.sequence
 
     def _take_seen(self, peer: Identity, message: StateSeen) -> None:
         self._take_handed_over(WorkerEntry(message.worker, True))
@@ -554,7 +610,9 @@
     async def _announced(self, worker: Worker) -> OperatorReply:
         without_load = msgspec.structs.replace(worker, load=None)
         if self._acknowledged.get(worker.instance) == without_load:
-            self._renewals[worker.instance] = Renewal(worker.pool, worker.instance, worker.load)
+            load = worker.load
+            figures = None if load is None else (load.running, load.waiting, load.cache_tokens_used)
+            self._renewals[worker.instance] = Renewal(worker.pool, worker.instance, figures)
             return taken(worker)
         homes = self._zone_homes(worker.pool)
         if not homes:
@@ -679,3 +737,19 @@
     for instance, part in more.items():
         total = totals.get(instance, Engagement())
         totals[instance] = Engagement(total.running + part.running, total.expected + part.expected)
+
+
+def _by_number(engaged: dict[WorkerInstance, Engagement], numbers: dict[WorkerInstance, int]) -> Counts:
+    return {
+        numbers[instance]: (round(part.running), round(part.expected))
+        for instance, part in engaged.items()
+        if instance in numbers
+    }
+
+
+def _by_instance(counts: Counts, instances: dict[int, WorkerInstance]) -> dict[WorkerInstance, Engagement]:
+    return {
+        instances[number]: Engagement(float(running), float(expected))
+        for number, (running, expected) in counts.items()
+        if number in instances
+    }
