--- a/simulation/fleet.py
+++ b/simulation/fleet.py
@@ -49,6 +49,8 @@
 WATCH_EVERY = 0.5
 READY_EVERY = 0.5
 START_AGAIN_AFTER = 1.0
+CLOCK_DRIFT = 0.0005
+"""Each daemon's clock runs faster or slower by up to this share."""
 
 
 class Daemon(Protocol):
@@ -198,7 +200,8 @@
                 context.log.event("not-started", reason=str(started.failure()))
                 context.tasks.stop_process(f"not started: {started.failure()}")
 
-        self.world.start(name, main, machine=machine.name, tags={"role": settings.role})
+        drift = 1.0 + self._random.uniform(-CLOCK_DRIFT, CLOCK_DRIFT)
+        self.world.start(name, main, machine=machine.name, tags={"role": settings.role}, clock_rate=drift)
 
     def start_worker(self, name: str, pool: Pool, zone: str) -> None:
         machine = self.world.machine(name, zone)
--- a/simulation/tests/test_world.py
+++ b/simulation/tests/test_world.py
@@ -159,10 +159,7 @@
             woken.append(world.now)
 
         with World(1) as world:
-            process = world.start("p", main)
-            world.kill(process)
-            process.clock_rate = 1.25
-            world.restart(process)
+            world.start("p", main, clock_rate=1.25)
             world.run(20)
         self.assertAlmostEqual(woken[0], 8.0, places=6)
 
--- a/simulation/world.py
+++ b/simulation/world.py
@@ -242,12 +242,19 @@
         return found
 
     def start(
-        self, name: str, main: Main, zone: str = "a", machine: str | None = None, tags: dict[str, str] | None = None
+        self,
+        name: str,
+        main: Main,
+        zone: str = "a",
+        machine: str | None = None,
+        tags: dict[str, str] | None = None,
+        clock_rate: float = 1.0,
     ) -> Process:
         """Starts ``main(context)`` as a process on a machine (of its own, unless named)."""
         if name in self.processes:
             raise ValueError(f"there is a process {name!r} already")
         process = Process(self, name, self.machine(machine or name, zone), main, tags or {})
+        process.clock_rate = clock_rate
         self.processes[name] = process
         self._begin(process)
         return process
