Bound the session map by age; bench prints the costs of feed and map

Cause: docs/CAPACITY.md needs slopes; 50,000 entries would have taken a third of a daemon's 64 MB, and the copies of own awards had no age bound. What: 25,000 entries of at most an hour, 10,000 own ones of 300 s; names from the wire are interned; `--table costs` measures feed bytes and memory per session.

--- a/bench/placement_bench.py
+++ b/bench/placement_bench.py
@@ -10,8 +10,11 @@
 from __future__ import annotations
 
 import asyncio
+import gc
 import json
 import statistics
+import time
+import tracemalloc
 from collections import Counter
 from collections.abc import Awaitable, Callable, Sequence
 from pathlib import Path
@@ -24,6 +27,7 @@
 
 from emulator.prefix_cache import PrefixCache, PromptPart
 from simulation.virtual_time import VirtualTimeLoop
+from simulation.world import World
 from wingwood.bundle.model import Service
 from wingwood.context.protocols import Context
 from wingwood.identifiers import (
@@ -35,6 +39,7 @@
     RequestId,
     Seconds,
     ServiceName,
+    SessionId,
     TenantName,
     WorkerInstance,
     Zone,
@@ -42,8 +47,10 @@
 from wingwood.placement.award_placement import AwardPlacement, AwardSettings
 from wingwood.placement.plain_policies import LeastLoaded, RoundRobin, StickyByHash
 from wingwood.placement.protocols import Choice, Placement, Turn
-from wingwood.placement.session_map import Entry, KeeperMap, LocalMap, Unreachable
+from wingwood.placement.session_map import Entry, KeeperMap, LocalMap, Unreachable, session_key
 from wingwood.registry.protocols import Engagement, Worker, WorkerLoad
+from wingwood.registry.tests.fleet import POOL as FEED_POOL
+from wingwood.registry.tests.fleet import Fleet
 from wingwood.transport.frames import Identity
 from wingwood.transport.messenger import TransportFault
 
@@ -571,11 +578,84 @@
     }
 
 
+def feed_figures(routers: int, workers: int, seconds: int = 10) -> dict[str, float]:
+    """What the registry's feed costs when every worker tells a new load each second; the simulator's wires."""
+    with World(3) as world:
+        fleet = Fleet(world, routers)
+
+        def announce(number: int, step: int) -> None:
+            name = f"r{number % routers}"
+            worker = Worker(
+                instance=WorkerInstance(f"model-{number:05d}-12345678"),
+                address=Address(f"10.9.{number // 250}.{number % 250 + 1}", 7000),
+                pool=FEED_POOL,
+                zone=Zone("abc"[number % 3]),
+                slots=8,
+                cache_tokens=120_000,
+                load=WorkerLoad(step % 8, number % 3, 1000 * step),
+            )
+
+            async def told() -> None:
+                await fleet.routers[name].registry._announced(worker)
+
+            world.spawn(world.processes[name], told(), "announce")
+
+        def second(step: int) -> None:
+            for number in range(workers):
+                announce(number, step)
+            world.run(1.0)
+
+        for step in range(4):
+            second(step)
+        bytes_before, used_before = world.network.bytes_delivered, time.process_time()
+        for step in range(4, 4 + seconds):
+            second(step)
+        share = seconds * routers
+        if any(len(fleet.ready_at(name)) != workers for name in fleet.routers):
+            raise RuntimeError("a router does not know all workers")
+        return {
+            "bytes/s": (world.network.bytes_delivered - bytes_before) / share,
+            "cpu ms/s": 1000 * (time.process_time() - used_before) / share,
+        }
+
+
+def session_memory(sessions: int) -> float:
+    """Bytes that a keeper holds for each session: map entry, eviction sample, expected turn."""
+    loop = VirtualTimeLoop(Random(1))
+    asyncio.set_event_loop(loop)
+    run = Run(Shape(routers=2, workers=2, cache_tokens=10**12), 1)
+    placement = cast(AwardPlacement, run.placements[0])
+    gc.collect()
+    tracemalloc.start()
+    for number in range(sessions):
+        key = session_key(POOL, SessionId(f"session-{number}"))
+        entry = Entry(pool=POOL, holder=WorkerInstance("w0"), tokens=3000, own_tokens=1000, touched_at=Instant(0.0))
+        cast(KeeperMap, placement._map)._keep(key, entry)
+    gc.collect()
+    used, _ = tracemalloc.get_traced_memory()
+    tracemalloc.stop()
+    run.loop.on_unhandled = None
+    run.loop.close()
+    return used / sessions
+
+
+def print_costs() -> None:
+    click.echo("\nfeed: per daemon, loads told each second, processor time of the simulator included")
+    click.echo(f"{'routers':>8}{'workers':>8}{'bytes/s':>10}{'cpu ms/s':>10}")
+    for routers in (6, 11, 33):
+        for workers in (12, 100, 300):
+            figures = feed_figures(routers, workers)
+            click.echo(f"{routers:>8}{workers:>8}{figures['bytes/s']:>10.0f}{figures['cpu ms/s']:>10.2f}")
+    click.echo(
+        "\nmemory of a keeper: " + ", ".join(f"{n} sessions {session_memory(n):.0f} B each" for n in (5000, 20_000))
+    )
+
+
 COLUMNS = ("turns", "refused", "hit", "hit_later", "p50", "p95", "imbalance", "imbalance_p95", "moves", "award_share")
 
 
 @click.command()
-@click.option("--table", "names", multiple=True, help="Which tables; all when left out.")
+@click.option("--table", "names", multiple=True, help="Which tables (also: costs); all comparisons when left out.")
 @click.option("--seeds", default=3, show_default=True)
 @click.option(
     "--seconds", default=300.0, show_default=True, help="Virtual seconds of each run; the first 60 not counted."
@@ -585,6 +665,11 @@
 def main(names: tuple[str, ...], seeds: int, seconds: float, more: tuple[str, ...], json_file: Path | None) -> None:
     """Prints a table per comparison: means over the seeds."""
     found = tables(seconds)
+    if "costs" in names:
+        print_costs()
+        names = tuple(name for name in names if name != "costs")
+        if not names:
+            return
     results: dict[str, dict[str, dict[str, float]]] = {}
     for name in names or tuple(found):
         columns = (*COLUMNS, *more)
--- a/wingwood/placement/session_map.py
+++ b/wingwood/placement/session_map.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import hashlib
+import sys
 from collections import OrderedDict
 from collections.abc import Callable, Iterable
 from typing import Protocol
@@ -23,8 +24,11 @@
 PASSED_OVER_FOR = Seconds(1.0)
 """How long a keeper that let a question time out is passed over."""
 NEWCOMER_FOR = Seconds(3.0)
-ENTRIES_MOST = 50_000
-RECENT_MOST = 20_000
+ENTRIES_MOST = 25_000
+RECENT_MOST = 10_000
+RECENT_FOR = Seconds(300.0)
+CLAIM_FOR = Seconds(3600.0)
+"""A prefix not used for so long is no longer in any KV cache."""
 HANDED_OVER_AT_ONCE = 200
 HAND_OVER_PAUSE = Seconds(0.05)
 
@@ -63,16 +67,18 @@
 
 
 class RecentEntries:
-    """Entries by key, newest last, bounded in number."""
+    """Entries by key, newest last, bounded in number and age."""
 
-    def __init__(self, most: int) -> None:
+    def __init__(self, most: int, kept_for: Seconds) -> None:
         self._most = most
+        self._kept_for = kept_for
         self.by_key: OrderedDict[int, Entry] = OrderedDict()
 
     def put(self, key: int, entry: Entry) -> None:
         self.by_key[key] = entry
         self.by_key.move_to_end(key)
-        while len(self.by_key) > self._most:
+        oldest = entry.touched_at - self._kept_for
+        while len(self.by_key) > self._most or next(iter(self.by_key.values())).touched_at < oldest:
             self.by_key.popitem(last=False)
 
     def get(self, key: int) -> Entry | None:
@@ -83,7 +89,7 @@
     """Only this router's own entries; for comparison on the bench."""
 
     def __init__(self) -> None:
-        self._entries = RecentEntries(ENTRIES_MOST)
+        self._entries = RecentEntries(ENTRIES_MOST, CLAIM_FOR)
         self.on_keep: Callable[[int, Entry], None] = lambda key, entry: None
 
     async def find(self, key: int) -> Entry | Unreachable | None:
@@ -104,8 +110,8 @@
         self._context = context
         self._messenger = messenger
         self._membership = membership
-        self._kept = RecentEntries(ENTRIES_MOST)
-        self._recent = RecentEntries(RECENT_MOST)
+        self._kept = RecentEntries(ENTRIES_MOST, CLAIM_FOR)
+        self._recent = RecentEntries(RECENT_MOST, RECENT_FOR)
         """What this router recorded itself, wherever it is kept."""
         self._pairs: dict[int, tuple[Identity, ...]] = {}
         self._routers: tuple[Identity, ...] = ()
@@ -203,11 +209,11 @@
         now = self._context.clock.monotonic()
         return Entry(
             pool=note.pool,
-            holder=note.holder,
+            holder=WorkerInstance(sys.intern(note.holder)),
             tokens=note.tokens,
             own_tokens=note.own_tokens,
             touched_at=Instant(now - note.age),
-            winner=note.winner,
+            winner=WorkerInstance(sys.intern(note.winner)),
             award_until=Instant(now + note.award_left),
             weight=note.weight,
         )
