--- a/wingwood/control/core.py
+++ b/wingwood/control/core.py
@@ -489,6 +489,8 @@
     async def _on_heartbeat(self, _: Identity, message: ControlHeartbeat) -> ControlHeartbeatAnswer:
         store, view = self._store, message.view
         if message.to != self._me:
+            # We are a new incarnation at a member's address; this tells us whom to ask for the seat.
+            self._note_view(view)
             return ControlHeartbeatAnswer(self._me, False, store.promise.epoch, False)
         accepted = store.view == view and store.promise.epoch == view.epoch
         if accepted or store.promise.candidate == view.primary:
--- a/wingwood/control/tests/test_core.py
+++ b/wingwood/control/tests/test_core.py
@@ -155,6 +155,19 @@
                 self.assertLess(control.world.now - begun, GAP + 1.2)
                 self.hold(control)
 
+    def test_a_wiped_machine_whose_seeds_are_all_gone_hears_of_the_fleet_from_its_primary(self) -> None:
+        control = self.fleet()
+        for lost, fresh in (("c2", "s1"), ("c3", "s2")):
+            control.world.power_off(lost)
+            control.start(fresh)
+            control.world.run(2.0)
+            self.hold(control)
+        control.world.kill("c1")
+        control.world.wipe("c1")
+        control.world.restart("c1")
+        control.world.run(2.0)
+        self.hold(control)
+
     def test_a_first_primary_may_lead_again_when_its_successor_was_lost_before_it_had_a_backup(self) -> None:
         control = self.fleet()
         first, second = control.has_role("primary"), control.has_role("backup")
