--- a/bench/real_faults.py
+++ b/bench/real_faults.py
@@ -351,14 +351,7 @@
     def judge_calls(self, result: dict[str, Any], records: Sequence[CallRecord], runs: list[dict[str, Any]]) -> None:
         violations = self.report.violations
         violations.extend(f"{problem}: {count} times" for problem, count in result["problems"].items())
-        keyed = Counter(run["idempotency_key"] for run in runs if run["idempotency_key"])
-        violations.extend(f"run {times} times: {key}" for key, times in keyed.items() if times > 1)
-        for record in records:
-            told = [run for _, _, run, _ in record.tries]
-            if all(run == "not-run" for run in told) and keyed[record.idempotency_key]:
-                violations.append(f"told not-run, but ran: {record.idempotency_key}")
-            if any(whole for _, _, _, whole in record.tries) and not keyed[record.idempotency_key]:
-                violations.append(f"a success that no worker gave: {record.idempotency_key}")
+        violations.extend(judged(records, runs))
         ended = [child.name for child in self.fleet.children.values() if child.expected_to_run and not child.running()]
         violations.extend(f"{name} ended by itself" for name in ended)
 
@@ -380,6 +373,23 @@
             self.report.violations.append(f"acknowledged and not in the history: versions {sorted(lost)}")
 
 
+def judged(records: Sequence[CallRecord], runs: Sequence[dict[str, Any]]) -> list[str]:
+    """What must never be of calls that run at most once, from what their callers and the workers saw."""
+    times = Counter(run["idempotency_key"] for run in runs if run["idempotency_key"])
+    whole = {run["idempotency_key"] for run in runs if run["outcome"] == "whole"}
+    found = [f"run {count} times: {key}" for key, count in times.items() if count > 1]
+    for record in records:
+        key = record.idempotency_key
+        _, _, last_told, _ = record.tries[-1]
+        if last_told == "not-run" and times[key]:
+            found.append(f"told not-run, but ran: {key}")
+        if last_told == "ran" and not times[key]:
+            found.append(f"told that it ran, but did not: {key}")
+        if any(looks_whole for _, _, _, looks_whole in record.tries) and key not in whole:
+            found.append(f"a success that no worker gave: {key}")
+    return found
+
+
 async def run_case(shape: Shape, action: Action, logs: Path | None) -> CaseReport:
     shape = msgspec.structs.replace(shape, first_port=free_first_port(shape))
     with tempfile.TemporaryDirectory(prefix="wingwood-faults-") as temporary:
--- a/fleet/launcher.py
+++ b/fleet/launcher.py
@@ -308,18 +308,22 @@
         return int(reply.body["version"]) if reply.good else 0
 
     async def control_reports(self) -> dict[str, Any]:
-        """What each control daemon that answers says of the control core (``control`` of its health)."""
+        """What each control daemon that answers says of the control core, with its own incarnation."""
         reports = {}
         for daemon in self.controls():
             reply = await self.http.get(daemon.operator, "/control/v1/health")
             if reply.good and reply.body.get("control"):
-                reports[daemon.name] = reply.body["control"]
+                reports[daemon.name] = {**reply.body["control"], "incarnation": reply.body["incarnation"]}
         return reports
 
     async def control_complete(self) -> bool:
-        """Whether the primary takes orders and says that any one control daemon may be lost."""
+        """Whether the primary says that any one control daemon may be lost, and all that it counts on answer here."""
         reports = (await self.control_reports()).values()
-        return any(report["own_role"] == "primary" and report["complete"] for report in reports)
+        answering = {report["incarnation"] for report in reports}
+        return any(
+            report["own_role"] == "primary" and report["complete"] and answering.issuperset(report["members"])
+            for report in reports
+        )
 
     async def primary(self) -> str | None:
         """The control daemon that says it leads and takes orders."""
