A late push of a worker feed takes no renewed worker out any more

A home that had been cut off posted "not renewed" into a dead connection; TCP delivered it 12 s after the heal, the follower took it as the home's word, and no later question repaired it, since the home's sequence had not moved. Ruled out: the home's own table (renewed everywhere), a wrong home, suspicion. Change: a push counts for renewals only when it follows on the sequence known; what an unsettled home says of renewals is asked for again once it has settled.

--- a/wingwood/registry/worker_registry.py
+++ b/wingwood/registry/worker_registry.py
@@ -535,7 +535,8 @@
         if feed is None:
             feed = self._followed_anew(part.pool, answer.home)
         feed.name(part.entries)
-        feed.sequence = max(feed.sequence, part.sequence)
+        if is_home or part.settled:  # what an unsettled home says of renewals is asked again
+            feed.sequence = max(feed.sequence, part.sequence)
         for number, load in part.loads.items():
             instance = feed.numbers.get(number)
             if instance is not None and table.set_load(instance, WorkerLoad(*load)):
@@ -561,16 +562,22 @@
         return feed
 
     def _take_push(self, peer: Identity, push: FeedPush) -> None:
+        """Final states count whenever they come; renewals only if the push follows on what is known.
+
+        One that lay in the buffers of a cut connection would take workers out that were renewed since.
+        """
+        feed = self._feeds.get((push.pool, push.home))
+        follows_on = feed is not None and feed.sequence == push.previous
+        current = self._home_of(push.pool, self._followed_zone())
+        judge = follows_on and current is not None and current.incarnation == push.home
         for entry in push.entries:
             if self._is_home(push.pool):
                 self._take_handed_over(entry)
-                continue
-            current = self._home_of(push.pool, self._followed_zone())
-            self._merge(entry, judge_renewal=current is not None and current.incarnation == push.home)
-        feed = self._feeds.get((push.pool, push.home))
+            else:
+                self._merge(entry, judge_renewal=judge)
         if feed is not None:
             feed.name(push.entries)
-            if feed.sequence == push.previous:
+            if follows_on:
                 feed.sequence = push.sequence
 
     def _take_seen(self, peer: Identity, message: StateSeen) -> None:
