Shares: in fleets of more than 64 routers a new keeper asks nobody and fills from zero

Cause: at 1,000 routers each change of members would make new keepers ask 1,000 routers per tenant. What: ShareBounds.most_gathered; without a report an asker's first unleased calls aren't charged.

--- a/wingwood/limits/shares.py
+++ b/wingwood/limits/shares.py
@@ -46,6 +46,9 @@
     rest: Seconds = Seconds(0.25)
     first_part: float = 0.05
     """Part of a second's share that a keeper which knows nothing yet may grant at once."""
+    most_gathered: int = 64
+    """With more routers a new keeper asks nobody and lets its bucket fill from zero: a thousand answers
+    and connections at each change of members cost more than a second's saved share is worth."""
     smallest_bucket: float = 5.0
     """Calls that also a small tenant may save up (but never more than five seconds' worth): with
     less, a tenant well below its rate would be refused for the mere unevenness of its calls."""
@@ -125,11 +128,13 @@
 class _KeptShare:
     """What the keeper knows of one tenant's share."""
 
-    __slots__ = ("bucket", "gathering", "granted", "newest_ask")
+    __slots__ = ("bucket", "gathered", "gathering", "granted", "newest_ask")
 
     def __init__(self, bucket: TokenBucket) -> None:
         self.bucket = bucket
         self.gathering: asyncio.Future[None] | None = None
+        self.gathered = True
+        """False: nobody was asked, so calls taken without a lease before an asker's first ask aren't charged."""
         self.granted = RecentCount(RECENT)
         self.newest_ask: dict[Incarnation, int] = {}
 
@@ -359,15 +364,19 @@
         if kept is None:
             first = min(most, max(1.0, rate * self._bounds.first_part))
             kept = self._kept[ask.tenant] = _KeptShare(TokenBucket(rate, most, first, now))
-            kept.gathering = asyncio.get_running_loop().create_future()
-            self._context.tasks.spawn(
-                "share gather", self._gather(ask.tenant, kept, kept.gathering, Seconds(most / rate), first)
-            )
+            if len(self._keepers.routers()) <= self._bounds.most_gathered:
+                kept.gathering = asyncio.get_running_loop().create_future()
+                window = Seconds(most / rate)
+                gather = self._gather(ask.tenant, kept, kept.gathering, window, first)
+                self._context.tasks.spawn("share gather", gather)
+            else:
+                kept.gathered = False
         if ask.number <= kept.newest_ask.get(asker.incarnation, 0):
             return LeaseGrant(False, 0, Seconds(0.0))
+        known_asker = asker.incarnation in kept.newest_ask
         kept.newest_ask[asker.incarnation] = ask.number
         kept.bucket.change(rate, most, now)
-        if kept.gathering is None:  # else it is in the asker's report of recent use
+        if kept.gathering is None and (kept.gathered or known_asker):  # else it is in the asker's report of recent use
             kept.bucket.give(ask.returned - ask.unleased, now)
         granted = kept.bucket.take(ask.wanted, now)
         if granted < ask.wanted and kept.gathering is not None:
--- a/wingwood/limits/tests/share_fleet.py
+++ b/wingwood/limits/tests/share_fleet.py
@@ -8,7 +8,7 @@
 from wingwood.bundle.model import Tenant
 from wingwood.context.protocols import Context
 from wingwood.identifiers import ClassName, DaemonName, Incarnation, Instant, Seconds, TenantName, Zone
-from wingwood.limits.shares import FleetShares
+from wingwood.limits.shares import FleetShares, ShareBounds
 from wingwood.transport.frames import Identity
 from wingwood.transport.messenger import TcpMessenger
 
@@ -54,7 +54,16 @@
 class ShareFleet:
     """Routers ``r0``, ``r1``...; ``calls`` holds (time, router, accepted, seconds waited) of every call."""
 
-    def __init__(self, world: World, routers: int, tenant: Tenant, load: Load, most_rate: float) -> None:
+    def __init__(
+        self,
+        world: World,
+        routers: int,
+        tenant: Tenant,
+        load: Load,
+        most_rate: float,
+        bounds: ShareBounds | None = None,
+    ) -> None:
+        self.bounds = bounds
         self.world = world
         self.tenant = tenant
         self.rates = [(0.0, tenant.paid_rate)]
@@ -84,7 +93,7 @@
             messenger = TcpMessenger(context, identity, b"fleet key")
             messenger.start()
             membership = HeldMembership()
-            self.shares[name] = FleetShares(context, messenger, membership, lambda _: self.tenant)
+            self.shares[name] = FleetShares(context, messenger, membership, lambda _: self.tenant, self.bounds)
             self.lost.pop(name, None)
             self.identities[name] = identity
             context.tasks.spawn("heartbeat", self._heartbeat(context, name, membership))
--- a/wingwood/limits/tests/test_shares.py
+++ b/wingwood/limits/tests/test_shares.py
@@ -11,7 +11,7 @@
 from simulation import World
 
 from ..messages import UseAnswer, UseQuestion
-from ..shares import FleetShares
+from ..shares import FleetShares, ShareBounds
 from .share_fleet import Load, ShareFleet, tenant
 
 ROUTERS = 11
@@ -33,11 +33,16 @@
 
 class SharesTest(unittest.TestCase):
     def run_fleet(
-        self, load: Load, most: float, fault: Callable[[World, ShareFleet, str], None] | None = None, paid: float = PAID
+        self,
+        load: Load,
+        most: float,
+        fault: Callable[[World, ShareFleet, str], None] | None = None,
+        paid: float = PAID,
+        bounds: ShareBounds | None = None,
     ) -> ShareFleet:
         """The fault strikes the tenant's keeper at 5.0."""
         with World(seed=4) as world:
-            fleet = ShareFleet(world, ROUTERS, tenant(paid), load, most)
+            fleet = ShareFleet(world, ROUTERS, tenant(paid), load, most, bounds)
             world.run(5.0)
             if fault is not None:
                 fault(world, fleet, fleet.keeper())
@@ -74,6 +79,15 @@
         self.assertLess(self.run_fleet(even(90), 9, kill).refused_part(5.0, SECONDS), 0.03)
         self.assertLess(self.run_fleet(even(200), 20, kill).worst_window(3.0, SECONDS, 3.0), 1.15)
 
+    def test_a_killed_keeper_of_a_fleet_too_large_to_be_asked(self) -> None:
+        def kill(world: World, fleet: ShareFleet, keeper: str) -> None:
+            fleet.mark_lost(keeper)
+            world.kill(keeper)
+
+        bounds = ShareBounds(most_gathered=3)
+        self.assertLess(self.run_fleet(even(90), 9, kill, bounds=bounds).refused_part(5.0, SECONDS), 0.03)
+        self.assertLess(self.run_fleet(even(200), 20, kill, bounds=bounds).worst_window(3.0, SECONDS, 3.0), 1.15)
+
     def test_a_frozen_keeper_that_wakes(self) -> None:
         def freeze(world: World, fleet: ShareFleet, keeper: str) -> None:
             fleet.mark_lost(keeper)
