--- a/bench/limits_bench.py
+++ b/bench/limits_bench.py
@@ -1,17 +1,30 @@
-"""Accuracy of tenants' paid shares over a simulated fleet: ``python -m bench.limits_bench [--seeds N]``.
+"""Tenants' paid shares: ``python -m bench.limits_bench accuracy`` over a simulated fleet, ``... cost`` on loopback.
 
-Columns: accepted/paid over the whole time, in the worst second, refused part, longest wait of a call.
+Columns of accuracy: accepted/paid over the whole time, in the worst second, refused part, longest wait of a call.
 """
 
 from __future__ import annotations
 
-from collections.abc import Callable
+import asyncio
+import time
+from collections.abc import Awaitable, Callable, Sequence
+from pathlib import Path
 
 import click
+import msgspec
+from returns.result import Success
 
 from simulation import World
 from wingwood.bundle.model import Tenant
+from wingwood.context.real import RealClock
+from wingwood.identifiers import Address, DaemonName, Incarnation, Instant, Seconds, TenantName, Zone
+from wingwood.limits.messages import LeaseAsk, LeaseGrant
+from wingwood.limits.shares import FleetShares
 from wingwood.limits.tests.share_fleet import Load, ShareFleet, tenant
+from wingwood.transport.frames import Identity
+from wingwood.transport.messenger import TcpMessenger
+
+from .ledger_bench import make_context
 
 ROUTERS = 11
 Fault = Callable[[World, ShareFleet], None]
@@ -113,11 +126,17 @@
         return fleet
 
 
-@click.command()
+@click.group()
+def main() -> None:
+    """Measures tenants' paid shares."""
+
+
+@main.command()
 @click.option("--seeds", default=3, show_default=True)
 @click.option("--seconds", default=16.0, show_default=True, help="Virtual seconds of each run.")
 @click.option("--only", default="", help="Cases whose name contains this.")
-def main(seeds: int, seconds: float, only: str) -> None:
+def accuracy(seeds: int, seconds: float, only: str) -> None:
+    """Accepted against paid, on simulated time."""
     titles = f"{'case':34} {'seed':>4} {'all':>6} {'1st s':>6} {'worst s':>7} {'refused':>8} {'longest wait':>12}"
     click.echo(titles + "  refused by second")
     for name, paid, load, fault in CASES:
@@ -132,5 +151,87 @@
             )
 
 
+@main.command()
+@click.option("--asks", default=20_000, show_default=True)
+def cost(asks: int) -> None:
+    """Processor time per call and per ask, and bytes per ask, between two routers on loopback."""
+    asyncio.run(_cost(asks))
+
+
+class _TwoRouters:
+    def __init__(self, own: Identity, members: Sequence[Identity]) -> None:
+        self._own = own
+        self._members = members
+
+    def members(self) -> Sequence[Identity]:
+        return self._members
+
+    routers = members
+
+    def controls(self) -> Sequence[Identity]:
+        return []
+
+    def is_member(self, incarnation: Incarnation) -> bool:
+        return True
+
+    def session_proven_at(self) -> Instant | None:
+        return RealClock().monotonic()
+
+    def on_change(self, callback: Callable[[], None]) -> None: ...
+
+
+async def _cost(asks: int) -> None:
+    identities = [
+        Identity(DaemonName(f"r{number}"), Incarnation("i"), "router", Zone("a"), Address("127.0.0.1", 30150 + number))
+        for number in range(2)
+    ]
+    contexts = [make_context(Path(".")) for _ in identities]
+    messengers = [
+        TcpMessenger(context, identity, b"bench") for context, identity in zip(contexts, identities, strict=True)
+    ]
+    shares = [
+        FleetShares(context, messenger, _TwoRouters(messenger.identity, identities))
+        for context, messenger in zip(contexts, messengers, strict=True)
+    ]
+    for messenger in messengers:
+        assert isinstance(messenger.start(), Success)
+    tenants = [_named(f"t{number}", 1e6) for number in range(100)]
+    far, near = (
+        next(each for each in tenants if shares[0].keeper_of(each.name) == identity)
+        for identity in reversed(identities)
+    )
+    for each in (far, near):
+        for _ in range(50):
+            await shares[0].take(each)
+            await asyncio.sleep(0.01)
+
+    async def timed(name: str, count: int, work: Callable[[int], Awaitable[object]]) -> None:
+        before = sum(messenger.bytes_in + messenger.bytes_out for messenger in messengers)
+        began = time.process_time()
+        for number in range(count):
+            await work(number)
+        spent = time.process_time() - began
+        moved = sum(messenger.bytes_in + messenger.bytes_out for messenger in messengers) - before
+        click.echo(f"{name:44} {spent / count * 1e6:8.1f} µs  {moved / count:7.1f} bytes counted by the messengers")
+
+    await timed("call from a lease", 10 * asks, lambda _: shares[0].take(far))
+    keeper = identities[1]
+    ask = LeaseAsk(far.name, far.paid_rate, far.burst, 1, 0, 0, 1 << 40)
+
+    async def one_ask(number: int) -> object:
+        numbered = msgspec.structs.replace(ask, number=(1 << 40) + number)
+        return await messengers[0].call(keeper.internal, numbered, LeaseGrant, Seconds(1.0))
+
+    await timed("ask and answer, both ends", asks, one_ask)
+    encoded = len(msgspec.msgpack.encode(ask))
+    click.echo(f"an ask's own body: {encoded} bytes")
+    for messenger in messengers:
+        messenger.stop()
+
+
+def _named(name: str, rate: float) -> Tenant:
+    return msgspec.structs.replace(tenant(rate), name=TenantName(name))
+
+
 if __name__ == "__main__":
     main()
--- a/wingwood/limits/shares.py
+++ b/wingwood/limits/shares.py
@@ -339,6 +339,10 @@
         else:
             self._messenger.post(keeper.internal, LeaseReturn(share.tenant.name, tokens))
 
+    def keeper_of(self, tenant: TenantName) -> Identity | None:
+        """Which router keeps the tenant's share, as this one sees it."""
+        return self._keepers.keeper(tenant)
+
     def give_all_back(self) -> None:
         """At the router's stop."""
         for share in self._shares.values():
--- a/wingwood/limits/tests/share_fleet.py
+++ b/wingwood/limits/tests/share_fleet.py
@@ -104,7 +104,7 @@
     def keeper(self) -> str:
         """Name of the router that keeps the tenant's share, as the routers that are well see it."""
         well = next(name for name in sorted(self.shares) if name not in self.lost)
-        found = self.shares[well]._keepers.keeper(self.tenant.name)
+        found = self.shares[well].keeper_of(self.tenant.name)
         assert found is not None
         return found.name
 
