Strict chunks and status lines in the curl client, and no clean end without a head

libcurl takes LF for CRLF behind a chunk, so "5 CRLF half CRLF" passed as the five bytes "half" CR and the answer as whole: a chunk one byte short. The client now takes the raw body and decodes chunks itself, strictly. Giving 4,000 mutated answers to both clients then found HTTP/1.1 000: tornado reads it as an answer, the stream client skipped it as interim and its next head() raised, which would have stopped the daemon. Both failed as tests first.

--- a/wingwood/context/curl_client.py
+++ b/wingwood/context/curl_client.py
@@ -9,18 +9,20 @@
 from __future__ import annotations
 
 import contextlib
+import re
 from typing import Final
 
 import pycurl
 from tornado.curl_httpclient import CurlAsyncHTTPClient
 
-from .http_exchange import HEAD_BYTES, Exchange, fault_of_request, framing_of, is_token
+from .http_exchange import HEAD_BYTES, ChunkDecoder, Exchange, fault_of_request, framing_of, is_token
 from .protocols import HttpExchange, HttpFault, HttpHead, HttpRequest
 
 _SPARE_HANDLES: Final = 256
 _PROCEED: Final[int] = pycurl.PREREQFUNC_OK
 _ABORT: Final[int] = pycurl.PREREQFUNC_ABORT
 _PAUSE: Final[int] = pycurl.WRITEFUNC_PAUSE
+_STATUS_LINE = re.compile(r"HTTP/1\.[01] ([1-5][0-9]{2})(?: .*)?")
 _MALFORMED: Final = frozenset(
     {pycurl.E_UNSUPPORTED_PROTOCOL, pycurl.E_FTP_WEIRD_SERVER_REPLY, pycurl.E_BAD_CONTENT_ENCODING}
 )
@@ -104,6 +106,7 @@
         self._status = 0
         self._headers: list[tuple[str, str]] = []
         self._head_done = False
+        self._chunks: ChunkDecoder | None = None
         self._problem: str | None = None
         """What this side found wrong in the answer's head."""
 
@@ -121,6 +124,8 @@
         set_option(pycurl.NOSIGNAL, 1)
         set_option(pycurl.FOLLOWLOCATION, 0)
         set_option(pycurl.HTTP_CONTENT_DECODING, 0)
+        # libcurl takes LF for CRLF behind a chunk: one that is a byte short would pass as whole.
+        set_option(pycurl.HTTP_TRANSFER_DECODING, 0)
         set_option(pycurl.CONNECTTIMEOUT_MS, max(1, int(1000 * request.connect_timeout)))
         set_option(pycurl.HTTPHEADER, _header_lines(request))
         if request.method == "HEAD":
@@ -140,8 +145,10 @@
         self._curl = None
         if self._problem is not None:
             self.end(HttpFault("malformed", self._sent, self._problem))
+        elif error is None and self._chunks is not None:
+            self.end(HttpFault("broken", True, "closed within the chunks"))
         elif error is None:
-            self.end(None if self._head_done else HttpFault("malformed", self._sent, "no head"))
+            self.end(None)
         elif not self._sent:
             refused = error == pycurl.E_ABORTED_BY_CALLBACK
             self.end(HttpFault("cancelled" if refused else "connect", False, message))
@@ -162,8 +169,10 @@
         text = line.decode("latin-1").rstrip("\r\n")
         if text.startswith("HTTP/"):
             self._headers.clear()
-            status = text.split(" ", 2)[1:2]
-            self._status = int(status[0]) if status and status[0].isdigit() else 0
+            found = _STATUS_LINE.fullmatch(text)
+            if found is None:
+                return self._refuse("malformed status line")
+            self._status = int(found[1])
         elif text:
             return self._take_header(text)
         elif self._status == 101:
@@ -190,6 +199,8 @@
         if framing is None:
             return self._refuse("contradicting lengths")
         self._head_done = True
+        if framing == "chunked":
+            self._chunks = ChunkDecoder()
         self.take_head(HttpHead(self._status, headers, framing))
         return None
 
@@ -201,8 +212,17 @@
         if self.is_full():
             self._paused = True
             return _PAUSE  # libcurl keeps the piece and gives it again.
-        self.take_piece(piece)
-        return None
+        if self._chunks is None:
+            self.take_piece(piece)
+            return None
+        body = self._chunks.take(piece)
+        if body:
+            self.take_piece(body)
+        if self._chunks.problem is not None:
+            self.end(HttpFault("broken", True, self._chunks.problem))
+        elif self._chunks.ended:
+            self.end(None)
+        return -1 if self.ended() else None  # libcurl itself would read on until the connection closes.
 
     def _make_room(self) -> None:
         if self._paused and self._curl is not None:
--- a/wingwood/context/http_exchange.py
+++ b/wingwood/context/http_exchange.py
@@ -20,6 +20,8 @@
 
 Framing = Literal["length", "chunked", "close", "none"]
 
+_CHUNK_LINE_BYTES: Final = 4096
+_CHUNK_SIZE = re.compile(rb"([0-9A-Fa-f]{1,15})(?:[ \t]*;[^\r\n]*)?")
 _TOKEN = re.compile(r"[!#$%&'*+\-.^_`|~0-9A-Za-z]+")
 _PATH = re.compile(r"/[!-~]*")
 _VALUE = re.compile(r"[^\x00-\x08\x0a-\x1f\x7f]*")
@@ -61,6 +63,54 @@
     return None
 
 
+class ChunkDecoder:
+    """Takes the framing off a chunked body, strictly; trailers are dropped."""
+
+    def __init__(self) -> None:
+        self.ended = False
+        self.problem: str | None = None
+        self._held = b""
+        """Start of a line that is not yet there whole."""
+        self._left = 0
+        """Bytes to come of the chunk under way."""
+        self._expects: Literal["size", "line end", "trailer"] = "size"
+
+    def take(self, data: bytes) -> bytes:
+        """The body's bytes in ``data``; looks at nothing behind the end."""
+        if self._held:
+            data, self._held = self._held + data, b""
+        body: list[bytes] = []
+        at = 0
+        while at < len(data) and not self.ended and self.problem is None:
+            if self._left:
+                body.append(data[at : at + self._left])
+                at += len(body[-1])
+                self._left -= len(body[-1])
+                continue
+            end = data.find(b"\r\n", at)
+            if end < 0:
+                self._held = data[at:]
+                if len(self._held) > _CHUNK_LINE_BYTES:
+                    self.problem = "chunk line too long"
+                break
+            self._take_line(data[at:end])
+            at = end + 2
+        return body[0] if len(body) == 1 else b"".join(body)
+
+    def _take_line(self, line: bytes) -> None:
+        if self._expects == "line end":
+            self._expects = "size"
+            if line:
+                self.problem = "chunk longer than told"
+        elif self._expects == "trailer":
+            self.ended = not line
+        elif (size := _CHUNK_SIZE.fullmatch(line)) is None:
+            self.problem = "malformed chunk size"
+        else:
+            self._left = int(size[1], 16)
+            self._expects = "line end" if self._left else "trailer"
+
+
 class Exchange:
     """One call under way: filled from the network's side, waited on by one consumer at a time."""
 
@@ -143,6 +193,8 @@
     def end(self, fault: HttpFault | None) -> None:
         """The answer's clean end, or why there is none; only the first counts."""
         if self._end is None:
+            if fault is None and self._head is None:
+                fault = HttpFault("malformed", self._sent, "no head")
             self._end = Success(None) if fault is None else Failure(fault)
             self._wake()
 
--- a/wingwood/context/stream_client.py
+++ b/wingwood/context/stream_client.py
@@ -115,9 +115,9 @@
         headers: httputil.HTTPHeaders,
     ) -> Awaitable[None] | None:
         assert isinstance(start_line, httputil.ResponseStartLine)
-        if start_line.code == 101:
-            self._exchange.problem = "switches protocols"
-            raise httputil.HTTPInputError("switches protocols")
+        if start_line.code == 101 or not 100 <= start_line.code < 600:
+            self._exchange.problem = f"status {start_line.code}"
+            raise httputil.HTTPInputError(self._exchange.problem)
         if start_line.code < 200:
             return None
         pairs = tuple(headers.get_all())
--- a/wingwood/context/tests/test_http_clients.py
+++ b/wingwood/context/tests/test_http_clients.py
@@ -237,6 +237,9 @@
                 b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n9\r\nhalf": b"half",
                 b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\n0\r\n": b"half",
                 b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\r\nxyz\r\n": b"half",
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhalf\r\n0\r\n\r\n": b"half\r",
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf\n0\r\n\r\n": b"half",
+                b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n-4\r\nhalf\r\n0\r\n\r\n": b"",
                 b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nhalf--3\r\nabc\r\n0\r\n\r\n": b"half",
             }
             for answer, body in cuts.items():
@@ -258,6 +261,9 @@
         async def test_not_http_and_contradictions_are_malformed(self) -> None:
             for answer in (
                 b"SSH-2.0-OpenSSH_9.0\r\n\r\n",
+                b"HTTP/1.1 099 Low\r\nContent-Length: 0\r\n\r\n",
+                b"HTTP/1.1 2040 Long\r\nContent-Length: 0\r\n\r\n",
+                b"HTTP/1.1 600 High\r\nContent-Length: 0\r\n\r\n",
                 b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 6\r\n\r\nworld",
                 b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
                 b"HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n",
