--- a/bench/load/__main__.py
+++ b/bench/load/__main__.py
@@ -92,7 +92,8 @@
             await fleet.start()
             await push_bundle(fleet)
             await fleet.ready()
-            result, _ = await run_load(read_target(fleet.folder / "fleet.json"), options)
+            target = read_target(fleet.folder / "fleet.json")
+            result, _ = await run_load(target, options, processes=fleet.process_ids())
             return result
 
 
--- /dev/null
+++ b/bench/load/processes.py
@@ -0,0 +1,68 @@
+"""Processor time and memory of the fleet's processes over a run, from ``/proc``."""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Mapping
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+TICKS = os.sysconf("SC_CLK_TCK")
+
+
+class Usage(msgspec.Struct, frozen=True):
+    processor_seconds: float
+    resident_bytes: int
+
+
+def usage_of(process_id: int, proc: Path = Path("/proc")) -> Usage | None:
+    """None when there is no such process."""
+    try:
+        fields = (proc / str(process_id) / "stat").read_text().rpartition(")")[2].split()
+        status = (proc / str(process_id) / "status").read_text()
+    except OSError:
+        return None
+    resident = next((line.split()[1] for line in status.splitlines() if line.startswith("VmRSS:")), "0")
+    return Usage((int(fields[11]) + int(fields[12])) / TICKS, int(resident) * 1024)
+
+
+class ProcessWatch:
+    """``processes``: ids by name, such as ``router-1``."""
+
+    def __init__(self, processes: Mapping[str, int]) -> None:
+        self._processes = dict(processes)
+        self._before = {name: usage_of(number) for name, number in self._processes.items()}
+
+    def report(self, elapsed: float) -> dict[str, Any]:
+        """By name: share of one processor in percent, and resident memory in MB."""
+        told: dict[str, Any] = {}
+        for name, number in self._processes.items():
+            before, after = self._before[name], usage_of(number)
+            if before is not None and after is not None:
+                spent = after.processor_seconds - before.processor_seconds
+                told[name] = {
+                    "processor_percent": round(100 * spent / elapsed, 2),
+                    "processor_seconds": round(spent, 2),
+                    "resident_megabytes": round(after.resident_bytes / 1e6, 1),
+                }
+        return told
+
+
+def summed(processes: Mapping[str, Any]) -> dict[str, Any]:
+    """By kind of process (the name up to its number)."""
+    kinds: dict[str, list[Any]] = {}
+    for name, told in processes.items():
+        kinds.setdefault(name.rpartition("-")[0], []).append(told)
+    return {
+        kind: {
+            "processes": len(each),
+            "processor_percent_mean": round(sum(one["processor_percent"] for one in each) / len(each), 2),
+            "processor_percent_most": max(one["processor_percent"] for one in each),
+            "processor_seconds": round(sum(one["processor_seconds"] for one in each), 2),
+            "resident_megabytes_mean": round(sum(one["resident_megabytes"] for one in each) / len(each), 1),
+            "resident_megabytes_most": max(one["resident_megabytes"] for one in each),
+        }
+        for kind, each in sorted(kinds.items())
+    }
--- a/bench/load/report.py
+++ b/bench/load/report.py
@@ -85,6 +85,11 @@
             f"pool       {pool}: {told['runs']} runs, hit rate {told['hit_rate']}, "
             f"load max/median {told['imbalance']}, run twice: {len(told['run_twice'])}"
         )
+    for kind, told in result.get("kinds", {}).items():
+        lines.append(
+            f"processes  {told['processes']} {kind}: {told['processor_percent_mean']} % of a processor on average, "
+            f"{told['processor_percent_most']} % at most, {told['resident_megabytes_mean']} MB"
+        )
     lines.append(f"added ms   {_counts(added(result))}")
     lines.append(f"{'milliseconds':<26}{'count':>9}{'p50':>10}{'p95':>10}{'p99':>10}{'p99.9':>10}{'max':>10}")
     for name, row in result["timings_milliseconds"].items():
--- a/bench/load/run.py
+++ b/bench/load/run.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import random
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 from pathlib import Path
 from typing import Any
 
@@ -16,6 +16,7 @@
 from wingwood.context.real import RealClock
 
 from .measure import Measurements
+from .processes import ProcessWatch, summed
 from .report import result_of
 from .target import RouterAddresses, Target
 from .traffic import Callers, LoadOptions
@@ -48,8 +49,12 @@
     options: LoadOptions,
     quiet: bool = False,
     begun: Callable[[Callers], None] | None = None,
+    processes: Mapping[str, int] | None = None,
 ) -> tuple[dict[str, Any], Callers]:
-    """The result and the callers with their records. ``begun`` gets the callers as they begin."""
+    """The result and the callers with their records. ``begun`` gets the callers as they begin.
+
+    ``processes``: ids by name of those whose processor time and memory are to be told.
+    """
     clock = RealClock()
     http = JsonClient()
     curl = CurlHttpClient()
@@ -61,18 +66,20 @@
     beside = [asyncio.create_task(watch.sample()), asyncio.create_task(platform.watch())]
     if not quiet:
         beside.append(asyncio.create_task(_progress(callers, options)))
+    use = ProcessWatch(processes or {})
     if begun is not None:
         begun(callers)
     try:
         await callers.run()
         elapsed = callers.elapsed()
+        used = use.report(elapsed)
     finally:
         for task in beside:
             task.cancel()
     pools = await watch.report()
     curl.close()
     http.close()
-    return result_of(callers, options, pools, elapsed), callers
+    return {**result_of(callers, options, pools, elapsed), "processes": used, "kinds": summed(used)}, callers
 
 
 async def _progress(callers: Callers, options: LoadOptions) -> None:
--- a/bench/load/tests/test_load.py
+++ b/bench/load/tests/test_load.py
@@ -3,7 +3,9 @@
 from __future__ import annotations
 
 import json
+import os
 import tempfile
+import time
 import unittest
 from pathlib import Path
 
@@ -18,6 +20,7 @@
 from wingwood.context.protocols import Context
 
 from ..measure import Measurements, Timing, how_it_ended
+from ..processes import ProcessWatch, summed
 from ..report import added, compared, draw, result_of, table
 from ..target import RouterAddresses, Target, WorkerAddress
 from ..traffic import Callers, LoadOptions
@@ -116,6 +119,17 @@
             draw(again, Path(folder) / "picture.png")
             self.assertTrue((Path(folder) / "picture.png").read_bytes().startswith(b"\x89PNG"))
 
+    def test_processor_time_and_memory_are_those_of_the_process(self) -> None:
+        watch = ProcessWatch({"own-1": os.getpid(), "own-2": os.getpid(), "none-1": 2**22 + 1})
+        spent = time.process_time()
+        while time.process_time() - spent < 0.05:
+            pass
+        told = watch.report(1.0)
+        self.assertEqual(sorted(told), ["own-1", "own-2"])
+        self.assertGreaterEqual(told["own-1"]["processor_seconds"], 0.03)
+        self.assertGreater(told["own-1"]["resident_megabytes"], 5)
+        self.assertEqual(summed(told)["own"]["processes"], 2)
+
     def test_histograms_survive_the_result_file(self) -> None:
         timing = Timing()
         timing.add_all(number / 1000 for number in range(1, 1001))
--- a/fleet/launcher.py
+++ b/fleet/launcher.py
@@ -296,6 +296,11 @@
 
     # Looking
 
+    def process_ids(self) -> dict[str, int]:
+        """Of the children that run now."""
+        ids = {name: child.process_id for name, child in self.children.items() if child.running()}
+        return {name: number for name, number in ids.items() if number is not None}
+
     def routers(self) -> list[DaemonPlan]:
         return [daemon for daemon in self.daemons.values() if daemon.role == "router"]
 
