Forecast of the first token: queue time is not turn length; forecasts are corrected

What: queue time is taken off; the ratio of waits to forecasts corrects the next one; an award gives way only where its winner would outlast 0.8 of the callers' patience, as admission would refuse there what other workers can run.

--- a/bench/placement_bench.py
+++ b/bench/placement_bench.py
@@ -44,6 +44,7 @@
     WorkerInstance,
     Zone,
 )
+from wingwood.limits.admission import PatienceAdmission
 from wingwood.placement.award_placement import AwardPlacement, AwardSettings
 from wingwood.placement.plain_policies import LeastLoaded, RoundRobin, StickyByHash
 from wingwood.placement.protocols import Choice, Placement, Turn
@@ -82,6 +83,8 @@
     """Factor on the number of turns of a session."""
     late_workers: int = 0
     """How many of the workers join only half-way."""
+    admission: bool = True
+    """Whether turns whose predicted first token is beyond the callers' patience are refused, as routers do."""
     wire_delay: float = 0.001
     settings: AwardSettings = AwardSettings()
 
@@ -284,7 +287,7 @@
     prompt: int
     cached: int
     weight: float
-    unhinted: bool
+    predicted: float
     first_turn: bool
 
 
@@ -477,13 +480,17 @@
             self.refused += 1
             return False
         choice = chosen.unwrap()
+        if shape_refuses(self.shape, choice):
+            self.refused += 1
+            placement.finished(turn, choice, "cancelled", 0, None)
+            return False
         worker = next(worker for worker in self.workers if worker.instance == choice.worker.instance)
         waited = self.loop.now - asked_at
         cached, first = await worker.run(parts, generated)
         placement.finished(turn, choice, "whole", generated, Seconds(first))
         if asked_at > self.shape.warm_up:
-            unhinted = choice.how not in {"award", "policy"}
-            self.figures.append(TurnFigures(first + waited, prompt, cached, weight, unhinted, first_turn))
+            predicted = choice.first_token
+            self.figures.append(TurnFigures(first + waited, prompt, cached, weight, predicted, first_turn))
         return True
 
     def _report(self) -> dict[str, float]:
@@ -497,6 +504,8 @@
             "hit_later": _hit(later),
             "p50": _quantile(firsts, 0.5),
             "p95": _quantile(firsts, 0.95),
+            "late": sum(first > SERVICE.first_byte_patience for first in firsts) / max(1, len(firsts)),
+            "off": statistics.fmean(abs(figure.predicted - figure.first_token) for figure in figures),
             "p95_paid": _quantile(sorted(figure.first_token for figure in figures if figure.weight > 1), 0.95),
             "p95_free": _quantile(sorted(figure.first_token for figure in figures if figure.weight == 1), 0.95),
             "hit_paid": _hit([figure for figure in figures if figure.weight > 1]),
@@ -514,6 +523,10 @@
         return report
 
 
+def shape_refuses(shape: Shape, choice: Choice) -> bool:
+    return shape.admission and PatienceAdmission().refuse(SERVICE, choice.first_token) is not None
+
+
 def _geometric(random: Random, mean: float) -> int:
     count = 0
     while random.random() > 1 / mean:
--- a/wingwood/placement/award_placement.py
+++ b/wingwood/placement/award_placement.py
@@ -35,6 +35,8 @@
     """Weight of the mean wait foreseen for a turn to come, against the prefill spared."""
     crowd_cost: float = 0.1
     """The same for a turn that is here, beside the wait for a free slot, which counts in full."""
+    patience_share: float = 0.8
+    """Of the callers' patience: an award is passed over when its winner's first token would take longer."""
     pressure_most: float = 4.0
     """How much more fullness may count for the class that pays least."""
     move_gain: Seconds = Seconds(0.1)
@@ -118,8 +120,9 @@
             return self._agreed(key, ready), "hash"
         now = self._context.clock.monotonic()
         by_instance = {worker.instance: worker for worker in ready}
-        if entry is not None and entry.award_until > now and entry.winner in by_instance:
-            return by_instance[entry.winner], "award"
+        winner = None if entry is None or entry.award_until <= now else by_instance.get(entry.winner)
+        if winner is not None and self._in_time(turn, entry, winner):
+            return winner, "award"
         holder = None if entry is None else by_instance.get(entry.holder)
         if entry is not None and holder is not None and self._kept_tokens(turn, entry, holder) > 0:
             worker = self._bid(turn, entry, ready)
@@ -128,6 +131,12 @@
         kept = self._shared.kept(turn.service.pool, turn.prefix, worker.instance, self._kept_since(turn))
         return worker, "claim" if kept else "bid"
 
+    def _in_time(self, turn: Turn, entry: Entry | None, worker: Worker) -> bool:
+        """Whether the callers' patience outlasts the wait there; else admission would refuse what others can run."""
+        uncached = max(0, turn.prompt_tokens - self._kept_tokens(turn, entry, worker))
+        patience = turn.service.first_byte_patience * self._settings.patience_share
+        return self._workload.first_token(worker, uncached) <= patience
+
     def _place(
         self, turn: Turn, key: int | None, entry: Entry | Unreachable | None, worker: Worker, how: How
     ) -> Choice:
--- a/wingwood/placement/plain_policies.py
+++ b/wingwood/placement/plain_policies.py
@@ -22,7 +22,7 @@
         self._context = context
         self._registry = registry
         self._workload = Workload(registry, exchange, Seconds(20.0))
-        self._placed: dict[tuple[RequestId, WorkerInstance], Instant] = {}
+        self._placed: dict[tuple[RequestId, WorkerInstance], tuple[Instant, float]] = {}
 
     def _order(self, turn: Turn, ready: Sequence[Worker]) -> Sequence[Worker]:
         """The workers to try, best first."""
@@ -34,7 +34,8 @@
         for worker in self._order(turn, open_workers) if open_workers else ():
             if await self._registry.confirm(worker):
                 first_token = self._workload.first_token(worker, turn.prompt_tokens)
-                self._placed[(turn.request, worker.instance)] = self._context.clock.monotonic()
+                waited = self._workload.wait(worker)
+                self._placed[(turn.request, worker.instance)] = (self._context.clock.monotonic(), waited)
                 self._workload.begin(worker.instance)
                 return Success(
                     Choice(worker=worker, how="policy", first_token=first_token, uncached_tokens=turn.prompt_tokens)
@@ -51,13 +52,14 @@
         generated_tokens: int,
         first_token_after: Seconds | None,
     ) -> None:
-        since = self._placed.pop((turn.request, choice.worker.instance), None)
-        if since is None:
+        placed = self._placed.pop((turn.request, choice.worker.instance), None)
+        if placed is None:
             return
+        since, waited = placed
         self._workload.end(choice.worker.instance)
         if outcome == "whole":
             seconds = self._context.clock.monotonic() - since
-            self._workload.learn(choice.worker, choice.uncached_tokens, 0.0, first_token_after, seconds)
+            self._workload.learn(choice.worker, choice.uncached_tokens, waited, first_token_after, seconds)
 
 
 class RoundRobin(_PlainPlacement):
--- a/wingwood/placement/tests/test_award_placement.py
+++ b/wingwood/placement/tests/test_award_placement.py
@@ -178,6 +178,16 @@
             assert isinstance(after, Choice)
             self.assertEqual(after.worker.instance == first, stays)
 
+    def test_award_gives_way_where_its_winner_would_outlast_the_callers_patience(self) -> None:
+        fleet = self.fleet()
+        winner = fleet.take("r0", "s").worker.instance
+        for turns, how in ((10, "award"), (21, "bid")):
+            for _ in range(turns):
+                fleet.placements["r1"]._workload.begin(winner)
+            choice = fleet.choose("r1", turn_of("s", 2100))
+            assert isinstance(choice, Choice)
+            self.assertEqual((choice.how, choice.worker.instance == winner), (how, how == "award"))
+
     def test_prefix_that_the_model_counts_as_dropped_is_prefilled(self) -> None:
         fleet = self.fleet()
         fleet.take("r0", "s", 2000)
--- a/wingwood/placement/worker_estimates.py
+++ b/wingwood/placement/worker_estimates.py
@@ -27,7 +27,13 @@
     base: float = 0.05
     """From sending to the first token when nothing is to be prefilled."""
     turn: float = 2.0
-    """A whole turn."""
+    """A turn without its time in the queue."""
+    waits: float = 1.0
+    foreseen: float = 1.0
+    """Waits in the queue, and what was foreseen for them; their ratio corrects the next forecast."""
+
+    def correction(self) -> float:
+        return min(3.0, max(0.5, self.waits / self.foreseen))
 
 
 class _Expected(msgspec.Struct, frozen=True):
@@ -118,7 +124,8 @@
     def wait(self, worker: Worker) -> float:
         """Seconds until a slot is free, from what is there now."""
         over = self.load(worker) - worker.slots + 1
-        return max(0.0, over) * self.figures(worker).turn / worker.slots
+        figures = self.figures(worker)
+        return max(0.0, over) * figures.turn / worker.slots * figures.correction()
 
     def mean_wait(self, worker: Worker, load: float) -> float:
         """Seconds that turns wait on average at a worker whose mean load is ``load``.
@@ -147,8 +154,15 @@
             self._figures.setdefault(worker.instance, msgspec.structs.replace(self.figures(worker))),
             self._of_pool.setdefault(worker.pool, WorkerFigures()),
         ):
-            figures.turn += FOLD * (turn - figures.turn)
-            if first_token is None or waited > 0.0:
+            in_queue = 0.0
+            if first_token is not None:
+                in_queue = max(0.0, first_token - figures.base - uncached * figures.per_token)
+            figures.turn += FOLD * (max(0.0, turn - in_queue) - figures.turn)
+            if first_token is None:
+                continue
+            if waited > 0.0:
+                figures.waits += FOLD * (in_queue - figures.waits)
+                figures.foreseen += FOLD * (waited / figures.correction() - figures.foreseen)
                 continue
             if uncached < 64:
                 figures.base += FOLD * (first_token - figures.base)
