--- a/wingwood/limits/tests/test_shares.py
+++ b/wingwood/limits/tests/test_shares.py
@@ -162,10 +162,10 @@
             fleet.mark_lost(keeper)
             world.kill(keeper)
 
-        self.assertLess(self.run_fleet(even(200), 20, kill).worst_window(6.0, SECONDS, 1.0), 1.25)
+        self.assertLess(self.run_fleet(even(200), 20, kill).worst_window(4.0, SECONDS, 1.0), 1.25)
         with mock.patch.object(FleetShares, "_use_of", _nothing_used):
             fleet = self.run_fleet(even(200), 20, kill)
-        self.assertGreater(fleet.worst_window(6.0, SECONDS, 1.0), 1.25)
+        self.assertGreater(fleet.worst_window(4.0, SECONDS, 1.0), 1.25)
 
     def test_calls_wait_for_a_silent_keeper_at_most_a_twentieth_of_a_second(self) -> None:
         def freeze(world: World, fleet: ShareFleet, keeper: str) -> None:
