--- a/wingwood/journal/journal.py
+++ b/wingwood/journal/journal.py
@@ -133,10 +133,10 @@
         """Why it takes no appends now; None when it does."""
         return self._sick
 
-    async def create(self, payloads: Sequence[bytes]) -> Result[None, JournalFault]:
+    async def create(self, payloads: Sequence[bytes], patience: Seconds | None = None) -> Result[None, JournalFault]:
         """Makes the file, or takes the place of the one there, with these payloads."""
         async with self._turn:
-            return await self._replace(payloads)
+            return await self._replace(payloads, patience)
 
     async def open(self, patience: Seconds | None = None) -> Result[Sequence[bytes], JournalFault]:
         """Reads all payloads back; cuts a torn tail off. Ends a sickness when it succeeds."""
--- a/wingwood/journal/tests/test_journal.py
+++ b/wingwood/journal/tests/test_journal.py
@@ -3,14 +3,17 @@
 from __future__ import annotations
 
 import asyncio
+import functools
 import random
 import unittest
-from collections.abc import Sequence
+from collections.abc import Awaitable, Callable, Sequence
 
 from returns.result import Failure, Success
 
+from simulation import World
+from simulation.world import SimulatedClock
+
 from ...context.protocols import Context, DiskFault
-from ...context.real import RealClock
 from ...identifiers import Seconds
 from .. import Journal, scan
 from .memory_disk import MemoryDisk, PowerLost
@@ -24,14 +27,28 @@
         self.events.append(name)
 
 
-def make_context(disk: MemoryDisk, seed: int = 0) -> Context:
-    return Context(RealClock(), None, disk, None, random.Random(seed), SilentLog(), None)  # type: ignore[arg-type]
+def make_context(world: World, disk: MemoryDisk, seed: int = 0) -> Context:
+    return Context(SimulatedClock(world), None, disk, None, random.Random(seed), SilentLog(), None)  # type: ignore[arg-type]
+
+
+def on_simulated_time(test: Callable[[JournalTests], Awaitable[None]]) -> Callable[[JournalTests], None]:
+    @functools.wraps(test)
+    def run(self: JournalTests) -> None:
+        async def whole() -> None:
+            await test(self)
+
+        self.world.complete(whole(), within=600.0)
+
+    return run
 
 
-class JournalTests(unittest.IsolatedAsyncioTestCase):
+class JournalTests(unittest.TestCase):
     def setUp(self) -> None:
+        self.world = World(1)
+        self.world.__enter__()
+        self.addCleanup(self.world.close)
         self.disk = MemoryDisk()
-        self.context = make_context(self.disk)
+        self.context = make_context(self.world, self.disk)
 
     def journal(self) -> Journal:
         return Journal(self.context, "control.journal", Seconds(0.01))
@@ -46,13 +63,16 @@
     async def read_back(self) -> Sequence[bytes]:
         return (await self.journal().open()).unwrap()
 
+    @on_simulated_time
     async def test_reads_back_what_was_appended(self) -> None:
         await self.created(b"one", b"", b"three" * 1000)
         self.assertEqual(await self.read_back(), [b"first", b"one", b"", b"three" * 1000])
 
+    @on_simulated_time
     async def test_missing_journal_is_said(self) -> None:
         self.assertEqual((await self.journal().open()).failure().kind, "missing")
 
+    @on_simulated_time
     async def test_every_cut_of_the_tail_loses_only_the_last_record(self) -> None:
         await self.created(b"one", b"two" * 5)
         whole = self.disk.files["control.journal"]
@@ -62,6 +82,7 @@
             self.assertEqual(await self.read_back(), [b"first", b"one"])
             self.assertEqual(len(self.disk.files["control.journal"]), begin)
 
+    @on_simulated_time
     async def test_every_flipped_byte_before_the_last_record_is_damage_at_its_frame(self) -> None:
         await self.created(b"one" * 3, b"two")
         whole = self.disk.files["control.journal"]
@@ -77,6 +98,7 @@
         self.disk.files["control.journal"] = b"X" + whole[1:]
         self.assertEqual((await self.journal().open()).failure().kind, "damaged")
 
+    @on_simulated_time
     async def test_a_payload_that_holds_a_journal_is_no_damage_when_torn(self) -> None:
         await self.created(b"one")
         inner = self.disk.files["control.journal"]
@@ -86,6 +108,7 @@
         self.disk.files["control.journal"] = self.disk.files["control.journal"][:-3]
         self.assertEqual(await self.read_back(), [b"first", b"one"])
 
+    @on_simulated_time
     async def test_a_failed_append_leaves_nothing_and_the_next_one_holds(self) -> None:
         journal = await self.created(b"one")
         for _ in range(20):
@@ -95,6 +118,7 @@
         self.assertEqual(await journal.append(b"two"), Success(None))
         self.assertEqual(await self.read_back(), [b"first", b"one", b"two"])
 
+    @on_simulated_time
     async def test_when_the_tail_cannot_be_cut_off_it_is_sick_until_opened(self) -> None:
         journal = await self.created(b"one")
         self.disk.fault, self.disk.faulty = DiskFault("failed"), ("append", "truncate")
@@ -105,6 +129,7 @@
         self.assertEqual(await journal.append(b"two"), Success(None))
         self.assertEqual((await self.read_back())[-1], b"two")
 
+    @on_simulated_time
     async def test_a_stalled_append_is_slow_then_sick_and_never_overlaps_another_call(self) -> None:
         journal = await self.created(b"one")
         self.disk.stall = asyncio.Event()
@@ -116,6 +141,7 @@
         self.assertEqual(await journal.append(b"two"), Success(None))
         self.assertEqual(self.disk.most_under_way, 1)
 
+    @on_simulated_time
     async def test_a_folder_emptied_or_changed_under_it_takes_no_append(self) -> None:
         journal = await self.created(b"one")
         self.assertEqual(await journal.check(), Success(None))
@@ -128,6 +154,7 @@
             self.assertEqual((await journal.append(b"two")).failure().kind, "sick")
             self.assertEqual(self.disk.files, left)
 
+    @on_simulated_time
     async def test_a_rewrite_waits_for_appends_and_a_full_disk_leaves_the_old_file(self) -> None:
         journal = await self.created(b"one")
         waiting = [asyncio.create_task(journal.append(bytes([number]))) for number in range(5)]
@@ -140,6 +167,7 @@
         self.assertEqual(await journal.append(b"two"), Success(None))
         self.assertEqual(await self.read_back(), [b"snapshot", b"after", b"two"])
 
+    @on_simulated_time
     async def test_lost_power_at_any_call_keeps_all_that_was_said_to_be_synced(self) -> None:
         for seed in range(300):
             await self.lose_power(seed)
@@ -147,7 +175,7 @@
     async def lose_power(self, seed: int) -> None:
         randomness = random.Random(seed)
         disk = MemoryDisk(seed)
-        context = make_context(disk, seed)
+        context = make_context(self.world, disk, seed)
         said: list[bytes] = []
         maybe: list[bytes] = []
         journal = Journal(context, "j", Seconds(1.0))
