--- a/simulation/observer.py
+++ b/simulation/observer.py
@@ -36,6 +36,8 @@
     share_below: float = 0.8
     back_after: float = 12.0
     back_share: float = 0.99
+    router_failures: float = 0.2
+    """Share of a service's calls that one router may fail after that."""
     retransmission: float = 25.0
     """How long after a cut its traffic may still come late."""
 
@@ -484,13 +486,33 @@
         if call.begun_at >= since and call.ended_at is not None and not _over_share(call)
     ]
     failed = [call for call in calls if not call.succeeded]
+    found = _routers_not_back(seen, since)
     if not calls or len(failed) <= (1.0 - seen.bounds.back_share) * len(calls):
-        return []
+        return found
     first = failed[0]
     ends = ", ".join(f"{each.router}: {each.end} {each.status or ''} {each.code}" for each in first.attempts)
     ends = ends or "no ready router"
     text = f"{len(failed)} of {len(calls)} calls failed after {since:.1f}; the first, {first.identifier}, by {ends}"
-    return [Violation(first.begun_at, "service-not-back", text)]
+    return [*found, Violation(first.begun_at, "service-not-back", text)]
+
+
+def _routers_not_back(seen: Seen, since: float) -> list[Violation]:
+    """Callers' second tries hide a router that the platform holds for ready and that serves a service no more."""
+    ends: dict[tuple[str, str], list[Attempt]] = defaultdict(list)
+    for attempt in seen.attempts:
+        if attempt.sent_at >= since and attempt.ended_at is not None and attempt.status not in (401, 403, 409, 429):
+            ends[attempt.router, attempt.service].append(attempt)
+    found = []
+    for (router, service), attempts in sorted(ends.items()):
+        failed = [attempt for attempt in attempts if not attempt.succeeded]
+        if len(failed) >= 2 and len(failed) > seen.bounds.router_failures * len(attempts):
+            first = failed[0]
+            text = (
+                f"{router} failed {len(failed)} of {len(attempts)} calls of {service} after {since:.1f}; "
+                f"the first, {first.mark}, by {first.end} {first.status or ''} {first.code}"
+            )
+            found.append(Violation(first.sent_at, "service-not-back", text))
+    return found
 
 
 def _over_share(call: Call) -> bool:
--- a/simulation/tests/test_observer.py
+++ b/simulation/tests/test_observer.py
@@ -239,6 +239,16 @@
         call.attempts[0].end = "gave-up"
 
 
+def one_router_not_back(history: History) -> None:
+    """Each call succeeds on a second try elsewhere, but this router serves nothing."""
+    history.faults = [Fault(kind="kill", targets=("router-1",), begun_at=10.0, ended_at=11.0)]
+    for call in history.calls[:3]:
+        call.attempts[0].router = "router-2"
+        call.attempts[0].status, call.attempts[0].code = 503, "workers-none-ready"
+        call.attempts.append(attempt(2, call.identifier))
+        history.runs.append(run_of(call.attempts[1].mark))
+
+
 def no_router_ready(history: History) -> None:
     history.faults = [Fault(kind="kill", targets=("router-1",), begun_at=10.0, ended_at=11.0)]
     for call in history.calls[:3]:
@@ -270,6 +280,7 @@
     ("paid-share-missed", below_share),
     ("service-not-back", not_back),
     ("service-not-back", no_router_ready),
+    ("service-not-back", one_router_not_back),
 ]
 
 
