--- a/wingwood/control/core.py
+++ b/wingwood/control/core.py
@@ -462,8 +462,12 @@
         self._not_before = Instant(self._now() + self._context.random.uniform(0.4, 0.7))
 
     async def _on_accept(self, _: Identity, message: ControlAccept) -> ControlAccepted:
+        if message.to != self._me:
+            # We are a new incarnation at a member's address; this tells us whom to ask for the seat.
+            self._note_view(message.view)
+            return ControlAccepted(self._me, False, self._store.promise.epoch)
         async with self._lock:
-            accepted = message.to == self._me and await self._accept(message.view)
+            accepted = await self._accept(message.view)
             return ControlAccepted(self._me, accepted, self._store.promise.epoch)
 
     async def _accept(self, view: View) -> bool:
@@ -487,19 +491,14 @@
         return True
 
     async def _on_heartbeat(self, _: Identity, message: ControlHeartbeat) -> ControlHeartbeatAnswer:
-        store, view = self._store, message.view
+        store, view = self._store, self._store.view
         if message.to != self._me:
-            # We are a new incarnation at a member's address; this tells us whom to ask for the seat.
-            self._note_view(view)
             return ControlHeartbeatAnswer(self._me, False, store.promise.epoch, False)
-        accepted = store.view == view and store.promise.epoch == view.epoch
-        if accepted or store.promise.candidate == view.primary:
+        accepted = view is not None and view.epoch == store.promise.epoch == message.epoch
+        if accepted or store.promise.candidate == message.primary:
             self._heard = self._now()
-        if not accepted and self._sick is None:
-            async with self._lock:
-                accepted = await self._accept(view)
         if accepted:
-            self._take_commit(view.epoch, message.committed)
+            self._take_commit(message.epoch, message.committed)
         return ControlHeartbeatAnswer(self._me, accepted, store.promise.epoch, self._sick is None)
 
     def _take_commit(self, epoch: Epoch, committed: int) -> None:
@@ -945,10 +944,17 @@
         self._context.tasks.spawn(f"heartbeat {seat.name}", self._beat(lead, seat, lead.view, now))
 
     async def _beat(self, lead: _Lead, seat: Seat, view: View, begun: Instant) -> None:
-        message = ControlHeartbeat(seat.incarnation, view, self._replica.committed if lead.settled else 0)
-        answer = await self._ask(seat, message, ControlHeartbeatAnswer)
+        committed = self._replica.committed if lead.settled else 0
+        message = ControlHeartbeat(seat.incarnation, self._me, view.epoch, committed)
+        outcome = await self._messenger.call(seat.address, message, ControlHeartbeatAnswer, self._limits.call)
         lead.calls.discard(seat.incarnation)
-        if answer is None or self._lead is not lead:
+        if not isinstance(outcome, Success) or self._lead is not lead:
+            return
+        answer = outcome.unwrap()
+        if not answer.accepted and answer.promised <= view.epoch and lead.view is view and not lead.changing:
+            # It missed the view, or it is another incarnation and learns from it whom to ask for a seat.
+            await self._ask(seat, ControlAccept(seat.incarnation, view), ControlAccepted)
+        if answer.by != seat.incarnation or self._lead is not lead:
             return
         self._highest_epoch = max(self._highest_epoch, answer.promised)
         if answer.accepted and not self.leads():
--- a/wingwood/control/messages.py
+++ b/wingwood/control/messages.py
@@ -135,17 +135,19 @@
     promised: Epoch
 
 
-class ControlHeartbeat(msgspec.Struct, frozen=True):
-    """From the primary of ``view``; an acceptance asked for again, for who missed it."""
+class ControlHeartbeat(msgspec.Struct, frozen=True, array_like=True):
+    """From the primary of that epoch's view; who hasn't accepted the view says so and is sent it."""
 
     to: Incarnation
-    view: View
+    primary: Incarnation
+    epoch: Epoch
     committed: int
 
 
-class ControlHeartbeatAnswer(msgspec.Struct, frozen=True):
+class ControlHeartbeatAnswer(msgspec.Struct, frozen=True, array_like=True):
     by: Incarnation
     accepted: bool
+    """It has accepted the view of that epoch and promised nothing higher."""
     promised: Epoch
     healthy: bool
     """Its journal takes writes."""
