Session keepers on a ring; old expectations end by time, not with the next award

A slot's keeper also counted as long-standing when it had only been stand-in elsewhere. Expected sessions are dropped by the clock.

--- a/wingwood/placement/award_placement.py
+++ b/wingwood/placement/award_placement.py
@@ -21,6 +21,7 @@
 from .worker_estimates import Workload
 
 How = Literal["award", "claim", "bid", "hash", "policy"]
+PREFIX_ORDERS_MOST = 2_000
 Outcome = Literal["whole", "refused", "broken", "cancelled"]
 
 
@@ -71,12 +72,12 @@
         self._registry = registry
         self._map = session_map
         self._settings = settings or AwardSettings()
-        self._workload = Workload(registry, exchange, self._settings.expect_for)
+        self._workload = Workload(registry, exchange, context.clock, self._settings.expect_for)
         self._shared = SharedPrefixes()
         self._evictions = EvictionModel()
         self._top_weight: dict[PoolName, float] = {}
         self._placed: dict[tuple[RequestId, WorkerInstance], _Placed] = {}
-        self._prefix_ranks: dict[tuple[str, ...], tuple[Sequence[Worker], list[WorkerInstance]]] = {}
+        self._prefix_orders: dict[tuple[str, ...], list[WorkerInstance]] = {}
         self.counts: Counter[str] = Counter()
         """Choices by how, awards recorded, moves, and lookups that reached no keeper; for metrics."""
         registry.on_change(self._worker_changed)
@@ -86,7 +87,7 @@
         routers = max(2, len(self._membership.routers()))
         capacity = sum(worker.cache_tokens for worker in self._registry.ready(entry.pool))
         if self._map.keeps(key):
-            self._workload.expect(key, entry.winner or entry.holder, entry.touched_at, self._context.clock.monotonic())
+            self._workload.expect(key, entry.winner or entry.holder, entry.touched_at)
         if capacity:
             self._evictions.touched(entry.pool, key, entry.own_tokens, entry.touched_at, capacity * 2 / routers)
 
@@ -287,13 +288,13 @@
     def _prefix_order(self, turn: Turn, ready: Sequence[Worker]) -> list[Worker]:
         name = (turn.service.pool, *turn.prefix[:-1])
         by_instance = {worker.instance: worker for worker in ready}
-        cached = self._prefix_ranks.get(name)
-        if cached is None or set(cached[1]) != by_instance.keys():
+        order = self._prefix_orders.get(name)
+        if order is None or set(order) != by_instance.keys():
             order = ranked("\n".join(name), sorted(by_instance), str)
-            if len(self._prefix_ranks) > 2_000:
-                self._prefix_ranks.clear()
-            cached = self._prefix_ranks[name] = (ready, order)
-        return [by_instance[instance] for instance in cached[1]]
+            if len(self._prefix_orders) > PREFIX_ORDERS_MOST:
+                self._prefix_orders.clear()
+            self._prefix_orders[name] = order
+        return [by_instance[instance] for instance in order]
 
     def _agreed(self, key: int, ready: Sequence[Worker]) -> Worker:
         """What every router picks without asking: rendezvous over the ready workers that are not full."""
--- a/wingwood/placement/messages.py
+++ b/wingwood/placement/messages.py
@@ -43,5 +43,5 @@
 
 class SessionFound(msgspec.Struct, frozen=True, array_like=True):
     note: SessionNote | None
-    keeping_for: Seconds
-    """How long the answerer has been keeping this part of the map; a newcomer's None says little."""
+    newcomer: bool
+    """The answerer became a keeper of the key only a moment ago; its None says little."""
--- a/wingwood/placement/plain_policies.py
+++ b/wingwood/placement/plain_policies.py
@@ -21,7 +21,7 @@
     def __init__(self, context: Context, registry: Registry, exchange: EngagementExchange) -> None:
         self._context = context
         self._registry = registry
-        self._workload = Workload(registry, exchange, Seconds(20.0))
+        self._workload = Workload(registry, exchange, context.clock, Seconds(20.0))
         self._placed: dict[tuple[RequestId, WorkerInstance], tuple[Instant, float]] = {}
 
     def _order(self, turn: Turn, ready: Sequence[Worker]) -> Sequence[Worker]:
--- a/wingwood/placement/session_map.py
+++ b/wingwood/placement/session_map.py
@@ -4,8 +4,10 @@
 
 import hashlib
 import sys
+from array import array
+from bisect import bisect_left
 from collections import OrderedDict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterator, Sequence
 from typing import Protocol
 
 import msgspec
@@ -14,12 +16,12 @@
 from ..context.protocols import Context
 from ..identifiers import Address, Incarnation, Instant, PoolName, Seconds, SessionId, WorkerInstance
 from ..membership.protocols import Membership
-from ..membership.rendezvous import ranked
 from ..transport.frames import Identity
 from ..transport.messenger import Messenger
 from .messages import KeepNotes, LookUpSession, SessionFound, SessionNote
 
-SLOTS = 1024
+POINTS_EACH = 64
+"""A router's points on the ring; its share of the sessions varies by about an eighth."""
 LOOK_UP_TIMEOUT = Seconds(0.03)
 PASSED_OVER_FOR = Seconds(1.0)
 """How long a keeper that let a question time out is passed over."""
@@ -103,8 +105,41 @@
         return True
 
 
+class KeeperRing:
+    """Who keeps which keys: the next two different routers on a ring of 64 bits.
+
+    A router that comes or goes changes only the keys beside its own points; the stand-in of one that
+    went has its place. Finding a pair costs a binary search, also with a thousand routers.
+    """
+
+    def __init__(self, routers: Sequence[Identity]) -> None:
+        self.routers = tuple(routers)
+        marks = sorted((point, index) for index, router in enumerate(routers) for point in _points(router.name))
+        self._points = array("Q", (point for point, _ in marks))
+        self._owners = array("L", (index for _, index in marks))
+
+    def pair(self, key: int) -> tuple[Identity, ...]:
+        count = len(self._points)
+        if not count:
+            return ()
+        at = bisect_left(self._points, key) % count
+        first = self._owners[at]
+        for step in range(1, count):
+            other = self._owners[(at + step) % count]
+            if other != first:
+                return self.routers[first], self.routers[other]
+        return (self.routers[first],)
+
+
+def _points(name: str) -> Iterator[int]:
+    for part in range(POINTS_EACH // 8):
+        digest = hashlib.blake2b(f"{name}\n{part}".encode()).digest()
+        for at in range(0, 64, 8):
+            yield int.from_bytes(digest[at : at + 8], "big")
+
+
 class KeeperMap:
-    """One keeper and one stand-in per slot of the key space, by rendezvous over the routers."""
+    """One keeper and one stand-in for each key, agreed on by the list of routers alone."""
 
     def __init__(self, context: Context, messenger: Messenger, membership: Membership) -> None:
         self._context = context
@@ -113,11 +148,10 @@
         self._kept = RecentEntries(ENTRIES_MOST, CLAIM_FOR)
         self._recent = RecentEntries(RECENT_MOST, RECENT_FOR)
         """What this router recorded itself, wherever it is kept."""
-        self._pairs: dict[int, tuple[Identity, ...]] = {}
-        self._routers: tuple[Identity, ...] = ()
-        self._keeping_since: dict[int, Instant] = {}
+        self._ring = KeeperRing(())
+        self._rings_before: list[tuple[Instant, KeeperRing]] = []
+        """Rings of the last while, with the instant at which each ended."""
         self._passed_over: dict[Incarnation, Instant] = {}
-        self._started = context.clock.monotonic()
         self._handing_over = False
         self._to_hand_over: OrderedDict[tuple[int, Address], None] = OrderedDict()
         self.on_keep: Callable[[int, Entry], None] = lambda key, entry: None
@@ -131,9 +165,9 @@
     async def find(self, key: int) -> Entry | Unreachable | None:
         now = self._context.clock.monotonic()
         answered = sure = False
-        for keeper in self._pair(key % SLOTS):
+        for keeper in self._pair(key):
             if keeper.incarnation == self._messenger.identity.incarnation:
-                entry, newcomer = self._kept.get(key), self._is_newcomer(key % SLOTS)
+                entry, newcomer = self._kept.get(key), self._is_newcomer(key)
             else:
                 if self._passed_over.get(keeper.incarnation, Instant(0.0)) > now:
                     continue
@@ -144,7 +178,7 @@
                     continue
                 found: SessionFound = reply.unwrap()
                 entry = None if found.note is None else self._entry(found.note)
-                newcomer = found.keeping_for < NEWCOMER_FOR
+                newcomer = found.newcomer
             if entry is not None:
                 own = self._recent.get(key)
                 return own if own is not None and own.touched_at > entry.touched_at else entry
@@ -159,14 +193,14 @@
 
     def record(self, key: int, entry: Entry) -> None:
         self._recent.put(key, entry)
-        for keeper in self._pair(key % SLOTS):
+        for keeper in self._pair(key):
             if keeper.incarnation == self._messenger.identity.incarnation:
                 self._keep(key, entry)
             else:
                 self._messenger.post(keeper.internal, KeepNotes((self._note(key, entry),)))
 
     def keeps(self, key: int) -> bool:
-        pair = self._pair(key % SLOTS)
+        pair = self._pair(key)
         return bool(pair) and pair[0].incarnation == self._messenger.identity.incarnation
 
     # --- keeping ------------------------------------------------------------------------------
@@ -183,13 +217,16 @@
 
     async def _look_up(self, peer: Identity, question: LookUpSession) -> SessionFound:
         entry = self._kept.get(question.key)
-        now = self._context.clock.monotonic()
-        keeping_for = Seconds(now - self._keeping_since.get(question.key % SLOTS, now))
-        return SessionFound(None if entry is None else self._note(question.key, entry), keeping_for)
+        note = None if entry is None else self._note(question.key, entry)
+        return SessionFound(note, self._is_newcomer(question.key))
 
-    def _is_newcomer(self, slot: int) -> bool:
+    def _is_newcomer(self, key: int) -> bool:
+        """Whether this router became a keeper of the key only a moment ago and may lack what was recorded before."""
         now = self._context.clock.monotonic()
-        return now - self._keeping_since.get(slot, now) < NEWCOMER_FOR
+        while self._rings_before and now - self._rings_before[0][0] > NEWCOMER_FOR:
+            del self._rings_before[0]
+        own = self._messenger.identity.incarnation
+        return any(all(router.incarnation != own for router in ring.pair(key)) for _, ring in self._rings_before)
 
     def _note(self, key: int, entry: Entry) -> SessionNote:
         now = self._context.clock.monotonic()
@@ -220,42 +257,25 @@
 
     # --- members ------------------------------------------------------------------------------
 
-    def _pair(self, slot: int) -> tuple[Identity, ...]:
-        pair = self._pairs.get(slot)
-        if pair is None:
-            pair = self._pairs[slot] = self._ranked(slot, self._routers)
-        return pair
-
-    def _ranked(self, slot: int, routers: Iterable[Identity]) -> tuple[Identity, ...]:
-        return tuple(ranked(f"session/{slot}", routers, lambda router: router.name)[:2])
+    def _pair(self, key: int) -> tuple[Identity, ...]:
+        return self._ring.pair(key)
 
     def _members_changed(self) -> None:
         """Keepers pass on what newcomers should have; the recorder does so where both keepers are gone."""
         routers = tuple(self._membership.routers())
-        if routers == self._routers:
+        before = self._ring
+        if routers == before.routers:
             return
-        before, self._routers, self._pairs = self._routers, routers, {}
-        now = self._context.clock.monotonic()
-        first = not before
+        self._ring = KeeperRing(routers)
+        self._rings_before.append((self._context.clock.monotonic(), before))
         own = self._messenger.identity.incarnation
         members = {router.incarnation for router in routers}
-        pairs_before: dict[int, tuple[Identity, ...]] = {}
-        for slot in range(SLOTS):
-            if any(router.incarnation == own for router in self._pair(slot)):
-                self._keeping_since.setdefault(slot, now)
-            else:
-                self._keeping_since.pop(slot, None)
-        if first:
-            return
         for entries, everything in ((self._kept, True), (self._recent, False)):
             for key in reversed(entries.by_key):
-                slot = key % SLOTS
-                if slot not in pairs_before:
-                    pairs_before[slot] = self._ranked(slot, before)
-                old = {router.incarnation for router in pairs_before[slot]}
+                old = {router.incarnation for router in before.pair(key)}
                 if not everything and old & members:
                     continue
-                for router in self._pair(slot):
+                for router in self._ring.pair(key):
                     if router.incarnation not in old and router.incarnation != own:
                         self._to_hand_over[(key, router.internal)] = None
         if self._to_hand_over and not self._handing_over:
@@ -269,7 +289,7 @@
             for _ in range(min(HANDED_OVER_AT_ONCE, len(self._to_hand_over))):
                 (key, address), _ = self._to_hand_over.popitem(last=False)
                 entry = self._kept.get(key) or self._recent.get(key)
-                if entry is not None and any(router.internal == address for router in self._pair(key % SLOTS)):
+                if entry is not None and any(router.internal == address for router in self._pair(key)):
                     batches.setdefault(address, []).append(self._note(key, entry))
             for address, notes in sorted(batches.items()):
                 self._messenger.post(address, KeepNotes(tuple(notes)))
--- a/wingwood/placement/tests/test_award_placement.py
+++ b/wingwood/placement/tests/test_award_placement.py
@@ -94,7 +94,7 @@
     def keepers(self, prefix: str) -> list[str]:
         key = session_key(POOL, turn_of(prefix).session or "")  # type: ignore[arg-type]
         session_map = next(self.maps[name] for name in sorted(self.maps) if name in self.roster.identities)
-        return [str(identity.name) for identity in session_map._pair(key % 1024)]
+        return [str(identity.name) for identity in session_map._pair(key)]
 
     def expect_sessions(self, router: str, instance: WorkerInstance, count: int) -> None:
         """As if so many more sessions were awarded there; the next call moves them."""
@@ -103,7 +103,7 @@
         async def expect() -> bool:
             now = self.routers[router].context.clock.monotonic()
             for key in range(count):
-                workload.expect(-key - 1, instance, now, now)
+                workload.expect(-key - 1, instance, now)
             return True
 
         self.inside(router, expect)
--- a/wingwood/placement/tests/test_worker_estimates.py
+++ b/wingwood/placement/tests/test_worker_estimates.py
@@ -5,6 +5,7 @@
 
 import msgspec
 
+from wingwood.context.real import RealClock
 from wingwood.identifiers import Address, PoolName, Seconds, WorkerInstance, Zone
 from wingwood.placement.worker_estimates import Workload
 from wingwood.registry.protocols import Engagement, Worker, WorkerLoad
@@ -41,7 +42,7 @@
 class WorkloadTest(unittest.TestCase):
     def setUp(self) -> None:
         self.elsewhere = Elsewhere()
-        self.workload = Workload(self.elsewhere, self.elsewhere, Seconds(20.0))
+        self.workload = Workload(self.elsewhere, self.elsewhere, RealClock(), Seconds(20.0))
 
     def learn(self, times: int, uncached: int, waited: float, first_token: float, turn: float) -> None:
         for _ in range(times):
--- a/wingwood/placement/worker_estimates.py
+++ b/wingwood/placement/worker_estimates.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from ..context.protocols import Clock
 from ..identifiers import Instant, PoolName, Seconds, WorkerInstance
 from ..registry.protocols import Engagement, EngagementExchange, Registry, Worker
 
@@ -44,7 +45,8 @@
 class Workload:
     """Running turns, sessions whose next turn is awarded, and the figures learnt per worker."""
 
-    def __init__(self, registry: Registry, exchange: EngagementExchange, expect_for: Seconds) -> None:
+    def __init__(self, registry: Registry, exchange: EngagementExchange, clock: Clock, expect_for: Seconds) -> None:
+        self._clock = clock
         self._registry = registry
         self._exchange = exchange
         self._expect_for = expect_for
@@ -66,11 +68,15 @@
         if self._running[instance] <= 0:
             del self._running[instance]
 
-    def expect(self, key: int, instance: WorkerInstance, since: Instant, now: Instant) -> None:
+    def expect(self, key: int, instance: WorkerInstance, since: Instant) -> None:
         """The session's next turn is awarded there; counts for a while, or until its next award."""
         self._drop(key)
         self._expected[key] = _Expected(instance, since)
         self._expected_at[instance] += 1
+        self._drop_old()
+
+    def _drop_old(self) -> None:
+        now = self._clock.monotonic()
         while self._expected and now - next(iter(self._expected.values())).since > self._expect_for:
             self._drop(next(iter(self._expected)))
 
@@ -82,6 +88,7 @@
                 del self._expected_at[expected.instance]
 
     def own(self, instance: WorkerInstance) -> Engagement:
+        self._drop_old()
         return Engagement(float(self._running[instance]), float(self._expected_at[instance]))
 
     def _count(self, pool: PoolName) -> dict[WorkerInstance, Engagement]:
@@ -103,6 +110,7 @@
         What runs now is little help then. The sessions awarded to a worker are: a part of them is
         running at any time, and that part is the same for all workers of a pool.
         """
+        self._drop_old()
         expected = [
             self._expected_at[worker.instance] + self._exchange.elsewhere(worker.instance).expected for worker in ready
         ]
