`wingwood health` says when nobody has proven to lead

Cause: on trial, with two of three control daemons lost, the third one showed `ready yes`, `witness of epoch 2` and no note, and the fleet's state had to be guessed from the column `proven`. Changed: a proof older than 3 s is noted and makes the exit code 6. Test written first, failed.

--- a/wingwood/command_line/looking.py
+++ b/wingwood/command_line/looking.py
@@ -7,7 +7,7 @@
 from returns.result import Failure, Success
 from tornado.httpclient import HTTPResponse
 
-from ..identifiers import Address
+from ..identifiers import Address, Seconds
 from ..operator_api.reading import HealthReport
 from ..registry.protocols import Worker
 from ..transport.frames import Identity
@@ -53,6 +53,10 @@
     print_table(("name", "role", "zone", "internal", "operator", "incarnation"), rows)
 
 
+UNPROVEN = Seconds(3.0)
+"""Above what a take-over costs."""
+
+
 class Seen(msgspec.Struct, frozen=True, kw_only=True):
     """One daemon asked for its health."""
 
@@ -60,10 +64,15 @@
     health: HealthReport | None = None
     problem: str | None = None
 
+    def unproven(self) -> str | None:
+        """What is said of a daemon that has heard no proof of lead for too long (docs/DESIGN.md section 9.3)."""
+        age = None if self.health is None else self.health.bundle_proven_age
+        return None if age is None or age < UNPROVEN else f"nobody has proven to lead for {age:.1f} s"
+
     def well(self) -> bool:
         """Answers, is ready and, on the primary (only it can tell), control could bear another loss."""
         report = self.health
-        if report is None or not report.ready:
+        if report is None or not report.ready or self.unproven() is not None:
             return False
         control = report.control
         return control is None or control.own_role != "primary" or (control.accepts_orders and control.complete)
@@ -114,7 +123,9 @@
             orders = "takes orders" if control.accepts_orders else "takes no orders"
             state = f"{state}, {whole}, {orders}"
     age = report.bundle_proven_age
-    notes = "; ".join(dict.fromkeys([*report.reasons, *([control.detail] if control and control.detail else [])]))
+    notes = "; ".join(
+        dict.fromkeys(filter(None, [*report.reasons, control.detail if control else None, seen.unproven()]))
+    )
     return [
         report.name,
         report.role,
--- a/wingwood/command_line/tests/stand_in.py
+++ b/wingwood/command_line/tests/stand_in.py
@@ -58,6 +58,7 @@
         """Another operator's order, decided right before the next one."""
         self.cut_off: set[Address] = set()
         """Daemons that cannot ask control and hold nothing themselves."""
+        self.proven_age: Seconds | None = None
         self.complete = True
         self.routers = False
         """Whether members shows router-a and router-b, of one zone each; the daemons answer for them."""
@@ -182,6 +183,7 @@
             health=lambda: msgspec.structs.replace(
                 report,
                 version=BundleVersion(self.state.version),
+                bundle_proven_age=self.proven_age,
                 control=msgspec.structs.replace(view, complete=view.complete and self.complete),
             ),
         ).add_to(server)
--- a/wingwood/command_line/tests/test_command_line.py
+++ b/wingwood/command_line/tests/test_command_line.py
@@ -18,7 +18,7 @@
 
 from ...bundle.signing import public_hex
 from ...bundle.tests.samples import key_digest, order_between
-from ...identifiers import Address, BundleVersion, SliceName
+from ...identifiers import Address, BundleVersion, Seconds, SliceName
 from ..change import rebase
 from ..client import NoAnswer, OperatorClient
 from ..keys import read_key
@@ -293,6 +293,10 @@
         self.assertIn("w1", self.run_("workers", *fleet.to).output)
         self.assertEqual(self.json_("members", *fleet.to)[0]["name"], "control-1")
         self.assertIn("primary of epoch 3, complete, takes orders", self.run_("health", *fleet.to).output)
+        fleet.proven_age = Seconds(5.7)
+        self.assertIn("nobody has proven to lead for 5.7 s", self.run_("health", *fleet.to, code=6).output)
+        fleet.proven_age = Seconds(0.4)
+        self.run_("health", *fleet.to)
         fleet.complete = False
         self.assertIn("INCOMPLETE", self.run_("health", *fleet.to, code=6).output)
         away = self.json_("health", "--to", "127.0.0.1:22199", code=6)
