--- a/wingwood/control/tests/control_world.py
+++ b/wingwood/control/tests/control_world.py
@@ -104,6 +104,7 @@
         self.first_asked: dict[int, int] = {}
         """The newest acknowledged version when the order was sent for the first time."""
         self.acknowledged = 0
+        self.proofs = 0
         self.last_acknowledged = 0.0
 
     def answered(self, now: float, outcome: PutOutcome, newest_when_first_asked: int) -> None:
--- a/wingwood/control/tests/mutants.py
+++ b/wingwood/control/tests/mutants.py
@@ -99,6 +99,11 @@
         return True
 
 
+class ProvesWithoutAsking(ReplicatedCore):
+    async def _proof_round(self, lead: _Lead) -> bool:
+        return self._lead is lead
+
+
 def with_core(core_type: type[ReplicatedCore], limits: ControlLimits = WALK_LIMITS) -> MakeCore:
     def make(
         context: Context,
@@ -136,6 +141,7 @@
     "identity survives wipe": (identity_survives_wipe, ("lose_then_kill", "nothing")),
     "view before transfer": (with_core(ViewBeforeTransfer), ("second_loss", "hush", "nothing")),
     "any grantee may win": (with_core(AnyGranteeMayWin), ("cut_off", "cut", "freeze_primary", "heal_cuts")),
+    "proves without asking": (with_core(ProvesWithoutAsking), ("cut_off", "heal_cuts", "freeze_primary", "nothing")),
     "answers when cut off": (with_core(AnswersWhenCutOff), ("cut_off", "heal_cuts", "nothing")),
 }
 """The core, and the faults of the walks that catch it. (A backup that ignores its promise: see test_core.)"""
--- a/wingwood/control/tests/test_walks.py
+++ b/wingwood/control/tests/test_walks.py
@@ -14,14 +14,16 @@
 
 class WalkTests(unittest.TestCase):
     def test_nothing_acknowledged_is_lost_or_contradicted_and_service_comes_back(self) -> None:
-        acknowledged = losses = 0
+        acknowledged = losses = proofs = 0
         for seed in SEEDS:
             walk = Walk(seed)
             self.assertEqual(walk.run(STEPS), [], "\n".join([f"seed {seed}", *walk.steps]))
             acknowledged += walk.control.observer.acknowledged
             losses += walk.losses
+            proofs += walk.control.observer.proofs
         self.assertGreater(acknowledged, 1000)
         self.assertGreater(losses, 5)
+        self.assertGreater(proofs, 20)
 
     def test_walks_catch_each_broken_variant(self) -> None:
         for name, (make, faults) in MUTANTS.items():
--- a/wingwood/control/tests/walk.py
+++ b/wingwood/control/tests/walk.py
@@ -46,6 +46,9 @@
         self.operators = operators
         for number, name in enumerate(operators):
             self.control.operator(name, "abc"[number])
+        for process in self.world.processes.values():
+            process.clock_rate = self.random.uniform(0.95, 1.05)
+        for name in operators:
             self.control.keep_sending(name)
 
     def run(self, steps: int) -> list[str]:
@@ -56,6 +59,8 @@
                 self.world.run(self.random.choice((0.003, 0.05, 0.3, 0.8, 1.5, 3.0)) * self.random.random() * 2)
                 self.recover_due()
                 self.random.choice(self.faults())()
+                for name in self.names:
+                    self.ask_for_proof(name)
                 if self.control.observer.faults or self.world.broken_invariants:
                     break
             self.end()
@@ -63,6 +68,22 @@
         finally:
             self.control.close()
 
+    def ask_for_proof(self, name: str) -> None:
+        """Who proves that it leads must have all that was acknowledged before the question."""
+        if not self.control.alive(name):
+            return
+        core, register, observer = self.control.cores[name], self.control.registers[name], self.control.observer
+
+        async def ask() -> None:
+            newest = observer.newest
+            if await core.prove_lead():
+                observer.proofs += 1
+                if register.kept.version < newest:
+                    version = register.kept.version
+                    observer.faults.append(f"{self.world.now:.3f} {name} proves version {version}, {newest} is newer")
+
+        self.world.spawn(self.world.processes[name], ask(), "proof")
+
     # -- faults
 
     def faults(self) -> list[Callable[[], None]]:
