--- a/wingwood/bundle/rollouts.py
+++ b/wingwood/bundle/rollouts.py
@@ -18,6 +18,8 @@
 ALL = "all"
 MOST_STAGES = 10
 MOST_CHANGES = 100
+MOST_RUNNING_CHANGES = 500
+"""Of all running roll-outs together: they are checked with each change of the bundle."""
 LONGEST_WATCH = 86_400.0
 
 _PLAIN = re.compile(rf"({'|'.join(KINDS)})/{NAME_PATTERN}")
@@ -46,6 +48,10 @@
                 raise _problem(
                     rollout, "changes", change.slice, f"rollout/{other} is changing it; finish that or roll it back"
                 )
+    if len(holder) > MOST_RUNNING_CHANGES:
+        told = f"{len(holder)} slices"
+        mend = f"keep to {MOST_RUNNING_CHANGES} slices in running roll-outs; finish some or roll them back"
+        raise Broken(BundleProblem(code="large", slice="rollout", value=told, mend=mend))
     wanted = {name: data for rollout in running for name, data in wanted_slices(rollout).items()}
     for name in sorted({*wanted, *(name for name in bundle.variants if name.partition("@")[0] in holder)}):
         if bundle.slices.get(name) != wanted.get(name):
--- a/wingwood/bundle/tests/test_variants.py
+++ b/wingwood/bundle/tests/test_variants.py
@@ -172,6 +172,25 @@
         slices = {**under_way(rollout_of()), **under_way(rollout_of(name="other"))}
         self.assertIn("rollout/bigger is changing it", str(problem_of(slices)))
 
+    def test_running_roll_outs_are_bounded_together(self) -> None:
+        slices = sample_slices()
+        for number in range(6):
+            names = [f"c{number}-{index:02}" for index in range(100)]
+            before = {name: {"name": name, "weight": 1.0} for name in names}
+            changes = tuple(
+                RolloutChange(
+                    slice=SliceName(f"class/{name}"), before=before[name], after={**before[name], "weight": 2.0}
+                )
+                for name in names
+            )
+            rollout = rollout_of(name=f"r{number}", changes=changes)
+            more = {SliceName(f"rollout/r{number}"): canonical_json(rollout), **wanted_slices(rollout)}
+            if number == 5:
+                self.assertIn("keep to 500 slices", str(problem_of({**slices, **more})))
+            slices.update(more)
+            if number == 4:
+                read(slices)
+
     def test_its_own_fields(self) -> None:
         tenant = RolloutChange(slice=SliceName("tenant/tenant-1"), before={}, after={"keys": []})
         same = RolloutChange(slice=CHAT, before={}, after={})
