--- a/wingwood/command_line/looking.py
+++ b/wingwood/command_line/looking.py
@@ -67,7 +67,7 @@
     def unproven(self) -> str | None:
         """What is said of a daemon that has heard no proof of lead for too long (docs/DESIGN.md section 9.3)."""
         age = None if self.health is None else self.health.bundle_proven_age
-        return None if age is None or age < UNPROVEN else f"nobody has proven to lead for {age:.1f} s"
+        return None if age is None or age < UNPROVEN else f"no proof of lead heard for {age:.1f} s"
 
     def well(self) -> bool:
         """Answers, is ready and, on the primary (only it can tell), control could bear another loss."""
--- a/wingwood/command_line/tests/test_command_line.py
+++ b/wingwood/command_line/tests/test_command_line.py
@@ -294,7 +294,7 @@
         self.assertEqual(self.json_("members", *fleet.to)[0]["name"], "control-1")
         self.assertIn("primary of epoch 3, complete, takes orders", self.run_("health", *fleet.to).output)
         fleet.proven_age = Seconds(5.7)
-        self.assertIn("nobody has proven to lead for 5.7 s", self.run_("health", *fleet.to, code=6).output)
+        self.assertIn("no proof of lead heard for 5.7 s", self.run_("health", *fleet.to, code=6).output)
         fleet.proven_age = Seconds(0.4)
         self.run_("health", *fleet.to)
         fleet.complete = False
