--- a/wingwood/replay/player.py
+++ b/wingwood/replay/player.py
@@ -11,7 +11,7 @@
 from returns.result import Success
 
 from ..context.protocols import Clock, HttpClient, HttpExchange, HttpHead, HttpRequest
-from ..forward.caller_format import ANSWER, AUTHORIZATION, AWARD, IDEMPOTENCY_KEY, RouterAnswer
+from ..forward.caller_format import ANSWER, AUTHORIZATION, AWARD, IDEMPOTENCY_KEY
 from ..forward.recording import RecordedCall
 from ..forward.worker_format import CACHED_TOKENS, END_MARKER, EVENT_STREAM, PREFIX, PROMPT_TOKENS
 from ..identifiers import Address, Instant, Seconds
@@ -230,8 +230,14 @@
     return int(value) if value.isdigit() and len(value) < 12 else 0
 
 
+class _RefusalCode(msgspec.Struct, frozen=True):
+    """What counts here of a router-made answer, whose other fields may change."""
+
+    code: str
+
+
 def _code(body: bytes) -> str:
     try:
-        return msgspec.json.decode(body, type=RouterAnswer).code
+        return msgspec.json.decode(body, type=_RefusalCode).code
     except msgspec.MsgspecError:
         return "?"
