Bound what followers keep, renew subscriptions less often, batch notices

Cause: 256 kept deltas of up to 256 KiB each would break 64 MB a daemon; renewing subscriptions every second cost more wire than the heartbeats' content; control daemons told their slices of each single change of a batch. Change: 4 MiB for kept deltas and for encoded ones; subscription at once at a new home or a new life, renewal every 3 s; one notice per batch; a daemon without bundles names who has them and is believed. Lists in small pieces are tested.

--- a/wingwood/distribution/deltas.py
+++ b/wingwood/distribution/deltas.py
@@ -13,6 +13,8 @@
 from .messages import BundleChunk, FetchBundle
 
 ENCODED_KEPT = 8
+KEPT_BYTES = 4 * 1024 * 1024
+"""Most that a chain of deltas, and the encoded deltas for fetches, take in memory (each)."""
 
 
 def joined(first: BundleDelta, second: BundleDelta) -> BundleDelta:
@@ -29,22 +31,36 @@
     return BundleDelta(since=BundleVersion(0), manifest=bundle.manifest, changed=dict(bundle.slices), removed=())
 
 
+def weight(delta: BundleDelta) -> int:
+    """Bytes of its slices."""
+    return sum(map(len, delta.changed.values()))
+
+
 class DeltaChain:
     """The last deltas that came into force here, so that others slightly behind needn't fetch everything."""
 
     def __init__(self, kept: int) -> None:
-        self._deltas: deque[BundleDelta] = deque(maxlen=kept)
+        self._deltas: deque[BundleDelta] = deque()
+        self._kept = kept
+        self._bytes = 0
 
     def add(self, delta: BundleDelta, held: BundleVersion) -> None:
         """``delta`` took this daemon from ``held`` to its manifest's version."""
         if delta.since == 0 and held > 0:
-            self._deltas.clear()
+            self._clear()
             return
         if delta.since < held:
             delta = msgspec.structs.replace(delta, since=held)
         if self._deltas and self._deltas[-1].manifest.version != delta.since:
-            self._deltas.clear()
+            self._clear()
         self._deltas.append(delta)
+        self._bytes += weight(delta)
+        while self._deltas and (len(self._deltas) > self._kept or self._bytes > KEPT_BYTES):
+            self._bytes -= weight(self._deltas.popleft())
+
+    def _clear(self) -> None:
+        self._deltas.clear()
+        self._bytes = 0
 
     def since(self, version: BundleVersion) -> BundleDelta | None:
         """What takes a holder of ``version`` to the newest; None when the chain begins after it."""
@@ -77,7 +93,9 @@
             if delta is None or delta.manifest.version != key[1]:
                 return BundleChunk(False, newest, ask=ask)
             data = self._encoded[key] = msgspec.msgpack.encode(delta)
-            while len(self._encoded) > ENCODED_KEPT:
+            while len(self._encoded) > ENCODED_KEPT or (
+                len(self._encoded) > 1 and sum(map(len, self._encoded.values())) > KEPT_BYTES
+            ):
                 self._encoded.popitem(last=False)
         piece = data[asked.offset : asked.offset + self._chunk_bytes]
         return BundleChunk(True, key[1], len(data), asked.offset, piece)
--- a/wingwood/distribution/follower.py
+++ b/wingwood/distribution/follower.py
@@ -18,7 +18,7 @@
 from ..membership.messages import News
 from ..transport.frames import Identity
 from ..transport.messenger import Messenger
-from .deltas import ChunkServer, DeltaChain, decode_delta, joined, whole
+from .deltas import ChunkServer, DeltaChain, decode_delta, joined, weight, whole
 from .homes import BUNDLE_SERVICE, homes_of
 from .limits import DistributionLimits
 from .messages import BundleAnnounced, BundleChunk, BundlePosted, FetchBundle, Subscribe, Subscribed
@@ -236,13 +236,14 @@
     async def _fetch(self) -> bool:
         """From the first source that brings this daemon forward; True when it did."""
         told_by, self._told_by = self._told_by, None
-        for source in self._sources(told_by):
-            delta = await self._fetch_from(source, self.version())
+        sources = list(self._sources(told_by))
+        for source in sources:  # Grows by those who are named by others.
+            delta = await self._fetch_from(source, self.version(), sources)
             if delta is None or delta.manifest.version <= self.version():
                 continue
             if await self._put_in_force(delta):
                 return True
-            whole_delta = await self._fetch_from(source, BundleVersion(0))
+            whole_delta = await self._fetch_from(source, BundleVersion(0), sources)
             if whole_delta is not None and await self._put_in_force(whole_delta):
                 return True
         return False
@@ -259,7 +260,7 @@
         order = [*homes, *controls, *some] if self._bundle is None else [*first, *controls, *homes, *some]
         return [address for address in dict.fromkeys(order) if address != own.internal]
 
-    async def _fetch_from(self, source: Address, since: BundleVersion) -> BundleDelta | None:
+    async def _fetch_from(self, source: Address, since: BundleVersion, sources: list[Address]) -> BundleDelta | None:
         pieces: list[bytes] = []
         asked = FetchBundle(since)
         total = 0
@@ -268,6 +269,8 @@
             if not isinstance(outcome, Success):
                 return None
             chunk: BundleChunk = outcome.unwrap()
+            if not chunk.found and chunk.ask is not None and chunk.ask not in sources:
+                sources.append(chunk.ask)
             if not chunk.found or chunk.offset != asked.offset or chunk.total > self._limits.bundle_bytes:
                 return None
             if not chunk.data and chunk.offset < chunk.total:
@@ -288,14 +291,16 @@
     # -- as home: passing on
 
     async def _subscribe_forever(self) -> None:
-        """Renews the subscription at the zone's home; at once when another daemon becomes home."""
-        own = self._messenger.identity
+        """Renews the subscription at the zone's home; at once when another daemon (or life) becomes home."""
+        own, clock = self._messenger.identity, self._context.clock
         while True:
-            homes = self._homes()
-            if homes and homes[0].internal != own.internal:
-                await self._subscribe(homes[0].internal)
+            home = next(iter(self._homes()), own)
+            if home != own:
+                await self._subscribe(home.internal)
             renewal = self._limits.subscribe * (0.8 + 0.4 * self._context.random.random())
-            await self._context.clock.sleep(Seconds(renewal))
+            until = clock.monotonic() + renewal
+            while clock.monotonic() < until and next(iter(self._homes()), own) == home:
+                await clock.sleep(self._limits.look)
 
     async def _subscribe(self, home: Address) -> None:
         outcome = await self._messenger.call(home, Subscribe(self.version()), Subscribed, self._limits.fetch)
@@ -325,8 +330,7 @@
             elif subscriber.held < version:
                 if subscriber.held not in posts:
                     delta = self._chain.since(subscriber.held)
-                    size = 0 if delta is None else sum(map(len, delta.changed.values()))
-                    small = delta is not None and size <= self._limits.posted_bytes
+                    small = delta is not None and weight(delta) <= self._limits.posted_bytes
                     posts[subscriber.held] = (
                         BundlePosted(delta, self._membership.epoch())
                         if delta is not None and small
--- a/wingwood/distribution/limits.py
+++ b/wingwood/distribution/limits.py
@@ -12,9 +12,12 @@
     """How long a newer version is left to the home to bring."""
     fetch: Seconds = Seconds(0.4)
     """How long one daemon's answer to a fetch is waited for."""
-    subscribe: Seconds = Seconds(1.0)
-    subscription: Seconds = Seconds(3.0)
+    subscribe: Seconds = Seconds(3.0)
+    """How often a subscription is renewed at a home that stays the same."""
+    subscription: Seconds = Seconds(8.0)
     """A subscription that is not renewed ends."""
+    look: Seconds = Seconds(0.25)
+    """How often a router looks whether its home is another one."""
     pause: Seconds = Seconds(0.1)
     """Least time between two versions put in force, and between two posts to one home."""
     proof: Seconds = Seconds(0.4)
--- a/wingwood/distribution/publisher.py
+++ b/wingwood/distribution/publisher.py
@@ -12,7 +12,7 @@
 from ..membership.protocols import Membership
 from ..transport.frames import Identity
 from ..transport.messenger import Messenger
-from .deltas import ChunkServer
+from .deltas import ChunkServer, weight
 from .freshness import FreshnessProver
 from .homes import BUNDLE_SERVICE, homes_of, zones_of
 from .limits import DistributionLimits
@@ -110,8 +110,7 @@
             elif had < version:
                 if had not in posts:
                     delta = self._source.delta_since(had)
-                    size = 0 if delta is None else sum(map(len, delta.changed.values()))
-                    small = delta is not None and size <= self._limits.posted_bytes
+                    small = delta is not None and weight(delta) <= self._limits.posted_bytes
                     posts[had] = BundlePosted(delta, epoch) if delta is not None and small else announced
                 self._messenger.post(home.internal, posts[had])
             posted[home.internal] = (epoch, version)
--- a/wingwood/membership/keeper.py
+++ b/wingwood/membership/keeper.py
@@ -257,13 +257,15 @@
 
     # -- the union of all keepers' sessions
 
-    def _recount(self, incarnation: Incarnation) -> None:
-        """Works out anew whether that daemon is a member."""
-        identity = self._own.get(incarnation)
-        if identity is None:
-            found = (peer.held(incarnation) for peer in self._peers.values())
-            identity = next((entry for entry in found if entry is not None), None)
-        changed = self._union.drop(incarnation) if identity is None else self._union.put(identity)
+    def _recount(self, *incarnations: Incarnation) -> None:
+        """Works out anew whether those daemons are members."""
+        changed = False
+        for incarnation in incarnations:
+            identity = self._own.get(incarnation)
+            if identity is None:
+                found = (peer.held(incarnation) for peer in self._peers.values())
+                identity = next((entry for entry in found if entry is not None), None)
+            changed |= self._union.drop(incarnation) if identity is None else self._union.put(identity)
         if changed:
             for callback in self._callbacks:
                 callback()
@@ -304,7 +306,7 @@
             over = [incarnation for incarnation, (_, until) in peer.orphans.items() if now > until]
             for incarnation in over:
                 del peer.orphans[incarnation]
-                self._recount(incarnation)
+            self._recount(*over)
             if peer.heard is None or not len(peer.sessions):
                 continue
             silent = now - peer.heard
@@ -323,10 +325,10 @@
         )
 
     def _forget(self, peer: _Peer, incarnations: Sequence[Incarnation]) -> None:
-        for incarnation in incarnations:
-            if peer.sessions.drop(incarnation):
-                peer.life = ""
-                self._recount(incarnation)
+        gone = [incarnation for incarnation in incarnations if peer.sessions.drop(incarnation)]
+        if gone:
+            peer.life = ""
+            self._recount(*gone)
 
     # -- what keepers tell each other
 
@@ -491,8 +493,7 @@
         peer.life, peer.sequence = told.position.life, told.position.sequence
         if peer.sessions.digest != told.digest:
             peer.life = ""
-        for incarnation in changed:
-            self._recount(incarnation)
+        self._recount(*changed)
 
 
 def _silence(peer: _Peer) -> float:
--- a/wingwood/membership/tests/test_sessions.py
+++ b/wingwood/membership/tests/test_sessions.py
@@ -6,7 +6,8 @@
 
 from simulation import World
 
-from ...distribution.tests.small_fleet import SmallFleet
+from ...distribution.tests.small_fleet import ControlParts, SmallFleet
+from ..limits import SessionTimes
 
 
 class SessionsTest(unittest.TestCase):
@@ -154,6 +155,32 @@
                 world.run(5.0)
                 self.everybody_seen(fleet, 0.1)
 
+    def test_lists_told_in_small_pieces_grow_together(self) -> None:
+        """Three members at a time: a new router, a move to another keeper, and after all keepers' restart."""
+        with World(seed=12) as world:
+            fleet = self.in_pieces(world)
+            fleet.settle(8.0)
+            fleet.start_router("r12", "a")
+            world.run(0.1)
+            self.everybody_seen(fleet, 3.0)
+            world.kill("c1")
+            world.run(3.0)
+            world.kill("r02")
+            self.everybody_seen(fleet, 4.0, ("c1", "r02"))
+            for name in ("c1", "c2", "c3"):
+                world.restart(name)
+            self.everybody_seen(fleet, 6.0, ("r02",))
+
+    def in_pieces(self, world: World) -> SmallFleet:
+        class Control(ControlParts):
+            times = SessionTimes(told_at_once=3)
+
+        class Fleet(self.fleet):  # type: ignore[name-defined,misc]
+            control_parts = Control
+
+        fleet: SmallFleet = Fleet(world)
+        return fleet
+
     def test_flapping_link_of_a_router_does_not_make_others_flap(self) -> None:
         with World(seed=3) as world:
             fleet = self.fleet(world)
