--- a/bench/ledger_bench.py
+++ b/bench/ledger_bench.py
@@ -1,7 +1,8 @@
 """Claims through the real control core on loopback, and what an entry weighs.
 
 ``python -m bench.ledger_bench claims`` starts three control daemons as children (ended by their ids) and
-claims and settles through them from this process; ``entries`` fills a ledger in memory.
+claims and settles through them from this process; ``entries`` fills a ledger in memory; ``takeover`` loses
+control machines on simulated time.
 """
 
 from __future__ import annotations
@@ -39,6 +40,7 @@
 from wingwood.ledger.client import RouterLedger
 from wingwood.ledger.protocols import CallKey, Claimed
 from wingwood.ledger.state import ClaimKey, LedgerBatch, LedgerState, SettleKey, call_digest
+from wingwood.ledger.tests.test_core import CONTROLS, LedgerFleet
 from wingwood.transport.frames import Identity
 from wingwood.transport.messenger import TcpMessenger
 
@@ -223,6 +225,63 @@
         )
 
 
+@main.command()
+@click.option("--seeds", default=6, show_default=True)
+def takeover(seeds: int) -> None:
+    """On simulated time: 30 claims a second while a control machine is lost; refused ones and the longest wait."""
+    click.echo(f"{'lost':>10} {'claims':>7} {'refused':>8} {'longest granted':>16}")
+    for lost in ("primary killed", "primary frozen", "primary dark", "backup killed", "all restarted"):
+        claims = refused = 0
+        longest = 0.0
+        for seed in range(seeds):
+            answers = _lose(seed, lost)
+            claims += len(answers)
+            refused += sum(not granted for granted, _ in answers)
+            longest = max(longest, *(took for granted, took in answers if granted))
+        click.echo(f"{lost:>14} {claims:>7} {refused:>8} {longest:>14.2f} s")
+
+
+def _lose(seed: int, lost: str) -> list[tuple[bool, float]]:
+    """Claims begun within 5 s after the loss: whether granted, and after how long."""
+    fleet = LedgerFleet(seed, routers=2)
+    assert fleet.routers is not None
+    world, ledger = fleet.world, fleet.routers.ledgers["r0"]
+    context = world.context_for(world.processes["r0"])
+    answers: list[tuple[bool, float]] = []
+
+    async def one(number: int) -> None:
+        began = world.now
+        answer = await ledger.claim(call_key(number), Seconds(2.0))
+        answers.append((isinstance(answer, Claimed), world.now - began))
+        if isinstance(answer, Claimed):
+            ledger.settle_soon(call_key(number), answer.ticket, "ran")
+
+    async def load() -> None:
+        for number in range(150):
+            context.tasks.spawn("claim", one(number))
+            await context.clock.sleep(Seconds(1 / 30))
+
+    world.run(2.0)
+    primary = fleet.control.leader()
+    assert primary is not None
+    world.spawn(world.processes["r0"], load(), "load")
+    world.run(0.01)
+    if lost == "primary killed":
+        world.kill(primary)
+    elif lost == "primary frozen":
+        world.freeze(primary)
+    elif lost == "primary dark":
+        world.power_off(primary)
+    elif lost == "backup killed":
+        world.kill(fleet.control.has_role("backup"))
+    else:
+        for name in CONTROLS:
+            world.restart(name)
+    world.run(8.0)
+    fleet.control.close()
+    return answers
+
+
 def _fill(state: LedgerState, size: int, settled: bool) -> None:
     """One claim in each batch, and the settle of the call before it."""
     last: tuple[SettleKey, ...] = ()
