No daemon says "no bundle" or shows an old history for want of asking control

And in the roll-out's whole-fleet test a witness that had been backup showed a history without versions 4 to 6: its old state counted as sure. Change: a daemon without a bundle asks control, and answers 503 unreachable when it cannot; only the primary and a backup that has heard what is durable speak for the fleet. The old test asked for 404 from a cut-off daemon: replaced by 503, 404 from one that knows, and the newest from one that is behind.

--- a/wingwood/bundle/reading.py
+++ b/wingwood/bundle/reading.py
@@ -37,7 +37,7 @@
     view: BundleView | None
     """None when there is no bundle yet, or the version asked for is not kept."""
     sure: bool = True
-    """False: ``newest`` 0 only says that this daemon holds nothing; another may."""
+    """False: this daemon does not keep the bundles now; another does."""
 
 
 class AskHistory(msgspec.Struct, frozen=True):
@@ -70,19 +70,20 @@
 class LocalBundleReader:
     """On a control daemon. ``durable`` tells the newest version that this daemon knows to be durable.
 
-    Only one that ``leads`` may say that there is no bundle: a spare or a witness holds none either way.
+    ``keeps``: whether the bundles are its own to keep now. A spare holds none, and a witness that was backup
+    once holds old ones; neither may speak for the fleet, nor say that there is no bundle.
     """
 
     def __init__(
-        self, state: BundleState, durable: Callable[[], BundleVersion], leads: Callable[[], bool] = lambda: True
+        self, state: BundleState, durable: Callable[[], BundleVersion], keeps: Callable[[], bool] = lambda: True
     ) -> None:
         self._state = state
         self._durable = durable
-        self._leads = leads
+        self._keeps = keeps
 
     def is_sure(self) -> bool:
         """Whether what is read here stands for the fleet."""
-        return self._durable() > 0 or self._leads()
+        return self._keeps()
 
     def read_bundle(self, version: BundleVersion) -> BundleAnswer:
         newest = self._durable()
@@ -91,7 +92,7 @@
         slices = self._state.slices_at(wanted) if manifest is not None else None
         if manifest is None or slices is None:
             return BundleAnswer(newest, None, self.is_sure())
-        return BundleAnswer(newest, BundleView(manifest, slices))
+        return BundleAnswer(newest, BundleView(manifest, slices), self.is_sure())
 
     def read_history(self, most: int) -> HistoryAnswer:
         newest = self._durable()
@@ -139,7 +140,7 @@
                 case Success(answer) if answer.sure:
                     return Success(answer)
                 case Success():
-                    reasons.append(f"{address} holds none")
+                    reasons.append(f"{address} does not keep them")
                 case Failure(fault):
                     reasons.append(f"{address} {fault.kind}")
         return Failure(NotReadable("no control daemon answered: " + (", ".join(reasons) or "none is known")))
--- a/wingwood/bundle/tests/test_reading.py
+++ b/wingwood/bundle/tests/test_reading.py
@@ -56,17 +56,21 @@
         self.assertEqual(found[2], reader.read_history(10))
         self.assertIn("none is known", str(found[3]))
 
-    def test_a_spare_that_holds_nothing_does_not_say_that_there_is_no_bundle(self) -> None:
+    def test_only_a_daemon_that_keeps_the_bundles_speaks_for_the_fleet(self) -> None:
         state, slices = BundleState(OPERATOR_KEYS), sample_slices()
         submit(state, order_between(0, {}, slices))
+        older = BundleState(OPERATOR_KEYS)
+        submit(older, order_between(0, {}, slices))
+        submit(state, order_between(1, slices, slices))
         readers = {
             "spare": LocalBundleReader(BundleState(OPERATOR_KEYS), lambda: BundleVersion(0), lambda: False),
-            "c2": LocalBundleReader(state, lambda: BundleVersion(1), lambda: False),
+            "once backup": LocalBundleReader(older, lambda: BundleVersion(1), lambda: False),
+            "c2": LocalBundleReader(state, lambda: BundleVersion(2)),
         }
         found: list[object] = []
 
         with World(1) as world:
-            addresses = {name: address_of(world.machine(name), 7000) for name in ("spare", "c2", "r1")}
+            addresses = {name: address_of(world.machine(name), 7000) for name in ("spare", "once backup", "c2", "r1")}
 
             def messenger(context: Context, name: str) -> TcpMessenger:
                 identity = Identity(DaemonName(name), Incarnation("1"), "router", Zone("a"), addresses[name])
@@ -82,7 +86,7 @@
 
             async def router(context: Context) -> None:
                 link = messenger(context, "r1")
-                both = RemoteBundleReader(link, lambda: [addresses["spare"], addresses["c2"]])
+                both = RemoteBundleReader(link, lambda: [addresses[name] for name in readers])
                 found.append((await both.bundle(BundleVersion(0))).unwrap().newest)
                 found.append((await both.history(10)).unwrap().newest)
                 alone = RemoteBundleReader(link, lambda: [addresses["spare"]])
@@ -94,5 +98,5 @@
             world.start("r1", router)
             world.run(5.0)
             self.assertEqual(world.broken_invariants, [])
-        self.assertEqual(found[:2], [1, 1])
-        self.assertIn("holds none", str(found[2]))
+        self.assertEqual(found[:2], [2, 2])
+        self.assertIn("does not keep them", str(found[2]))
--- a/wingwood/daemons/control.py
+++ b/wingwood/daemons/control.py
@@ -91,7 +91,7 @@
         self.keeper.tell(self.publisher.news)
         self.registry = WorkerRegistry(context, self.messenger, self.keeper, settings)
         self.client = ControlClient(context, self.messenger, self.core.control_addresses)
-        self.local_reader = LocalBundleReader(self.state, lambda: self.source.version, self.core.leads)
+        self.local_reader = LocalBundleReader(self.state, lambda: self.source.version, self._keeps_bundles)
         self.local_reader.serve(self.messenger)
         self.remote_reader = RemoteBundleReader(self.messenger, self._primary)
         self.metrics = CollectorRegistry()
@@ -168,6 +168,10 @@
     async def history(self, most: int) -> Result[HistoryAnswer, NotReadable]:
         return await (self.local_reader if self.local_reader.is_sure() else self.remote_reader).history(most)
 
+    def _keeps_bundles(self) -> bool:
+        """The primary, or a backup that has heard what is durable."""
+        return self.core.leads() or (self.core.report().own_role == "backup" and self.source.version > 0)
+
     def _primary(self) -> Sequence[Address]:
         primary = self.core.primary_address()
         return () if primary is None else (primary,)
--- a/wingwood/operator_api/reading.py
+++ b/wingwood/operator_api/reading.py
@@ -103,18 +103,19 @@
         here = self._current()
         if here is not None and version == here.version:
             return _shown(view_of(here), newest=False)
-        if version or request.query.get("newest") == "1":
-            answer = await self._newest_or(version)
+        if version or here is None or request.query.get("newest") == "1":
+            answer = await self._newest_or(version, here is None)
             if answer is not None:
                 return answer
-        if here is None:
-            return error_reply(404, "no-bundle", "no bundle is in force here yet; push one")
+        assert here is not None, "without one here, control's answer or its silence has been given"
         return _shown(view_of(here), newest=False)
 
-    async def _newest_or(self, version: BundleVersion) -> OperatorReply | None:
-        """None: control can't be asked, and what is in force here will do."""
+    async def _newest_or(self, version: BundleVersion, must: bool) -> OperatorReply | None:
+        """None: control can't be asked, and what is in force here will do (not when it ``must``)."""
         if self._reader is None:
-            return error_reply(404, "not-kept", "older versions are asked of control daemons") if version else None
+            if version:
+                return error_reply(404, "not-kept", "older versions are asked of control daemons")
+            return _unreachable("no bundle is in force here, and control is not asked from here") if must else None
         match await self._reader.bundle(version):
             case Success(answer):
                 if answer.view is not None:
@@ -127,7 +128,7 @@
                     f"version {version} is not kept; the newest is {answer.newest}, see history_versions",
                 )
             case Failure(NotReadable(reason)):
-                return error_reply(503, "unreachable", reason, (("Retry-After", "1"),)) if version else None
+                return _unreachable(reason) if version or must else None
         raise AssertionError("a result is a success or a failure")
 
     async def history(self, request: OperatorRequest) -> OperatorReply:
@@ -141,7 +142,7 @@
             case Success(HistoryAnswer() as answer):
                 return OperatorReply(body=answer)
             case Failure(NotReadable(reason)):
-                return error_reply(503, "unreachable", reason, (("Retry-After", "1"),))
+                return _unreachable(reason)
         raise AssertionError("a result is a success or a failure")
 
     async def members(self, _request: OperatorRequest) -> OperatorReply:
@@ -168,6 +169,10 @@
         return OperatorReply(body=generate_latest(self._metrics), headers=(("Content-Type", METRICS_TYPE),))
 
 
+def _unreachable(reason: str) -> OperatorReply:
+    return error_reply(503, "unreachable", reason, (("Retry-After", "1"),))
+
+
 def _number(request: OperatorRequest, name: str, default: int) -> BundleVersion | None:
     text = request.query.get(name, str(default))
     return BundleVersion(int(text)) if text.isascii() and text.isdigit() and len(text) < 16 else None
--- a/wingwood/operator_api/tests/test_routes.py
+++ b/wingwood/operator_api/tests/test_routes.py
@@ -144,7 +144,15 @@
         self.assertEqual(routes.call("GET", "/control/v1/bundle", query={"version": "2"}).status, 503)
         self.assertEqual(routes.call("GET", "/control/v1/history").status, 503)
         self.current = None
-        self.assertEqual(routes.call("GET", "/control/v1/bundle").status, 404)
+        # Nobody could tell whether there is one, so it must not say that there is none.
+        reply = routes.call("GET", "/control/v1/bundle")
+        self.assertEqual((reply.status, msgspec.to_builtins(reply.body)["code"]), (503, "unreachable"))
+        self.assertEqual(routes.call("GET", "/control/v1/bundle", query={"newest": "1"}).status, 503)
+        empty = self.routes(LocalBundleReader(BundleState(OPERATOR_KEYS), lambda: BundleVersion(0)))
+        reply = empty.call("GET", "/control/v1/bundle")
+        self.assertEqual((reply.status, msgspec.to_builtins(reply.body)["code"]), (404, "no-bundle"))
+        behind = self.routes(LocalBundleReader(self.state, lambda: self.durable))
+        self.assertEqual(self.shown(behind).version, 2)
         self.assertEqual(self.routes(None).call("GET", "/control/v1/history").status, 404)
 
     def test_the_platform_reads_ready_and_metrics(self) -> None:
