--- a/simulation/fleet.py
+++ b/simulation/fleet.py
@@ -641,10 +641,10 @@
                 if version is not None:
                     self.history.final_versions[desk.name] = version
             for desk in self.desks():
-                if self.settings[desk.name].role == "control" and self.history.final_history is None:
+                if self.settings[desk.name].role == "control":
                     entries = await operator.read_history(desk)
                     if entries is not None:
-                        self.history.final_history = entries
+                        self.history.final_history[desk.name] = entries
 
         self.by_operator("operator-1", read())
         self.world.run(8.0)
--- a/simulation/history.py
+++ b/simulation/history.py
@@ -200,7 +200,8 @@
     faults: list[Fault] = []
     final_versions: dict[str, int] = {}
     """Read back from each daemon at the end."""
-    final_history: list[HistoryEntry] | None = None
+    final_history: dict[str, list[HistoryEntry]] = {}
+    """As each control daemon told it at the end."""
     newest_read: list[SeenNewest] = []
     first_shares: dict[str, PaidShare] = {}
     """Tenants' shares in the first bundle."""
--- a/simulation/observer.py
+++ b/simulation/observer.py
@@ -323,7 +323,7 @@
 
 def _resent_order_refused(seen: Seen) -> list[Violation]:
     found = []
-    listed = {entry.order: entry.version for entry in seen.history.final_history or ()}
+    listed = {entry.order: entry.version for entries in seen.history.final_history.values() for entry in entries}
     for order in seen.history.orders:
         definite = [answer for answer in order.answers if answer.outcome in ("accepted", "conflict", "invalid")]
         outcomes = {(answer.outcome, answer.version if answer.outcome == "accepted" else 0) for answer in definite}
@@ -352,12 +352,15 @@
         if version < newest:
             text = f"{daemon} shows version {version} at the end; {newest} was acknowledged"
             found.append(Violation(seen.end, "acknowledged-bundle-vanishes", text))
-    if seen.history.final_history is not None:
-        listed = {entry.version: entry.order for entry in seen.history.final_history}
+    for daemon, entries in seen.history.final_history.items():
+        listed = {entry.version: entry.order for entry in entries}
         oldest = min(listed, default=0)
         for version, order in acknowledged.items():
             if version >= oldest and listed.get(version) != order.order:
-                text = f"version {version} was acknowledged for {order.order}; the history says {listed.get(version)}"
+                text = (
+                    f"version {version} was acknowledged for {order.order}; "
+                    f"the history that {daemon} tells says {listed.get(version)}"
+                )
                 found.append(Violation(seen.end, "acknowledged-bundle-vanishes", text))
     return found
 
--- a/simulation/tests/test_observer.py
+++ b/simulation/tests/test_observer.py
@@ -128,7 +128,7 @@
     history.orders = [order("a", 0, (10.0, "accepted", 1)), order("b", 1, (20.0, "lost", 0), (21.0, "accepted", 2))]
     history.versions = polls((11.0, 1), (15.0, 1), (20.1, 2), (25.0, 2))
     history.final_versions = {"router-1": 2, "control-1": 2}
-    history.final_history = [HistoryEntry(2, "b"), HistoryEntry(1, "a")]
+    history.final_history = {"control-1": [HistoryEntry(2, "b"), HistoryEntry(1, "a")]}
     history.drains = [SeenDrain(worker="model-1", instance="model-1-a", begun_at=40.0, acknowledged_at=40.1)]
     history.first_shares = {"x": PaidShare(10.0)}
     return history
@@ -201,7 +201,7 @@
 
 
 def vanished_from_history(history: History) -> None:
-    history.final_history = [HistoryEntry(2, "z"), HistoryEntry(1, "a")]
+    history.final_history = {"control-1": [HistoryEntry(2, "z"), HistoryEntry(1, "a")]}
 
 
 def no_bundle_yet(history: History) -> None:
