--- a/wingwood/registry/tests/test_worker_registry.py
+++ b/wingwood/registry/tests/test_worker_registry.py
@@ -10,7 +10,7 @@
 from wingwood.registry.messages import TakeState
 from wingwood.registry.protocols import Engagement
 
-from .fleet import POOL, Fleet
+from .fleet import POOL, Fleet, Roster
 
 
 class WorkerRegistryTest(unittest.TestCase):
@@ -136,6 +136,59 @@
         self.assertGreater(self.fleet.feed_age(follower), 1.0)
         self.assertGreater(self.fleet.feed_age(home), 1.0)
 
+    def test_home_that_was_passed_over_while_frozen_does_not_trust_itself_when_it_wakes(self) -> None:
+        instance = self.announced()
+        self.world.run(0.5)
+        home = self.fleet.home("b")
+        identity, callbacks = self.fleet.roster.identities[home], self.fleet.roster.callbacks.pop(home)
+        self.world.freeze(home)
+        self.fleet.roster.remove(home)
+        self.world.run(2.0)
+        self.worker.state = "draining"
+        self.assertEqual(self.fleet.announce(self.worker, self.others_than(home)[0]).status, 200)
+        self.fleet.roster.put(identity)
+        self.fleet.roster.callbacks[home] = callbacks
+        self.world.wake(home)
+        self.assertFalse(self.fleet.confirmed(home, instance))
+
+    def test_new_home_does_not_vouch_before_the_other_zones_homes_have_answered(self) -> None:
+        self.announced()
+        home_a, home = self.fleet.home("a"), self.fleet.home("b")
+        follower = next(name for name in self.others_than(home) if self.fleet.routers[name].identity.zone == "b")
+        cut = self.world.cut(follower, home_a)
+        self.world.kill(home)
+        self.fleet.roster.remove(home)
+        self.world.run(3.0)
+        self.assertGreater(self.fleet.feed_age(follower), 1.0)
+        self.world.heal(cut)
+        self.world.run(2.0)
+        self.assertEqual(self.fleet.feed_age(follower), 0.0)
+
+    def test_router_that_was_its_own_home_while_cut_off_learns_what_was_renewed_meanwhile(self) -> None:
+        instance = self.announced()
+        home = self.fleet.home("b")
+        follower = next(name for name in self.others_than(home) if self.fleet.routers[name].identity.zone == "b")
+        edge = self.others_than(follower)[0]
+        router = self.fleet.routers[follower]
+        cuts = [self.world.cut(follower, name) for name in self.others_than(follower)]
+        alone = Roster()
+        alone.identities = {follower: router.identity}
+        alone.callbacks = {follower: self.fleet.roster.callbacks[follower]}
+        router.membership.roster = alone
+        alone.changed()
+        for _ in range(6):
+            self.fleet.announce(self.worker, edge)
+            self.world.run(0.9)
+        self.assertEqual(self.fleet.ready_at(follower), [])
+        router.membership.roster = self.fleet.roster
+        self.fleet.roster.changed()
+        for cut in cuts:
+            self.world.heal(cut)
+        for _ in range(3):
+            self.fleet.announce(self.worker, edge)
+            self.world.run(0.9)
+        self.assertEqual(self.fleet.ready_at(follower), [instance])
+
     def test_new_home_takes_over_what_others_keep(self) -> None:
         instance = self.announced()
         home = self.fleet.home("b")
--- a/wingwood/registry/worker_registry.py
+++ b/wingwood/registry/worker_registry.py
@@ -323,21 +323,25 @@
     def _assume_homes(self, pools: Sequence[PoolName]) -> None:
         now = self._now()
         for pool in pools:
-            if not self._is_home(pool):
-                self._homes.pop(pool, None)
-            elif pool not in self._homes:
+            if self._is_home(pool) == (pool in self._homes):
+                continue
+            for followed in [key for key in self._feeds if key[0] == pool]:
+                del self._feeds[followed]  # renewals were judged here meanwhile, so all is asked for anew
+            if pool in self._homes:
+                del self._homes[pool]
+            else:
                 self._homes[pool] = _Home(since=now)
                 for record in self._tables[pool].records.values():
                     record.renewed_at = now
                 self._settle(pool)
 
     def _settle(self, pool: PoolName) -> None:
-        """A new home counts as settled when every other zone's home has answered, or after a second."""
+        """A new home counts as settled when every other zone's home has answered. Until then it vouches for nothing."""
         home = self._homes.get(pool)
         if home is None or home.settled:
             return
         others = {identity.incarnation for zone, identity in self._zone_homes(pool).items() if zone != self._zone}
-        home.settled = others <= home.pulled or self._now() - home.since > FEED_BOUND
+        home.settled = others <= home.pulled
 
     def _push(self, pool: PoolName, workers: Sequence[Worker], previous: int) -> None:
         if not workers or not self._is_router:
@@ -455,11 +459,24 @@
     # --- following the homes ------------------------------------------------------------------
 
     async def _follow(self) -> None:
+        last = self._now()
         while True:
+            now = self._now()
+            session = self._membership.session_proven_at()
+            if now - last > SESSION_BOUND or session is None or now - session > SESSION_BOUND:
+                self._unsettle(now)
+            last = now
             self._ask_round()
             self._expire()
             await self._context.clock.sleep(ASK_EVERY)
 
+    def _unsettle(self, now: Instant) -> None:
+        """This daemon was frozen or cut off and may have been passed over: it must pull again what others keep."""
+        for home in self._homes.values():
+            home.settled = False
+            home.since = now
+            home.pulled.clear()
+
     def _ask_round(self) -> None:
         """One question to each home this daemon follows, and one to a neighbour for pools not known here."""
         own = self._messenger.identity.incarnation
@@ -549,7 +566,8 @@
             else:
                 self._elsewhere[part.pool] = told
         if is_home:
-            self._homes[part.pool].pulled.add(identity.incarnation)
+            if asked_at >= self._homes[part.pool].since:
+                self._homes[part.pool].pulled.add(identity.incarnation)
             self._settle(part.pool)
         elif part.settled and answer.session_age <= SESSION_BOUND:
             self._proven_at[part.pool] = asked_at
