A draining router that was frozen still answers the calls that came meanwhile

Found in a scenario: a router frozen within its grace woke with the grace over, stopped listening and closed connections with unread calls in them. The grace now goes in ten steps, of which a freeze takes one. The test failed first.

--- a/wingwood/forward/request_path.py
+++ b/wingwood/forward/request_path.py
@@ -30,6 +30,7 @@
 from .protocols import Answer, Cut, Forwarded, IncomingCall, NotAnswered, Refused, RunState
 from .recording import DayRecorder
 
+_DRAIN_STEPS = 10
 _STOPPING = Refused(
     status=503, code="router-stopping", reason="this router stops before the worker answered", run="unknown"
 )
@@ -118,7 +119,9 @@
         within = self._settings.stop_within
         try:
             async with asyncio.timeout(within):
-                await self._context.clock.sleep(Seconds(min(self._limits.accept_while_draining, within / 4)))
+                moment = min(self._limits.accept_while_draining, within / 4)
+                for _ in range(_DRAIN_STEPS):  # A freeze takes one of them only: what came meanwhile is still read.
+                    await self._context.clock.sleep(Seconds(moment / _DRAIN_STEPS))
                 self._refusing = True
                 self._edge.stop_listening()
                 self._edge.close_idle()
--- a/wingwood/forward/tests/test_caller_edge.py
+++ b/wingwood/forward/tests/test_caller_edge.py
@@ -321,6 +321,15 @@
         self.assertTrue(whole.ended_whole)
         self.assertLess(now, 4.0)
 
+    def test_calls_that_came_while_a_draining_router_was_frozen_are_answered(self) -> None:
+        self.world.spawn(self.path.router, self.path.path.drain(), "drain")
+        self.world.run(0.01)
+        self.world.freeze("router")
+        caller = self.world.complete(self.path.send(request("/plain")))
+        self.world.run(2.0)
+        self.world.wake("router")
+        self.assertEqual(self.world.complete(caller.reply()).status, 200)
+
     def test_drain_breaks_off_visibly_what_does_not_end_in_time(self) -> None:
         self.worker.script = streams(10_000, pause=0.1)
 
