Whoever takes a roll-out over knows how many routers its stage had

Cause: the whole fleet's test, made harder by removing a key while the stage's zone is cut off, failed: the second operator's runner began after control had dropped the zone's four routers from the list, so it saw three healthy routers where the stage had seven, and went on. Changed: the roll-out in the bundle keeps how many routers the stage had when it was put in place; those missing count as away. A runner that sees no other router at all waits instead of rolling back.

--- a/wingwood/bundle/model.py
+++ b/wingwood/bundle/model.py
@@ -101,6 +101,8 @@
     """Share of the changed services' calls that may fail at the stage's routers."""
     highest_refusals: float
     """Share of the changed services' calls that may be refused for want of room at the stage's routers."""
+    reached: int = 0
+    """How many routers the stage had when it was put in place; whoever takes over can tell that some are gone."""
     reason: str = ""
     """Why it was rolled back."""
 
--- a/wingwood/bundle/rollouts.py
+++ b/wingwood/bundle/rollouts.py
@@ -83,6 +83,8 @@
         raise _problem(rollout, "stages", ", ".join(rollout.stages), "name each stage once")
     if not 0 <= rollout.stage < len(rollout.stages):
         raise _problem(rollout, "stage", str(rollout.stage), f"from 0 to {len(rollout.stages) - 1}")
+    if rollout.reached < 0:
+        raise _problem(rollout, "reached", str(rollout.reached), "a number of routers")
     if not 0 <= rollout.watch <= LONGEST_WATCH:
         raise _problem(rollout, "watch", str(rollout.watch), f"seconds from 0 to {LONGEST_WATCH:.0f}")
     for field in ("highest_failures", "highest_refusals"):
--- a/wingwood/command_line/rollout.py
+++ b/wingwood/command_line/rollout.py
@@ -28,7 +28,7 @@
     roll_back,
 )
 from ..rollout.runner import Lost, RolloutRunner, take_step
-from ..rollout.watch import Look, Sight, in_stage, read_counts
+from ..rollout.watch import Look, Sight, in_stage, reach_of, read_counts
 from ..transport.frames import Identity
 from .bundle import newest_slices, operator_client, private_key, sign_order, submit
 from .change import changed_slices
@@ -185,19 +185,19 @@
             raise Problem(f"--stages: {reason}")
     client = operator_client(addresses, patience)
     private = private_key(key_file)
-    _check_stages(client, read)
+    reached = _check_stages(client, read)
 
     def change(slices: Slices) -> Result[Slices, NotPlanned]:
         return Success(changed_slices(slices, files=files, sets=sets))
 
-    step = begin(name, change, read, Seconds(watch), highest_failures, highest_refusals)
+    step = begin(name, change, read, Seconds(watch), highest_failures, highest_refusals, reached)
     outcome = _take(client, private, step)
     _report(outcome, as_json, f"stage {read[0]} of {', '.join(read)}; next: wingwood rollout run {name}")
 
 
-def _check_stages(client: OperatorClient, stages: Sequence[str]) -> None:
-    """Each stage must reach routers that the ones before it don't, by what control knows now."""
-    routers = [each for each in _members(client) if each.role == "router"]
+def _check_stages(client: OperatorClient, stages: Sequence[str]) -> int:
+    """Each stage must reach routers that the ones before it don't, by what control knows now. Gives the first's."""
+    routers = _routers(client)
     reached: set[DaemonName] = set()
     for number, stage in enumerate(stages[:-1]):
         plan = msgspec.structs.replace(_EMPTY, stages=tuple(stages))
@@ -209,6 +209,11 @@
                 f"the zones are {zones or 'none'}, and with few routers a share must be larger"
             )
         reached = names
+    return reach_of(msgspec.structs.replace(_EMPTY, stages=tuple(stages)), 0, routers)
+
+
+def _routers(client: OperatorClient) -> list[Identity]:
+    return [each for each in _members(client) if each.role == "router"]
 
 
 _EMPTY = Rollout(
@@ -290,7 +295,8 @@
     stage = found.stages[found.stage]
     if from_stage is not None and from_stage != stage:
         raise Conflict(f"rollout/{name} stands at {stage}")
-    outcome = _take(client, private_key(key_file), go_on(name, found.stage))
+    reached = reach_of(found, found.stage + 1, _routers(client))
+    outcome = _take(client, private_key(key_file), go_on(name, found.stage, reached))
     last = found.stage + 1 == len(found.stages)
     _report(outcome, as_json, "finished" if last else f"stage {found.stages[found.stage + 1]}")
 
--- a/wingwood/rollout/plan.py
+++ b/wingwood/rollout/plan.py
@@ -67,8 +67,9 @@
     watch: Seconds,
     highest_failures: float,
     highest_refusals: float,
+    reached: int,
 ) -> Step:
-    """Puts the first stage of ``change`` in place."""
+    """Puts the first stage of ``change`` in place, which has ``reached`` routers now."""
 
     def step(slices: Slices) -> Result[Slices, NotPlanned]:
         held = read_rollouts(slices)
@@ -112,21 +113,22 @@
             watch=watch,
             highest_failures=float(highest_failures),
             highest_refusals=float(highest_refusals),
+            reached=reached,
         )
         return Success(_replaced(slices, None, rollout))
 
     return step
 
 
-def go_on(name: str, stage: int) -> Step:
-    """From stage ``stage`` to the next one; after the last one the roll-out is finished."""
+def go_on(name: str, stage: int, reached: int) -> Step:
+    """From stage ``stage`` to the next one, of ``reached`` routers; after the last one the roll-out is finished."""
 
     def step(slices: Slices) -> Result[Slices, NotPlanned]:
         rollout = read_rollouts(slices).get(name)
         if rollout is None or rollout.state != "running" or rollout.stage != stage:
             return _conflict(_elsewhere(name, rollout, "another operator took it on"))
         if stage + 1 < len(rollout.stages):
-            after = msgspec.structs.replace(rollout, stage=stage + 1)
+            after = msgspec.structs.replace(rollout, stage=stage + 1, reached=reached)
         else:
             after = msgspec.structs.replace(rollout, state="finished")
         return Success(_replaced(slices, rollout, after))
--- a/wingwood/rollout/runner.py
+++ b/wingwood/rollout/runner.py
@@ -17,7 +17,7 @@
 from ..identifiers import BundleVersion, DaemonName, Seconds
 from ..transport.frames import Identity
 from .plan import NotPlanned, Slices, Step, go_on, read_rollouts, roll_back
-from .watch import Sight, Verdict, judge, too_many_away
+from .watch import Sight, Verdict, judge, reach_of, too_many_away
 
 REPEATS = 20
 """Conflicts with other orders in a row."""
@@ -168,7 +168,8 @@
 
     async def _move(self, rollout: Rollout, verdict: Verdict) -> None:
         back = verdict.do == "roll-back"
-        step = roll_back(self._name, verdict.reason) if back else go_on(self._name, rollout.stage)
+        reached = reach_of(rollout, rollout.stage + 1, self._routers.values())
+        step = roll_back(self._name, verdict.reason) if back else go_on(self._name, rollout.stage, reached)
         match await take_step(self._access, step):
             case Success(outcome):
                 self._tell(f"version {outcome.version} accepted: {'rolled back' if back else 'gone on'}")
--- a/wingwood/rollout/tests/test_rollout.py
+++ b/wingwood/rollout/tests/test_rollout.py
@@ -35,7 +35,7 @@
 
 
 def beginning(name: str = "bigger", change: Step | None = None, stages: Sequence[str] = STAGES) -> Step:
-    return begin(name, change or with_pool("large"), stages, Seconds(10.0), 0.02, 0.05)
+    return begin(name, change or with_pool("large"), stages, Seconds(10.0), 0.02, 0.05, 3)
 
 
 def after(slices: Slices, *steps: Step) -> Slices:
@@ -59,7 +59,7 @@
 
     def test_from_the_first_stage_to_the_end_and_back_at_each(self) -> None:
         first = sample_slices()
-        steps = [beginning(), go_on("bigger", 0), go_on("bigger", 1), go_on("bigger", 2)]
+        steps = [beginning(), go_on("bigger", 0, 3), go_on("bigger", 1, 3), go_on("bigger", 2, 3)]
         for taken in range(1, 5):
             reached = after(first, *steps[:taken])
             back = after(reached, roll_back("bigger", "slow"))
@@ -70,10 +70,10 @@
         self.assertEqual(after(back, forget("bigger")), first)
 
     def test_nobody_takes_a_step_twice_or_from_elsewhere(self) -> None:
-        reached = after(sample_slices(), beginning(), go_on("bigger", 0))
+        reached = after(sample_slices(), beginning(), go_on("bigger", 0, 3))
         for step, said in (
-            (go_on("bigger", 0), "running at stage share=50: another operator took it on"),
-            (go_on("none", 0), "there is no rollout/none"),
+            (go_on("bigger", 0, 3), "running at stage share=50: another operator took it on"),
+            (go_on("none", 0, 3), "there is no rollout/none"),
             (forget("bigger"), "roll it back or let it finish"),
             (beginning(), "is running already"),
             (beginning("other"), "service/chat is in rollout/bigger"),
@@ -83,7 +83,7 @@
         self.assertIn(
             "nothing to roll back", roll_back("bigger", "")(after(reached, roll_back("bigger", ""))).failure().reason
         )
-        finished = after(reached, go_on("bigger", 1), go_on("bigger", 2), with_pool("third"))
+        finished = after(reached, go_on("bigger", 1, 3), go_on("bigger", 2, 3), with_pool("third"))
         self.assertIn("was changed since", roll_back("bigger", "")(finished).failure().reason)
 
     def test_what_cannot_be_rolled_out(self) -> None:
@@ -311,9 +311,17 @@
         (ended,) = self.run_on_virtual_time(self.runner().run)
         assert isinstance(ended, Ended)
         self.assertEqual((ended.how, self.rollout().stage), ("rolled-back", 1))
-        # A runner that came later knows nothing of them; it takes what control says for the fleet.
         self.assertIn("3 of 6 routers of the stage are away", ended.reason)
 
+    def test_whoever_takes_over_knows_how_many_routers_the_stage_had(self) -> None:
+        stages = ("zone=a", "zone=b", "all")
+        self.access.put(after(self.access.slices(), beginning(stages=stages), go_on("bigger", 0, 6)))
+        self.access.away = B
+        (ended,) = self.run_on_virtual_time(self.runner().run)
+        assert isinstance(ended, Ended)
+        self.assertEqual((ended.how, self.rollout().stage), ("rolled-back", 1))
+        self.assertIn("3 of 6 routers of the stage are away or not ready: 3 that control no longer lists", ended.reason)
+
     def test_two_operators_run_it_at_once_and_no_stage_is_skipped(self) -> None:
         self.begin()
         for _ in range(2):
@@ -363,7 +371,7 @@
         (outcome,) = self.run_on_virtual_time(lambda: take_step(self.access, beginning()))
         assert isinstance(outcome, Success)
         self.assertEqual((self.access.state.version, self.access.slices()[other]), (3, richer))
-        self.access.before_submit.append(lambda: self.access.put(after(self.access.slices(), go_on("bigger", 0))))
-        (outcome,) = self.run_on_virtual_time(lambda: take_step(self.access, go_on("bigger", 0)))
+        self.access.before_submit.append(lambda: self.access.put(after(self.access.slices(), go_on("bigger", 0, 3))))
+        (outcome,) = self.run_on_virtual_time(lambda: take_step(self.access, go_on("bigger", 0, 3)))
         assert isinstance(outcome, Failure)
         self.assertEqual(self.rollout().stage, 1)
--- a/wingwood/rollout/tests/test_rollout_on_fleet.py
+++ b/wingwood/rollout/tests/test_rollout_on_fleet.py
@@ -12,7 +12,7 @@
 from simulation import World
 from simulation.fleet import Fleet, network_shape, shape_named
 from simulation.observer import judge
-from simulation.operators import Operator, ask
+from simulation.operators import Operator, ask, put_slice, set_field
 from simulation.scenario import bounds_for, places_of
 
 from ...bundle.canonical import canonical_json
@@ -108,7 +108,7 @@
         return change
 
     def start(self, change: Step, *stages: str) -> None:
-        step = begin("trial", change, stages, Seconds(6.0), 0.02, 0.05)
+        step = begin("trial", change, stages, Seconds(6.0), 0.02, 0.05, len(self.in_zone()))
         self.take("operator-1", step)
 
     def take(self, name: str, step: Step) -> None:
@@ -193,6 +193,11 @@
         for one in sorted(here):
             for other in sorted({self.world.processes[name].machine.name for name in routers} - here):
                 self.fleet.cut(one, other, 9.0)
+        # A key that is removed now works nowhere after 5 s, cut off or not, stage or not; the observer looks.
+        removed = self.fleet.operators["operator-2"].push(
+            set_field("tenant/riders.keys", []), "remove key", removed_keys=(self.fleet.caller_keys["riders"],)
+        )
+        self.fleet.by_operator("operator-2", removed)
         self.fleet.run(2.0)
         self.run_by("operator-2")
         self.wait(lambda: "operator-2" in self.ended, 120.0)
@@ -209,14 +214,26 @@
         self.fleet.run(1.0)
         self.judge()
 
+    async def storm(self, seconds: float) -> None:
+        """Ordinary orders, one after another as fast as they are answered; each is in the roll-out's way."""
+        until, number = self.world.now + seconds, 0
+        while self.world.now < until:
+            number += 1
+            value: dict[str, object] = {"name": "storm", "weight": 1.0 + number % 9}
+            await self.fleet.operators["operator-1"].push(
+                put_slice("class/storm", value), "storm", on_conflict_again=True
+            )
+
     def test_a_change_that_harms_calls_is_rolled_back_before_it_leaves_its_zone(self) -> None:
         fault = self.fleet.fault("bad roll-out", "all routers")
         self.start(self.change(pool="nowhere"), f"zone={self.zone}", "all")
         self.run_by("operator-2")
+        self.fleet.by_operator("operator-1", self.storm(20.0))
         self.wait(lambda: "operator-2" in self.ended, 60.0)
         self.fleet.end_fault(fault)
         self.assertEqual(self.ended["operator-2"].how, "rolled-back", "\n".join(self.told))
         self.assertIn("calls refused", self.rollout().reason)
+        self.assertGreater(len(self.fleet.history.orders), 30)
         self.fleet.run(3.0)
         self.assertEqual(self.acting("pool", "nowhere"), set())
         refused = {each.router for each in self.fleet.history.attempts() if each.code == "workers-none-ready"}
--- a/wingwood/rollout/watch.py
+++ b/wingwood/rollout/watch.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Mapping, Sequence
+from collections.abc import Iterable, Mapping, Sequence
 from typing import Literal
 
 import msgspec
@@ -167,12 +167,17 @@
     began, ``watched`` ago. ``away_for``: how long too many of the stage have been away.
     """
     stage, rest = parted(rollout, routers)
-    if not stage:
+    if not stage and not rollout.reached:
         return Verdict(do="begin-anew", reason="no router of this stage is there")
     away = [name for name in stage if not _serves(now, name)]
     rest_away = [name for name in rest if not _serves(now, name)]
     if too_many_away(rollout, routers, now):
-        told = f"{len(away)} of {len(stage)} routers of the stage are away or not ready: {', '.join(away[:5])}"
+        total = max(len(stage), rollout.reached)
+        unknown = [f"{total - len(stage)} that control no longer lists"] if total > len(stage) else []
+        names = ", ".join([*away[:5], *unknown])
+        told = f"{len(away) + total - len(stage)} of {total} routers of the stage are away or not ready: {names}"
+        if not rest and rollout.stages[rollout.stage] != ALL:
+            return Verdict(do="begin-anew", reason=f"{told}; no others are to be seen either")
         if len(rest_away) > MOST_AWAY * len(rest):
             return Verdict(do="begin-anew", reason=f"{told}; so are {len(rest_away)} of the {len(rest)} others")
         return Verdict(do="begin-anew" if away_for < AWAY_FOR else "roll-back", reason=told)
@@ -209,7 +214,13 @@
 
 def too_many_away(rollout: Rollout, routers: Routers, now: Sight) -> bool:
     stage, _ = parted(rollout, routers)
-    return sum(not _serves(now, name) for name in stage) > MOST_AWAY * len(stage)
+    total = max(len(stage), rollout.reached)
+    return total - sum(_serves(now, name) for name in stage) > MOST_AWAY * total
+
+
+def reach_of(rollout: Rollout, stage: int, routers: Iterable[Identity]) -> int:
+    """How many of the routers belong to the stage; 0 beyond the last one."""
+    return 0 if stage >= len(rollout.stages) else sum(in_stage(rollout, stage, each) for each in routers)
 
 
 def _serves(sight: Sight, name: DaemonName) -> bool:
