A tenant with seldom calls is not refused after its keeper was out of reach

Its ask of 11 s before had run out on a dead connection; the next call was answered from the fallback while the keeper was asked behind its back, and the fallback had earned nothing in between, as it was filled at the part of then (nothing) and not of now. Ruled out: the keeper (23 tokens held), a lost deputy, the messenger's dead link (it is closed at the second silent ask; there had been one). Change: a call that finds the last ask older than the probe's pace asks and waits (at most 50 ms); the fallback earns at the present part.

--- a/wingwood/limits/shares.py
+++ b/wingwood/limits/shares.py
@@ -218,9 +218,7 @@
             return None
         if now < share.empty_until:
             return ShareRefused(Seconds(share.empty_until - now))
-        if share.unreachable_since is not None:
-            if now >= share.next_probe:
-                self._start_asking(share, now)
+        if share.unreachable_since is not None and (share.asking or now < share.next_probe):
             return self._take_fallback(share, now)
         waiter: asyncio.Future[ShareRefused | str] = asyncio.get_running_loop().create_future()
         share.waiters.append(waiter)
@@ -345,7 +343,8 @@
             below = share.keeper_rate < 0.8 * share.tenant.paid_rate
             first = max(1.0 if below else self._context.random.random(), share.keeper_level * part)
             share.fallback = TokenBucket(rate, most, first, now)
-        share.fallback.change(rate, most, now)
+        # What comes in between two seldom calls is earned at the part of now, which has grown meanwhile.
+        share.fallback.rate, share.fallback.most = rate, most
         if share.fallback.take(1, now):
             share.accepted.add(now)
             share.unleased += 1
--- /dev/null
+++ b/wingwood/limits/tests/test_sparse_calls.py
@@ -0,0 +1,50 @@
+"""A tenant whose calls come seldom, after its keeper was out of reach for a moment (docs/DESIGN.md section 14)."""
+
+from __future__ import annotations
+
+import unittest
+
+from simulation import World
+
+from ...identifiers import Seconds
+from .share_fleet import ShareFleet, tenant
+
+
+class SparseCallsTest(unittest.TestCase):
+    def accepted_at(self, fleet: ShareFleet, name: str) -> bool:
+        before = len(fleet.calls)
+
+        async def call() -> None:
+            await fleet._call(int(name[1:]), fleet.shares[name])
+
+        fleet.world.spawn(fleet.world.processes[name], call(), "call")
+        self.assertTrue(fleet.world.wait_for(lambda: len(fleet.calls) > before, 1.0, every=0.01))
+        return fleet.calls[-1][2]
+
+    def test_the_next_call_after_the_cut_asks_the_keeper_again(self) -> None:
+        with World(seed=4) as world:
+            fleet = ShareFleet(world, 11, tenant(25.0), lambda router, now: 0.0, 1.0)
+            world.run(3.0)
+            keeper, deputy = fleet.keeper(), fleet.deputy()
+            caller = next(name for name in sorted(fleet.shares) if name not in (keeper, deputy))
+            # It is the one caller's way to both that fails, as after a cut whose old connections are dead.
+            cuts = [world.cut(caller, other) for other in (keeper, deputy)]
+            self.accepted_at(fleet, caller)
+            for cut in cuts:
+                world.heal(cut)
+            for _ in range(3):
+                world.run(Seconds(10.0))
+                self.assertTrue(self.accepted_at(fleet, caller), f"refused at {world.now}")
+
+    def test_the_fallback_part_is_earned_while_nobody_calls(self) -> None:
+        with World(seed=4) as world:
+            fleet = ShareFleet(world, 11, tenant(25.0), lambda router, now: 0.0, 1.0)
+            world.run(3.0)
+            keeper, deputy = fleet.keeper(), fleet.deputy()
+            caller = next(name for name in sorted(fleet.shares) if name not in (keeper, deputy))
+            for other in (keeper, deputy):
+                world.cut(caller, other)
+            self.accepted_at(fleet, caller)
+            for _ in range(3):
+                world.run(Seconds(5.0))
+                self.assertTrue(self.accepted_at(fleet, caller), f"refused at {world.now}")
