A crowd of connections no longer uses up a process's descriptors

Trial: 400 connections to a router with 200 descriptors. Accepting failed with EMFILE and was tried again at once: a whole processor, 245,984 lines of traces in 4 s, connections that were taken went unanswered, and in the end the process was gone. Now Network tells how many connections the process can hold (RealNetwork first takes all that the system allows), callers get two fifths of them, and whatever is accepted above the bound is closed at once.

Network.most_connections is new in the contract; both networks have it.

--- a/wingwood/context/protocols.py
+++ b/wingwood/context/protocols.py
@@ -54,6 +54,10 @@
         """Calls ``handle_stream`` with each accepted stream; binds at once."""
         ...
 
+    def most_connections(self) -> int:
+        """How many connections of all kinds this process can hold at one time."""
+        ...
+
 
 class DiskFault(msgspec.Struct, frozen=True):
     kind: Literal["full", "failed", "locked", "missing"]
--- a/wingwood/context/real.py
+++ b/wingwood/context/real.py
@@ -7,6 +7,7 @@
 import errno
 import fcntl
 import os
+import resource
 import time
 import traceback
 from collections.abc import Callable, Coroutine, Sequence
@@ -24,6 +25,9 @@
 from .protocols import DiskFault, Listener, Log, NetworkFault, StreamHandler, Task
 
 Value = TypeVar("Value")
+MOST_DESCRIPTORS = 65_536
+OTHER_DESCRIPTORS = 48
+"""Descriptors left for files, listeners, the event loop, and connections going out when many came in."""
 
 
 class RealClock:
@@ -38,11 +42,16 @@
 
 
 class _Server(TCPServer):
-    def __init__(self, handle_stream: StreamHandler) -> None:
+    def __init__(self, handle_stream: StreamHandler, most_connections: int) -> None:
         super().__init__(max_buffer_size=96 * 1024 * 1024)
         self._handle = handle_stream
+        self._most_connections = most_connections
 
     def handle_stream(self, stream: IOStream, address: tuple[str, int]) -> Any:
+        if stream.socket.fileno() >= self._most_connections:
+            # Numbers are given lowest first. Without any left, accepting fails and is tried again at once, for ever.
+            stream.close()
+            return None
         stream.set_nodelay(True)
         return self._handle(stream, Address(address[0], address[1]))
 
@@ -55,9 +64,25 @@
         self._server.stop()
 
 
+def _raise_descriptor_bound() -> int:
+    """Takes as many descriptors as the system lets this process have, and tells how many."""
+    soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+    wanted = MOST_DESCRIPTORS if hard == resource.RLIM_INFINITY else min(hard, MOST_DESCRIPTORS)
+    if soft != resource.RLIM_INFINITY and soft < wanted:
+        with contextlib.suppress(OSError, ValueError):
+            resource.setrlimit(resource.RLIMIT_NOFILE, (wanted, hard))
+            return wanted
+        return soft
+    return wanted
+
+
 class RealNetwork:
     def __init__(self) -> None:
         self._client: TCPClient | None = None
+        self._descriptors = _raise_descriptor_bound()
+
+    def most_connections(self) -> int:
+        return max(1, self._descriptors - OTHER_DESCRIPTORS)
 
     async def connect(self, address: Address, timeout: Seconds) -> Result[BaseIOStream, NetworkFault]:
         if self._client is None:
@@ -76,7 +101,7 @@
         return Success(stream)
 
     def listen(self, address: Address, handle_stream: StreamHandler) -> Result[Listener, NetworkFault]:
-        server = _Server(handle_stream)
+        server = _Server(handle_stream, self.most_connections())
         try:
             server.add_sockets(bind_sockets(address.port, address.host, backlog=1024))
         except OSError as problem:
--- /dev/null
+++ b/wingwood/context/tests/test_http_descriptors.py
@@ -0,0 +1,41 @@
+"""A crowd of connections must not use up a process's descriptors (docs/DESIGN.md section 3)."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import socket
+import unittest
+
+from returns.result import Success
+from tornado.iostream import BaseIOStream
+
+from ...identifiers import Address
+from ..real import OTHER_DESCRIPTORS, RealNetwork
+
+
+class Descriptors(unittest.IsolatedAsyncioTestCase):
+    async def taken(self, network: RealNetwork, port: int) -> bool:
+        """Whether a new connection is taken, or closed at once."""
+        came = asyncio.Event()
+
+        def take(stream: BaseIOStream, peer: Address) -> None:
+            stream.close()
+            came.set()
+
+        listening = network.listen(Address("127.0.0.1", port), take)
+        assert isinstance(listening, Success)
+        with socket.create_connection(("127.0.0.1", port)) as raw:
+            raw.setblocking(False)
+            async with asyncio.timeout(5):
+                self.assertEqual(await asyncio.get_running_loop().sock_recv(raw, 1), b"")
+        listening.unwrap().close()
+        return came.is_set()
+
+    async def test_connections_beyond_the_bound_are_closed_at_once(self) -> None:
+        network = RealNetwork()
+        self.assertTrue(await self.taken(network, 23391))
+        lowest_free = os.dup(0)
+        os.close(lowest_free)
+        network._descriptors = OTHER_DESCRIPTORS + lowest_free
+        self.assertFalse(await self.taken(network, 23392))
--- a/wingwood/forward/caller_edge.py
+++ b/wingwood/forward/caller_edge.py
@@ -33,6 +33,8 @@
 _TORNADO_BAD_REQUEST: Final = b"HTTP/1.1 400 Bad Request\r\n\r\n"
 _MALFORMED: Final = Refused(status=400, code="malformed-request", reason="this is not a well-formed HTTP/1.1 request")
 _READ_BYTES: Final = 64 * 1024
+_CALLERS_SHARE: Final = 0.4
+"""Of the connections that the process can hold; each call needs one to its worker as well."""
 _NO_BOUND: Final = 1 << 62
 """The edge bounds bodies itself, so that it can say so."""
 _HEAD_END = re.compile(rb"\r?\n\r?\n")
@@ -50,6 +52,7 @@
         self.bodies_held = 0
         self._address = address
         self._listener: Listener | None = None
+        self._most_connections = min(limits.connections, int(context.network.most_connections() * _CALLERS_SHARE))
         self._connections: dict[_CallerConnection, None] = {}
         self._parameters = HTTP1ConnectionParameters(
             max_header_size=limits.head_bytes, max_body_size=_NO_BOUND, chunk_size=_READ_BYTES
@@ -83,7 +86,7 @@
 
     async def _take_stream(self, stream: BaseIOStream, peer: Address) -> None:
         connection = _CallerConnection(self, stream, peer)
-        if len(self._connections) >= self.limits.connections:
+        if len(self._connections) >= self._most_connections:
             connection.refuse(
                 Refused(status=503, code="too-many-connections", reason="too many connections", retry_after=Seconds(1))
             )
--- a/wingwood/forward/tests/test_real_sockets.py
+++ b/wingwood/forward/tests/test_real_sockets.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import os
+import resource
 import socket
 import unittest
 from collections.abc import Awaitable, Callable
@@ -187,6 +188,15 @@
                 await loop.sock_sendall(raw, request(Content_Length="50000000") + b"x" * 20_000_000)
                 self.assertIn(b"body-too-large", await loop.sock_recv(raw, 65536))
 
+    async def test_callers_leave_descriptors_for_workers(self) -> None:
+        self.sends(OK + b"Content-Length: 2\r\n\r\nok")
+        self.path._edge._most_connections = 2
+        async with asyncio.timeout(5):
+            callers = [await self.send(request("/plain")) for _ in range(3)]
+            heads = sorted([(await reader.readline()).split()[1] for reader, _ in callers])
+        self.assertEqual(heads, [b"200", b"200", b"503"])
+        self.assertLess(RealNetwork().most_connections() * 0.4 * 2, resource.getrlimit(resource.RLIMIT_NOFILE)[0])
+
     async def test_cut_answer_has_no_end(self) -> None:
         self.sends(CHUNKED, chunk(EVENT))
         async with asyncio.timeout(5):
