--- a/wingwood/rollout/runner.py
+++ b/wingwood/rollout/runner.py
@@ -94,8 +94,6 @@
         self._every = every
         self._patience = patience
         self._told = ""
-        self._moved = False
-        """This runner took the last step itself, so it saw the routers right before it."""
         self._stage: int | None = None
         self._version = BundleVersion(0)
         self._newest = BundleVersion(0)
@@ -146,8 +144,7 @@
             # Whoever put this stage in place: what is newest now holds it.
             self._stage, self._version, self._before, self._away_since = rollout.stage, version, None, None
             self._entered, self._limit = now, Seconds(rollout.watch + self._patience)
-            self._routers = dict(self._routers) if self._moved else {}
-        self._moved = False
+            self._routers = {}
         self._routers.update((member.name, member) for member in sight.routers())
         if self._before is None:
             self._before, self._begun = sight, now
@@ -173,7 +170,6 @@
         match await take_step(self._access, step):
             case Success(outcome):
                 self._tell(f"version {outcome.version} accepted: {'rolled back' if back else 'gone on'}")
-                self._moved = True
             case Failure(problem):
                 self._tell(f"not {'rolled back' if back else 'gone on'}: {problem.reason}")
 
--- a/wingwood/rollout/tests/test_rollout.py
+++ b/wingwood/rollout/tests/test_rollout.py
@@ -311,7 +311,7 @@
         (ended,) = self.run_on_virtual_time(self.runner().run)
         assert isinstance(ended, Ended)
         self.assertEqual((ended.how, self.rollout().stage), ("rolled-back", 1))
-        self.assertIn("3 of 6 routers of the stage are away", ended.reason)
+        self.assertIn("3 of 6 routers of the stage are away or not ready: 3 that control", ended.reason)
 
     def test_whoever_takes_over_knows_how_many_routers_the_stage_had(self) -> None:
         stages = ("zone=a", "zone=b", "all")
