Control core: standing never lowers a promise given meanwhile; bounded rewrites

A candidate chose its epoch before it waited for the store, so a higher promise granted in that wait was overwritten by a lower one (failing test: 2 instead of 50); the store now refuses that outright. A stalled disk during a rewrite or a transfer held the primary for up to 10 s; now 1 s and 50 ms a MB.

--- a/wingwood/control/core.py
+++ b/wingwood/control/core.py
@@ -571,7 +571,7 @@
                 self._step_down(f"takes the state of epoch {message.epoch}")
             contents = Contents(msgspec.msgpack.decode(data, type=SnapshotEntry), [])
             promise = Promise(message.epoch, message.sender)
-            match await store.rewrite(lambda: contents, self._limits.rewrite, promise):
+            match await store.rewrite(lambda: contents, self._limits.rewriting(len(data)), promise):
                 case Failure(fault):
                     self._fail_store(fault)
                     return f"sick: {fault.kind}"
@@ -774,11 +774,11 @@
 
     async def _stand(self, plan: _Plan | None) -> View | None:
         """Rules 3 and 4 of section 7.2. None: not won; a higher epoch has been promised here in any case."""
-        epoch = Epoch(max(self._highest_epoch, self._store.promise.epoch) + 1)
-        self._highest_epoch = epoch
         async with self._lock:
             if self._sick is not None or self._store.view is None:
                 return None
+            epoch = Epoch(max(self._highest_epoch, self._store.promise.epoch) + 1)
+            self._highest_epoch = epoch
             match await self._store.promised(Promise(epoch, self._me), False):
                 case Failure(fault):
                     self._fail_store(fault)
@@ -1041,7 +1041,8 @@
                 seat.incarnation, self._me, epoch, number, index, count, data[index * size : (index + 1) * size]
             )
             last = index == count - 1
-            answer = await self._ask(seat, piece, ControlReplicated, self._limits.rewrite if last else None)
+            patience = self._limits.rewriting(len(data)) if last else self._limits.call
+            answer = await self._ask(seat, piece, ControlReplicated, patience)
             if answer is None or not answer.synced or self._lead is not lead:
                 if answer is not None:
                     self._highest_epoch = max(self._highest_epoch, answer.promised)
@@ -1200,7 +1201,7 @@
             before = self._store.journal.length
             async with self._lock:
                 if self._sick is None and not self._stale and self._is_long(factor):
-                    match await self._store.rewrite(self._replica.contents, self._limits.rewrite):
+                    match await self._store.rewrite(self._replica.contents, self._limits.rewriting(before)):
                         case Success(_):
                             self._log(
                                 "journal-rewritten",
@@ -1211,7 +1212,7 @@
                         case Failure(fault):
                             self._log("journal-not-rewritten", kind=fault.kind, detail=fault.detail)
                             self._rewrite_not_before = Instant(self._now() + 10.0)
-                            if self._store.journal.sick is not None:
+                            if self._store.journal.sick is not None or fault.kind == "slow":
                                 self._fail_store(fault)
         self._rewriting = False
 
--- a/wingwood/control/limits.py
+++ b/wingwood/control/limits.py
@@ -35,10 +35,16 @@
     """Between tries to use a sick disk again."""
     check: Seconds = Seconds(1.0)
     """Between looks whether the journal file is still there."""
-    rewrite: Seconds = Seconds(10.0)
     batch: int = 512
     waiting: int = 8192
     """Commands that may wait; one more is refused as busy."""
     piece_bytes: int = 512 * 1024
     rewrite_bytes: int = 8 * 1024 * 1024
     """The journal is rewritten when longer than this and than twice its length after the last rewrite."""
+    rewrite_floor: Seconds = Seconds(1.0)
+    rewrite_rate: float = 20e6
+    """Bytes a second that a disk writes at least."""
+
+    def rewriting(self, length: int) -> Seconds:
+        """How long a whole file of that length may take to be written and synced."""
+        return Seconds(self.rewrite_floor + length / self.rewrite_rate)
--- a/wingwood/control/store.py
+++ b/wingwood/control/store.py
@@ -65,6 +65,8 @@
         self.rewritten_bytes = 0
 
     async def promised(self, promise: Promise, forming: bool) -> Result[None, JournalFault]:
+        if promise.epoch <= self.promise.epoch:
+            raise AssertionError(f"epoch {promise.epoch} promised after {self.promise.epoch}")
         match await self.journal.append(_encode(PromisedEntry(promise, forming))):
             case Failure(fault):
                 return Failure(fault)
@@ -73,6 +75,8 @@
         return Success(None)
 
     async def accepted(self, view: View) -> Result[None, JournalFault]:
+        if view.epoch < self.promise.epoch:
+            raise AssertionError(f"view of epoch {view.epoch} accepted after promising {self.promise.epoch}")
         match await self.journal.append(_encode(AcceptedEntry(view))):
             case Failure(fault):
                 return Failure(fault)
--- a/wingwood/control/tests/test_core.py
+++ b/wingwood/control/tests/test_core.py
@@ -2,15 +2,17 @@
 
 from __future__ import annotations
 
+import asyncio
 import unittest
 from collections.abc import Callable
 from functools import partial
 
 from returns.result import Success
 
-from ...identifiers import Seconds
+from ...identifiers import Epoch, Incarnation, Seconds
 from ..core import ReplicatedCore
 from ..limits import ControlLimits
+from ..messages import ControlPromise
 from ..protocols import NotDecided
 from .control_world import ControlWorld, MakeCore, Put, make_core
 from .mutants import BackupIgnoresPromise, with_core
@@ -278,6 +280,27 @@
                 control.world.heal(cut)
                 self.hold(control)
 
+    def test_standing_never_lowers_a_promise_given_meanwhile(self) -> None:
+        control = self.fleet()
+        name = control.has_role("backup")
+        core, store = control.cores[name], control.stores[name]
+
+        async def promise_then_stand() -> None:
+            await core._lock.acquire()
+            promise = ControlPromise(store.incarnation, Incarnation("another"), Epoch(50))
+            waiting = [
+                asyncio.ensure_future(core._on_promise(core._messenger.identity, promise)),
+                asyncio.ensure_future(core._stand(None)),
+            ]
+            await asyncio.sleep(0.001)
+            core._lock.release()
+            await asyncio.gather(*waiting)
+
+        self.spawn(control, name, promise_then_stand)
+        control.world.run(1.0)
+        self.assertGreaterEqual(store.promise.epoch, 50)
+        self.assertEqual(control.world.broken_invariants, [])
+
     def test_one_deaf_member_deposes_nobody(self) -> None:
         control = self.fleet()
         leader, backup = control.has_role("primary"), control.has_role("backup")
