--- a/wingwood/registry/messages.py
+++ b/wingwood/registry/messages.py
@@ -78,6 +78,8 @@
     pool: PoolName
     settled: bool
     """The answerer counts itself as the home, and has pulled what others keep."""
+    age: Seconds
+    """How old the answerer's own knowledge is, by the answers of the other zones' homes; infinite when unproven."""
     sequence: int
     entries: tuple[WorkerEntry, ...]
     """Changed after the asked sequence, or all of them when the asker named another home."""
--- a/wingwood/registry/worker_registry.py
+++ b/wingwood/registry/worker_registry.py
@@ -90,8 +90,8 @@
 
     settled: bool = False
     since: Instant = Instant(0.0)
-    pulled: set[Incarnation] = msgspec.field(default_factory=set)
-    """The other zones' homes that have answered."""
+    answered: dict[Incarnation, Instant] = msgspec.field(default_factory=dict)
+    """The other zones' homes that have answered, and when they were last asked with success."""
 
 
 class _Told(msgspec.Struct, frozen=True):
@@ -226,11 +226,9 @@
     def feed_age(self, pool: PoolName) -> float:
         """Seconds since this daemon's knowledge of the pool was last proven; infinite when never."""
         now = self._now()
-        home = self._homes.get(pool)
-        if home is not None and home.settled:
-            session = self._membership.session_proven_at()
-            if session is not None and now - session <= SESSION_BOUND:
-                return 0.0
+        own = self._home_age(pool)
+        if own != float("inf"):
+            return own
         proven = self._proven_at.get(pool)
         return float("inf") if proven is None else now - proven
 
@@ -335,13 +333,25 @@
                     record.renewed_at = now
                 self._settle(pool)
 
+    def _other_homes(self, pool: PoolName) -> set[Incarnation]:
+        return {identity.incarnation for zone, identity in self._zone_homes(pool).items() if zone != self._zone}
+
+    def _home_age(self, pool: PoolName) -> Seconds:
+        """How old this home's knowledge is: a state is told to the homes of all zones, so any of them may have more."""
+        home = self._homes.get(pool)
+        now = self._now()
+        session = self._membership.session_proven_at()
+        if home is None or not home.settled or session is None or now - session > SESSION_BOUND:
+            return Seconds(float("inf"))
+        asked = [home.answered.get(other, Instant(float("-inf"))) for other in self._other_homes(pool)]
+        return Seconds(now - min(asked, default=now))
+
     def _settle(self, pool: PoolName) -> None:
         """A new home counts as settled when every other zone's home has answered. Until then it vouches for nothing."""
         home = self._homes.get(pool)
         if home is None or home.settled:
             return
-        others = {identity.incarnation for zone, identity in self._zone_homes(pool).items() if zone != self._zone}
-        home.settled = others <= home.pulled
+        home.settled = self._other_homes(pool) <= home.answered.keys()
 
     def _push(self, pool: PoolName, workers: Sequence[Worker], previous: int) -> None:
         if not workers or not self._is_router:
@@ -412,6 +422,7 @@
                 PoolAnswer(
                     question.pool,
                     home is not None and home.settled,
+                    self._home_age(question.pool),
                     table.sequence,
                     table.changed_since(question.sequence if follows else -1),
                     table.load_sequence,
@@ -475,7 +486,7 @@
         for home in self._homes.values():
             home.settled = False
             home.since = now
-            home.pulled.clear()
+            home.answered.clear()
 
     def _ask_round(self) -> None:
         """One question to each home this daemon follows, and one to a neighbour for pools not known here."""
@@ -567,10 +578,10 @@
                 self._elsewhere[part.pool] = told
         if is_home:
             if asked_at >= self._homes[part.pool].since:
-                self._homes[part.pool].pulled.add(identity.incarnation)
+                self._homes[part.pool].answered[identity.incarnation] = asked_at
             self._settle(part.pool)
         elif part.settled and answer.session_age <= SESSION_BOUND:
-            self._proven_at[part.pool] = asked_at
+            self._proven_at[part.pool] = Instant(asked_at - part.age)
 
     def _followed_anew(self, pool: PoolName, home: Incarnation) -> _Feed:
         current = {identity.incarnation for identity in self._zone_homes(pool).values()}
