Tests of the plain balancing policies, and of plain pools under the award policy

Cause: nothing tested round robin, least loaded and sticky by hash, nor their choice in settings. What: order, even filling, agreement between routers, full and missing workers.

--- /dev/null
+++ b/wingwood/placement/tests/test_plain_policies.py
@@ -0,0 +1,121 @@
+from __future__ import annotations
+
+import unittest
+from collections.abc import Sequence
+
+import msgspec
+from returns.result import Success
+
+from simulation.world import World
+from wingwood.identifiers import Seconds, WorkerInstance
+from wingwood.placement.plain_policies import LeastLoaded, RoundRobin, StickyByHash
+from wingwood.placement.policies import placement_of
+from wingwood.placement.protocols import Choice, NoWorker, Placement, Turn
+from wingwood.registry.tests.fleet import POOL, Fleet
+from wingwood.settings.model import DaemonSettings
+
+from .test_award_placement import turn_of
+
+
+class PlainPoliciesTest(unittest.TestCase):
+    def placements(self, balancing: str, routers: int = 1) -> tuple[Fleet, dict[str, Placement]]:
+        fleet = Fleet(self.enterContext(World(3)), routers, zones=("a",))
+        self.workers = [fleet.start_worker(f"w{number}", slots=2) for number in range(3)]
+        placements: dict[str, Placement] = {}
+        for name, router in sorted(fleet.routers.items()):
+            settings = DaemonSettings(
+                name=router.identity.name,
+                role="router",
+                zone=router.identity.zone,
+                internal=router.identity.internal,
+                operator=router.identity.internal,
+                seeds=(),
+                fleet_key=b"key",
+                operator_keys=(),
+                balancing=balancing,  # type: ignore[arg-type]
+            )
+            placements[name] = placement_of(
+                router.context, router.messenger, router.membership, router.registry, settings
+            )
+        for worker in self.workers:
+            fleet.announce(worker)
+        fleet.world.run(0.5)
+        return fleet, placements
+
+    def choose(self, fleet: Fleet, placement: Placement, turn: Turn, excluded: Sequence[WorkerInstance] = ()) -> Choice:
+        chosen = fleet.inside("r0", lambda: placement.choose(turn, excluded))
+        self.assertIsInstance(chosen, Success)
+        choice: Choice = chosen.unwrap()
+        return choice
+
+    def take(self, fleet: Fleet, placement: Placement, session: str, excluded: Sequence[WorkerInstance] = ()) -> str:
+        """The worker of a turn that is over at once."""
+        turn = turn_of(session)
+        choice = self.choose(fleet, placement, turn, excluded)
+        self.finish(fleet, placement, turn, choice)
+        return choice.worker.instance
+
+    def finish(self, fleet: Fleet, placement: Placement, turn: Turn, choice: Choice) -> None:
+        async def finish() -> bool:
+            placement.finished(turn, choice, "whole", 10, Seconds(0.1))
+            return True
+
+        fleet.inside("r0", finish)
+
+    def test_settings_name_the_policy(self) -> None:
+        for balancing, kind in (("round-robin", RoundRobin), ("least-loaded", LeastLoaded), ("sticky", StickyByHash)):
+            self.assertIsInstance(self.placements(balancing)[1]["r0"], kind)
+
+    def test_round_robin_goes_round(self) -> None:
+        fleet, placements = self.placements("round-robin")
+        seen = [self.choose(fleet, placements["r0"], turn_of("s")).worker.instance for _ in range(6)]
+        self.assertEqual(seen[:3], seen[3:])
+        self.assertEqual(len(set(seen)), 3)
+
+    def test_least_loaded_fills_evenly_and_takes_what_was_freed(self) -> None:
+        fleet, placements = self.placements("least-loaded")
+        placement = placements["r0"]
+        turns = [turn_of("s") for _ in range(6)]
+        choices = [self.choose(fleet, placement, turn) for turn in turns]
+        counts = [sum(choice.worker.instance == worker.instance for choice in choices) for worker in self.workers]
+        self.assertEqual(counts, [2, 2, 2])
+        self.finish(fleet, placement, turns[3], choices[3])
+        self.assertEqual(self.choose(fleet, placement, turn_of("s")).worker, choices[3].worker)
+
+    def test_sticky_is_the_same_at_every_router_and_moves_only_what_was_there(self) -> None:
+        fleet, placements = self.placements("sticky", routers=2)
+        sessions = [f"s{number}" for number in range(30)]
+        before = {name: self.take(fleet, placements["r0"], name) for name in sessions}
+        self.assertEqual(len(set(before.values())), 3)
+        left_out = WorkerInstance(before["s0"])
+        for name in sessions:
+            self.assertEqual(self.take(fleet, placements["r1"], name), before[name])
+            after = self.take(fleet, placements["r1"], name, (left_out,))
+            self.assertEqual(after == before[name], before[name] != left_out)
+
+    def test_full_and_missing_workers(self) -> None:
+        fleet, placements = self.placements("round-robin")
+        for _ in range(24):
+            self.choose(fleet, placements["r0"], turn_of("s"))
+        full = fleet.inside("r0", lambda: placements["r0"].choose(turn_of("s"), ())).failure()
+        self.assertEqual(full.reason, "all-full")
+        everyone = tuple(WorkerInstance(worker.instance) for worker in self.workers)
+        none = fleet.inside("r0", lambda: placements["r0"].choose(turn_of("s"), everyone)).failure()
+        self.assertEqual(none, NoWorker("none-ready", Seconds(1.0)))
+
+    def test_award_policy_places_pools_without_caches_by_load(self) -> None:
+        fleet, placements = self.placements("award")
+        for worker in self.workers:
+            worker.options = msgspec.structs.replace(worker.options, cache_tokens=0)
+            worker.restart_empty()
+            fleet.announce(worker)
+        fleet.world.run(0.1)
+        choices = [self.choose(fleet, placements["r0"], turn_of("s/x")) for _ in range(6)]
+        self.assertEqual({choice.how for choice in choices}, {"policy"})
+        counts = [sum(choice.worker.instance == worker.instance for choice in choices) for worker in self.workers]
+        self.assertEqual(counts, [2, 2, 2])
+        self.assertEqual(choices[0].worker.pool, POOL)
+
+
+if __name__ == "__main__":
+    unittest.main()
