A keeper that hears few others takes the silence for its own

Change: such a keeper says that it is alone, its routers turn to others and its list only adds; keepers ask after each other by address, so also after ones they never reached or have given up; an answer overtaken by another way is dropped.

--- a/wingwood/membership/client.py
+++ b/wingwood/membership/client.py
@@ -69,6 +69,7 @@
         self._lost_callbacks: list[Callable[[], None]] = []
         self._had_session = False
         self._proof_is_old = False
+        self._keeper_is_alone = False
         self._more = False
         """The keeper has more members to tell than it told at once."""
         self._task: Task | None = None
@@ -194,10 +195,12 @@
         """The present keeper, then a few others; when it is time to look for a better one, that one first."""
         now = self._context.clock.monotonic()
         present = self._keeper
-        if present is not None and now < self._rebalance_at:
+        if present is not None and now < self._rebalance_at and not self._keeper_is_alone:
             yield present
         else:
             self._rebalance_at = Instant(now + self._times.rebalance * (0.8 + 0.4 * self._context.random.random()))
+            if present is not None and self._keeper_is_alone:
+                self._failed[present] = now
             present = None
         yield from (address for address in self._order()[:KEEPERS_ASKED] if address != present)
 
@@ -249,6 +252,7 @@
             for incarnation in () if answer.settling else answer.left:
                 changed |= self._list.drop(incarnation)
         self._position = answer.position
+        self._keeper_is_alone = answer.alone
         self._more = answer.more and answer.known
         if self._list.digest == answer.digest:
             self._settled = not answer.settling
--- a/wingwood/membership/keeper.py
+++ b/wingwood/membership/keeper.py
@@ -26,6 +26,7 @@
     News,
     Position,
     SessionsTold,
+    Unheard,
     identity_of,
     member_of,
 )
@@ -47,8 +48,10 @@
 class _Peer:
     """What is known of another session keeper's sessions."""
 
-    def __init__(self, address: Address) -> None:
+    def __init__(self, address: Address, known_since: Instant) -> None:
         self.address = address
+        self.known_since = known_since
+        self.settling = False
         self.identity: Identity | None = None
         self.life = ""
         self.sessions = MemberList(remembered=0)
@@ -56,6 +59,7 @@
         self.heard: Instant | None = None
         """Own clock before the question whose answer came last, by whatever way."""
         self.heard_directly: Instant | None = None
+        self.asked_after: Instant | None = None
         self.orphans: dict[Incarnation, tuple[Identity, Instant]] = {}
         """Sessions of a former life of that keeper, and until when they are kept."""
 
@@ -97,6 +101,7 @@
         self._next_change: asyncio.Future[None] | None = None
         self._heard_of_history = False
         self._trusted_from = Instant(context.clock.monotonic() + self._times.settle)
+        self._alone = False
         self._tasks: list[Task] = []
         self._stopped = False
         self._view = NamedView(self._union)
@@ -191,6 +196,7 @@
             was_member=was_member,
             admitted=admitted,
             settling=now < self._trusted_from,
+            alone=self._alone,
             known=changes is not None,
             more=upto < self._union.sequence,
             joined=() if changes is None else tuple(map(member_of, changes.joined)),
@@ -283,6 +289,7 @@
             if now - last > STALL:
                 self._stood_still(Seconds(now - last), now)
             last = now
+            self._look_whether_alone(now)
             self._sweep(now)
 
     def _stood_still(self, seconds: Seconds, now: Instant) -> None:
@@ -357,7 +364,7 @@
         return tuple(sorted([self._own_identity.internal, *heard]))
 
     def _told(
-        self, position: Position | None, unheard: Sequence[Position], keepers: tuple[Address, ...]
+        self, position: Position | None, unheard: Sequence[Unheard], keepers: tuple[Address, ...]
     ) -> SessionsTold:
         changes = None
         if position is not None and position.life == self._life:
@@ -376,33 +383,34 @@
             keepers=keepers,
         )
 
-    def _relay(self, unheard: Sequence[Position]) -> list[SessionsTold]:
+    def _relay(self, unheard: Sequence[Unheard]) -> list[SessionsTold]:
         """What this keeper has heard itself of keepers that the asker can't reach."""
         now = self._context.clock.monotonic()
         told = []
-        for position in unheard:
-            for peer in self._peers.values():
-                if peer.life != position.life or peer.identity is None or peer.heard_directly is None:
-                    continue
-                same = peer.sequence == position.sequence
-                told.append(
-                    SessionsTold(
-                        keeper=peer.identity,
-                        position=Position(peer.life, peer.sequence),
-                        digest=peer.sessions.digest,
-                        whole=not same,
-                        joined=() if same else tuple(map(member_of, peer.sessions.identities())),
-                        left=(),
-                        age=Seconds(now - peer.heard_directly),
-                    )
+        for wanted in unheard:
+            peer = self._peers.get(wanted.address)
+            if peer is None or not peer.life or peer.identity is None or peer.heard_directly is None:
+                continue
+            same = peer.position() == wanted.position
+            told.append(
+                SessionsTold(
+                    keeper=peer.identity,
+                    position=Position(peer.life, peer.sequence),
+                    digest=peer.sessions.digest,
+                    whole=not same,
+                    joined=() if same else tuple(map(member_of, peer.sessions.identities())),
+                    left=(),
+                    settling=peer.settling,
+                    age=Seconds(now - peer.heard_directly),
                 )
+            )
         return told
 
     def _learn(self, addresses: Sequence[Address]) -> None:
         for address in addresses:
             if address == self._own_identity.internal or address in self._peers:
                 continue
-            self._peers[address] = _Peer(address)
+            self._peers[address] = _Peer(address, self._context.clock.monotonic())
             self._tasks.append(
                 self._context.tasks.spawn(f"keeper {address}", self._follow_forever(self._peers[address]))
             )
@@ -425,7 +433,6 @@
     async def _follow_forever(self, peer: _Peer) -> None:
         """One task for each other keeper: asks it for its sessions, again and again."""
         clock = self._context.clock
-        begun = clock.monotonic()
         while True:
             asked = clock.monotonic()
             unheard = self._unheard(peer, asked)
@@ -451,32 +458,39 @@
                         self._not_keepers[peer.address] = asked
                         del self._peers[peer.address]
                         return
-                    silent = asked - (begun if peer.heard is None else peer.heard)
+                    silent = asked - (peer.known_since if peer.heard is None else peer.heard)
                     if silent > self._times.forget and peer.address not in self._seeds:
                         del self._peers[peer.address]
                         return
                     pause = self._times.retry if silent < self._times.patient else 4 * self._times.retry
                     await clock.sleep(Seconds(pause * (0.8 + 0.4 * self._context.random.random())))
 
-    def _unheard(self, asked_peer: _Peer, now: Instant) -> tuple[Position, ...]:
-        silence = self._times.unheard
-        return tuple(
-            Position(peer.life, peer.sequence)
-            for peer in self._peers.values()
-            if peer is not asked_peer
-            and peer.life
-            and peer.heard_directly is not None
-            and now - peer.heard_directly > silence
-        )
+    def _unheard(self, asked_peer: _Peer, now: Instant) -> tuple[Unheard, ...]:
+        """Whom to ask after: soon after the silence began at once, later now and then."""
+        found = []
+        for peer in self._peers.values():
+            silent = now - (peer.known_since if peer.heard_directly is None else peer.heard_directly)
+            if peer is asked_peer or silent <= self._times.unheard:
+                continue
+            often = now - (peer.known_since if peer.heard is None else peer.heard) <= 2 * self._times.lost
+            if often or peer.asked_after is None or now - peer.asked_after > self._times.ask_after:
+                found.append(Unheard(peer.address, peer.position()))
+                if not often:
+                    peer.asked_after = now
+        return tuple(found)
 
     def _take_relayed(self, told: SessionsTold, asked: Instant) -> None:
-        for peer in list(self._peers.values()):
-            if peer.life == told.position.life:
-                heard = Instant(asked - told.age)
-                if peer.heard is not None and heard > peer.heard and told.position.sequence >= peer.sequence:
-                    self._take(peer, told, heard)
+        peer = self._peers.get(told.keeper.internal)
+        heard = Instant(asked - told.age)
+        if peer is not None and (peer.heard is None or heard > peer.heard):
+            self._take(peer, told, heard)
 
     def _take(self, peer: _Peer, told: SessionsTold, heard: Instant) -> None:
+        same_life = peer.life == told.position.life
+        peer.identity = told.keeper
+        peer.heard = heard if peer.heard is None else max(peer.heard, heard)
+        if (same_life and told.position.sequence < peer.sequence) or not (same_life or told.whole):
+            return  # Another way was faster.
         changed: list[Incarnation] = []
         if told.whole:
             kept = {member.incarnation for member in told.joined}
@@ -488,13 +502,23 @@
         else:
             changed = [gone for gone in told.left if peer.sessions.drop(gone)]
         changed += [member.incarnation for member in told.joined if peer.sessions.put(identity_of(member))]
-        peer.identity = told.keeper
-        peer.heard = heard if peer.heard is None else max(peer.heard, heard)
-        peer.life, peer.sequence = told.position.life, told.position.sequence
+        peer.life, peer.sequence, peer.settling = told.position.life, told.position.sequence, told.settling
         if peer.sessions.digest != told.digest:
             peer.life = ""
         self._recount(*changed)
 
+    def _look_whether_alone(self, now: Instant) -> None:
+        """Hearing less than half of the keepers heard lately, this one takes the silence for its own."""
+        ages = [now - peer.heard for peer in self._peers.values() if peer.heard is not None]
+        lately = 1 + sum(age <= self._times.missed for age in ages)
+        heard = 1 + sum(age <= self._times.lost for age in ages)
+        alone = 2 * heard <= lately
+        if alone or self._alone:
+            self._trusted_from = max(self._trusted_from, Instant(now + self._times.settle))
+        if alone != self._alone:
+            self._alone = alone
+            self._context.log.event("keeper-alone" if alone else "keeper-together", heard=heard, lately=lately)
+
 
 def _silence(peer: _Peer) -> float:
     return -(peer.heard if peer.heard is not None else float("-inf"))
--- a/wingwood/membership/limits.py
+++ b/wingwood/membership/limits.py
@@ -24,6 +24,10 @@
     sweep: Seconds = Seconds(0.1)
     coalesce: Seconds = Seconds(0.03)
     retry: Seconds = Seconds(0.25)
+    missed: Seconds = Seconds(10.0)
+    """So long a keeper that hears less than half of those it heard before takes this for its own fault."""
+    ask_after: Seconds = Seconds(2.0)
+    """How often others are asked after a keeper of which nobody has heard for a while."""
     patient: Seconds = Seconds(30.0)
     """A keeper silent for longer is asked less often."""
     forget: Seconds = Seconds(600.0)
--- a/wingwood/membership/messages.py
+++ b/wingwood/membership/messages.py
@@ -94,7 +94,9 @@
     admitted: bool
     """False: the asker has not shown yet that answers reach it; its session begins with its next heartbeat."""
     settling: bool
-    """The keeper's process is young or has just woken: its list may lack live members."""
+    """The keeper is young, has just woken, or hears few others: its list may lack live members."""
+    alone: bool
+    """The keeper hears few other keepers: another one may know better."""
     known: bool
     """False: the asker's position means nothing here, no changes are told; compare digests."""
     more: bool
@@ -137,6 +139,13 @@
     """Post, daemon to session keeper: it stops on purpose."""
 
 
+class Unheard(msgspec.Struct, frozen=True, array_like=True):
+    """A keeper that the asker can't reach itself, and how far it knows its sessions."""
+
+    address: Address
+    position: Position | None
+
+
 class AskSessions(msgspec.Struct, frozen=True, array_like=True):
     """Call between session keepers; answered at the next change or after ``wait``. Reply: SessionsTold."""
 
@@ -144,8 +153,7 @@
     wait: Seconds
     keepers: int
     """Checksum of the live keepers' addresses known to the asker."""
-    unheard: tuple[Position, ...] = ()
-    """Keepers that the asker can't reach itself, and how far it knows their sessions."""
+    unheard: tuple[Unheard, ...] = ()
 
 
 class SessionsTold(msgspec.Struct, frozen=True, array_like=True):
