--- a/wingwood/control/tests/test_core.py
+++ b/wingwood/control/tests/test_core.py
@@ -9,11 +9,13 @@
 
 from returns.result import Success
 
+from ...context.protocols import Context
 from ...identifiers import Epoch, Incarnation, Seconds
 from ..core import ReplicatedCore
 from ..limits import ControlLimits
 from ..messages import ControlPromise
 from ..protocols import NotDecided
+from ..store import open_store
 from .control_world import ControlWorld, MakeCore, Put, make_core
 from .mutants import BackupIgnoresPromise, with_core
 
@@ -202,6 +204,18 @@
 
 
 class SickDiskTests(ControlCase):
+    def test_a_second_process_on_the_same_folder_is_refused(self) -> None:
+        control = self.fleet()
+        refused: list[str] = []
+
+        async def main(context: Context) -> None:
+            refused.append((await open_store(context)).failure().kind)
+
+        control.world.start("intruder", main, machine="c1")
+        control.world.run(0.1)
+        self.assertEqual(refused, ["locked"])
+        self.hold(control)
+
     def test_a_primary_with_a_sick_disk_gives_way_and_is_a_member_again_when_healed(self) -> None:
         for seed, mode in enumerate(("stalled", "full", "failing", "slow")):
             with self.subTest(mode=mode):
--- a/wingwood/control/tests/walk.py
+++ b/wingwood/control/tests/walk.py
@@ -103,6 +103,7 @@
             self.lose,
             self.lose_then_kill,
             self.second_loss,
+            self.damage,
             self.replace,
             self.kill_all,
             self.hush,
@@ -268,6 +269,20 @@
             self.world.wipe(primary)
             self.down[primary] = self.world.now + 1.0
 
+    def damage(self) -> None:
+        """A byte in the middle of a journal flips; its operator has the daemon begin empty."""
+        if not self.loss_can_be_borne():
+            return
+        name = self.random.choice(self.names)
+        self.losses += 1
+        self.did(f"damage {name}")
+        self.kill(name)
+        disk = self.world.machines[name].disk
+        data = bytearray(disk.visible["control.journal"])
+        data[self.random.randrange(max(1, len(data) // 2))] ^= 0x10
+        disk.visible["control.journal"] = disk.durable["control.journal"] = bytes(data)
+        self.control.begin_empty.add(name)
+
     def replace(self) -> None:
         """A machine is gone for good; an empty one starts at a new address, with the old seeds in its settings."""
         if not self.loss_can_be_borne() or len(self.retired) >= 4:
--- a/wingwood/journal/journal.py
+++ b/wingwood/journal/journal.py
@@ -13,11 +13,11 @@
 from ..context.protocols import Context, DiskFault
 from ..identifiers import Seconds
 
-MAGIC = b"WWJOURN1"
+MAGIC = b"WWJOURN2"
 SALT_BYTES = 16
-HEADER_BYTES = len(MAGIC) + SALT_BYTES
 MARKER_BYTES = 4
 CHECKSUM_BYTES = 8
+HEADER_BYTES = len(MAGIC) + SALT_BYTES + 8 + CHECKSUM_BYTES
 FRAME_BYTES = MARKER_BYTES + 4 + CHECKSUM_BYTES
 """What a frame adds to its payload."""
 
@@ -46,8 +46,10 @@
     file_bytes: int
 
 
-def header(salt: bytes) -> bytes:
-    return MAGIC + salt
+def header(salt: bytes, base: int) -> bytes:
+    """``base``: bytes of the file that were synced before it got its name, so they can't be torn."""
+    begin = MAGIC + salt + base.to_bytes(8, "big")
+    return begin + hashlib.blake2b(begin, digest_size=CHECKSUM_BYTES).digest()
 
 
 def _marker(salt: bytes) -> bytes:
@@ -83,10 +85,16 @@
 
 
 def scan(data: bytes) -> Result[Scan, JournalFault]:
-    """Reads a whole journal. A bad frame is a torn tail only when no good frame stands behind it."""
+    """Reads a whole journal.
+
+    A bad frame is a torn tail only behind what was written whole, and when no good frame stands behind it.
+    """
     if len(data) < HEADER_BYTES or not data.startswith(MAGIC):
         return Failure(JournalFault("damaged", "no journal header", 0))
-    salt = data[len(MAGIC) : HEADER_BYTES]
+    salt = data[len(MAGIC) : len(MAGIC) + SALT_BYTES]
+    base = int.from_bytes(data[len(MAGIC) + SALT_BYTES : HEADER_BYTES - CHECKSUM_BYTES], "big")
+    if data[:HEADER_BYTES] != header(salt, base):
+        return Failure(JournalFault("damaged", "bad header", 0))
     marker = _marker(salt)
     payloads: list[bytes] = []
     offset = HEADER_BYTES
@@ -96,6 +104,8 @@
             break
         payloads.append(payload)
         offset += FRAME_BYTES + len(payload)
+    if offset < base:
+        return Failure(JournalFault("damaged", f"bad frame, below the {base} bytes that were written whole", offset))
     behind = data.find(marker, offset + 1)
     while behind != -1:
         if _frame_at(salt, marker, data, behind) is not None:
@@ -162,7 +172,7 @@
                 match await self._disk(lambda: self._context.disk.truncate(self._name, found.sound_bytes), patience):
                     case Failure(fault):
                         return Failure(fault)
-            self._salt = data[len(MAGIC) : HEADER_BYTES]
+            self._salt = data[len(MAGIC) : len(MAGIC) + SALT_BYTES]
             self._length = found.sound_bytes
             self._sick = None
             return Success(found.payloads)
@@ -217,13 +227,13 @@
 
     async def _replace(self, payloads: Sequence[bytes], patience: Seconds | None = None) -> Result[None, JournalFault]:
         salt = self._context.random.randbytes(SALT_BYTES)
-        pieces = [header(salt)]
+        pieces = []
         length = HEADER_BYTES
         for payload in payloads:
             piece = frame(salt, length, payload)
             pieces.append(piece)
             length += len(piece)
-        data = b"".join(pieces)
+        data = header(salt, length) + b"".join(pieces)
         match await self._disk(lambda: self._context.disk.write_new(self._new_name, data), patience):
             case Failure(fault):
                 # The file under our name is as it was.
--- a/wingwood/journal/tests/test_journal.py
+++ b/wingwood/journal/tests/test_journal.py
@@ -87,17 +87,29 @@
         await self.created(b"one" * 3, b"two")
         whole = self.disk.files["control.journal"]
         last = len(whole) - 16 - 3
-        for place in range(24, last):
+        for place in range(last):
             damaged = bytearray(whole)
             damaged[place] ^= 0x40
             self.disk.files["control.journal"] = bytes(damaged)
             fault = (await self.journal().open()).failure()
             self.assertEqual(fault.kind, "damaged")
-            self.assertIn(fault.offset, (24, 24 + 16 + 5))
+            self.assertIn(fault.offset, (0, 40, 40 + 16 + 5))
             self.assertLessEqual(fault.offset, place)
         self.disk.files["control.journal"] = b"X" + whole[1:]
         self.assertEqual((await self.journal().open()).failure().kind, "damaged")
 
+    @on_simulated_time
+    async def test_a_rewritten_file_is_never_taken_for_torn(self) -> None:
+        journal = await self.created(b"one")
+        await journal.rewrite(lambda: [b"first", b"the whole state"])
+        whole = self.disk.files["control.journal"]
+        for place in range(len(whole)):
+            damaged = bytearray(whole)
+            damaged[place] ^= 0x40
+            for data in (bytes(damaged), whole[:place]):
+                self.disk.files["control.journal"] = data
+                self.assertEqual((await self.journal().open()).failure().kind, "damaged")
+
     @on_simulated_time
     async def test_a_payload_that_holds_a_journal_is_no_damage_when_torn(self) -> None:
         await self.created(b"one")
