Shares: a keeper silent for 50 ms is hedged by its deputy; a router with no history takes 1/N

What: after 50 ms the deputy is asked beside the keeper, whose late grant still counts; a call waits at most 0.1 s (only while the keeper is silent); a router that knows nothing takes 1/N; whoever is asked decides by its own view whether it keeps or stands in; a keeper that declines sends to the deputy too.

--- a/wingwood/limits/messages.py
+++ b/wingwood/limits/messages.py
@@ -24,8 +24,6 @@
     """Calls taken from the fallback share since the last ask that was answered."""
     number: int
     """Counts the asker's asks; one that comes after a later one lay in buffers and is void."""
-    deputy: bool = False
-    """The asker got no answer from the keeper and asks the next router in order."""
 
 
 class LeaseGrant(msgspec.Struct, frozen=True, array_like=True):
--- a/wingwood/limits/shares.py
+++ b/wingwood/limits/shares.py
@@ -8,14 +8,14 @@
 from collections.abc import Callable
 
 import msgspec
-from returns.result import Success
+from returns.result import Result, Success
 
 from ..bundle.model import Tenant
 from ..context.protocols import Context
 from ..identifiers import Incarnation, Instant, Seconds, TenantName
 from ..membership.protocols import Membership
 from ..transport.frames import Identity
-from ..transport.messenger import Messenger
+from ..transport.messenger import Messenger, TransportFault
 from .bucket import RecentCount, TokenBucket
 from .keepers import ShareKeepers
 from .messages import RECENT, LeaseAsk, LeaseGrant, LeaseReturn, MemberAnswer, MemberQuestion, UseAnswer, UseQuestion
@@ -27,14 +27,14 @@
     """A lease covers the recent need of about this long."""
     lease: Seconds = Seconds(1.0)
     """Leased tokens not used within this, counted from before asking, are given back."""
-    wait: Seconds = Seconds(0.05)
-    """Longest wait of a call for its keeper."""
+    wait: Seconds = Seconds(0.1)
+    """Longest wait of a call for its keeper and the keeper's deputy."""
+    hedge: Seconds = Seconds(0.05)
+    """After this without an answer of the keeper its deputy is asked."""
     ask: Seconds = Seconds(0.25)
-    """How long an ask itself may take before the deputy is asked; a grant that comes late is still used."""
+    """How long an ask itself may take; a grant that comes late is still used."""
     probe: Seconds = Seconds(0.1)
     """Between asks while the keeper does not answer."""
-    probe_wait: Seconds = Seconds(0.2)
-    """How long such an ask may take, so that a new keeper is found soon."""
     empty_pause: Seconds = Seconds(0.02)
     """Shortest time for which an empty bucket is not asked again."""
     fallback_decay: Seconds = Seconds(5.0)
@@ -271,10 +271,8 @@
         returned, unleased, reports = share.returned, share.unleased, share.reports
         share.returned = share.unleased = 0
         self._asks += 1
-        ask = LeaseAsk(
-            name, share.tenant.paid_rate, share.tenant.burst, wanted, returned, unleased, self._asks, deputized
-        )
-        grant = None if asked is None else await self._ask_router(asked, ask, share.unreachable_since is not None)
+        ask = LeaseAsk(name, share.tenant.paid_rate, share.tenant.burst, wanted, returned, unleased, self._asks)
+        grant = None if asked is None else await self._ask_router(share, asked, ask, deputized)
         began, now = now, self._context.clock.monotonic()
         if grant is None or not grant.keeper:
             if share.reports == reports:
@@ -282,14 +280,12 @@
             # The deputy is asked at once in the keeper's place; when it declines too, the keeper is next.
             share.deputy_of = None if deputized else keeper.incarnation
             self._mark_lost(share, now)
-            if not deputized and grant is None:
+            if not deputized:
                 return True
             self._mark_unreachable(share, now)
             return False
         if not deputized:
-            share.keeper_answered_at = now
-            share.lost_since = None
-            share.keeper_level, share.keeper_rate = grant.level, grant.rate
+            self._note_keeper(share, grant, now)
         if share.unreachable_since is not None:
             share.unreachable_since = share.fallback = None
             self._context.log.event("share-keeper-answers", tenant=name, keeper=keeper.name, by_deputy=deputized)
@@ -305,13 +301,48 @@
             share.waiters.popleft().set_result(ShareRefused(pause))
         return False
 
-    async def _ask_router(self, router: Identity, ask: LeaseAsk, hurried: bool) -> LeaseGrant | None:
+    async def _ask_router(
+        self, share: _TenantShare, router: Identity, ask: LeaseAsk, deputized: bool
+    ) -> LeaseGrant | None:
+        """The answer, or None after ``ShareBounds.hedge``; a keeper's later one is still used when it comes."""
         if router.incarnation == self._messenger.identity.incarnation:
             return await self._answer_ask(router, ask)
-        longest = self._bounds.probe_wait if hurried else self._bounds.ask
-        outcome = await self._messenger.call(router.internal, ask, LeaseGrant, longest)
+        began = self._context.clock.monotonic()
+        call = asyncio.get_running_loop().create_task(
+            self._messenger.call(router.internal, ask, LeaseGrant, self._bounds.ask)
+        )
+        await asyncio.wait((call,), timeout=None if deputized else self._bounds.hedge)
+        if not call.done():
+            call.add_done_callback(lambda done: self._take_late(share, ask, done, began))
+            return None
+        outcome = call.result()
         return outcome.unwrap() if isinstance(outcome, Success) else None
 
+    def _take_late(
+        self,
+        share: _TenantShare,
+        ask: LeaseAsk,
+        call: asyncio.Task[Result[LeaseGrant, TransportFault]],
+        began: Instant,
+    ) -> None:
+        if call.cancelled() or not isinstance(outcome := call.result(), Success):
+            return
+        grant: LeaseGrant = outcome.unwrap()
+        if not grant.keeper:
+            return
+        now = self._context.clock.monotonic()
+        self._note_keeper(share, grant, now)
+        share.deputy_of = share.unreachable_since = share.fallback = None
+        share.unleased = max(0, share.unleased - ask.unleased)
+        share.hold(Instant(began + self._bounds.lease), grant.granted)
+        while share.waiters and share.take_held(now):
+            share.waiters.popleft().set_result(TOKEN)
+
+    def _note_keeper(self, share: _TenantShare, grant: LeaseGrant, now: Instant) -> None:
+        share.keeper_answered_at = now
+        share.lost_since = None
+        share.keeper_level, share.keeper_rate = grant.level, grant.rate
+
     def _mark_unreachable(self, share: _TenantShare, now: Instant) -> None:
         """From now on the fallback part counts, until the keeper has answered an ask."""
         self._mark_lost(share, now)
@@ -327,7 +358,8 @@
         if share.lost_since is None:
             share.lost_since = now
             own = share.accepted.count(now, RECENT) / RECENT
-            share.own_part = min(1.0, own / max(own, share.keeper_rate, 1e-9))
+            whole = max(own, share.keeper_rate)
+            share.own_part = own / whole if whole > 0 else 1.0 / max(1, len(self._keepers.routers()))
 
     def _take_fallback(self, share: _TenantShare, now: Instant) -> ShareRefused | None:
         since = share.lost_since
@@ -405,7 +437,7 @@
     async def _answer_ask(self, asker: Identity, ask: LeaseAsk) -> LeaseGrant:
         self.start()
         now = self._context.clock.monotonic()
-        if not self._keeps(ask.tenant, now) and not (ask.deputy and await self._deputizes(ask.tenant)):
+        if not self._keeps(ask.tenant, now) and not await self._deputizes(ask.tenant):
             return LeaseGrant(False, 0, Seconds(0.0))
         now = self._context.clock.monotonic()
         rate, burst = ask.paid_rate, ask.burst
@@ -434,7 +466,7 @@
             kept.bucket.give(ask.returned - ask.unleased, now)
         granted = kept.bucket.take(ask.wanted, now)
         if granted < ask.wanted and kept.gathering is not None:
-            await asyncio.wait((kept.gathering,), timeout=0.8 * self._bounds.wait)
+            await asyncio.wait((kept.gathering,), timeout=0.8 * self._bounds.hedge)
             now = self._context.clock.monotonic()
             granted += kept.bucket.take(ask.wanted - granted, now)
         kept.granted.add(now, granted + ask.unleased - ask.returned)
