Real-fleet faults: rolled machines, history of every control daemon, one folder per run

The message now says what stood in the history, and each control daemon is asked; runs keep their logs apart.

--- a/bench/real_faults.py
+++ b/bench/real_faults.py
@@ -142,6 +142,19 @@
         fleet.restart(name)
 
 
+async def routers_rolled(fleet: Fleet) -> None:
+    """Each is asked to stop, ends its streams, and is started again before the next."""
+    for router in fleet.routers():
+        await fleet.roll(router.name)
+        await fleet.daemon_answers(router.name, "/ready")
+
+
+async def controls_rolled(fleet: Fleet) -> None:
+    for control in fleet.controls():
+        await fleet.roll(control.name)
+        await wait_until("control is complete again", fleet.control_complete)
+
+
 async def worker_killed(fleet: Fleet) -> None:
     fleet.kill(_model_worker(fleet))
 
@@ -194,6 +207,8 @@
     all_control_killed,
     all_control_killed_one_wiped,
     all_daemons_killed,
+    routers_rolled,
+    controls_rolled,
     worker_killed,
     worker_frozen,
     worker_replaced,
@@ -244,7 +259,7 @@
         if done.code:
             return None
         version = int(done.json()["version"])
-        self.acknowledged[version] = str(done.json()["order"])
+        self.acknowledged[version] = str(done.json().get("order", ""))
         return version
 
 
@@ -362,15 +377,23 @@
             await wait_until("the newest acknowledged bundle is in force", lambda: self.in_force(newest), GIVE_UP)
         except FleetProblem as problem:
             self.report.violations.append(str(problem))
-        to = [word for daemon in self.fleet.controls() for word in ("--to", daemon.operator)]
-        told = await self.fleet.run_command("bundle", "history", "--most", "1000", "--json", *to)
-        if told.code:
-            self.report.violations.append(f"no history: {told.errors.strip()}")
+        for control in self.fleet.controls():
+            if self.fleet.children[control.name].running():
+                await self.judge_history(control)
+
+    async def judge_history(self, control: DaemonPlan) -> None:
+        answer = await self.fleet.run_command("bundle", "history", "--most", "1000", "--json", "--to", control.operator)
+        if answer.code:
+            self.report.violations.append(f"no history at {control.name}: {answer.errors.strip()}")
             return
-        kept = {entry["version"]: entry["order"] for entry in told.json()["entries"]}
+        kept = {entry["version"]: entry["order"] for entry in answer.json()["entries"]}
         lost = [version for version, order in self.operator.acknowledged.items() if kept.get(version) != order]
         if lost:
-            self.report.violations.append(f"acknowledged and not in the history: versions {sorted(lost)}")
+            told = [(version, self.operator.acknowledged[version], kept.get(version)) for version in sorted(lost)]
+            self.report.violations.append(
+                f"acknowledged and not in the history of {control.name} (version, order, what stands there): {told}; "
+                f"its newest is {max(kept, default=0)}"
+            )
 
 
 def judged(records: Sequence[CallRecord], runs: Sequence[dict[str, Any]]) -> list[str]:
@@ -393,7 +416,10 @@
 async def run_case(shape: Shape, action: Action, logs: Path | None) -> CaseReport:
     shape = msgspec.structs.replace(shape, first_port=free_first_port(shape))
     with tempfile.TemporaryDirectory(prefix="wingwood-faults-") as temporary:
-        folder = logs / action.__name__ if logs is not None else Path(temporary)
+        folder = Path(temporary)
+        if logs is not None:
+            kept = len(list(logs.glob(f"{action.__name__}-*")))
+            folder = logs / f"{action.__name__}-{kept + 1}"
         async with Fleet(shape, folder) as fleet:
             try:
                 return await Case(fleet, action).run()
