--- a/wingwood/distribution/publisher.py
+++ b/wingwood/distribution/publisher.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Sequence
 
 from ..bundle.model import Manifest
 from ..context.protocols import Context, Task
@@ -46,6 +47,7 @@
         self._chunks = ChunkServer(self._limits.chunk_bytes)
         self._posted: dict[Address, tuple[Epoch, BundleVersion]] = {}
         self._published = Instant(float("-inf"))
+        self._ranked: tuple[Sequence[Identity], Sequence[Identity]] | None = None
         self._wake = asyncio.Event()
         self._task: Task | None = None
         messenger.on_call(FetchBundle, self._on_fetch)
@@ -89,14 +91,21 @@
             await clock.sleep(Seconds(max(0.0, self._published + self._limits.pause - clock.monotonic())))
             self._publish()
 
+    def _homes(self) -> Sequence[Identity]:
+        """Of all zones; worked out anew only when the members have changed."""
+        routers = self._membership.routers()
+        if self._ranked is None or self._ranked[0] is not routers:
+            homes = [home for zone in zones_of(routers) for home in homes_of(BUNDLE_SERVICE, zone, routers)]
+            self._ranked = routers, homes
+        return self._ranked[1]
+
     def _publish(self) -> None:
         newest = self._source.newest()
         if newest is None or not self._core.leads():
             return
         self._published = self._context.clock.monotonic()
         version, epoch = newest.version, self._core.epoch()
-        routers = self._membership.routers()
-        homes = [home for zone in zones_of(routers) for home in homes_of(BUNDLE_SERVICE, zone, routers)]
+        homes = self._homes()
         controls = [control.internal for control in self._membership.controls()]
         posted: dict[Address, tuple[Epoch, BundleVersion]] = {}
         fresh = 0
--- a/wingwood/membership/keeper.py
+++ b/wingwood/membership/keeper.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections import Counter
 from collections.abc import Callable, Sequence
 from zlib import crc32
 
@@ -303,12 +304,13 @@
                 peer.heard = Instant(peer.heard + seconds)
 
     def _sweep(self, now: Instant) -> None:
-        for incarnation, session in list(self._sessions.items()):
-            silent = now - session.renewed
-            if silent > self._times.lost:
-                self._end_session(incarnation, "lost")
-            elif silent > self._times.lost / 2 and self._replaced_elsewhere(session.identity):
-                self._end_session(incarnation, "superseded")
+        quiet = [session for session in self._sessions.values() if now - session.renewed > self._times.lost / 2]
+        listening = Counter(member.internal for member in self._union.identities()) if quiet else Counter()
+        for session in quiet:
+            if now - session.renewed > self._times.lost:
+                self._end_session(session.identity.incarnation, "lost")
+            elif listening[session.identity.internal] > 1:  # Another keeper holds a new process at that address.
+                self._end_session(session.identity.incarnation, "superseded")
         for peer in self._peers.values():
             over = [incarnation for incarnation, (_, until) in peer.orphans.items() if now > until]
             for incarnation in over:
@@ -324,13 +326,6 @@
             elif silent > self._times.lost and peer.identity is not None:
                 self._forget(peer, [peer.identity.incarnation])
 
-    def _replaced_elsewhere(self, identity: Identity) -> bool:
-        """Whether another keeper holds a session of another process at the same address."""
-        return any(
-            member.internal == identity.internal and member.incarnation != identity.incarnation
-            for member in self._union.identities()
-        )
-
     def _forget(self, peer: _Peer, incarnations: Sequence[Incarnation]) -> None:
         gone = [incarnation for incarnation in incarnations if peer.sessions.drop(incarnation)]
         if gone:
--- a/wingwood/membership/tests/test_sessions.py
+++ b/wingwood/membership/tests/test_sessions.py
@@ -7,7 +7,8 @@
 from simulation import World
 
 from ...distribution.tests.small_fleet import ControlParts, SmallFleet
-from ...identifiers import Address
+from ...identifiers import Address, DaemonName, Epoch
+from ..duties import EpochGate, first_live
 from ..limits import SessionTimes
 
 
@@ -282,6 +283,39 @@
             world.run(0.8)
             self.assertNotIn("r01", fleet.view_of("r02"))
 
+    def test_history_is_known_to_wiped_keepers_and_unknown_to_a_new_fleet(self) -> None:
+        with World(seed=7) as world:
+            fleet = self.fleet(world)
+            fleet.epoch = 0
+            world.run(1.0)
+            knows = {name: parts.keeper.knows_of_history for name, parts in fleet.controls.items()}
+            self.assertTrue(all(fleet.inside(name, knows[name]) for name in knows), "settling: not sure yet")
+            world.run(3.0)
+            self.assertFalse(any(fleet.inside(name, knows[name]) for name in knows))
+            fleet.commit()
+            world.run(2.0)
+            for name in ("c1", "c2", "c3"):
+                world.wipe(name)
+                world.restart(name)
+            world.run(4.0)
+            knows = {name: parts.keeper.knows_of_history for name, parts in fleet.controls.items()}
+            self.assertTrue(any(fleet.inside(name, knows[name]) for name in knows))
+
+    def test_duty_is_done_by_the_first_live_one_under_an_epoch(self) -> None:
+        with World(seed=8) as world:
+            fleet = self.fleet(world)
+            fleet.settle()
+            order = [DaemonName(name) for name in ("r09", "r03", "r01")]
+            membership = fleet.routers["r05"].client
+            self.assertEqual(getattr(first_live(order, membership), "name", None), "r09")
+            world.kill("r09")
+            world.run(3.0)
+            self.assertEqual(getattr(first_live(order, membership), "name", None), "r03")
+            self.assertIsNone(first_live([DaemonName("r99")], membership))
+            gate = EpochGate()
+            admitted = [gate.admit(Epoch(number)) for number in (3, 3, 2, 5, 4)]
+            self.assertEqual(admitted, [True, True, False, True, False])
+
     def test_same_seed_gives_the_same_run(self) -> None:
         def run() -> str:
             with World(seed=6) as world:
