A primary that just took over does not say that there is no bundle

Cause: scenario last_fault (all daemons killed together) was red: the new primary leads before its first commit, knew no durable version yet, and answered "no bundle" for the fleet (at 11.17 s to router-2). Changed: who holds versions and doesn't know that they are durable is not sure, so others are asked or 503 is said.

--- a/wingwood/bundle/reading.py
+++ b/wingwood/bundle/reading.py
@@ -82,8 +82,11 @@
         self._keeps = keeps
 
     def is_sure(self) -> bool:
-        """Whether what is read here stands for the fleet."""
-        return self._keeps()
+        """Whether what is read here stands for the fleet.
+
+        A primary that just took over holds versions and doesn't know yet that they are durable: not sure.
+        """
+        return self._keeps() and (self._durable() > 0 or self._state.version == 0)
 
     def read_bundle(self, version: BundleVersion) -> BundleAnswer:
         newest = self._durable()
--- a/wingwood/bundle/tests/test_reading.py
+++ b/wingwood/bundle/tests/test_reading.py
@@ -56,6 +56,15 @@
         self.assertEqual(found[2], reader.read_history(10))
         self.assertIn("none is known", str(found[3]))
 
+    def test_a_new_primary_that_has_not_committed_yet_does_not_say_that_there_is_no_bundle(self) -> None:
+        state, slices = BundleState(OPERATOR_KEYS), sample_slices()
+        nothing = LocalBundleReader(state, lambda: BundleVersion(0))
+        self.assertTrue(nothing.read_bundle(BundleVersion(0)).sure)
+        submit(state, order_between(0, {}, slices))
+        self.assertFalse(nothing.read_bundle(BundleVersion(0)).sure)
+        self.assertFalse(nothing.read_history(10).sure)
+        self.assertTrue(LocalBundleReader(state, lambda: BundleVersion(1)).read_bundle(BundleVersion(0)).sure)
+
     def test_only_a_daemon_that_keeps_the_bundles_speaks_for_the_fleet(self) -> None:
         state, slices = BundleState(OPERATOR_KEYS), sample_slices()
         submit(state, order_between(0, {}, slices))
