Known red: a post made in the moment of connecting overtakes those that waited for the link

Run: posts 0, 1, 2 before the link is there and 3 in the moment it is: they arrive as [3, 0, 1, 2]. Exploration also cuts routers one way and freezes whole machines.

--- a/simulation/callers.py
+++ b/simulation/callers.py
@@ -206,6 +206,8 @@
             attempt.sent_bytes = exchange.request_sent()
             stream = exchange.reusable()
             if stream is not None and attempt.end == "whole":
+                # With a callback set the stream listens, so that one the router closed meanwhile is not used again.
+                stream.set_close_callback(lambda: None)
                 self._kept.setdefault(door.address, []).append(stream)
             else:
                 exchange.cancel()
@@ -216,6 +218,7 @@
         while kept:
             stream = kept.pop()
             if not stream.closed():
+                stream.set_close_callback(None)
                 return stream
         return None
 
--- a/simulation/explore.py
+++ b/simulation/explore.py
@@ -129,6 +129,8 @@
                 f"freeze {name} for {random.choice((1, 4, 12, 25))}",
                 f"terminate {name}",
                 f"cut off {name} for {random.choice((2, 8, 20))}",
+                f"cut off {name} {random.choice(('inward', 'outward'))} for {random.choice((2, 8, 20))}",
+                f"cut off {name} from daemons for {random.choice((2, 8, 20))}",
                 f"isolate {name} for {random.choice((2, 8, 20))}",
                 f"power off {name} for {random.choice((2, 8, 20))}",
                 f"slow {name} by 0.{random.randint(1, 6)} for {random.randint(3, 15)}",
@@ -165,6 +167,7 @@
             (
                 f"kill {name} for {lasts}",
                 f"freeze {name} for {lasts}",
+                f"freeze {name.replace('control', 'front')} for {lasts}",
                 f"terminate {name}",
                 f"cut off {name} for {lasts}",
                 f"isolate {name} for {lasts}",
--- a/simulation/fleet.py
+++ b/simulation/fleet.py
@@ -303,6 +303,8 @@
             asked_at = self.world.now
             life = self.world.processes[name].lives
             health = await watcher.health_at(desk, 1.0)
+            if name not in self.settings:
+                return  # replaced meanwhile
             if health is not None:
                 seen = SeenVersion(asked_at, self.world.now, name, life, int(health.get("version", 0)))
                 if self.settings[name].role == "router":
--- a/wingwood/transport/tests/test_messenger.py
+++ b/wingwood/transport/tests/test_messenger.py
@@ -176,6 +176,24 @@
             self.assertEqual(peers.posts, list(range(200)), f"seed {seed}")
             peers.world.close()
 
+    def test_post_in_the_moment_of_connecting_does_not_overtake_those_that_waited(self) -> None:
+        peers = Peers()
+        self.addCleanup(peers.world.close)
+
+        async def send() -> None:
+            messenger = peers.messengers["near"]
+            for number in range(3):
+                messenger.post(peers.far, Question(number))
+            await asyncio.sleep(0)
+            connecting = messenger._links[peers.far].connecting
+            assert connecting is not None
+            await connecting
+            messenger.post(peers.far, Question(3))
+
+        peers.world.spawn(peers.world.processes["near"], send(), "send")
+        peers.world.run(1)
+        self.assertEqual(peers.posts, [0, 1, 2, 3])
+
     def test_posts_to_an_absent_peer_are_lost_without_harm(self) -> None:
         peers = Peers()
         self.addCleanup(peers.world.close)
