A refused turn leaves no claim, and its worker alone for half a second

Cause: the next turn of a router went to the worker that had just refused one; and a turn that admission or a worker refused left a claim at a worker that had never seen it, over the award. What: 0.5 s of rest per router and worker unless nobody else is ready; the map's entry of before is recorded again. Tests for both failed before.

--- a/wingwood/placement/award_placement.py
+++ b/wingwood/placement/award_placement.py
@@ -22,6 +22,8 @@
 
 How = Literal["award", "claim", "bid", "hash", "policy"]
 PREFIX_ORDERS_MOST = 2_000
+UNSENT_WITHIN = Seconds(0.002)
+"""A turn that admission refuses is cancelled in the moment in which it was placed."""
 Outcome = Literal["whole", "refused", "broken", "cancelled"]
 
 
@@ -53,6 +55,10 @@
 class _Placed(msgspec.Struct, frozen=True):
     since: Instant
     waited: float
+    claimed: bool
+    """Whether the placing made this worker the session's holder in the map."""
+    known: Entry | None
+    """What the map held before."""
 
 
 class AwardPlacement:
@@ -107,7 +113,7 @@
                 return Failure(NoWorker("none-ready", Seconds(1.0)))
             if all(self._workload.is_full(worker) for worker in ready):
                 return Failure(NoWorker("all-full", min(self._workload.room_after(worker) for worker in ready)))
-            worker, how = self._pick(turn, key, entry, ready)
+            worker, how = self._pick(turn, key, entry, self._workload.willing(ready))
             if await self._registry.confirm(worker):
                 return Success(self._place(turn, key, entry, worker, how))
             tried.add(worker.instance)
@@ -151,11 +157,13 @@
             uncached_tokens=uncached,
         )
         self.counts[how] += 1
-        self._placed[(turn.request, worker.instance)] = _Placed(now, self._workload.wait(worker))
+        claimed = key is not None and worker.cache_tokens > 0 and (known is None or known.holder != worker.instance)
+        placed = _Placed(now, self._workload.wait(worker), claimed, known)
+        self._placed[(turn.request, worker.instance)] = placed
         self._workload.begin(worker.instance)
         if key is not None and worker.cache_tokens:
             self._shared.sent(turn.service.pool, turn.prefix, key, turn.prompt_tokens, worker.instance, now)
-            if known is None or known.holder != worker.instance:
+            if claimed:
                 self._map.record(key, self._entry(turn, worker, turn.prompt_tokens, now))
         return choice
 
@@ -173,15 +181,27 @@
         if placed is None:
             return
         self._workload.end(choice.worker.instance)
+        if outcome == "refused":
+            self._workload.refused(choice.worker.instance)
+        now = self._context.clock.monotonic()
+        unsent = outcome == "cancelled" and now - placed.since <= UNSENT_WITHIN
+        if placed.claimed and (unsent or outcome == "refused"):
+            self._unclaim(turn, choice.worker, placed.known)
         if outcome != "whole":
             return
-        now = self._context.clock.monotonic()
         self._workload.learn(
             choice.worker, choice.uncached_tokens, placed.waited, first_token_after, now - placed.since
         )
         if turn.session is not None and choice.worker.cache_tokens:
             self.hint(turn, choice.worker, turn.prompt_tokens + generated_tokens)
 
+    def _unclaim(self, turn: Turn, worker: Worker, known: Entry | None) -> None:
+        """The worker never saw the turn: what was known before holds again."""
+        assert turn.session is not None
+        now = self._context.clock.monotonic()
+        entry = self._entry(turn, worker, 0, now) if known is None else msgspec.structs.replace(known, touched_at=now)
+        self._map.record(session_key(turn.service.pool, turn.session), entry)
+
     def hint(self, turn: Turn, holder: Worker, tokens: int) -> None:
         """The session's next turn is near: bid for it, record the award."""
         assert turn.session is not None
--- a/wingwood/placement/plain_policies.py
+++ b/wingwood/placement/plain_policies.py
@@ -31,7 +31,7 @@
     async def choose(self, turn: Turn, excluded: Sequence[WorkerInstance]) -> Result[Choice, NoWorker]:
         ready = [worker for worker in self._registry.ready(turn.service.pool) if worker.instance not in excluded]
         open_workers = [worker for worker in ready if not self._workload.is_full(worker)]
-        for worker in self._order(turn, open_workers) if open_workers else ():
+        for worker in self._order(turn, self._workload.willing(open_workers)) if open_workers else ():
             if await self._registry.confirm(worker):
                 first_token = self._workload.first_token(worker, turn.prompt_tokens)
                 waited = self._workload.wait(worker)
@@ -57,7 +57,9 @@
             return
         since, waited = placed
         self._workload.end(choice.worker.instance)
-        if outcome == "whole":
+        if outcome == "refused":
+            self._workload.refused(choice.worker.instance)
+        elif outcome == "whole":
             seconds = self._context.clock.monotonic() - since
             self._workload.learn(choice.worker, choice.uncached_tokens, waited, first_token_after, seconds)
 
--- a/wingwood/placement/tests/test_award_placement.py
+++ b/wingwood/placement/tests/test_award_placement.py
@@ -178,6 +178,32 @@
             assert isinstance(after, Choice)
             self.assertEqual(after.worker.instance == first, stays)
 
+    def test_worker_that_refused_a_turn_is_left_alone_for_a_moment(self) -> None:
+        fleet = self.fleet()
+        winner = fleet.take("r0", "s").worker.instance
+        fleet.take("r1", "s", 2100, outcome="refused")
+        self.assertNotEqual(fleet.take("r1", "s", 2100, outcome="refused").worker.instance, winner)
+        at_other = fleet.take("r2", "s", 2100)
+        self.assertEqual((at_other.how, at_other.worker.instance), ("award", winner), "no claim without a run")
+        for _ in fleet.renewing:
+            fleet.take("r3", "t", outcome="refused")
+        self.assertIsInstance(fleet.choose("r3", turn_of("t")), Choice, "a worker that refused is better than none")
+
+    def test_turn_that_admission_refused_leaves_no_claim(self) -> None:
+        fleet = self.fleet()
+        placement = fleet.placements["r0"]
+        turn = turn_of("s")
+
+        async def refused_by_admission() -> bool:
+            placement.finished(turn, (await placement.choose(turn, ())).unwrap(), "cancelled", 0, None)
+            return True
+
+        fleet.inside("r0", refused_by_admission)
+        fleet.world.run(0.1)
+        choice = fleet.choose("r1", turn_of("s"))
+        assert isinstance(choice, Choice)
+        self.assertEqual((choice.how, choice.uncached_tokens), ("bid", 2000))
+
     def test_award_gives_way_where_its_winner_would_outlast_the_callers_patience(self) -> None:
         fleet = self.fleet()
         winner = fleet.take("r0", "s").worker.instance
--- a/wingwood/placement/worker_estimates.py
+++ b/wingwood/placement/worker_estimates.py
@@ -12,6 +12,7 @@
 from ..identifiers import Instant, PoolName, Seconds, WorkerInstance
 from ..registry.protocols import Engagement, EngagementExchange, Registry, Worker
 
+REFUSED_FOR = Seconds(0.5)
 FOLD = 0.1
 """Weight of one new sample in the moving averages."""
 TOLD_LOAD_TRUST = 0.7
@@ -53,6 +54,7 @@
         self._running: Counter[WorkerInstance] = Counter()
         self._expected: OrderedDict[int, _Expected] = OrderedDict()
         self._expected_at: Counter[WorkerInstance] = Counter()
+        self._refused_at: dict[WorkerInstance, Instant] = {}
         self._turning: dict[PoolName, float] = {}
         self._figures: dict[WorkerInstance, WorkerFigures] = {}
         self._of_pool: dict[PoolName, WorkerFigures] = {}
@@ -68,6 +70,18 @@
         if self._running[instance] <= 0:
             del self._running[instance]
 
+    def refused(self, instance: WorkerInstance) -> None:
+        """It would not take a turn (draining unheard of here, full, another life): left alone for a moment."""
+        self._refused_at[instance] = self._clock.monotonic()
+
+    def willing(self, ready: Sequence[Worker]) -> Sequence[Worker]:
+        """Without those that have just refused a turn, unless that leaves none."""
+        if not self._refused_at:
+            return ready
+        since = self._clock.monotonic() - REFUSED_FOR
+        self._refused_at = {instance: at for instance, at in self._refused_at.items() if at > since}
+        return [worker for worker in ready if worker.instance not in self._refused_at] or ready
+
     def expect(self, key: int, instance: WorkerInstance, since: Instant) -> None:
         """The session's next turn is awarded there; counts for a while, or until its next award."""
         self._drop(key)
