--- /dev/null
+++ b/bench/capacity/__main__.py
@@ -0,0 +1,136 @@
+"""``python -m bench.capacity measure --output FILE`` and ``python -m bench.capacity page --input FILE``.
+
+Each probe runs in a process of its own, one after another; what it gave is written into the file at once,
+with the machine's load beside it. ``--only NAME`` measures some probes anew and keeps the others.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import subprocess
+import sys
+import time
+from collections.abc import Callable, Sequence
+from pathlib import Path
+from typing import Any
+
+import click
+
+from .common import Row, all_rounded
+
+FLEETS = ((11, 1), (100, 1), (300, 1), (1000, 4))
+"""Hollow daemons, and the processes that share them."""
+
+
+def _fleet(daemons: int, processes: int) -> list[Row]:
+    from .hollow import measure_fleet  # noqa: PLC0415
+
+    return [asyncio.run(measure_fleet(daemons, processes, 5, 15.0))]
+
+
+def probes() -> dict[str, Callable[[], list[Row]]]:
+    from . import control, daemons, forward, ledger, members, messages, sessions, shares, workers  # noqa: PLC0415
+
+    found: dict[str, Callable[[], list[Row]]] = {
+        "empty processes": daemons.measure_empty,
+        "messages": messages.measure,
+        "members changed": members.measure,
+        "session map": sessions.measure,
+        "ledger entries": ledger.measure_entries,
+        "ledger claims": ledger.measure_claims,
+        "share asks": shares.measure_asks,
+        "share grants": shares.measure_grants,
+        "forward calls": forward.measure_calls,
+        "forward streams": forward.measure_streams,
+        "forward open": forward.measure_open,
+        "worker pools": workers.measure_workers,
+        "worker followers": workers.measure_followers,
+        "worker edge": workers.measure_edge,
+        "worker zones": workers.measure_zones,
+        "daemons": daemons.measure_daemons,
+        "control state": control.measure_state,
+        "control restarts": control.measure_restarts,
+    }
+    for size, processes in FLEETS:
+        found[f"fleet {size}"] = lambda size=size, processes=processes: _fleet(size, processes)  # type: ignore[misc]
+    return found
+
+
+@click.group()
+def main() -> None:
+    """Measured inputs of docs/CAPACITY.md, and the page's tables."""
+
+
+@main.command()
+@click.argument("name")
+def probe(name: str) -> None:
+    """One probe in this process; prints its rows as JSON (started by ``measure``)."""
+    print("\n" + json.dumps(all_rounded(probes()[name]())))
+
+
+@main.command()
+@click.option("--output", type=click.Path(path_type=Path), required=True)
+@click.option("--only", multiple=True, help="Probes to measure anew; all if left out.")
+@click.option("--limit", default=600.0, show_default=True, help="Seconds for one probe.")
+def measure(output: Path, only: Sequence[str], limit: float) -> None:
+    """Runs the probes one after another; a probe that fails is written down as failed."""
+    known = list(probes())
+    if unknown := sorted(set(only) - set(known)):
+        raise click.UsageError(f"unknown probes {unknown}; known: {', '.join(known)}")
+    failed = []
+    for name in only or known:
+        found = _run(name, limit)
+        measured: dict[str, Any] = json.loads(output.read_text()) if output.exists() else {}
+        measured[name] = found
+        output.write_text(json.dumps(dict(sorted(measured.items())), indent=1) + "\n")
+        click.echo(f"{name}: {found['seconds']} s, load {found['load']}, {found.get('failed', 'ok')}")
+        failed += [name] if "failed" in found else []
+    if failed:
+        raise SystemExit(f"failed: {', '.join(failed)}")
+
+
+def _run(name: str, limit: float) -> dict[str, Any]:
+    load, begun = os.getloadavg()[0], time.monotonic()
+    found: dict[str, Any] = {
+        "at": time.strftime("%Y-%m-%d %H:%M:%S"),
+        "cores": os.cpu_count(),
+        "python": sys.version.split()[0],
+        "commit": _commit(),
+    }
+    command = [sys.executable, "-m", "bench.capacity", "probe", name]
+    child = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
+    try:
+        told, _ = child.communicate(timeout=limit)
+        if child.returncode:
+            raise ValueError(f"exit code {child.returncode}")
+        found["rows"] = json.loads(told.strip().splitlines()[-1])
+    except subprocess.TimeoutExpired:
+        child.terminate()
+        child.communicate()
+        found |= {"failed": f"not done after {limit:.0f} s", "rows": []}
+    except (ValueError, IndexError) as problem:
+        found |= {"failed": str(problem), "rows": []}
+    found["seconds"] = round(time.monotonic() - begun, 1)
+    found["load"] = [round(load, 1), round(os.getloadavg()[0], 1)]
+    return found
+
+
+def _commit() -> str:
+    told = subprocess.run(["git", "rev-parse", "--short", "HEAD"], capture_output=True, text=True, check=False)
+    return told.stdout.strip()
+
+
+@main.command()
+@click.option("--input", "source", type=click.Path(path_type=Path, exists=True), required=True)
+@click.option("--page", "target", type=click.Path(path_type=Path, exists=True), default=Path("docs/CAPACITY.md"))
+def page(source: Path, target: Path) -> None:
+    """Writes the tables of docs/CAPACITY.md between their markers, and the picture."""
+    from .page import write_page  # noqa: PLC0415
+
+    write_page(json.loads(source.read_text()), target)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/capacity/control.py
@@ -0,0 +1,152 @@
+"""The control state by the number of changes kept: journal, snapshot, deciding; and restarts of real processes."""
+
+from __future__ import annotations
+
+import asyncio
+import subprocess
+import sys
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from wingwood.bundle.state import BundleState
+from wingwood.control.client import ControlClient
+from wingwood.control.protocols import SubmitOrder
+from wingwood.daemons.process import real_context
+from wingwood.identifiers import DaemonName, Incarnation, Zone
+from wingwood.transport.frames import Identity
+from wingwood.transport.messenger import TcpMessenger
+
+from .. import control_bench
+from .common import Row, processor_of, resident_bytes, timed
+
+CHANGES = (1_000, 10_000, 28_000)
+PORT = 32200
+
+
+def use_own_ports() -> None:
+    own: dict[str, Any] = {"FIRST_PORT": PORT}
+    for name, value in own.items():
+        setattr(control_bench, name, value)
+
+
+def measure_state() -> list[Row]:
+    """One state of 2,500 tenants; signing is the operator's work and is not counted."""
+    operator = control_bench.Operator(None)  # type: ignore[arg-type]
+    state = BundleState(control_bench.settings_of(9, None).operator_keys)
+    empty = resident_bytes()
+    rows: list[Row] = []
+    deciding = applying = 0.0
+    record_bytes = since = 0
+    order = operator.first()
+    while True:
+        begun = time.process_time()
+        record, _ = state.decide(SubmitOrder(order))
+        deciding += time.process_time() - begun
+        assert record is not None
+        begun = time.process_time()
+        state.apply(record)
+        applying += time.process_time() - begun
+        operator.version = order.manifest.version
+        if operator.version > 1:
+            record_bytes += len(record)
+            since += 1
+        if operator.version in CHANGES:
+            held: list[bytes] = []
+            shot = timed(lambda: held.append(state.snapshot()))  # noqa: B023
+            resident = resident_bytes()
+            fresh = BundleState(control_bench.settings_of(9, None).operator_keys)
+            restored = timed(lambda: fresh.restore(held[0]))  # noqa: B023
+            rows.append(
+                {
+                    "changes": operator.version,
+                    "decide_ms": deciding / (since + 1) * 1e3,
+                    "apply_ms": applying / (since + 1) * 1e3,
+                    "record_bytes": record_bytes / since,
+                    "snapshot_mb": len(held[0]) / 1e6,
+                    "snapshot_ms": shot * 1e3,
+                    "restore_ms": restored * 1e3,
+                    "resident_mb": (resident - empty) / 1e6,
+                    "order_bytes": len(msgspec.msgpack.encode(order)),
+                }
+            )
+            if operator.version == CHANGES[-1]:
+                return rows
+        order = operator.change()
+
+
+class _Fleet(control_bench.Fleet):
+    def start(self, number: int) -> None:
+        (self.folder / f"c{number + 1}").mkdir(parents=True, exist_ok=True)
+        with (self.folder / f"c{number + 1}.log").open("ab") as log:
+            self.children[number] = subprocess.Popen(
+                [
+                    *(sys.executable, "-m", "bench.capacity.control", "serve"),
+                    *("--number", str(number), "--folder", str(self.folder)),
+                ],
+                stderr=log,
+            )
+
+    def processor(self) -> list[float]:
+        return [processor_of(child.pid) for child in self.children.values()]
+
+    def resident(self) -> list[int]:
+        return [resident_bytes(child.pid) for child in self.children.values()]
+
+
+async def _restarts(fleet: _Fleet) -> list[Row]:
+    for number in range(3):
+        fleet.start(number)
+    settings = control_bench.settings_of(9, None)
+    context = real_context(settings, lambda reason: None)
+    identity = Identity(DaemonName("bench"), Incarnation("bench"), "tool", Zone("a"), settings.internal)
+    messenger = TcpMessenger(context, identity, control_bench.KEY)
+    operator = control_bench.Operator(ControlClient(context, messenger, control_bench.seeds))
+    await operator.send(operator.first())
+    rows: list[Row] = []
+    for goal in CHANGES:
+        first = operator.version
+        before, begun = fleet.processor(), time.monotonic()
+        taken = sorted([await operator.send(operator.change()) for _ in range(goal - first)])
+        spent = sorted(late - early for early, late in zip(before, fleet.processor(), strict=True))
+        row: Row = {
+            "changes": goal,
+            "orders_per_second": (goal - first) / (time.monotonic() - begun),
+            "p50_ms": taken[len(taken) // 2] * 1e3,
+            "p99_ms": taken[int(len(taken) * 0.99)] * 1e3,
+            "journal_mb": fleet.journal_bytes() / 1e6,
+            "order_core_ms": [share / (goal - first) * 1e3 for share in spent],
+            "resident_mb": [pages / 1e6 for pages in fleet.resident()],
+        }
+        opened = len(fleet.logged("opened", "took"))
+        fleet.kill_all()
+        order = operator.change()
+        begun = time.monotonic()
+        for number in (2, 0, 1):
+            fleet.start(number)
+        await operator.send(order)
+        row["restart_s"] = time.monotonic() - begun
+        row["journal_read_s"] = max(fleet.logged("opened", "took")[opened - 3 :] or [0.0])
+        row["restart_processor_s"] = max(fleet.processor())
+        rows.append(row)
+    rewrites = fleet.logged("journal-rewritten", "took")
+    rows[-1] |= {"rewrites": len(rewrites), "longest_rewrite_s": max(rewrites, default=0.0)}
+    return rows
+
+
+def measure_restarts() -> list[Row]:
+    use_own_ports()
+    with tempfile.TemporaryDirectory() as folder:
+        fleet = _Fleet(Path(folder))
+        try:
+            return asyncio.run(_restarts(fleet))
+        finally:
+            fleet.kill_all()
+
+
+if __name__ == "__main__":
+    use_own_ports()
+    control_bench.main()
--- /dev/null
+++ b/bench/capacity/forward.py
@@ -0,0 +1,105 @@
+"""Forwarding: processor time of a router against calls and pieces a second, and memory against open streams.
+
+``python -m bench.capacity.forward --role worker|router`` is one of the children.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import subprocess
+import sys
+import time
+from typing import Any
+
+from .. import forward_bench
+from ..forward_bench import BareCaller, closed_loop, quantiles, request_bytes, router_cost
+from .common import Row
+
+PORT = 32400
+STREAMS = (10, 50, 200)
+CALLERS = (1, 4, 16)
+OPEN = (100, 300, 600)
+PACE = 0.032
+SECONDS = 6.0
+
+
+def use_own_ports() -> None:
+    own: dict[str, Any] = {"ROUTER_PORT": PORT, "WORKER_PORT": PORT + 1, "COST_PORT": PORT + 2}
+    for name, value in own.items():
+        setattr(forward_bench, name, value)
+
+
+def _child(role: str) -> subprocess.Popen[str]:
+    command = [sys.executable, "-m", "bench.capacity.forward", "--role", role]
+    child = subprocess.Popen(command, stdout=subprocess.PIPE, text=True)
+    assert child.stdout is not None and child.stdout.readline().strip() == "ready", role
+    return child
+
+
+def _with_router(measured: Any) -> list[Row]:
+    use_own_ports()
+    children = [_child("worker"), _child("router")]
+    try:
+        rows: list[Row] = asyncio.run(measured())
+        return rows
+    finally:
+        for child in children:
+            child.terminate()
+            child.wait()
+
+
+async def _loop(callers: int, data: bytes, streams: bool) -> Row:
+    before, begun = await router_cost(), time.monotonic()
+    found = await closed_loop(PORT, callers, SECONDS, data, streams)
+    after, took = await router_cost(), time.monotonic() - begun
+    row: Row = {
+        "callers": callers,
+        "calls_per_second": len(found["calls"]) / took,
+        "pieces_per_second": len(found["events"]) / took,
+        "core": (after["processor"] - before["processor"]) / took,
+    }
+    quantile = quantiles(found["events" if streams else "calls"])
+    return row | {f"{name}_ms": value for name, value in quantile.items()}
+
+
+async def _calls() -> list[Row]:
+    """Short calls without a stream, one after another at each caller, with a pause to keep the rate known."""
+    return [await _loop(callers, request_bytes("/plain"), False) for callers in CALLERS]
+
+
+async def _streams() -> list[Row]:
+    data = request_bytes("/chat", X_Events=100, X_Pace=PACE)
+    return [await _loop(streams, data, True) for streams in STREAMS]
+
+
+async def _open() -> list[Row]:
+    """Each size: that many slow streams open at once; sizes grow, so nothing of an earlier one is left to reuse."""
+    loop = asyncio.get_running_loop()
+    data = request_bytes("/chat", X_Events=2, X_Pace=5.0)
+    rows: list[Row] = [{"streams": 0, "resident_mb": (await router_cost())["memory"] / 1e6}]
+    for count in OPEN:
+        callers = [(await loop.create_connection(lambda: BareCaller([]), "127.0.0.1", PORT))[1] for _ in range(count)]
+        ends = [caller.call(data, streams=True) for caller in callers]
+        await asyncio.sleep(2.5)
+        rows.append({"streams": count, "resident_mb": (await router_cost())["memory"] / 1e6})
+        await asyncio.gather(*ends)
+        for caller in callers:
+            caller.transport.close()
+    return rows
+
+
+def measure_calls() -> list[Row]:
+    return _with_router(_calls)
+
+
+def measure_streams() -> list[Row]:
+    return _with_router(_streams)
+
+
+def measure_open() -> list[Row]:
+    return _with_router(_open)
+
+
+if __name__ == "__main__":
+    use_own_ports()
+    forward_bench.main()
--- /dev/null
+++ b/bench/capacity/ledger.py
@@ -0,0 +1,160 @@
+"""The ledger: entries in memory at growing numbers, and claims at growing rates through three control processes."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import sys
+import tempfile
+import time
+import tracemalloc
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+from wingwood.context.real import RealClock
+from wingwood.control.client import ControlClient
+from wingwood.identifiers import Address, DaemonName, Incarnation, Seconds, Zone
+from wingwood.ledger.client import RouterLedger
+from wingwood.ledger.protocols import Claimed
+from wingwood.ledger.state import LedgerState
+from wingwood.transport.frames import Identity
+from wingwood.transport.messenger import TcpMessenger
+
+from .. import ledger_bench
+from .common import Row, processor_seconds, real_quiet_context, timed
+
+SIZES = (10_000, 100_000, 1_000_000)
+RATES = (30, 300, 1000, 2000)
+PORT = 32100
+
+
+def use_own_ports() -> None:
+    own: dict[str, Any] = {
+        "FIRST_PORT": PORT,
+        "SEEDS": tuple(Address("127.0.0.1", PORT + number) for number in range(3)),
+    }
+    for name, value in own.items():
+        setattr(ledger_bench, name, value)
+
+
+def measure_entries() -> list[Row]:
+    rows = []
+    for size in SIZES:
+        weights = []
+        for settled in (True, False):
+            gc.collect()
+            tracemalloc.start()
+            state = LedgerState(RealClock(), ledger_bench.RETENTION)
+            # A tenth is enough for the weight of an entry, and tracing makes the filling slow.
+            part = size if size <= 100_000 else size // 4
+            ledger_bench._fill(state, part, settled)
+            gc.collect()
+            weights.append(tracemalloc.get_traced_memory()[0] / part)
+            tracemalloc.stop()
+        state = LedgerState(RealClock(), ledger_bench.RETENTION)
+        filled = timed(lambda: ledger_bench._fill(state, size, True))  # noqa: B023
+        snapshot = b""
+
+        def shoot() -> None:
+            nonlocal snapshot
+            snapshot = state.snapshot()  # noqa: B023
+
+        shot = timed(shoot)
+        restored = timed(lambda: LedgerState(RealClock(), ledger_bench.RETENTION).restore(snapshot))  # noqa: B023
+        rows.append(
+            {
+                "entries": size,
+                "ran_bytes": weights[0],
+                "running_bytes": weights[1],
+                "rules_us": filled / size * 1e6,
+                "snapshot_bytes": len(snapshot) / size,
+                "snapshot_ms": shot * 1e3,
+                "restore_ms": restored * 1e3,
+            }
+        )
+    return rows
+
+
+class _ControlChild(ledger_bench.ControlChild):
+    def __init__(self, number: int, folder: Path) -> None:
+        import subprocess  # noqa: PLC0415
+
+        self._process = subprocess.Popen(
+            [
+                sys.executable,
+                "-m",
+                "bench.capacity.ledger",
+                "control",
+                "--number",
+                str(number),
+                "--folder",
+                str(folder),
+            ],
+            stdin=subprocess.PIPE,
+            stdout=subprocess.PIPE,
+            text=True,
+        )
+
+
+async def _claims(children: Sequence[_ControlChild], seconds: float) -> list[Row]:
+    context = real_quiet_context()
+    identity = Identity(DaemonName("bench"), Incarnation("bench"), "router", Zone("a"), Address("127.0.0.1", PORT + 10))
+    messenger = TcpMessenger(context, identity, ledger_bench.KEY)
+    seeds = ledger_bench.SEEDS
+    ledger = RouterLedger(context, Incarnation("bench"), ControlClient(context, messenger, lambda: seeds))
+    number = 0
+    rows = []
+
+    async def one(times: list[float]) -> bool:
+        nonlocal number
+        number += 1
+        key = ledger_bench.call_key(number)
+        begun = time.perf_counter()
+        answer = await ledger.claim(key, Seconds(5.0))
+        if isinstance(answer, Claimed):
+            ledger.settle_soon(key, answer.ticket, "ran")
+            times.append(time.perf_counter() - begun)
+        return isinstance(answer, Claimed)
+
+    for _ in range(200):
+        if await one([]):
+            break
+        await asyncio.sleep(0.1)
+    for rate in RATES:
+        times: list[float] = []
+        before, own = [child.report() for child in children], processor_seconds()
+        begun = time.perf_counter()
+        tasks: list[asyncio.Task[bool]] = []
+        while (passed := time.perf_counter() - begun) < seconds:
+            while len(tasks) < passed * rate:
+                tasks.append(asyncio.create_task(one(times)))
+            await asyncio.sleep(0.005)
+        failed = sum(not granted for granted in await asyncio.gather(*tasks))
+        await asyncio.sleep(0.3)
+        took, spent = time.perf_counter() - begun, processor_seconds() - own
+        times.sort()
+        row: Row = {"rate": len(tasks) / took, "wanted_rate": rate, "failed": failed, "router_core": spent / took}
+        for (early, _, bytes_early), child in zip(before, children, strict=True):
+            late, role, bytes_late = child.report()
+            row[f"{role}_core"] = (late - early) / took
+            row[f"{role}_journal_bytes"] = (bytes_late - bytes_early) / len(tasks)
+        row["p50_ms"], row["p99_ms"] = (1e3 * times[int(len(times) * part)] for part in (0.5, 0.99))
+        rows.append(row)
+    return rows
+
+
+def measure_claims() -> list[Row]:
+    use_own_ports()
+    with tempfile.TemporaryDirectory() as folder:
+        children = [_ControlChild(number, Path(folder) / f"c{number}") for number in range(3)]
+        try:
+            return asyncio.run(_claims(children, 6.0))
+        finally:
+            for child in children:
+                child.end()
+
+
+if __name__ == "__main__":
+    use_own_ports()
+    ledger_bench.main()
--- /dev/null
+++ b/bench/capacity/members.py
@@ -0,0 +1,109 @@
+"""What one change of the members costs a router, by the number of routers: all on its event loop, in one go."""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+
+from wingwood.bundle.model import Tenant
+from wingwood.context.protocols import Context
+from wingwood.identifiers import (
+    Address,
+    ClassName,
+    DaemonName,
+    Instant,
+    PoolName,
+    SessionId,
+    TenantName,
+    WorkerInstance,
+    Zone,
+)
+from wingwood.limits.shares import FleetShares
+from wingwood.placement.session_map import Entry, KeeperMap, KeeperRing, session_key
+from wingwood.registry.worker_registry import WorkerRegistry
+from wingwood.settings.model import DaemonSettings
+
+from .common import KEY, DeafMessenger, FixedMembership, Row, real_quiet_context, routers, timed
+
+ROUTERS = (11, 100, 300, 1000)
+POOLS = 39
+TENANTS = 2500
+KEPT = 11_600
+"""Entries at each keeper: 5.8 million live sessions, two keepers each, over 1,000 routers."""
+RECENT = 3_900
+"""13 calls a second for the 300 s that a router's own records are kept."""
+
+
+def entry(now: Instant) -> Entry:
+    return Entry(
+        pool=PoolName("p"), holder=WorkerInstance("model-00001-1234"), tokens=3000, own_tokens=1000, touched_at=now
+    )
+
+
+def filled_map(context: Context, membership: FixedMembership, own: int, kept: int, recent: int) -> KeeperMap:
+    """A keeper's map with keys that are really its own."""
+    identity = membership.routers()[own]
+    held = KeeperMap(context, DeafMessenger(identity), membership)
+    now = context.clock.monotonic()
+    number = 0
+    while len(held._kept.by_key) < kept:
+        key = session_key(PoolName("p"), SessionId(f"session-{number}"))
+        number += 1
+        if any(router.incarnation == identity.incarnation for router in held._pair(key)):
+            held._keep(key, entry(now))
+        elif len(held._recent.by_key) < recent:
+            held._recent.put(key, entry(now))
+    return held
+
+
+def settings() -> DaemonSettings:
+    return DaemonSettings(
+        name=DaemonName("r0000"),
+        role="router",
+        zone=Zone("zone-0"),
+        internal=Address("127.0.0.1", 1),
+        operator=Address("127.0.0.1", 2),
+        seeds=(),
+        fleet_key=KEY,
+        operator_keys=(),
+    )
+
+
+async def _one(count: int) -> Row:
+    context = real_quiet_context()
+    all_routers = routers(count, zones=14)
+    fewer = all_routers[:-1]
+    row: Row = {"routers": count}
+    row["ring_ms"] = 1e3 * min(timed(lambda: KeeperRing(all_routers)) for _ in range(3))
+    membership = FixedMembership(all_routers)
+    held = filled_map(context, membership, 0, KEPT, RECENT)
+    gc.collect()
+    row["session_map_ms"] = 1e3 * timed(lambda: membership.set(fewer))
+    row["handed_over"] = len(held._to_hand_over)
+    held._to_hand_over.clear()
+    own = DeafMessenger(all_routers[0])
+    membership = FixedMembership(all_routers)
+    registry = WorkerRegistry(context, own, membership, settings())
+    for number in range(POOLS):
+        registry.watch(PoolName(f"pool-{number}"))
+    row["registry_ms"] = 1e3 * timed(lambda: membership.set(fewer))
+    membership = FixedMembership(all_routers)
+    shares = FleetShares(context, own, membership)
+    tenants = [
+        Tenant(name=TenantName(f"tenant-{number}"), priority_class=ClassName("gold"), paid_rate=10.0)
+        for number in range(TENANTS)
+    ]
+    row["share_keepers_first_ms"] = 1e3 * timed(lambda: [shares.keeper_of(tenant.name) for tenant in tenants])
+
+    def changed() -> None:
+        membership.set(fewer)
+        for tenant in tenants:
+            shares.keeper_of(tenant.name)
+
+    row["share_keepers_ms"] = 1e3 * timed(changed)
+    row["all_ms"] = row["session_map_ms"] + row["registry_ms"] + row["share_keepers_ms"]
+    return row
+
+
+def measure() -> list[Row]:
+    return [asyncio.run(_one(count)) for count in ROUTERS]
--- /dev/null
+++ b/bench/capacity/messages.py
@@ -0,0 +1,103 @@
+"""What one message between two daemons costs on loopback, at three sizes, at each end."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+import msgspec
+from returns.result import Success
+
+from wingwood.identifiers import Address, DaemonName, Incarnation, Seconds, Zone
+from wingwood.transport.frames import Identity
+from wingwood.transport.messenger import TcpMessenger
+
+from ..hollow_daemons import answer_parent, own_report
+from .common import KEY, Child, Row, processor_seconds, real_quiet_context
+
+PORT = 32050
+SIZES = (64, 1024, 8192)
+COUNT = 3_000
+
+
+class Ask(msgspec.Struct, frozen=True):
+    body: bytes
+
+
+class Answer(msgspec.Struct, frozen=True):
+    body: bytes
+
+
+class Told(msgspec.Struct, frozen=True):
+    body: bytes
+
+
+def identity(name: str, port: int) -> Identity:
+    return Identity(DaemonName(name), Incarnation(name), "router", Zone("a"), Address("127.0.0.1", port))
+
+
+async def serve() -> None:
+    messenger = TcpMessenger(real_quiet_context(), identity("answerer", PORT), KEY)
+    took = 0
+
+    async def answer(_: Identity, ask: Ask) -> Answer:
+        return Answer(b"x" * 64)
+
+    def take(_: Identity, told: Told) -> None:
+        nonlocal took
+        took += 1
+
+    messenger.on_call(Ask, answer)
+    messenger.on_post(Told, take)
+    assert isinstance(messenger.start(), Success)
+    await answer_parent(lambda: own_report([messenger]) | {"took": took})
+
+
+async def _measure(child: Child) -> list[Row]:
+    messenger = TcpMessenger(real_quiet_context(), identity("asker", PORT + 1), KEY)
+    address = Address("127.0.0.1", PORT)
+    rows = []
+    while not isinstance(await messenger.call(address, Ask(b""), Answer, Seconds(1.0)), Success):
+        await asyncio.sleep(0.1)
+    for size in SIZES:
+        body = b"x" * size
+        before, own = child.report(), processor_seconds()
+        for _ in range(COUNT):
+            assert isinstance(await messenger.call(address, Ask(body), Answer, Seconds(5.0)), Success)
+        spent, after = processor_seconds() - own, child.report()
+        row: Row = {
+            "body": size,
+            "ask_us": spent / COUNT * 1e6,
+            "answer_us": (after["processor"] - before["processor"]) / COUNT * 1e6,
+            "bytes": (after["messenger_bytes"] - before["messenger_bytes"]) / COUNT,
+            "wire_bytes": (after["wire_bytes"] - before["wire_bytes"]) / COUNT,
+        }
+        before, own = child.report(), processor_seconds()
+        for _ in range(COUNT):
+            messenger.post(address, Told(body))
+            await asyncio.sleep(0)  # one by one, as daemons post them
+            await asyncio.sleep(0)
+        while child.report()["took"] < before["took"] + COUNT:
+            await asyncio.sleep(0.02)
+        spent, after = processor_seconds() - own, child.report()
+        row |= {
+            "post_us": spent / COUNT * 1e6,
+            "take_us": (after["processor"] - before["processor"]) / COUNT * 1e6,
+            "post_bytes": (after["messenger_bytes"] - before["messenger_bytes"]) / COUNT,
+        }
+        rows.append(row)
+    messenger.stop()
+    return rows
+
+
+def measure() -> list[Row]:
+    child = Child("bench.capacity.messages")
+    try:
+        return asyncio.run(_measure(child))
+    finally:
+        time.sleep(0.1)
+        child.end()
+
+
+if __name__ == "__main__":
+    asyncio.run(serve())
