--- a/wingwood/command_line/bundle.py
+++ b/wingwood/command_line/bundle.py
@@ -111,7 +111,10 @@
     addresses: tuple[Address, ...],
     as_json: bool,
 ) -> None:
-    """Signs SOURCE as a whole bundle, to be pushed from elsewhere. With --to it builds on the newest version."""
+    """Signs SOURCE as a whole bundle, to be pushed from elsewhere. With --to it builds on the newest version.
+
+    Without --to nothing but SOURCE remains: roll-outs that are under way end with it.
+    """
     slices = read_source(source)
     check_bundle(slices)
     private = private_key(key_file)
@@ -119,6 +122,8 @@
     version = BundleVersion(base or 0)
     if base is None and addresses:
         version, before = newest_slices(operator_client(addresses))
+        slices = keep_rollouts(before, slices)
+        check_bundle(slices)
     signed = sign_order(version, before, slices, private, order)
     if not before:
         signed = msgspec.structs.replace(signed, whole=True)
--- a/wingwood/command_line/tests/test_command_line.py
+++ b/wingwood/command_line/tests/test_command_line.py
@@ -365,6 +365,9 @@
         source = self.write("back.toml", self.run_("bundle", "show", "--toml", *self.fleet.to).output)
         self.assertNotIn("@", Path(source).read_text())
         self.assertIn("nothing differs", self.run_("bundle", "push", source, *self.signed).output)
+        self.run_("bundle", "sign", source, "--output", "signed", *self.signed)
+        self.run_("bundle", "push", "signed", *self.fleet.to)
+        self.assertIn("running", self.run_("rollout", "status", *self.fleet.to).output)
         other = ("start", "other", "--set", "service/chat.pool=x", "--stages", "zone=a")
         self.assertIn("service/chat is in rollout/patience", self.rollout(*other, code=3))
 
