Capacity page: tables of docs/CAPACITY.md worked out from the fitted lines

Each number says measured, fitted with its standard error, or assumed; a probe that was not run or failed is named in its place, and sums that lack a part say "at least". Calls of the forwarding probe come at a known rate: the first form, a closed loop, ran at saturation and gave no slope (0.00006 +- 0.00018 core a call/s).

--- a/bench/capacity/forward.py
+++ b/bench/capacity/forward.py
@@ -17,7 +17,9 @@
 
 PORT = 32400
 STREAMS = (10, 50, 200)
-CALLERS = (1, 4, 16)
+CALLERS = (2, 10, 40)
+CALLS_EACH = 10.0
+"""A second, by each caller: well below what the router can do, so that the rate is known."""
 OPEN = (100, 300, 600)
 PACE = 0.032
 SECONDS = 6.0
@@ -63,8 +65,36 @@
 
 
 async def _calls() -> list[Row]:
-    """Short calls without a stream, one after another at each caller, with a pause to keep the rate known."""
-    return [await _loop(callers, request_bytes("/plain"), False) for callers in CALLERS]
+    """Short calls without a stream on connections that are kept, at a known rate."""
+    loop = asyncio.get_running_loop()
+    data = request_bytes("/plain")
+    rows: list[Row] = []
+    for callers in CALLERS:
+        took_ms: list[float] = []
+        before, begun = await router_cost(), time.monotonic()
+
+        async def call_on(number: int, callers: int, begun: float, took_ms: list[float]) -> int:
+            _, protocol = await loop.create_connection(lambda: BareCaller([]), "127.0.0.1", PORT)
+            due = begun + number / callers / CALLS_EACH
+            while due < begun + SECONDS:
+                await asyncio.sleep(max(0.0, due - time.monotonic()))
+                sent = time.monotonic()
+                await protocol.call(data, False)
+                took_ms.append((time.monotonic() - sent) * 1e3)
+                due += 1 / CALLS_EACH
+            protocol.transport.close()
+            return protocol.failed
+
+        failed = sum(await asyncio.gather(*(call_on(number, callers, begun, took_ms) for number in range(callers))))
+        after, took = await router_cost(), time.monotonic() - begun
+        row: Row = {
+            "callers": callers,
+            "calls_per_second": len(took_ms) / took,
+            "failed": failed,
+            "core": (after["processor"] - before["processor"]) / took,
+        }
+        rows.append(row | {f"{name}_ms": value for name, value in quantiles(took_ms).items()})
+    return rows
 
 
 async def _streams() -> list[Row]:
--- /dev/null
+++ b/bench/capacity/page.py
@@ -0,0 +1,329 @@
+"""The tables and the picture of docs/CAPACITY.md from the measured inputs.
+
+A table stands between ``<!-- table: NAME -->`` and ``<!-- end -->``; the words around it are written by people.
+Each number says where it comes from: *m* measured at that very size, *f* a fitted line (with its standard error),
+*a* assumed.
+"""
+
+from __future__ import annotations
+
+import re
+from collections.abc import Sequence
+from pathlib import Path
+from typing import Any
+
+from .fits import Fits, Inputs
+from .planned import PLANNED
+from .planned_roles import control_budget, role_rows
+from .text import Table, markdown, number, with_error
+
+
+def measured_table(inputs: Inputs) -> Table:
+    table = [["probe", "at", "load before, after", "seconds", "commit", "result"]]
+    for probe in inputs.probes():
+        about = inputs.about(probe)
+        load = ", ".join(str(value) for value in about["load"])
+        result = about.get("failed", f"{len(about['rows'])} sizes")
+        table.append([probe, about["at"][11:16], load, number(about["seconds"]), about["commit"], result])
+    return table
+
+
+def fits_table(fits: Fits) -> Table:
+    table = [["fit", "slope", "base", "points", "what", "from"]]
+    for name, (probe, what, line) in sorted(fits.lines.items()):
+        if line is None:
+            table.append([name, "not run", "", "", what, probe])
+            continue
+        slope, base = with_error(line.slope, line.slope_error), with_error(line.base, line.base_error)
+        table.append([name, slope, base, str(line.points), what, probe])
+    return table
+
+
+def plain_table(rows: Sequence[dict[str, Any]], columns: dict[str, str]) -> Table:
+    def cell(value: Any) -> str:
+        if isinstance(value, list):
+            return " / ".join(number(float(each)) for each in value)
+        return number(float(value)) if isinstance(value, int | float) else str(value if value is not None else "")
+
+    return [list(columns.values()), *([cell(row.get(column)) for column in columns] for row in rows)]
+
+
+def fleet_table(inputs: Inputs) -> Table:
+    table = [
+        [
+            "hollow daemons",
+            "formed s",
+            "MB each",
+            "phase",
+            "bytes/s each (wire)",
+            "core each %",
+            "control core %",
+            "control bytes/s",
+            "in force everywhere p50 / max ms",
+            "not serving / behind",
+        ]
+    ]
+    for row in inputs.fleets():
+        for found in row["phases"]:
+            rolled = found["all_in_force_ms"]
+            table.append(
+                [
+                    f"{row['daemons']} in {row['processes']}",
+                    number(row["formed_after"]),
+                    number(row["daemon_memory"] / 1e6),
+                    f"{found['name']}, {found['changes']} changes",
+                    f"{number(found['daemon_messenger_bytes'])} ({number(found['daemon_wire_bytes'])})",
+                    number(100 * found["daemon_processor"]),
+                    " / ".join(number(100 * share) for share in found["control_processor"]),
+                    " / ".join(number(value) for value in found["control_messenger_bytes"]),
+                    f"{number(rolled['p50'])} / {number(rolled['max'])}" if rolled else "",
+                    f"{found['not_serving']} / {found['behind']}",
+                ]
+            )
+    return table
+
+
+COLUMNS: dict[str, dict[str, str]] = {
+    "empty processes": {
+        "imports": "imports",
+        "resident_mb": "resident MB",
+        "of_files_mb": "of these pages of files, MB",
+    },
+    "daemons": {
+        "slices": "slices",
+        "router_mb": "router MB",
+        "control_mb": "control MB",
+        "router_idle_core": "router core, idle",
+        "control_idle_core": "control core, idle",
+        "router_change_ms": "router ms a change",
+        "control_change_ms": "control ms a change",
+        "router_mb_after": "router MB after 60 changes",
+        "control_mb_after": "control MB after",
+    },
+    "messages": {
+        "body": "body B",
+        "ask_us": "ask µs",
+        "answer_us": "answer µs",
+        "bytes": "both frames B",
+        "post_us": "post µs",
+        "take_us": "take µs",
+        "post_bytes": "frame B",
+    },
+    "members changed": {
+        "routers": "routers",
+        "ring_ms": "ring alone ms",
+        "session_map_ms": "session map ms",
+        "registry_ms": "registry ms",
+        "share_keepers_ms": "shares ms",
+        "all_ms": "all ms",
+        "share_keepers_first_ms": "shares, first time ms",
+    },
+    "session map": {
+        "entries": "entries",
+        "entry_bytes": "bytes each",
+        "record_us": "record µs",
+        "look_up_us": "look-up µs",
+        "note_bytes": "note B",
+    },
+    "ledger entries": {
+        "entries": "entries",
+        "ran_bytes": "bytes, ran",
+        "running_bytes": "bytes, under way",
+        "rules_us": "claim and settle µs",
+        "snapshot_bytes": "snapshot B each",
+        "snapshot_ms": "snapshot ms",
+        "restore_ms": "restore ms",
+    },
+    "ledger claims": {
+        "rate": "calls/s",
+        "failed": "failed",
+        "primary_core": "primary core",
+        "backup_core": "backup core",
+        "witness_core": "witness core",
+        "router_core": "router core",
+        "primary_journal_bytes": "journal B a call",
+        "p50_ms": "claim p50 ms",
+        "p99_ms": "p99 ms",
+    },
+    "share asks": {
+        "rate": "calls/s of the tenant over 11 routers",
+        "accepted": "accepted",
+        "refused": "refused",
+        "asks_per_call": "asks a call",
+        "asks_per_second_and_router": "asks/s a router",
+    },
+    "forward calls": {
+        "callers": "callers",
+        "calls_per_second": "calls/s",
+        "core": "core",
+        "p50_ms": "p50 ms",
+        "p99_ms": "p99 ms",
+    },
+    "forward streams": {
+        "callers": "streams",
+        "pieces_per_second": "pieces/s",
+        "core": "core",
+        "p50_ms": "piece p50 ms",
+        "p95_ms": "p95 ms",
+        "p99_ms": "p99 ms",
+        "max_ms": "max ms",
+    },
+    "forward open": {"streams": "open streams", "resident_mb": "resident MB"},
+    "worker pools": {
+        "pools": "pools",
+        "workers": "workers",
+        "ready_after": "known at the end",
+        "follower_bytes": "follower bytes/s",
+        "follower_core": "follower core",
+        "follower_memory_mb": "follower MB",
+        "home_core": "home core",
+        "home_bytes": "home bytes/s",
+    },
+    "worker followers": {
+        "followers": "followers",
+        "home_core": "home core",
+        "home_bytes": "home bytes/s",
+        "follower_core": "follower core",
+        "follower_bytes": "follower bytes/s",
+    },
+    "worker edge": {
+        "renewals_per_second": "renewals/s",
+        "failed": "failed",
+        "edge_core": "edge core",
+        "edge_bytes_to_home": "bytes/s to one home",
+        "home_core": "home core",
+    },
+    "worker zones": {
+        "zones": "zones",
+        "renewals_per_second": "renewals/s",
+        "edge_core": "edge core",
+        "edge_bytes": "edge bytes/s",
+        "edge_wire_bytes": "on the wire",
+        "home_core": "home core",
+        "home_bytes": "home bytes/s",
+    },
+    "control state": {
+        "changes": "changes",
+        "decide_ms": "decide ms",
+        "apply_ms": "apply ms",
+        "record_bytes": "record B",
+        "snapshot_mb": "snapshot MB",
+        "snapshot_ms": "snapshot ms",
+        "restore_ms": "restore ms",
+        "resident_mb": "state MB",
+    },
+    "control restarts": {
+        "changes": "changes",
+        "orders_per_second": "orders/s, one by one",
+        "p50_ms": "p50 ms",
+        "p99_ms": "p99 ms",
+        "journal_mb": "journal MB",
+        "order_core_ms": "ms an order (three daemons)",
+        "resident_mb": "resident MB",
+        "restart_s": "all restarted, next order after s",
+        "journal_read_s": "journal read s",
+    },
+}
+
+
+def tables(measured: dict[str, Any]) -> dict[str, str]:
+    """Every table of the page by name, as Markdown."""
+    inputs = Inputs(measured)
+    fits = Fits(inputs)
+    found = {
+        "planned": markdown([["what", "number"], *([what, number(value, 6)] for what, value in PLANNED.told())]),
+        "probes": markdown(measured_table(inputs)),
+        "fits": markdown(fits_table(fits)),
+        "fleet": markdown(fleet_table(inputs)),
+        "roles": markdown(role_rows(fits)),
+        "budget": markdown(control_budget(fits)),
+    }
+    for probe, columns in COLUMNS.items():
+        about = inputs.about(probe)
+        if "failed" in about:
+            found[probe] = f"Not measured: {about['failed']}."
+        elif not about:
+            found[probe] = "Not run."
+        else:
+            found[probe] = markdown(plain_table(inputs.rows(probe), columns))
+    return found
+
+
+def fill(page: str, found: dict[str, str]) -> str:
+    """The page with each table put between its markers; a marker that names no table is an error."""
+
+    def put(match: re.Match[str]) -> str:
+        name = match[1]
+        if name not in found:
+            raise ValueError(f"the page asks for table {name!r}; known: {', '.join(sorted(found))}")
+        return f"<!-- table: {name} -->\n{found[name]}\n<!-- end -->"
+
+    return re.sub(r"<!-- table: ([^>]+?) -->\n.*?<!-- end -->", put, page, flags=re.DOTALL)
+
+
+def draw(measured: dict[str, Any], target: Path) -> None:
+    """Four slopes with their lines drawn to the planned size."""
+    import matplotlib  # noqa: PLC0415
+
+    matplotlib.use("Agg")
+    from matplotlib import pyplot  # noqa: PLC0415
+
+    fits = Fits(Inputs(measured))
+    panels = [
+        (
+            "members ms",
+            "members changed",
+            "routers",
+            "all_ms",
+            1000.0,
+            "routers",
+            "ms on a router's loop\nfor one change of members",
+        ),
+        (
+            "zones bytes",
+            "worker zones",
+            "zones",
+            "edge_bytes",
+            14.0,
+            "zones",
+            "bytes/s of a daemon that takes\nthe renewals of 12 workers",
+        ),
+        (
+            "feed bytes",
+            "worker pools",
+            "pools",
+            "follower_bytes",
+            39.0,
+            "pools of 308 workers",
+            "bytes/s of a router\nthat follows the workers",
+        ),
+        (
+            "ledger snapshot",
+            "ledger entries",
+            "entries",
+            "snapshot_ms",
+            1e6,
+            "entries of a ledger",
+            "ms of a snapshot,\nheld in one go",
+        ),
+    ]
+    figure, axes = pyplot.subplots(1, 4, figsize=(13, 3))
+    for axis, (name, probe, size, value, upto, label, title) in zip(axes, panels, strict=True):
+        rows = fits.inputs.rows(probe)
+        axis.plot([row[size] for row in rows], [row[value] for row in rows], "o", markersize=4)
+        line = fits.get(name)
+        if line is not None:
+            axis.plot([0, upto], [line.at(0), line.at(upto)], linewidth=1)
+        axis.set_xlabel(label, fontsize=8)
+        axis.set_title(title, fontsize=8)
+        axis.tick_params(labelsize=7)
+        axis.set_ylim(bottom=0)
+    figure.tight_layout()
+    target.parent.mkdir(parents=True, exist_ok=True)
+    figure.savefig(target, dpi=70)
+    pyplot.close(figure)
+
+
+def write_page(measured: dict[str, Any], target: Path) -> None:
+    target.write_text(fill(target.read_text(), tables(measured)))
+    draw(measured, target.parent / "pictures" / "capacity-slopes.png")
--- /dev/null
+++ b/bench/capacity/planned_roles.py
@@ -0,0 +1,414 @@
+"""Each role at the planned size, worked out from the fitted lines.
+
+Kinds: *m* measured at that very size, *f* fitted line (its standard error beside it), *a* assumed.
+"""
+
+from __future__ import annotations
+
+import math
+from typing import Any
+
+import msgspec
+
+from .fits import Fits
+from .planned import PLANNED
+from .text import number
+
+HOMES_FOLLOWED = PLANNED.zone_routers * (1 - (1 - 1 / PLANNED.zone_routers) ** PLANNED.pools)
+"""Different routers among a zone's homes of 39 pools."""
+ASKS_TO_A_HOME = 1 / 0.3
+HOMES_EACH = PLANNED.pools * PLANNED.zones / PLANNED.daemons
+"""Duties as home that a router has in the mean."""
+ONCE_SHARE = 0.1
+"""Assumed part of the calls that may not be repeated."""
+EVENT_BYTES = 140.0
+"""Of one token's event with its chunk, as in the bench."""
+
+
+class Value(msgspec.Struct, frozen=True):
+    value: float
+    error: float = 0.0
+    kind: str = "f"
+
+    def __add__(self, other: Value) -> Value:
+        kinds = "".join(sorted(set(self.kind) | set(other.kind)))
+        return Value(self.value + other.value, math.hypot(self.error, other.error), kinds)
+
+    def times(self, factor: float) -> Value:
+        return Value(self.value * factor, self.error * abs(factor), self.kind)
+
+    def text(self, unit: str = "", scale: float = 1.0) -> str:
+        error = f" ± {number(self.error * scale, 2)}" if "f" in self.kind else ""
+        return f"{number(self.value * scale)}{error}{unit} *{self.kind}*"
+
+
+def total(values: list[Value]) -> Value:
+    found = values[0]
+    for value in values[1:]:
+        found = found + value
+    return found
+
+
+class Worked:
+    """The numbers of all roles; a number whose probe did not run is None."""
+
+    def __init__(self, fits: Fits) -> None:
+        self.fits = fits
+        self.inputs = fits.inputs
+
+    def at(self, name: str, size: float) -> Value:
+        found = self.fits.at(name, size)
+        if found is None:
+            raise KeyError(name)
+        return Value(*found)
+
+    def slope(self, name: str) -> Value:
+        line = self.fits.get(name)
+        if line is None:
+            raise KeyError(name)
+        return Value(line.slope, line.slope_error)
+
+    def base(self, name: str) -> Value:
+        line = self.fits.get(name)
+        if line is None:
+            raise KeyError(name)
+        return Value(line.base, line.base_error)
+
+    def row(self, probe: str, **wanted: Any) -> dict[str, Any]:
+        for row in self.inputs.rows(probe):
+            if all(row.get(name) == value for name, value in wanted.items()):
+                return row
+        raise KeyError(probe)
+
+    # --- messages: processor seconds, by the messages' probe -----------------------------------------
+
+    def ask(self, body: float = 128.0) -> Value:
+        return self.at("ask", body).times(1e-6)
+
+    def answer(self, body: float = 128.0) -> Value:
+        return self.at("answer", body).times(1e-6)
+
+    def post(self, body: float = 128.0) -> Value:
+        return self.at("post", body).times(1e-6)
+
+    def take(self, body: float = 128.0) -> Value:
+        return self.at("take", body).times(1e-6)
+
+    def frame_bytes(self) -> float:
+        """Bytes of an ask and its answer beyond their bodies."""
+        row = self.row("messages", body=64)
+        return float(row["bytes"]) - 2 * 64
+
+    # --- parts of a router's control ---------------------------------------------------------------
+
+    def heartbeat_core(self) -> Value:
+        """A real router process without traffic: heartbeats, proof, timers."""
+        return Value(float(self.row("daemons", slices=2600)["router_idle_core"]), kind="m")
+
+    def heartbeat_bytes(self) -> Value:
+        return self.at("heartbeat bytes", PLANNED.daemons)
+
+    def change_core(self) -> Value:
+        return self.at("router change", PLANNED.slices).times(1e-3 * PLANNED.changes)
+
+    def change_bytes(self) -> Value:
+        return self.slope("change bytes").times(PLANNED.changes)
+
+    def members_core(self) -> Value:
+        return self.at("members ms", PLANNED.daemons).times(1e-3 * PLANNED.member_changes_a_day / 86_400)
+
+    def feed_core(self) -> Value:
+        more = self.ask().times((HOMES_FOLLOWED - 1) * ASKS_TO_A_HOME)
+        return self.at("feed core", PLANNED.pools) + more
+
+    def feed_bytes(self) -> Value:
+        more = Value(self.frame_bytes() * (HOMES_FOLLOWED - 1) * ASKS_TO_A_HOME)
+        return self.at("feed bytes", PLANNED.pools) + more
+
+    def edge_core(self) -> Value:
+        return self.slope("edge core").times(PLANNED.workers_each) + self.slope("zones core").times(PLANNED.zones - 1)
+
+    def edge_bytes(self) -> Value:
+        return self.slope("zones bytes").times(PLANNED.zones)
+
+    def home_core(self) -> Value:
+        """One duty: followers, renewals from as many edges as the pool has workers, questions among homes."""
+        calls = PLANNED.pool_workers - 4.0
+        return (
+            self.at("home core", PLANNED.zone_routers)
+            + self.answer().times(calls)
+            + self.ask().times((PLANNED.zones - 1) * ASKS_TO_A_HOME)
+            + self.answer().times((PLANNED.zones - 1) * ASKS_TO_A_HOME)
+        )
+
+    def home_bytes(self) -> Value:
+        calls = PLANNED.pool_workers - 4.0 + 2 * (PLANNED.zones - 1) * ASKS_TO_A_HOME
+        return self.at("home bytes", PLANNED.zone_routers) + Value(self.frame_bytes() * calls)
+
+    # --- per call ----------------------------------------------------------------------------------
+
+    def session_core(self) -> Value:
+        """As asker and as keeper: one look-up and two records each way for each call."""
+        row = self.row("session map", entries=10_000)
+        own = Value((row["look_up_us"] + 2 * row["record_us"]) * 1e-6, kind="m")
+        messages = self.ask() + self.answer() + self.post().times(2) + self.take().times(2)
+        return (messages + own).times(PLANNED.calls_each)
+
+    def session_bytes(self) -> Value:
+        row = self.row("session map", entries=10_000)
+        note, look_up = float(row["note_bytes"]), 12.0
+        frame = float(self.row("messages", body=64)["post_bytes"]) - 64
+        each = 2 * (note + frame) + (look_up + note + self.frame_bytes())
+        return Value(2 * each * PLANNED.calls_each, kind="m")
+
+    def session_memory(self) -> Value:
+        return self.slope("map bytes").times(PLANNED.kept_each + PLANNED.calls_each * PLANNED.recent)
+
+    def share_core(self) -> Value:
+        grant = Value(float(self.row("share grants", tenants=100)["grant_us"]) * 1e-6, kind="m")
+        return (self.ask() + self.answer() + grant).times(PLANNED.calls_each)
+
+    def share_bytes(self) -> Value:
+        return Value(2 * 107.0 * PLANNED.calls_each, kind="m")
+
+    def ledger_router_core(self) -> Value:
+        return self.slope("claims router").times(PLANNED.calls_each * ONCE_SHARE)
+
+    def forward_core(self) -> Value:
+        # The measured streams have a call in each 100 pieces, the planned ones in each 430.
+        calls = PLANNED.calls_each - PLANNED.pieces_each / 100
+        return self.at("pieces core", PLANNED.pieces_each) + self.slope("calls core").times(calls)
+
+    def stream_memory(self) -> Value:
+        return self.slope("stream memory").times(PLANNED.streams_each)
+
+    # --- control ------------------------------------------------------------------------------------
+
+    def keeper_core(self, machines: int) -> Value:
+        """Sessions of its part of the daemons, and the questions among all keepers (two a second each way)."""
+        # With three machines a third of the sessions is each one's own.
+        sessions = self.slope("keeper core").times(3 * PLANNED.daemons / machines)
+        base = self.base("keeper core")
+        questions = (self.ask() + self.answer()).times(2 * (machines - 3))
+        return base + sessions + questions
+
+    def keeper_bytes(self, machines: int) -> Value:
+        sessions = self.slope("keeper bytes").times(3 * PLANNED.daemons / machines)
+        questions = Value(2 * 2 * (machines - 3) * (self.frame_bytes() + 100), kind="a")
+        return self.base("keeper bytes") + sessions + questions
+
+    def keeper_memory_mb(self) -> Value:
+        return self.at("control memory", PLANNED.slices) + self.slope("keeper memory").times(PLANNED.daemons * 1e-6)
+
+    def order_core(self, rank: int) -> Value:
+        rows = self.inputs.rows("control restarts")
+        if not rows:
+            raise KeyError("control restarts")
+        each = sorted(rows[-1]["order_core_ms"])[rank]
+        return Value(each * 1e-3 * PLANNED.changes, kind="m")
+
+
+def _cell(make: Any) -> str:
+    try:
+        return str(make())
+    except KeyError as missing:
+        return f"not measured ({missing.args[0]})"
+
+
+def role_rows(fits: Fits) -> list[list[str]]:
+    worked = Worked(fits)
+    size = PLANNED
+    claims = size.requests * ONCE_SHARE
+    keeper_duties = 2.0
+    home_questions = (size.zone_routers + 2 * (size.zones - 1)) * ASKS_TO_A_HOME
+    peer_questions = 4.0 * (size.control_machines - 1)
+
+    def percent(value: Value) -> str:
+        return value.text("%", 100)
+
+    def kilobytes(value: Value) -> str:
+        return value.text(" KB/s", 1e-3)
+
+    def megabytes(value: Value) -> str:
+        return value.text(" MB", 1.0)
+
+    rows = [
+        (
+            "router: forwarding",
+            lambda: f"{size.streams_each:.0f} open streams",
+            lambda: f"{size.calls_each:.0f} calls, {size.pieces_each:,.0f} pieces in and out",
+            lambda: kilobytes(Value(2 * EVENT_BYTES * size.pieces_each, kind="a")),
+            lambda: percent(worked.forward_core()),
+            lambda: megabytes(worked.stream_memory()),
+        ),
+        (
+            "router: membership, bundle, proof",
+            lambda: f"{size.daemons:,} members, {size.slices:,} slices",
+            lambda: f"2.2 heartbeats, {size.changes:.2f} changes",
+            lambda: kilobytes(worked.heartbeat_bytes() + worked.change_bytes()),
+            lambda: percent(worked.heartbeat_core() + worked.change_core() + worked.members_core()),
+            lambda: (
+                megabytes(
+                    worked.at("router memory", size.slices)
+                    + worked.at("hollow memory", size.daemons).times(1e-6)
+                    + worked.at("hollow memory", 11).times(-1e-6)
+                )
+                + " whole process"
+            ),
+        ),
+        (
+            "router: follows worker states",
+            lambda: f"{size.workers:,} workers",
+            lambda: f"{HOMES_FOLLOWED * ASKS_TO_A_HOME:.0f} questions, {size.worker_changes:.2f} pushes",
+            lambda: kilobytes(worked.feed_bytes()),
+            lambda: percent(worked.feed_core()),
+            lambda: megabytes(worked.slope("feed memory").times(size.pools)),
+        ),
+        (
+            "worker registry's edge",
+            lambda: f"{size.workers_each:.0f} workers",
+            lambda: f"{size.workers_each:.0f} renewals in, {size.workers_each * size.zones:.0f} calls out at most",
+            lambda: kilobytes(worked.edge_bytes()),
+            lambda: percent(worked.edge_core()),
+            lambda: "under 0.1 MB *a*",
+        ),
+        (
+            f"worker-state home (one of {size.pools * size.zones}; {HOMES_EACH:.2f} a router)",
+            lambda: f"{size.pool_workers:.0f} workers, {size.zone_routers:.0f} followers",
+            lambda: f"{size.pool_workers:.0f} renewals, {home_questions:.0f} questions",
+            lambda: kilobytes(worked.home_bytes()),
+            lambda: percent(worked.home_core()),
+            lambda: megabytes(worked.slope("feed memory")),
+        ),
+        (
+            f"bundle home (one of {size.zones})",
+            lambda: f"deltas of at most 4 MiB; {size.zone_routers:.0f} subscribers",
+            lambda: (
+                f"{size.changes * size.zone_routers:.0f} posts, {size.zone_routers / 3:.0f} renewals of subscriptions"
+            ),
+            lambda: kilobytes(worked.change_bytes().times(size.zone_routers)),
+            lambda: percent(
+                worked.post(700).times(size.changes * size.zone_routers) + worked.answer().times(size.zone_routers / 3)
+            ),
+            lambda: "4 to 8 MB *a* (bounds)",
+        ),
+        (
+            "session keeper",
+            lambda: f"{size.kept_each:,.0f} entries, {size.calls_each * size.recent:,.0f} own records",
+            lambda: f"{size.calls_each:.0f} look-ups and {2 * size.calls_each:.0f} notes each way",
+            lambda: kilobytes(worked.session_bytes()),
+            lambda: percent(worked.session_core()),
+            lambda: megabytes(worked.session_memory()),
+        ),
+        (
+            "share keeper",
+            lambda: f"{keeper_duties * size.tenants / size.daemons:.0f} tenants (keeper or deputy)",
+            lambda: f"{size.calls_each:.0f} asks each way",
+            lambda: kilobytes(worked.share_bytes()),
+            lambda: percent(worked.share_core()),
+            lambda: "under 0.1 MB *a*",
+        ),
+        (
+            f"ledger's primary, all {claims:,.0f} claims/s in one triple",
+            lambda: f"{claims * size.retention / 1e6:.2f} M entries",
+            lambda: f"{claims:,.0f} claims and settles, batched",
+            lambda: kilobytes(Value(2 * claims * 2 * 60.0, kind="a")),
+            lambda: percent(worked.slope("claims primary").times(claims)),
+            lambda: megabytes(worked.slope("ledger bytes").times(claims * size.retention * 1e-6)),
+        ),
+        (
+            "ledger's backup",
+            lambda: "the same",
+            lambda: "the primary's batches",
+            lambda: kilobytes(Value(claims * 2 * 60.0, kind="a")),
+            lambda: percent(worked.slope("claims backup").times(claims)),
+            lambda: "the same",
+        ),
+        (
+            "control primary",
+            lambda: f"{size.changes_a_day:,.0f} outcomes a day, {size.slices:,} slices",
+            lambda: f"{size.changes:.2f} orders, 8 heartbeats, {2 * size.changes * size.zones:.0f} posts to homes",
+            lambda: kilobytes(worked.keeper_bytes(3) + worked.change_bytes().times(2 * size.zones)),
+            lambda: percent(worked.keeper_core(3) + worked.order_core(2)),
+            lambda: megabytes(worked.keeper_memory_mb() + worked.slope("state memory").times(size.changes_a_day)),
+        ),
+        (
+            "control backup",
+            lambda: "the same",
+            lambda: f"{size.changes:.2f} batches",
+            lambda: "as a session keeper",
+            lambda: percent(worked.order_core(1)) + " beside its sessions",
+            lambda: "the same",
+        ),
+        (
+            "control witness",
+            lambda: "epoch and view, under 1 KB",
+            lambda: "4 heartbeats",
+            lambda: "0.29 KB/s *m* (commit 3a42f5f)",
+            lambda: percent(worked.order_core(0)) + " beside its sessions",
+            lambda: "as a session keeper",
+        ),
+        (
+            "session-holding control daemon, 3 of them",
+            lambda: f"{size.daemons / 3:.0f} sessions",
+            lambda: f"{2.2 * size.daemons / 3:.0f} heartbeats, 8 questions",
+            lambda: kilobytes(worked.keeper_bytes(3)),
+            lambda: percent(worked.keeper_core(3)),
+            lambda: megabytes(worked.keeper_memory_mb()),
+        ),
+        (
+            f"the same, {size.control_machines} of them",
+            lambda: f"{size.daemons / size.control_machines:.0f} sessions, all {size.daemons:,} members",
+            lambda: f"{2.2 * size.daemons / size.control_machines:.0f} heartbeats, {peer_questions:.0f} questions",
+            lambda: kilobytes(worked.keeper_bytes(size.control_machines)),
+            lambda: percent(worked.keeper_core(size.control_machines)),
+            lambda: megabytes(worked.keeper_memory_mb()),
+        ),
+    ]
+    head = ["role", "state", "messages/s", "bytes/s", "one core", "memory"]
+    return [head, *([name, *(_cell(cell) for cell in cells)] for name, *cells in rows)]
+
+
+def control_budget(fits: Fits) -> list[list[str]]:
+    """What a router spends on control, part by part, against what it may."""
+    worked = Worked(fits)
+    parts: list[tuple[str, Any, Any]] = [
+        ("heartbeats, proof, idle timers", worked.heartbeat_core, worked.heartbeat_bytes),
+        ("changes of configuration", worked.change_core, worked.change_bytes),
+        ("changes of members", worked.members_core, lambda: Value(0.0, kind="a")),
+        ("*sum: membership and bundles*", None, None),
+        ("worker states followed", worked.feed_core, worked.feed_bytes),
+        ("worker registry's edge", worked.edge_core, worked.edge_bytes),
+        (
+            f"worker-state homes ({HOMES_EACH:.2f} duties)",
+            lambda: worked.home_core().times(HOMES_EACH),
+            lambda: worked.home_bytes().times(HOMES_EACH),
+        ),
+        ("*sum with worker states*", None, None),
+        ("session map, both sides (per call)", worked.session_core, worked.session_bytes),
+        ("shares, both sides (per call)", worked.share_core, worked.share_bytes),
+        (
+            f"ledger's client, {100 * ONCE_SHARE:.0f}% of the calls *a* (per call)",
+            worked.ledger_router_core,
+            lambda: Value(2 * 60.0 * PLANNED.calls_each * ONCE_SHARE, kind="a"),
+        ),
+        ("*sum with what each call costs*", None, None),
+    ]
+    table = [["part", "one core (allowed 1.7%)", "KB/s, frames without TCP heads (allowed 2)"]]
+    cores: list[Value] = []
+    rates: list[Value] = []
+    whole = True
+    for name, core, rate in parts:
+        if core is None:
+            missing = "" if whole else " at least"
+            sums = (total(cores).text("%", 100), total(rates).text("", 1e-3)) if cores else ("0", "0")
+            table.append([name, *(text + missing for text in sums)])
+            continue
+        try:
+            cores.append(core())
+            rates.append(rate())
+            table.append([name, cores[-1].text("%", 100), rates[-1].text("", 1e-3)])
+        except KeyError as missed:
+            whole = False
+            table.append([name, f"not measured ({missed.args[0]})", ""])
+    return table
--- /dev/null
+++ b/bench/capacity/tests/test_page.py
@@ -0,0 +1,80 @@
+"""What stands on the page: markers, kinds and errors of numbers, probes that did not run."""
+
+from __future__ import annotations
+
+import math
+import unittest
+from typing import Any
+
+from ..fits import Fits, Inputs
+from ..page import fill, tables
+from ..planned import PLANNED
+from ..planned_roles import Value, Worked, control_budget
+from ..text import markdown, number, with_error
+
+
+def measured(**probes: list[dict[str, Any]]) -> dict[str, Any]:
+    about = {"at": "2026-01-01 10:20:30", "load": [1.0, 2.0], "seconds": 3.0, "commit": "abc"}
+    return {name.replace("_", " "): about | {"rows": rows} for name, rows in probes.items()}
+
+
+class PageTests(unittest.TestCase):
+    def test_tables_take_the_place_between_their_markers_only(self) -> None:
+        page = "words\n<!-- table: a -->\nold\nrows\n<!-- end -->\nmore\n<!-- table: b -->\n<!-- end -->\n"
+        filled = fill(page, {"a": "| new |", "b": "| b |"})
+        self.assertEqual(
+            filled,
+            "words\n<!-- table: a -->\n| new |\n<!-- end -->\nmore\n<!-- table: b -->\n| b |\n<!-- end -->\n",
+        )
+        self.assertEqual(fill(filled, {"a": "| new |", "b": "| b |"}), filled)
+
+    def test_a_marker_without_a_table_is_an_error(self) -> None:
+        with self.assertRaisesRegex(ValueError, "asks for table 'lost'"):
+            fill("<!-- table: lost -->\n<!-- end -->\n", {"a": ""})
+
+    def test_numbers_keep_three_figures(self) -> None:
+        self.assertEqual([number(value) for value in (1234.5, 12.345, 0.012345, 0.0, -0.5)],
+                         ["1,234", "12.3", "0.0123", "0", "-0.5"])  # fmt: skip
+        self.assertEqual(with_error(0.0000353, 0.0000043), "0.0000353 ± 0.0000043")
+        self.assertEqual(markdown([["a", "b"], ["1", "2"]]), "| a | b |\n| --- | --- |\n| 1 | 2 |")
+
+    def test_sums_keep_where_their_parts_come_from(self) -> None:
+        found = Value(1.0, 0.3) + Value(2.0, 0.4) + Value(4.0, 0.0, "a")
+        self.assertAlmostEqual(found.value, 7.0)
+        self.assertAlmostEqual(found.error, 0.5)
+        self.assertEqual(found.kind, "af")
+        self.assertEqual(found.text("%"), "7 ± 0.5% *af*")
+        self.assertEqual(Value(4.0, 0.0, "m").times(2).text(), "8 *m*")
+
+    def test_what_was_not_run_or_failed_is_said(self) -> None:
+        inputs = measured(messages=[]) | {"session map": {"failed": "not done after 600 s", "rows": [],
+                                                         "at": "2026-01-01 10:20:30", "load": [1, 1],
+                                                         "seconds": 600.0, "commit": "abc"}}  # fmt: skip
+        found = tables(inputs)
+        self.assertEqual(found["daemons"], "Not run.")
+        self.assertEqual(found["session map"], "Not measured: not done after 600 s.")
+        self.assertIn("not measured (daemons)", found["budget"])
+        self.assertIn("at least", found["budget"])
+
+    def test_a_fit_needs_three_sizes(self) -> None:
+        rows = [{"zones": zones, "edge_bytes": 100.0 + 50 * zones, "edge_core": 0.01} for zones in (1, 3)]
+        self.assertIsNone(Fits(Inputs(measured(worker_zones=rows))).get("zones bytes"))
+        rows.append({"zones": 7, "edge_bytes": 450.0, "edge_core": 0.01})
+        line = Fits(Inputs(measured(worker_zones=rows))).get("zones bytes")
+        assert line is not None
+        self.assertAlmostEqual(line.slope, 50.0)
+
+    def test_a_role_follows_from_its_slopes(self) -> None:
+        rows = [
+            {"routers": routers, "ring_ms": 0.1 * routers, "all_ms": 20 + 0.2 * routers, "share_keepers_first_ms": 1.0}
+            for routers in (11, 100, 1000)
+        ]
+        worked = Worked(Fits(Inputs(measured(members_changed=rows))))
+        changes_a_second = 2 * 2476 / 13 / 86_400
+        self.assertAlmostEqual(worked.members_core().value, 0.220 * changes_a_second)
+        self.assertAlmostEqual(PLANNED.streams_each, 179.2)
+        self.assertAlmostEqual(PLANNED.kept_each, 11_600)
+        told = control_budget(worked.fits)
+        self.assertEqual(told[3][0], "changes of members")
+        self.assertEqual(told[3][1], f"{number(22.0 * changes_a_second)} ± 0% *f*")
+        self.assertTrue(math.isclose(PLANNED.changes, 0.324, rel_tol=0.001))
