A home that wakes gives workers their three seconds anew

What: renewals count from now when a home is unsettled; the guard by the time of asking is gone, as a home's age already counts from it. Tests for the follower's share of its home's age and for the order of round robin.

--- a/wingwood/placement/tests/test_plain_policies.py
+++ b/wingwood/placement/tests/test_plain_policies.py
@@ -2,6 +2,7 @@
 
 import unittest
 from collections.abc import Sequence
+from typing import cast
 
 import msgspec
 from returns.result import Success
@@ -71,6 +72,9 @@
         seen = [self.choose(fleet, placements["r0"], turn_of("s")).worker.instance for _ in range(6)]
         self.assertEqual(seen[:3], seen[3:])
         self.assertEqual(len(set(seen)), 3)
+        placement = cast(RoundRobin, placements["r0"])
+        order = placement._order(turn_of("s"), fleet.routers["r0"].registry.ready(POOL))
+        self.assertEqual(len({worker.instance for worker in order}), 3, "the others are there when the first fails")
 
     def test_least_loaded_fills_evenly_and_takes_what_was_freed(self) -> None:
         fleet, placements = self.placements("least-loaded")
--- a/wingwood/registry/pool_table.py
+++ b/wingwood/registry/pool_table.py
@@ -118,6 +118,11 @@
         self._set(record, record.worker, True, now)
         return True
 
+    def all_renewed(self, now: Instant) -> None:
+        """For a home that has only begun to hear renewals: their time counts from now."""
+        for record in self.records.values():
+            record.renewed_at = now
+
     def expire(self, now: Instant) -> list[Worker]:
         """For homes: marks and forgets what was not renewed; gives the workers marked now."""
         changed = []
--- a/wingwood/registry/tests/test_worker_registry.py
+++ b/wingwood/registry/tests/test_worker_registry.py
@@ -142,11 +142,32 @@
         self.world.run(0.5)
         home = self.fleet.home("b")
         for name in self.others_than(home):
-            self.world.cut(home, name)
+            if self.fleet.routers[name].identity.zone != "b":
+                self.world.cut(home, name)
         self.worker.state = "draining"
         self.assertEqual(self.fleet.announce(self.worker, self.others_than(home)[0]).status, 503)
         self.world.run(0.55)
         self.assertFalse(self.fleet.confirmed(home, instance))
+        follower = next(name for name in self.others_than(home) if self.fleet.routers[name].identity.zone == "b")
+        self.assertGreater(self.fleet.feed_age(follower), 1.0, "a follower's knowledge is no newer than its home's")
+
+    def test_home_that_wakes_does_not_take_workers_for_silent_whose_renewals_it_slept_through(self) -> None:
+        instance = self.announced()
+        home = self.fleet.home("b")
+        edge = self.others_than(home)[0]
+        identity, callbacks = self.fleet.roster.identities[home], self.fleet.roster.callbacks.pop(home)
+        self.world.freeze(home)
+        self.fleet.roster.remove(home)
+        for _ in range(5):
+            self.fleet.announce(self.worker, edge)
+            self.world.run(0.9)
+        self.fleet.roster.put(identity)
+        self.fleet.roster.callbacks[home] = callbacks
+        self.world.wake(home)
+        for _ in range(8):
+            self.world.run(0.1)
+            for name in self.fleet.routers:
+                self.assertEqual(self.fleet.ready_at(name), [instance], name)
 
     def test_home_that_was_passed_over_while_frozen_does_not_trust_itself_when_it_wakes(self) -> None:
         instance = self.announced()
--- a/wingwood/registry/worker_registry.py
+++ b/wingwood/registry/worker_registry.py
@@ -89,7 +89,6 @@
     """This daemon's own duty for one pool."""
 
     settled: bool = False
-    since: Instant = Instant(0.0)
     answered: dict[Incarnation, Instant] = msgspec.field(default_factory=dict)
     """The other zones' homes that have answered, and when they were last asked with success."""
 
@@ -328,9 +327,8 @@
             if pool in self._homes:
                 del self._homes[pool]
             else:
-                self._homes[pool] = _Home(since=now)
-                for record in self._tables[pool].records.values():
-                    record.renewed_at = now
+                self._homes[pool] = _Home()
+                self._tables[pool].all_renewed(now)
                 self._settle(pool)
 
     def _other_homes(self, pool: PoolName) -> set[Incarnation]:
@@ -482,11 +480,11 @@
             await self._context.clock.sleep(ASK_EVERY)
 
     def _unsettle(self, now: Instant) -> None:
-        """This daemon was frozen or cut off and may have been passed over: it must pull again what others keep."""
-        for home in self._homes.values():
+        """This daemon was frozen or cut off: it must pull again what others keep, and may have missed renewals."""
+        for pool, home in self._homes.items():
             home.settled = False
-            home.since = now
             home.answered.clear()
+            self._tables[pool].all_renewed(now)
 
     def _ask_round(self) -> None:
         """One question to each home this daemon follows, and one to a neighbour for pools not known here."""
@@ -577,8 +575,7 @@
             else:
                 self._elsewhere[part.pool] = told
         if is_home:
-            if asked_at >= self._homes[part.pool].since:
-                self._homes[part.pool].answered[identity.incarnation] = asked_at
+            self._homes[part.pool].answered[identity.incarnation] = asked_at
             self._settle(part.pool)
         elif part.settled and answer.session_age <= SESSION_BOUND:
             self._proven_at[part.pool] = Instant(asked_at - part.age)
