--- /dev/null
+++ b/wingwood/control/tests/test_member_rules.py
@@ -0,0 +1,353 @@
+"""The rules of a member, message by message (docs/DESIGN.md section 7.2)."""
+
+from __future__ import annotations
+
+import unittest
+from typing import TypeVar
+
+import msgspec
+from returns.result import Result, Success
+
+from ...identifiers import DaemonName, Epoch, Incarnation, Seconds
+from ..core import _Lead, _Plan
+from ..messages import (
+    ControlAccept,
+    ControlAccepted,
+    ControlConfirm,
+    ControlConfirmed,
+    ControlGrant,
+    ControlHeartbeat,
+    ControlHeartbeatAnswer,
+    ControlPromise,
+    ControlReplicate,
+    ControlReplicated,
+    ControlStatePiece,
+    Seat,
+    SnapshotEntry,
+    StateRecord,
+    View,
+)
+from ..protocols import NotDecided
+from ..store import encode_batch
+from .control_world import ControlWorld, Put
+
+Reply = TypeVar("Reply", bound=msgspec.Struct)
+X, Y = Incarnation("x"), Incarnation("y")
+
+
+class MemberCase(unittest.TestCase):
+    """``c1`` leads, ``c2`` is the backup, ``c3`` the witness; c1 is then killed and the test speaks instead of it."""
+
+    def setUp(self) -> None:
+        self.control = ControlWorld(1)
+        self.addCleanup(self.control.close)
+        self.control.operator()
+        self.assertTrue(self.control.world.wait_for(self.control.complete, 5.0))
+        for _ in range(3):
+            self.assertIsNotNone(self.control.send())
+        self.view = self.view_of("c1")
+
+    def view_of(self, name: str) -> View:
+        view = self.control.stores[name].view
+        assert view is not None
+        return view
+
+    def me(self, name: str) -> Incarnation:
+        return self.control.stores[name].incarnation
+
+    def ask(self, name: str, message: msgspec.Struct, reply_type: type[Reply]) -> Reply:
+        answers: list[Reply] = []
+        client = self.control.clients["operator"]
+        address = next(seat.address for seat in self.view.members if str(seat.name) == name)
+
+        async def run() -> None:
+            match await client._messenger.call(address, message, reply_type, Seconds(1.0)):
+                case Success(reply):
+                    answers.append(reply)
+
+        self.control.world.spawn(self.control.world.processes["operator"], run(), "ask")
+        self.assertTrue(self.control.world.wait_for(lambda: bool(answers), 1.1, every=0.001), str(message))
+        return answers[0]
+
+    def promise(self, name: str, epoch: int, candidate: Incarnation = X, to: Incarnation | None = None) -> ControlGrant:
+        return self.ask(name, ControlPromise(to or self.me(name), candidate, Epoch(epoch)), ControlGrant)
+
+    def accept(self, name: str, view: View, to: Incarnation | None = None) -> bool:
+        return self.ask(name, ControlAccept(to or self.me(name), view), ControlAccepted).accepted
+
+    def replicate(self, epoch: int, before: int, to: Incarnation | None = None, name: str = "c2") -> bool:
+        entry = encode_batch(before + 1, Epoch(epoch), [StateRecord("register", msgspec.msgpack.encode((None, b"")))])
+        message = ControlReplicate(to or self.me(name), Epoch(epoch), before, 0, entry)
+        return self.ask(name, message, ControlReplicated).synced
+
+    def state(self, epoch: int, sender: Incarnation, to: Incarnation | None = None, name: str = "c2") -> bool:
+        data = msgspec.msgpack.encode(SnapshotEntry(70, {}))
+        message = ControlStatePiece(to or self.me(name), sender, Epoch(epoch), 1, 0, 1, data)
+        return self.ask(name, message, ControlReplicated).synced
+
+    def new_view(self, epoch: int, primary: Incarnation) -> View:
+        return View(Epoch(epoch), primary, None, self.view.members, self.view.holders)
+
+
+class MemberRules(MemberCase):
+    def test_an_epoch_is_promised_once_and_never_lowered(self) -> None:
+        self.assertTrue(self.promise("c3", 40).granted)
+        self.assertTrue(self.promise("c3", 40).granted, "the same candidate may ask again")
+        self.assertFalse(self.promise("c3", 40, Y).granted)
+        self.assertFalse(self.promise("c3", 39).granted)
+        self.assertEqual(self.promise("c3", 41, Y).view, self.view)
+        self.assertFalse(self.promise("c3", 50, to=Y).granted)
+        self.assertEqual(self.control.stores["c3"].promise.epoch, 41)
+
+    def test_a_promise_outlives_a_restart_and_a_rewrite(self) -> None:
+        self.promise("c3", 40)
+        self.promise("c2", 60)
+        self.assertTrue(self.state(61, X))
+        self.assertEqual(self.control.stores["c2"].promise.epoch, 61)
+        for name in ("c2", "c3"):
+            self.control.world.restart(name)
+        self.control.world.run(0.05)
+        self.assertGreaterEqual(self.control.stores["c3"].promise.epoch, 40)
+        self.assertGreaterEqual(self.control.stores["c2"].promise.epoch, 61)
+        self.assertEqual((self.view_of("c2").epoch, self.control.stores["c2"].sequence), (self.view.epoch, 70))
+
+    def test_a_promise_given_ends_the_own_primacy_at_once(self) -> None:
+        self.assertTrue(self.control.leads("c1"))
+        self.assertTrue(self.promise("c1", 40).granted)
+        self.assertFalse(self.control.leads("c1"))
+
+    def test_views_below_the_promise_or_of_another_candidate_are_refused(self) -> None:
+        self.promise("c3", 40)
+        self.assertFalse(self.accept("c3", self.new_view(39, X)))
+        self.assertFalse(self.accept("c3", self.new_view(40, Y)))
+        self.assertFalse(self.accept("c3", self.new_view(41, X), to=Y))
+        self.assertEqual(self.view_of("c3"), self.view)
+        self.assertTrue(self.accept("c3", self.new_view(40, X)))
+        self.assertEqual(self.view_of("c3"), self.new_view(40, X))
+        self.assertEqual(self.promise("c3", 41, Y).view, self.new_view(40, X))
+
+    def test_a_backup_takes_records_of_its_view_in_their_order_only(self) -> None:
+        self.control.world.kill("c1")
+        epoch, sequence = self.view.epoch, self.control.stores["c2"].sequence
+        self.assertEqual(sequence, 3)
+        self.assertFalse(self.replicate(epoch, 1))
+        self.assertFalse(self.replicate(epoch, 4))
+        self.assertFalse(self.replicate(epoch + 1, 3))
+        self.assertFalse(self.replicate(epoch, 3, to=Y))
+        self.assertFalse(self.replicate(epoch, 0, name="c3"), "a witness takes none")
+        self.assertTrue(self.replicate(epoch, 3))
+        self.assertTrue(self.replicate(epoch, 3), "the same batch again")
+        self.assertEqual(self.control.stores["c2"].sequence, 4)
+        self.promise("c2", epoch + 1)
+        self.assertFalse(self.replicate(epoch, 4))
+
+    def test_a_state_is_taken_under_an_epoch_that_was_not_promised_away(self) -> None:
+        self.promise("c2", 40)
+        self.assertFalse(self.state(39, X))
+        self.assertFalse(self.state(40, Y))
+        self.assertFalse(self.state(41, X, to=Y))
+        self.assertEqual(self.control.stores["c2"].sequence, 3)
+        self.assertTrue(self.state(41, X))
+        self.assertEqual(self.control.stores["c2"].sequence, 70)
+        self.assertFalse(self.promise("c2", 41, Y).granted)
+
+    def test_what_is_journaled_is_applied_when_it_is_committed(self) -> None:
+        self.control.world.kill("c1")
+        self.replicate(self.view.epoch, 3)
+        core = self.control.cores["c2"]
+        self.assertEqual((core._replica.applied, core._replica.committed), (3, 3))
+
+    def test_a_proof_is_confirmed_unless_more_was_promised(self) -> None:
+        def confirm(epoch: int, to: Incarnation | None = None) -> bool:
+            message = ControlConfirm(to or self.me("c3"), Epoch(epoch))
+            return self.ask("c3", message, ControlConfirmed).holds
+
+        self.assertTrue(confirm(self.view.epoch))
+        self.assertFalse(confirm(self.view.epoch, to=Y))
+        self.promise("c3", 40)
+        self.assertFalse(confirm(self.view.epoch))
+        self.assertTrue(confirm(40))
+
+    def test_a_heartbeat_is_accepted_under_the_accepted_view_only(self) -> None:
+        def beat(epoch: int, to: Incarnation | None = None) -> bool:
+            message = ControlHeartbeat(to or self.me("c3"), self.me("c1"), Epoch(epoch), 0)
+            return self.ask("c3", message, ControlHeartbeatAnswer).accepted
+
+        self.assertTrue(beat(self.view.epoch))
+        self.assertFalse(beat(self.view.epoch + 1))
+        self.assertFalse(beat(self.view.epoch, to=Y))
+        self.promise("c3", 40)
+        self.assertFalse(beat(self.view.epoch))
+
+    def test_answers_of_another_incarnation_count_for_nothing(self) -> None:
+        core, seat = self.control.cores["c1"], self.view.members[2]
+        replaced = type(seat)(Y, seat.name, seat.address)
+        answers: list[object] = []
+
+        async def run() -> None:
+            for whom in (seat, replaced):
+                answers.append(await core._ask(whom, ControlConfirm(whom.incarnation, Epoch(9)), ControlConfirmed))
+
+        self.control.world.spawn(self.control.world.processes["c1"], run(), "ask")
+        self.control.world.run(0.1)
+        self.assertIsInstance(answers[0], ControlConfirmed)
+        self.assertIsNone(answers[1])
+
+    def test_a_late_answer_is_unknown(self) -> None:
+        """The process is frozen past the bound with the answer ready to be taken."""
+        core, said = self.control.cores["c1"], list[Result[msgspec.Struct, NotDecided]]()
+
+        async def run() -> None:
+            said.append(await core.decide("register", Put(500, 3), Seconds(0.5)))
+
+        core.on_commit(lambda: self.control.world.freeze("c1"))
+        self.control.world.spawn(self.control.world.processes["c1"], run(), "late")
+        self.control.world.run(0.9)
+        self.assertEqual(said, [])
+        self.control.world.wake("c1")
+        self.control.world.run(0.1)
+        self.assertEqual([answer.failure().kind for answer in said], ["unknown"])
+
+
+class CandidateRules(MemberCase):
+    """``c2``, backup of the view, stands; the others' answers are written by the test."""
+
+    def setUp(self) -> None:
+        super().setUp()
+        for name in ("c1", "c3"):
+            self.control.world.kill(name)
+        self.core = self.control.cores["c2"]
+        self.one, self.two, self.three = self.view.members
+        self.grants: dict[Incarnation, View | None] = {}
+        """Who grants, and the view that it tells."""
+        self.acceptors: set[Incarnation] = set()
+        self.asked: list[tuple[str, Incarnation]] = []
+        self.core._ask = self.answer  # type: ignore[method-assign, assignment]
+
+    async def answer(self, seat: Seat, message: msgspec.Struct, _: object, __: object = None) -> msgspec.Struct | None:
+        self.asked.append((type(message).__name__, seat.incarnation))
+        match message:
+            case ControlPromise(epoch=epoch) if seat.incarnation in self.grants:
+                return ControlGrant(seat.incarnation, True, epoch, self.grants[seat.incarnation])
+            case ControlAccept(view=view) if seat.incarnation in self.acceptors:
+                return ControlAccepted(seat.incarnation, True, view.epoch)
+            case ControlStatePiece(epoch=epoch):
+                return ControlReplicated(seat.incarnation, True, epoch)
+        return None
+
+    def stand(self, plan: _Plan | None = None) -> View | None:
+        views: list[View | None] = []
+
+        async def run() -> None:
+            views.append(await self.core._stand(plan))
+
+        self.control.world.spawn(self.control.world.processes["c2"], run(), "stand")
+        self.assertTrue(self.control.world.wait_for(lambda: bool(views), 3.0, every=0.01))
+        return views[0]
+
+    def test_a_majority_must_grant_and_a_majority_accept(self) -> None:
+        self.assertIsNone(self.stand())
+        self.grants = {self.three.incarnation: self.view}
+        self.assertIsNone(self.stand())
+        self.acceptors = {self.three.incarnation}
+        view = self.stand()
+        assert view is not None
+        self.assertEqual((view.primary, view.backup, view.holders), (self.two.incarnation, None, self.view.holders))
+
+    def test_who_holds_nothing_of_the_newest_granted_view_gives_up(self) -> None:
+        self.acceptors = {self.three.incarnation}
+        newer = View(Epoch(7), self.one.incarnation, self.three.incarnation, self.view.members, (X, Y))
+        self.grants = {self.three.incarnation: newer}
+        self.assertIsNone(self.stand())
+        self.assertNotIn("ControlAccept", [name for name, _ in self.asked])
+
+    def test_members_of_a_newer_view_are_asked_too(self) -> None:
+        new, newer = Seat(X, DaemonName("x"), self.one.address), Seat(Y, DaemonName("y"), self.one.address)
+        view = View(Epoch(7), self.two.incarnation, None, (self.two, new, newer), self.view.holders)
+        self.grants = {self.three.incarnation: view}
+        self.acceptors = {self.three.incarnation, X}
+        self.assertIsNone(self.stand())
+        self.assertIn(("ControlPromise", X), self.asked)
+        self.grants[X] = view
+        won = self.stand()
+        assert won is not None
+        self.assertEqual(won.members, view.members)
+
+    def test_a_planned_view_needs_the_old_and_the_new_majority_and_its_backup(self) -> None:
+        new, newer = Seat(X, DaemonName("x"), self.one.address), Seat(Y, DaemonName("y"), self.one.address)
+        for members, backup, acceptors, won in (
+            ((self.two, new, self.three), new, {X}, False),
+            ((self.two, new, self.three), new, {X, self.three.incarnation}, True),
+            ((self.two, new, self.three), new, {self.three.incarnation}, False),
+            ((self.two, new, newer), self.three, {self.three.incarnation}, False),
+            ((self.two, new, newer), self.three, {self.three.incarnation, X}, True),
+        ):
+            with self.subTest(members=members, backup=backup, acceptors=acceptors):
+                current = self.view_of("c2")
+                self.grants = {self.three.incarnation: None}
+                self.acceptors = set(acceptors)
+                view = self.stand(_Plan(backup, members, [current, self.view]))
+                self.assertEqual(view is not None, won)
+                self.setUp()
+
+    def test_a_plan_is_dropped_when_another_view_was_accepted_meanwhile(self) -> None:
+        other = View(Epoch(7), self.one.incarnation, None, self.view.members, self.view.holders)
+        self.grants = {self.three.incarnation: other}
+        self.acceptors = {self.three.incarnation}
+        view = self.stand(_Plan(self.three, self.view.members, [self.view]))
+        assert view is not None
+        self.assertEqual((view.backup, view.holders), (None, self.view.holders))
+
+    def test_another_holder_with_more_goes_first(self) -> None:
+        answer = self.core._ask
+
+        async def longer(seat: Seat, message: msgspec.Struct, *rest: object) -> msgspec.Struct | None:
+            reply = await answer(seat, message, *rest)  # type: ignore[arg-type, func-returns-value]
+            return msgspec.structs.replace(reply, sequence=99) if isinstance(reply, ControlGrant) else reply
+
+        self.grants = {self.one.incarnation: self.view, self.three.incarnation: self.view}
+        self.acceptors = {self.three.incarnation}
+        self.core._ask = longer  # type: ignore[method-assign, assignment]
+        self.assertIsNone(self.stand())
+
+    def test_a_new_primary_proves_nothing_before_it_has_a_backup(self) -> None:
+        """Its predecessor may have acknowledged what it only holds as uncommitted."""
+        self.grants = {self.three.incarnation: self.view}
+        self.acceptors = {self.three.incarnation}
+        view = self.stand()
+        assert view is not None
+        proofs: list[bool] = []
+
+        async def confirm(seat: Seat, message: msgspec.Struct, *_: object) -> msgspec.Struct | None:
+            return ControlConfirmed(seat.incarnation, True, view.epoch)
+
+        self.core._ask = confirm  # type: ignore[method-assign, assignment]
+
+        async def run() -> None:
+            lead = _Lead(view, self.core._now())
+            self.core._lead = lead
+            proofs.append(await self.core._proof_round(lead))
+            lead.settled = True
+            proofs.append(await self.core._proof_round(lead))
+
+        self.control.world.spawn(self.control.world.processes["c2"], run(), "prove")
+        self.control.world.run(0.05)
+        self.assertEqual(proofs, [False, True])
+
+
+class Majorities(unittest.TestCase):
+    def test_only_members_count(self) -> None:
+        control = ControlWorld(1)
+        self.addCleanup(control.close)
+        self.assertTrue(control.world.wait_for(control.complete, 5.0))
+        view = control.stores["c1"].view
+        assert view is not None
+        one, two, three = view.incarnations()
+        self.assertTrue(view.majority({one, two}))
+        self.assertTrue(view.majority({one, two, three}))
+        self.assertFalse(view.majority({one, X, Y}))
+        self.assertFalse(view.majority(set()))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/wingwood/control/tests/walk.py
+++ b/wingwood/control/tests/walk.py
@@ -15,6 +15,7 @@
 from simulation.network import Cut
 
 from ...journal import scan
+from ...journal.journal import FRAME_BYTES
 from ..messages import FoundedEntry, View
 from .control_world import ControlWorld, MakeCore, Put, make_core
 
@@ -270,7 +271,10 @@
             self.down[primary] = self.world.now + 1.0
 
     def damage(self) -> None:
-        """A byte in the middle of a journal flips; its operator has the daemon begin empty."""
+        """A byte before the last frame of a journal flips; its operator has the daemon begin empty.
+
+        (In the last frame it would look as if its append had been cut short.)
+        """
         if not self.loss_can_be_borne():
             return
         name = self.random.choice(self.names)
@@ -279,7 +283,12 @@
         self.kill(name)
         disk = self.world.machines[name].disk
         data = bytearray(disk.visible["control.journal"])
-        data[self.random.randrange(max(1, len(data) // 2))] ^= 0x10
+        match scan(bytes(data)):
+            case Success(found):
+                last = found.sound_bytes - len(found.payloads[-1]) - FRAME_BYTES
+            case _:
+                last = 1
+        data[self.random.randrange(last)] ^= 0x10
         disk.visible["control.journal"] = disk.durable["control.journal"] = bytes(data)
         self.control.begin_empty.add(name)
 
