--- a/wingwood/limits/shares.py
+++ b/wingwood/limits/shares.py
@@ -371,9 +371,12 @@
         most = max(1.0, self._bucket_size(share.tenant.paid_rate, share.tenant.burst) * part)
         if share.fallback is None:
             # A random part of one token: over the routers the sum is right also where each has less than one.
-            # A whole one while the tenant was well below its share; it is charged afterwards.
+            # A whole one while the tenant was well below its share, and half of the part of a router that has
+            # never heard of the keeper; both are charged afterwards.
             below = share.keeper_rate < 0.8 * share.tenant.paid_rate
             first = max(1.0 if below else self._context.random.random(), share.keeper_level * part)
+            if share.keeper_answered_at is None:
+                first = max(first, 0.5 * most)
             share.fallback = TokenBucket(rate, most, first, now)
         # What comes in between two seldom calls is earned at the part of now, which has grown meanwhile.
         share.fallback.rate, share.fallback.most = rate, most
