A drain goes past a home that does not answer within 0.1 s

Cause: the routers of a frozen home's zone heard of a drain only when the daemon that took it gave the home up, after 0.5 s. What: final states are posted to the zone's routers after 0.1 s, while the home is waited for.

--- a/wingwood/registry/tests/test_worker_registry.py
+++ b/wingwood/registry/tests/test_worker_registry.py
@@ -100,6 +100,22 @@
     def test_drain_while_the_home_freezes(self) -> None:
         self.drain_with_home("freeze")
 
+    def test_zone_of_a_frozen_home_hears_of_a_drain_before_the_daemon_gives_the_home_up(self) -> None:
+        instance = self.announced()
+        home = self.fleet.home("b")
+        edge = self.others_than(home)[0]
+        self.world.freeze(home)
+        registry = self.fleet.routers[edge].registry
+        request = self.fleet.request(self.worker, state="draining")
+
+        async def announce() -> None:
+            await registry.announce(request)
+
+        self.world.spawn(self.world.processes[edge], announce(), "announce")
+        self.world.run(0.15)
+        for name in self.others_than(home):
+            self.assertNotIn(instance, self.fleet.ready_at(name), name)
+
     def test_drain_while_the_home_is_killed(self) -> None:
         self.drain_with_home("kill")
 
--- a/wingwood/registry/worker_registry.py
+++ b/wingwood/registry/worker_registry.py
@@ -50,6 +50,7 @@
 ASK_TIMEOUT = Seconds(0.4)
 RENEW_EVERY = Seconds(0.25)
 TELL_TIMEOUT = Seconds(0.5)
+SLOW_HOME = Seconds(0.1)
 TELL_AGAIN_FOR = Seconds(10.0)
 FEED_BOUND = Seconds(1.0)
 """A feed proven longer ago is not trusted: the worker itself is asked before each turn."""
@@ -650,7 +651,7 @@
         homes = self._zone_homes(worker.pool)
         if not homes:
             return tell_another("this daemon knows no router yet")
-        outcomes = await asyncio.gather(*(self._tell(home, worker) for home in homes.values()))
+        outcomes = await asyncio.gather(*(self._tell_in_zone(zone, home, worker) for zone, home in homes.items()))
         missing = [zone for zone, outcome in zip(homes, outcomes, strict=True) if outcome is None]
         furthest = max(
             (outcome.state for outcome in outcomes if outcome is not None),
@@ -659,7 +660,6 @@
         )
         if missing:
             if worker.state != "ready":
-                self._tell_around(worker, missing)
                 self._context.tasks.spawn(f"tell again {worker.instance}", self._tell_again(worker, missing))
             return tell_another(f"no answer from the home of {', '.join(missing)}")
         if ORDER[furthest] > ORDER[worker.state]:
@@ -675,6 +675,16 @@
         answered = await self._messenger.call(home.internal, TakeState(worker), StateTaken, TELL_TIMEOUT)
         return answered.unwrap().worker if isinstance(answered, Success) else None
 
+    async def _tell_in_zone(self, zone: Zone, home: Identity, worker: Worker) -> Worker | None:
+        """A final state goes past a home that is slow to answer, to the zone's routers themselves."""
+        if worker.state == "ready":
+            return await self._tell(home, worker)
+        telling = asyncio.ensure_future(self._tell(home, worker))
+        await asyncio.wait({telling}, timeout=SLOW_HOME)
+        if not telling.done() or telling.result() is None:
+            self._tell_around(worker, [zone])
+        return await telling
+
     def _tell_around(self, worker: Worker, zones: Sequence[Zone]) -> None:
         """A final state whose home does not answer goes to the routers of that zone directly."""
         for router in self._membership.routers():
