--- a/wingwood/placement/session_map.py
+++ b/wingwood/placement/session_map.py
@@ -20,6 +20,7 @@
 from ..transport.messenger import Messenger
 from .messages import KeepNotes, LookUpSession, SessionFound, SessionNote
 
+CHANGED_ONE_BY_ONE = 16
 POINTS_EACH = 64
 """A router's points on the ring; its share of the sessions varies by about an eighth."""
 LOOK_UP_TIMEOUT = Seconds(0.03)
@@ -112,11 +113,41 @@
     went has its place. Finding a pair costs a binary search, also with a thousand routers.
     """
 
-    def __init__(self, routers: Sequence[Identity]) -> None:
+    def __init__(self, routers: Sequence[Identity] = (), before: KeeperRing | None = None) -> None:
+        """``before``: the ring to start from; a few changes to it cost little."""
         self.routers = tuple(routers)
-        marks = sorted((point, index) for index, router in enumerate(routers) for point in _points(router.name))
-        self._points = array("Q", (point for point, _ in marks))
-        self._owners = array("L", (index for _, index in marks))
+        self._points = array("Q")
+        self._owners = array("L")
+        self._numbers: dict[str, int] = {}
+        names = {router.name for router in routers}
+        if before is not None and len(names ^ before._numbers.keys()) <= CHANGED_ONE_BY_ONE:
+            self._points, self._owners = before._points[:], before._owners[:]
+            self._numbers = dict(before._numbers)
+            for name in sorted(self._numbers.keys() - names):
+                self._remove(name)
+        added = sorted(names - self._numbers.keys())
+        if len(added) <= CHANGED_ONE_BY_ONE:
+            for name in added:
+                self._insert(name)
+        else:
+            self._numbers = {name: number for number, name in enumerate(added)}
+            marks = sorted((point, number) for number, name in enumerate(added) for point in _points(name))
+            self._points = array("Q", (point for point, _ in marks))
+            self._owners = array("L", (number for _, number in marks))
+        self._by_number = {self._numbers[router.name]: router for router in routers}
+
+    def _insert(self, name: str) -> None:
+        number = self._numbers[name] = max(self._numbers.values(), default=-1) + 1
+        for point in _points(name):
+            at = bisect_left(self._points, point)
+            self._points.insert(at, point)
+            self._owners.insert(at, number)
+
+    def _remove(self, name: str) -> None:
+        del self._numbers[name]
+        for point in _points(name):
+            at = bisect_left(self._points, point)
+            del self._points[at], self._owners[at]
 
     def pair(self, key: int) -> tuple[Identity, ...]:
         count = len(self._points)
@@ -127,8 +158,8 @@
         for step in range(1, count):
             other = self._owners[(at + step) % count]
             if other != first:
-                return self.routers[first], self.routers[other]
-        return (self.routers[first],)
+                return self._by_number[first], self._by_number[other]
+        return (self._by_number[first],)
 
 
 def _points(name: str) -> Iterator[int]:
@@ -148,7 +179,7 @@
         self._kept = RecentEntries(ENTRIES_MOST, CLAIM_FOR)
         self._recent = RecentEntries(RECENT_MOST, RECENT_FOR)
         """What this router recorded itself, wherever it is kept."""
-        self._ring = KeeperRing(())
+        self._ring = KeeperRing()
         self._rings_before: list[tuple[Instant, KeeperRing]] = []
         """Rings of the last while, with the instant at which each ended."""
         self._passed_over: dict[Incarnation, Instant] = {}
@@ -266,7 +297,7 @@
         before = self._ring
         if routers == before.routers:
             return
-        self._ring = KeeperRing(routers)
+        self._ring = KeeperRing(routers, before)
         self._rings_before.append((self._context.clock.monotonic(), before))
         own = self._messenger.identity.incarnation
         members = {router.incarnation for router in routers}
