Homes of worker pools are ranked anew only in zones whose routers changed

What: homes of unchanged zones are kept. Test: members one by one give the homes that members at once do, also for pools not asked for in between.

--- a/wingwood/registry/tests/test_worker_registry.py
+++ b/wingwood/registry/tests/test_worker_registry.py
@@ -252,6 +252,23 @@
         self.world.run(0.1)
         self.assertEqual(self.fleet.ready_at(new), [])
 
+    def test_homes_are_the_same_whether_members_came_one_by_one_or_at_once(self) -> None:
+        registry = self.fleet.routers["r0"].registry
+        pools = [PoolName(f"pool-{number}") for number in range(12)]
+        removed = [self.fleet.roster.identities[name] for name in ("r1", "r4", "r5")]
+        for step, identity in enumerate(removed):
+            for pool in pools[: 4 * step]:
+                registry._zone_homes(pool)
+            self.fleet.roster.remove(identity.name)
+        for step, identity in enumerate(removed):
+            for pool in pools[8 - 4 * step :]:
+                registry._zone_homes(pool)
+            self.fleet.roster.put(identity)
+        late = Fleet(self.enterContext(World(9))).routers["r0"].registry
+        for pool in pools:
+            names = {zone: home.name for zone, home in registry._zone_homes(pool).items()}
+            self.assertEqual(names, {zone: home.name for zone, home in late._zone_homes(pool).items()})
+
     def test_restarted_home_without_memory_learns_final_states_from_its_followers(self) -> None:
         for zones in (("a", "b", "c"), ("a",)):
             with self.subTest(zones=zones):
--- a/wingwood/registry/worker_registry.py
+++ b/wingwood/registry/worker_registry.py
@@ -121,7 +121,10 @@
         self._feeds: dict[tuple[PoolName, Incarnation], _Feed] = {}
         self._proven_at: dict[PoolName, Instant] = {}
         self._homes: dict[PoolName, _Home] = {}
+        self._zone_routers = self._group_routers()
         self._home_cache: dict[PoolName, dict[Zone, Identity]] = {}
+        self._stale_homes: dict[PoolName, dict[Zone, Identity]] = {}
+        """Homes in zones that did not change, of pools not asked for since."""
         self._acknowledged: dict[WorkerInstance, Worker] = {}
         self._renewals: dict[WorkerInstance, Renewal] = {}
         self._asking: set[Incarnation] = set()
@@ -288,21 +291,25 @@
 
     def _followed_zone(self) -> Zone:
         """The own zone, or the first with a router for a control daemon that stands alone in its zone."""
-        zones = sorted({router.zone for router in self._membership.routers()})
-        return self._zone if self._zone in zones or not zones else zones[0]
+        zones = self._zone_routers
+        return self._zone if self._zone in zones or not zones else next(iter(zones))
 
     def _zone_homes(self, pool: PoolName) -> dict[Zone, Identity]:
         homes = self._home_cache.get(pool)
         if homes is None:
-            by_zone: dict[Zone, list[Identity]] = {}
-            for router in self._membership.routers():
-                by_zone.setdefault(router.zone, []).append(router)
+            stale = self._stale_homes.pop(pool, {})
             homes = self._home_cache[pool] = {
-                zone: ranked(f"workers/{pool}", routers, lambda router: router.name)[0]
-                for zone, routers in sorted(by_zone.items())
+                zone: stale.get(zone) or ranked(f"workers/{pool}", routers, lambda router: router.name)[0]
+                for zone, routers in self._zone_routers.items()
             }
         return homes
 
+    def _group_routers(self) -> dict[Zone, tuple[Identity, ...]]:
+        zones: dict[Zone, list[Identity]] = {}
+        for router in self._membership.routers():
+            zones.setdefault(router.zone, []).append(router)
+        return {zone: tuple(routers) for zone, routers in sorted(zones.items())}
+
     def _home_of(self, pool: PoolName, zone: Zone) -> Identity | None:
         return self._zone_homes(pool).get(zone)
 
@@ -311,8 +318,14 @@
         return home is not None and home.incarnation == self._messenger.identity.incarnation
 
     def _members_changed(self) -> None:
-        before = self._home_cache
-        self._home_cache = {}
+        """Homes are ranked anew only in zones whose routers changed: ranking costs a hash for each router and pool."""
+        zones_before, self._zone_routers = self._zone_routers, self._group_routers()
+        unchanged = {zone for zone, routers in self._zone_routers.items() if zones_before.get(zone) == routers}
+        before, self._home_cache = self._home_cache, {}
+        self._stale_homes = {
+            pool: {zone: home for zone, home in homes.items() if zone in unchanged}
+            for pool, homes in {**self._stale_homes, **before}.items()
+        }
         for instance, worker in sorted(self._acknowledged.items()):
             if before.get(worker.pool) != self._zone_homes(worker.pool):
                 del self._acknowledged[instance]  # announced in full again with the next renewal
