Posts made while a link connects leave first thing when it is there

Change: the link keeps such posts in order (10,000 at most) and writes them before it tells anybody that it is connected; one task less for each post.

--- a/wingwood/transport/messenger.py
+++ b/wingwood/transport/messenger.py
@@ -67,6 +67,8 @@
     frame_bytes: int = 64 * 1024 * 1024
     unsent_bytes: int = 96 * 1024 * 1024
     calls_waiting: int = 20_000
+    posts_waiting: int = 10_000
+    """Made while a link is connecting; further ones are lost, as to a peer that is away."""
     connect_timeout: Seconds = Seconds(0.5)
     silence: Seconds = Seconds(1.5)
     """A link on which a call has waited this long without any byte coming is closed and made anew."""
@@ -83,6 +85,8 @@
         self.stream: BaseIOStream | None = None
         self.waiting: dict[int, asyncio.Future[Result[msgspec.Raw, TransportFault]]] = {}
         self.connecting: asyncio.Future[bool] | None = None
+        self.posts: list[Envelope] = []
+        """Made while connecting."""
         self.last_fault = ""
         self.last_byte = Instant(0.0)
         self.last_failure: Instant | None = None
@@ -92,25 +96,40 @@
     async def connected(self) -> bool:
         if self.stream is not None and not self.stream.closed():
             return True
+        connecting = self.connect()
+        return connecting is not None and await asyncio.shield(connecting)
+
+    def connect(self) -> asyncio.Future[bool] | None:
+        """Begins to connect, unless that is under way; None right after a failure."""
         if self.connecting is None:
             pause = self.messenger.limits.retry_pause
             now = self.messenger.context.clock.monotonic()
             if self.last_failure is not None and now - self.last_failure < pause:
-                return False
+                return None
             self.connecting = asyncio.get_running_loop().create_future()
             self.messenger.context.tasks.spawn(f"link {self.address}", self._run(self.connecting))
-        return await asyncio.shield(self.connecting)
+        return self.connecting
+
+    def post(self, envelope: Envelope) -> None:
+        """Writes now, or first thing when the link is there; posts keep their order."""
+        if self.stream is not None and not self.stream.closed():
+            self.write(envelope)
+        elif self.connect() is not None and len(self.posts) < self.messenger.limits.posts_waiting:
+            self.posts.append(envelope)
 
     async def _run(self, connecting: asyncio.Future[bool]) -> None:
         context = self.messenger.context
         stream = await self._open()
         self.connecting = None
+        posts, self.posts = self.posts, []
         if stream is None:
             self.last_failure = context.clock.monotonic()
             connecting.set_result(False)
             return
         self.stream = stream
         self.last_byte = context.clock.monotonic()
+        for envelope in posts:
+            self.write(envelope)
         connecting.set_result(True)
         try:
             while True:
@@ -285,14 +304,7 @@
     def post(self, address: Address, message: msgspec.Struct) -> None:
         link = self._link(address)
         envelope = Envelope("post", 0, type(message).__name__, msgspec.Raw(msgspec.msgpack.encode(message)))
-        if link.stream is not None and not link.stream.closed():
-            link.write(envelope)
-            return
-        self.context.tasks.spawn(f"post {address}", self._post_later(link, envelope))
-
-    async def _post_later(self, link: _Link, envelope: Envelope) -> None:
-        if await link.connected():
-            link.write(envelope)
+        link.post(envelope)
 
     def _link(self, address: Address) -> _Link:
         link = self._links.get(address)
