A home sums its zone's counts once for all who ask

Cause: each answer summed what all routers of the zone had told: 206 ms for one round of 71 routers on 300 workers (a zone of 1,000 daemons, one pool), every 2 s. What: one sum per 0.25 s, less the asker's own part in it. Figures: 5.4 ms for the same round.

--- a/wingwood/registry/worker_registry.py
+++ b/wingwood/registry/worker_registry.py
@@ -62,6 +62,7 @@
 SUSPECT_LONGEST = Seconds(5.0)
 SUSPECT_FORGOTTEN = Seconds(30.0)
 ENGAGED_TRUSTED = Seconds(2.0)
+SUMMED_EVERY = Seconds(0.25)
 LOADS_AT_ONCE = 40
 """A pool of more workers is told of their loads less often, in proportion."""
 NEIGHBOUR_EVERY = 10
@@ -99,6 +100,14 @@
     engaged: dict[WorkerInstance, Engagement]
 
 
+class _Sum(msgspec.Struct, frozen=True):
+    at: Instant
+    zone: dict[WorkerInstance, Engagement]
+    fleet: dict[WorkerInstance, Engagement]
+    parts: dict[Incarnation, dict[WorkerInstance, Engagement]]
+    """What each router of the zone put into it."""
+
+
 class _Suspicion(msgspec.Struct):
     times: int
     last: Instant
@@ -130,6 +139,7 @@
         self._asking: set[Incarnation] = set()
         self._told: dict[PoolName, dict[Incarnation, _Told]] = {}
         self._zone_told: dict[PoolName, dict[Zone, _Told]] = {}
+        self._sums: dict[PoolName, _Sum] = {}
         self._elsewhere: dict[PoolName, _Told] = {}
         self._suspicions: dict[WorkerInstance, _Suspicion] = {}
         self._health: dict[WorkerInstance, tuple[Instant, bool]] = {}
@@ -460,24 +470,44 @@
         if self._merge(entry, judge_renewal=False):
             self._push(entry.worker.pool, [entry.worker], previous)
 
-    def _engaged_in_zone(self, pool: PoolName, without: Incarnation | None = None) -> dict[WorkerInstance, Engagement]:
+    def _engaged_in_zone(self, pool: PoolName) -> dict[WorkerInstance, Engagement]:
+        return self._summed(pool).zone
+
+    def _engaged_by_others(self, pool: PoolName, asker: Incarnation) -> dict[WorkerInstance, Engagement]:
+        """All but what the asker itself had told when the sum was made."""
+        summed = self._summed(pool)
+        part = summed.parts.get(asker)
+        if not part:
+            return summed.fleet
+        others = dict(summed.fleet)
+        for instance, own in part.items():
+            total = others[instance]
+            others[instance] = Engagement(total.running - own.running, total.expected - own.expected)
+        return others
+
+    def _summed(self, pool: PoolName) -> _Sum:
+        """Made once for all who ask within a while: a zone's home is asked by each of its routers."""
         now = self._now()
-        own = self._messenger.identity.incarnation
-        totals: dict[WorkerInstance, Engagement] = {} if without == own else dict(self._count(pool))
+        summed = self._sums.get(pool)
+        if summed is not None and now - summed.at < SUMMED_EVERY:
+            return summed
+        trusted = self._engaged_trusted(pool)
+        parts = {self._messenger.identity.incarnation: self._count(pool)}
         told = self._told.get(pool, {})
         for incarnation in sorted(told):
-            if now - told[incarnation].at > self._engaged_trusted(pool):
+            if now - told[incarnation].at > trusted:
                 del told[incarnation]
-            elif incarnation != without:
-                _add(totals, told[incarnation].engaged)
-        return totals
-
-    def _engaged_by_others(self, pool: PoolName, asker: Incarnation) -> dict[WorkerInstance, Engagement]:
-        totals = self._engaged_in_zone(pool, without=asker)
-        for _, told in sorted(self._zone_told.get(pool, {}).items()):
-            if self._now() - told.at <= self._engaged_trusted(pool):
-                _add(totals, told.engaged)
-        return totals
+            else:
+                parts[incarnation] = told[incarnation].engaged
+        zone: dict[WorkerInstance, Engagement] = {}
+        for part in parts.values():
+            _add(zone, part)
+        fleet = dict(zone)
+        for _, other in sorted(self._zone_told.get(pool, {}).items()):
+            if now - other.at <= trusted:
+                _add(fleet, other.engaged)
+        summed = self._sums[pool] = _Sum(now, zone, fleet, parts)
+        return summed
 
     # --- following the homes ------------------------------------------------------------------
 
