--- a/simulation/callers.py
+++ b/simulation/callers.py
@@ -208,6 +208,7 @@
             if stream is not None and attempt.end == "whole":
                 # With a callback set the stream listens, so that one the router closed meanwhile is not used again.
                 stream.set_close_callback(lambda: None)
+                stream.set_close_callback(_nothing)  # so that it is noticed when the other side closes it
                 self._kept.setdefault(door.address, []).append(stream)
             else:
                 exchange.cancel()
@@ -259,6 +260,10 @@
             attempt.end = "malformed" if fault.kind == "malformed" else "broken"
 
 
+def _nothing() -> None:
+    return None
+
+
 def _worth_another(attempt: Attempt) -> bool:
     """Clients try once more when it may help; not after a definite refusal of theirs."""
     if attempt.end != "whole":
