--- a/bench/load/__main__.py
+++ b/bench/load/__main__.py
@@ -36,6 +36,8 @@
 @click.option("--spread", type=click.Choice(["every-turn", "per-session"]), default="every-turn", show_default=True)
 @click.option("--unhinted", default=0.0, show_default=True, help="Share of turns that give no hint of the next.")
 @click.option("--direct-share", default=0.05, show_default=True, help="Share of calls with a probe to a worker.")
+@click.option("--flood", metavar="TENANT:RATE", help="A tenant that sends so many calls a second on top.")
+@click.option("--flood-on", type=click.Choice(["one", "all"]), default="all", show_default=True, help="Which routers.")
 @click.option("--seed", default=1, show_default=True)
 @click.option("--results", type=click.Path(path_type=Path), default=Path("results"), show_default=True)
 @click.option("--name", help="Of the result files; made up by default.")
@@ -48,6 +50,8 @@
     spread: str,
     unhinted: float,
     direct_share: float,
+    flood: str | None,
+    flood_on: str,
     seed: int,
     results: Path,
     name: str | None,
@@ -65,6 +69,10 @@
         "run_name": new_run_name(),
     }
     options = msgspec.convert(fields, LoadOptions)
+    if flood is not None:
+        tenant, _, rate = flood.partition(":")
+        fields |= {"flood_tenant": tenant, "flood_rate": float(rate), "flood_on": flood_on}
+        options = msgspec.convert(fields, LoadOptions)
     try:
         if fleet_file is not None:
             result, _ = asyncio.run(run_load(read_target(fleet_file), options))
--- a/bench/load/report.py
+++ b/bench/load/report.py
@@ -18,6 +18,7 @@
 def result_of(callers: Callers, options: LoadOptions, workers: Mapping[str, Any], elapsed: float) -> dict[str, Any]:
     measured = callers.measurements
     tokens = measured.tokens
+    paid = {tenant.name: tenant.paid_rate for tenant in callers.target.shape.tenants}
     return {
         "fleet": callers.target.shape.name,
         "balancing": callers.target.shape.balancing,
@@ -36,7 +37,7 @@
         "awards": dict(measured.awards.most_common()),
         "routers": dict(sorted(measured.routers.items())),
         "tenants": {
-            name: {**counts, "whole_per_second": round(counts["whole"] / elapsed, 3)}
+            name: {**counts, "whole_per_second": round(counts["whole"] / elapsed, 3), "paid_rate": paid.get(name)}
             for name, counts in sorted(measured.tenants.items())
         },
         "hit_rate": _share(tokens["cached"], tokens["prompt"]),
@@ -85,6 +86,11 @@
             f"pool       {pool}: {told['runs']} runs, hit rate {told['hit_rate']}, "
             f"load max/median {told['imbalance']}, run twice: {len(told['run_twice'])}"
         )
+    for name, told in result["tenants"].items():
+        lines.append(
+            f"tenant     {name}: {told['calls']} calls, {told.get('refused', 0)} refused, "
+            f"{told['whole_per_second']} whole a second, paid for {told['paid_rate']}"
+        )
     for kind, told in result.get("kinds", {}).items():
         lines.append(
             f"processes  {told['processes']} {kind}: {told['processor_percent_mean']} % of a processor on average, "
--- a/bench/load/tests/test_load.py
+++ b/bench/load/tests/test_load.py
@@ -100,6 +100,16 @@
         retried = [record for record in load.callers.records if len(record.tries) == 2]
         self.assertTrue(all(record.tries[0][0] == 0 and record.tries[1][3] for record in retried))
 
+    def test_a_flood_is_counted_by_tenant_and_not_timed(self) -> None:
+        flood = LoadOptions(seconds=8, direct_share=0.0, flood_tenant="buyers", flood_rate=20.0, flood_on="one")
+        quiet = SimulatedLoad(LoadOptions(seconds=8, direct_share=0.0)).result
+        flooded = SimulatedLoad(flood).result
+        more = flooded["tenants"]["buyers"]["calls"] - quiet["tenants"]["buyers"]["calls"]
+        self.assertGreater(more, 8 * 20 * 0.7)
+        self.assertEqual(flooded["tenants"]["web-shop"]["calls"], quiet["tenants"]["web-shop"]["calls"])
+        counts = [each["timings_milliseconds"]["first_token"]["count"] for each in (quiet, flooded)]
+        self.assertEqual(counts[0], counts[1])
+
     def test_unhinted_turns_end_before_their_end_marker(self) -> None:
         load = SimulatedLoad(LoadOptions(seconds=8, direct_share=0.0, unhinted=1.0))
         chats = sum(run.path == "/v1/chat" for worker in load.workers for run in worker.runs)
--- a/bench/load/traffic.py
+++ b/bench/load/traffic.py
@@ -31,6 +31,11 @@
     direct_share: float = 0.05
     """Share of calls beside which a probe goes straight to a worker."""
     retries: int = 1
+    flood_tenant: str | None = None
+    """A tenant that sends short model calls beside its part of the traffic, without trying again."""
+    flood_rate: float = 0.0
+    flood_on: Literal["one", "all"] = "all"
+    """Whether its calls come to one router or to all."""
     seed: int = 1
     run_name: str = "run"
 
@@ -67,7 +72,7 @@
     async def run(self) -> None:
         """Arrivals for ``seconds``, then waits for calls under way; no new turns after the end."""
         self._began = self._clock.monotonic()
-        await asyncio.gather(*(self._arrivals(traffic) for traffic in self.target.shape.traffic))
+        await asyncio.gather(*(self._arrivals(traffic) for traffic in self.target.shape.traffic), self._flood())
         if self._sessions:
             await asyncio.wait(self._sessions)
 
@@ -98,6 +103,41 @@
             self._sessions.add(session)
             session.add_done_callback(self._session_ended)
 
+    async def _flood(self) -> None:
+        tenant, rate = self.options.flood_tenant, self.options.flood_rate
+        if tenant is None or rate <= 0:
+            return
+        service = next(each for each in self.target.shape.services if each.kind == "model")
+        random = Random(f"{self.options.seed}/flood")
+        due, number = 0.0, 0
+        while due < self._ends:
+            due += random.expovariate(rate)
+            await asyncio.sleep(max(0.0, due - self.elapsed()))
+            number += 1
+            plan = CallPlan(
+                path=service.path,
+                key=self.target.keys[tenant],
+                mark=f"{self.options.run_name}-flood-{number}",
+                messages=("hello",),
+                max_tokens=1,
+                first_byte_patience=service.first_byte_patience,
+            )
+            home = self.target.routers[0] if self.options.flood_on == "one" else random.choice(self.target.routers)
+            call = asyncio.get_running_loop().create_task(self._flood_call(plan, tenant, home))
+            self._sessions.add(call)
+            call.add_done_callback(self._session_ended)
+
+    async def _flood_call(self, plan: CallPlan, tenant: str, home: RouterAddresses) -> None:
+        """Counted by tenant and outcome only, so that the timings stay those of the ordinary traffic."""
+        self.measurements.begun(tenant, int(self.elapsed()))
+        outcome = await self._caller.call(plan, _address(home.caller))
+        self.measurements.tries += 1
+        if outcome.problem:
+            self.measurements.problems[outcome.problem] += 1
+        if outcome.router_made:
+            self.measurements.refusals[f"{outcome.status} {outcome.code} {outcome.run}"] += 1
+        self.measurements.ended(tenant, how_it_ended(outcome), int(self.elapsed()), outcome.events)
+
     def _session_ended(self, session: asyncio.Task[None]) -> None:
         self._sessions.discard(session)
         if not session.cancelled():
