A control daemon that nobody leads is not ready and says why; replay command wired

`wingwood replay` was built but not reachable. Change: ready needs a seat and a proof of lead no older than 3 s; reasons are given for both. main.py offers the replay command.

--- a/wingwood/command_line/main.py
+++ b/wingwood/command_line/main.py
@@ -4,6 +4,7 @@
 
 import click
 
+from ..replay.command import replay_command
 from .bundle import bundle
 from .daemons import control, router, settings_group
 from .keys import caller_key, key
@@ -20,5 +21,17 @@
     """
 
 
-for command in (router, control, bundle, rollout, key, caller_key, workers, members, health, settings_group):
+for command in (
+    router,
+    control,
+    bundle,
+    rollout,
+    key,
+    caller_key,
+    workers,
+    members,
+    health,
+    settings_group,
+    replay_command,
+):
     main.add_command(command)
--- a/wingwood/daemons/control.py
+++ b/wingwood/daemons/control.py
@@ -30,6 +30,9 @@
 from ..transport.messenger import TcpMessenger
 from .process import NotStarted, run_daemon
 
+LED_WITHIN = Seconds(3.0)
+"""A proof of lead that is older says that nobody leads; above what a take-over costs."""
+
 
 class ControlDaemon:
     """Its parts are made in ``start``, once the data folder has told which incarnation this is."""
@@ -145,13 +148,20 @@
         report = self.core.report()
         session = self.keeper.session_proven_at()
         news = self.publisher.news()
+        seated = report.own_role in ("primary", "backup", "witness") and report.primary is not None
+        led = news.proof_age is not None and news.proof_age <= LED_WITHIN
+        reasons = [report.detail] if report.detail else []
+        if not seated:
+            reasons.append("no seat in the view yet: waits for the fleet to form, or as a spare")
+        elif not led:
+            reasons.append("no primary has proven its lead to this daemon of late")
         return HealthReport(
             name=self._settings.name,
             role="control",
             zone=self._settings.zone,
             incarnation=self._identity.incarnation,
-            ready=report.own_role in ("primary", "backup", "witness") and report.primary is not None,
-            reasons=(report.detail,) if report.detail else (),
+            ready=seated and led,
+            reasons=tuple(reasons),
             version=BundleVersion(max(self.source.version, news.proof_version)),
             bundle_proven_age=news.proof_age,
             session_age=None if session is None else Seconds(now - session),
