--- a/wingwood/placement/award_placement.py
+++ b/wingwood/placement/award_placement.py
@@ -262,16 +262,13 @@
     def _bid_ahead(self, turn: Turn, entry: Entry, ready: Sequence[Worker]) -> Worker:
         """For a turn to come: the holder against a few drawn others, so that routers do not all move to one."""
         others = [worker for worker in ready if worker.instance != entry.holder]
-        drawn = {
-            worker.instance
-            for worker in self._context.random.sample(others, min(self._settings.candidates, len(others)))
-        }
-        ahead = self._workload.loads_ahead(ready)
+        compared = self._context.random.sample(others, min(self._settings.candidates, len(others)))
+        compared.extend(worker for worker in ready if worker.instance == entry.holder)
+        turning = self._workload.turning(ready)
         bids = []
-        for worker, load in zip(ready, ahead, strict=True):
-            if worker.instance == entry.holder or worker.instance in drawn:
-                wait = self._settings.ahead_cost * self._workload.mean_wait(worker, load)
-                bids.append((self._cost(turn, entry, worker, wait), worker))
+        for worker in compared:
+            mean_wait = self._workload.mean_wait(worker, self._workload.load_ahead(worker, turning))
+            bids.append((self._cost(turn, entry, worker, self._settings.ahead_cost * mean_wait), worker))
         return self._cheapest(entry, bids)
 
     def _cheapest(self, entry: Entry, bids: Sequence[tuple[float, Worker]]) -> Worker:
--- a/wingwood/placement/worker_estimates.py
+++ b/wingwood/placement/worker_estimates.py
@@ -12,6 +12,7 @@
 from ..identifiers import Instant, PoolName, Seconds, WorkerInstance
 from ..registry.protocols import Engagement, EngagementExchange, Registry, Worker
 
+TURNING_EVERY = Seconds(0.2)
 REFUSED_FOR = Seconds(0.5)
 FOLD = 0.1
 """Weight of one new sample in the moving averages."""
@@ -55,7 +56,7 @@
         self._expected: OrderedDict[int, _Expected] = OrderedDict()
         self._expected_at: Counter[WorkerInstance] = Counter()
         self._refused_at: dict[WorkerInstance, Instant] = {}
-        self._turning: dict[PoolName, float] = {}
+        self._turning: dict[PoolName, tuple[Instant, float]] = {}
         self._figures: dict[WorkerInstance, WorkerFigures] = {}
         self._of_pool: dict[PoolName, WorkerFigures] = {}
         exchange.count_with(self._count)
@@ -118,22 +119,26 @@
         told = 0 if worker.load is None else worker.load.running + worker.load.waiting
         return max(counted, TOLD_LOAD_TRUST * told)
 
-    def loads_ahead(self, ready: Sequence[Worker]) -> list[float]:
-        """The load that each worker's sessions will make, for a turn that comes seconds later.
+    def load_ahead(self, worker: Worker, turning: float) -> float:
+        """The load that the worker's sessions will make, for a turn that comes seconds later.
 
-        What runs now is little help then. The sessions awarded to a worker are: a part of them is
-        running at any time, and that part is the same for all workers of a pool.
+        What runs now is little help then; the sessions awarded to it are.
         """
+        return turning * (self._expected_at[worker.instance] + self._exchange.elsewhere(worker.instance).expected)
+
+    def turning(self, ready: Sequence[Worker]) -> float:
+        """The share of awarded sessions that run a turn at any time; the same for all workers of a pool."""
         self._drop_old()
-        expected = [
-            self._expected_at[worker.instance] + self._exchange.elsewhere(worker.instance).expected for worker in ready
-        ]
-        pool = ready[0].pool
-        turning = self._turning.get(pool, 0.3)
-        if sum(expected) >= 1.0:
-            seen = min(1.0, sum(self.load(worker) for worker in ready) / sum(expected))
-            turning = self._turning[pool] = turning + 0.02 * (seen - turning)
-        return [turning * sessions for sessions in expected]
+        pool, now = ready[0].pool, self._clock.monotonic()
+        at, share = self._turning.get(pool, (Instant(float("-inf")), 0.3))
+        if now - at < TURNING_EVERY:
+            return share
+        expected = sum(self.load_ahead(worker, 1.0) for worker in ready)
+        if expected >= 1.0:
+            seen = min(1.0, sum(self.load(worker) for worker in ready) / expected)
+            share += 0.02 * (seen - share)
+        self._turning[pool] = (now, share)
+        return share
 
     def is_full(self, worker: Worker) -> bool:
         return self.load(worker) >= FULL_AT * worker.slots
