--- a/wingwood/control/core.py
+++ b/wingwood/control/core.py
@@ -155,7 +155,6 @@
         self._heard = Instant(now - 0.4 * self._limits.silence)
         self._not_before = now
         """No candidacy before this."""
-        self._quiet_since = now
         self._rewriting = False
         self._rewrite_not_before = now
         self._commands: Queue[_Command] = Queue(self._limits.waiting)
@@ -637,8 +636,11 @@
         """Wanted: a live primary that we hear, or a seat, or the lead. Works out what is missing."""
         joined = healed = looked = Instant(0.0)
         while not self._stopped:
+            lay_down = self._now()
             await self._context.clock.sleep(self._limits.tick)
             now = self._now()
+            if now - lay_down > self._limits.silence:
+                self._woke(now)
             if self._lead is not None:
                 self._tend(self._lead)
                 continue
@@ -662,6 +664,15 @@
                     await self._take_over()
                 looked = self._now()
 
+    def _woke(self, now: Instant) -> None:
+        """We were frozen: the silence of the others was ours. (Whether we lead is judged by answers alone.)"""
+        self._heard = max(self._heard, Instant(now - 0.5 * self._limits.silence))
+        lead = self._lead
+        if lead is not None:
+            lead.since = now
+            lead.answered = dict.fromkeys(lead.answered, now)
+            lead.spares.clear()
+
     def _silence_borne(self, view: View) -> float:
         """The backup tries first, then other holders; a witness only looks for newer views."""
         if self._gave_way == view.epoch:
@@ -865,7 +876,6 @@
     def _begin_lead(self, view: View) -> None:
         now = self._now()
         lead = _Lead(view, now)
-        self._quiet_since = now
         self._replica.apply_up_to(None)
         self._lead = lead
         self._note_view(view)
@@ -917,13 +927,6 @@
     def _tend(self, lead: _Lead) -> None:
         """Each tick of a primary: heartbeats, its own clock, and whether the view is as wanted."""
         now = self._now()
-        slept = now - self._quiet_since
-        self._quiet_since = now
-        if slept > 1.0 and now - lead.since > 1.0:
-            # We were frozen: the silence of the others was ours.
-            lead.answered.clear()
-            lead.spares.clear()
-            lead.since = now
         if now - lead.confirmed > self._limits.lead_abandoned and not lead.changing:
             self._step_down("no member answers")
             return
--- a/wingwood/control/tests/test_core.py
+++ b/wingwood/control/tests/test_core.py
@@ -360,6 +360,21 @@
         control.world.restart(name)
         self.hold(control)
 
+    def test_a_short_freeze_of_all_changes_no_view(self) -> None:
+        for seed in range(5):
+            with self.subTest(seed=seed):
+                control = self.fleet(seed)
+                epoch = control.epoch()
+                for name in ("c1", "c2", "c3"):
+                    control.world.freeze(name)
+                control.world.run(2.0)
+                for name in ("c3", "c2", "c1"):
+                    control.world.wake(name)
+                self.assertTrue(control.world.wait_for(control.complete, 1.0))
+                control.world.run(3.0)
+                self.assertEqual(control.epoch(), epoch)
+                self.hold(control)
+
     def test_one_deaf_member_deposes_nobody(self) -> None:
         control = self.fleet()
         leader, backup = control.has_role("primary"), control.has_role("backup")
