--- a/wingwood/control/tests/test_core.py
+++ b/wingwood/control/tests/test_core.py
@@ -370,6 +370,7 @@
                 control.world.run(2.0)
                 for name in ("c3", "c2", "c1"):
                     control.world.wake(name)
+                    control.world.run(0.15)
                 self.assertTrue(control.world.wait_for(control.complete, 1.0))
                 control.world.run(3.0)
                 self.assertEqual(control.epoch(), epoch)
