A worker that changes its pool no longer stops routers; two more bounds

What: the index follows the pool in which the worker is renewed. The eviction sample and the figures per worker are bounded in number too.

--- a/wingwood/placement/kept_prefixes.py
+++ b/wingwood/placement/kept_prefixes.py
@@ -9,6 +9,7 @@
 from ..identifiers import Instant, PoolName, Seconds, WorkerInstance
 
 SHARED_MOST = 2_000
+SAMPLE_MOST = 25_000
 HALF_LIFE = Seconds(10.0)
 SESSIONS_TO_KNOW = 2
 """A part counts as shared once that many sessions came with it."""
@@ -102,7 +103,7 @@
             total -= known[0]
         sample[key] = (own_tokens, at)
         total += own_tokens
-        while total > sampled_capacity and len(sample) > 1:
+        while (total > sampled_capacity or len(sample) > SAMPLE_MOST) and len(sample) > 1:
             _, (tokens, touched_at) = sample.popitem(last=False)
             total -= tokens
             self._dropped_at[pool] = max(touched_at, self._dropped_at.get(pool, touched_at))
--- a/wingwood/placement/worker_estimates.py
+++ b/wingwood/placement/worker_estimates.py
@@ -13,6 +13,7 @@
 from ..registry.protocols import Engagement, EngagementExchange, Registry, Worker
 
 TURNING_EVERY = Seconds(0.2)
+FIGURES_MOST = 5_000
 REFUSED_FOR = Seconds(0.5)
 FOLD = 0.1
 """Weight of one new sample in the moving averages."""
@@ -177,6 +178,8 @@
     # --- learning -----------------------------------------------------------------------------
 
     def learn(self, worker: Worker, uncached: int, waited: float, first_token: Seconds | None, turn: float) -> None:
+        while len(self._figures) > FIGURES_MOST:
+            del self._figures[next(iter(self._figures))]
         for figures in (
             self._figures.setdefault(worker.instance, msgspec.structs.replace(self.figures(worker))),
             self._of_pool.setdefault(worker.pool, WorkerFigures()),
--- a/wingwood/registry/tests/test_worker_registry.py
+++ b/wingwood/registry/tests/test_worker_registry.py
@@ -49,6 +49,21 @@
         for change in ({"address": "localhost:1"}, {"slots": 0}, {"state": "asleep"}, {"instance": ""}):
             self.assertEqual(self.fleet.announce(self.worker, **change).status, 400)
 
+    def test_worker_that_changes_its_pool_stays_known(self) -> None:
+        self.fleet.announce(self.worker, pool="other")
+        self.world.run(2.0)
+        for second in range(130):
+            self.fleet.announce(self.worker)
+            self.world.run(1.0)
+            self.assertTrue(self.fleet.confirmed("r3", self.worker.instance), f"second {second}")
+        self.world.run(4.0)
+        self.fleet.announce(self.worker)
+        self.world.run(1.0)
+        for name in self.fleet.routers:
+            self.assertEqual(self.fleet.ready_at(name), [self.worker.instance])
+            found = self.fleet.routers[name].registry.find(self.worker.instance)  # type: ignore[arg-type]
+            self.assertEqual(found and found.pool, POOL)
+
     def test_draining_reaches_every_router_and_is_final(self) -> None:
         instance = self.announced()
         self.assertEqual(self.fleet.announce(self.worker, state="draining").status, 200)
--- a/wingwood/registry/worker_registry.py
+++ b/wingwood/registry/worker_registry.py
@@ -274,11 +274,9 @@
     def _merge(self, entry: WorkerEntry, judge_renewal: bool) -> bool:
         worker = entry.worker
         table = self._table(worker.pool)
-        self._pool_of.setdefault(worker.instance, worker.pool)
         if not table.merge(entry, self._now(), judge_renewal):
             return False
-        self._log_state(worker.instance)
-        self._notify([table.records[worker.instance].worker])
+        self._changed([table.records[worker.instance].worker])
         return True
 
     def _loads_every(self, pool: PoolName) -> float:
@@ -287,15 +285,20 @@
     def _engaged_trusted(self, pool: PoolName) -> float:
         return ENGAGED_TRUSTED + 2 * self._loads_every(pool)
 
-    def _log_state(self, instance: WorkerInstance) -> None:
-        record = self._tables[self._pool_of[instance]].records[instance]
-        self._context.log.event(
-            "worker-state",
-            worker=instance,
-            address=record.worker.address,
-            pool=record.worker.pool,
-            state=record.worker.state if record.renewed else f"{record.worker.state}-unrenewed",
-        )
+    def _changed(self, workers: Sequence[Worker]) -> None:
+        """To the log and to the listeners."""
+        for worker in workers:
+            record = self._tables[worker.pool].records[worker.instance]
+            if record.renewed or worker.instance not in self._pool_of:
+                self._pool_of[worker.instance] = worker.pool
+            self._context.log.event(
+                "worker-state",
+                worker=worker.instance,
+                address=worker.address,
+                pool=worker.pool,
+                state=worker.state if record.renewed else f"{worker.state}-unrenewed",
+            )
+        self._notify(workers)
 
     # --- homes --------------------------------------------------------------------------------
 
@@ -393,11 +396,8 @@
     def _take_first_hand(self, worker: Worker) -> Worker:
         table = self._table(worker.pool)
         previous = table.sequence
-        self._pool_of.setdefault(worker.instance, worker.pool)
         changed = table.announced(worker, self._now())
-        for one in changed:
-            self._log_state(one.instance)
-        self._notify(changed)
+        self._changed(changed)
         self._push(worker.pool, changed, previous)
         return table.records[worker.instance].worker
 
@@ -416,9 +416,9 @@
                 continue
             worker = table.records[renewal.instance].worker
             if outcome:
-                self._log_state(worker.instance)
+                self._changed([worker])
                 self._push(renewal.pool, [worker], previous)
-            if outcome or load is not None:
+            elif load is not None:
                 self._notify([worker])
         return tuple(unknown)
 
@@ -661,9 +661,7 @@
                 table = self._tables[pool]
                 previous = table.sequence
                 expired = table.expire(now)
-                for worker in expired:
-                    self._log_state(worker.instance)
-                self._notify(expired)
+                self._changed(expired)
                 self._push(pool, expired, previous)
         for _, table in sorted(self._tables.items()):
             table.forget_old(now)
