Control core: the seed with the lowest address forms the fleet

With the seeds in another order in each daemon's settings each stood for first, and the three refused one another without end (failing test: nothing formed in 5 s; run on the core before).

--- a/wingwood/control/core.py
+++ b/wingwood/control/core.py
@@ -124,7 +124,8 @@
         self._messenger = messenger
         self._store = store
         self._replica = Replica(appliers, contents)
-        self._seeds = tuple(seeds)
+        self._seeds = tuple(sorted(seeds))
+        """In the same order everywhere, whatever the order in the settings."""
         self._knows_of_history = knows_of_history
         self._other_controls = other_controls
         self._limits = limits or ControlLimits()
--- a/wingwood/control/tests/test_core.py
+++ b/wingwood/control/tests/test_core.py
@@ -6,11 +6,13 @@
 import unittest
 from collections.abc import Callable
 from functools import partial
+from typing import Any
 
 from returns.result import Success
 
 from ...context.protocols import Context
 from ...identifiers import Epoch, Incarnation, Seconds
+from ...transport.messenger import TcpMessenger
 from ..core import ReplicatedCore
 from ..limits import ControlLimits
 from ..messages import ControlPromise
@@ -61,6 +63,15 @@
         self.assertEqual(control.leader(), "c1")
         self.assertEqual([control.report(name).own_role for name in ("c2", "c3")], ["backup", "witness"])
 
+    def test_the_order_of_the_seeds_in_the_settings_does_not_matter(self) -> None:
+        def turned(context: Context, messenger: TcpMessenger, *rest: Any) -> ReplicatedCore:
+            store, contents, register, seeds = rest
+            turn = int(str(messenger.identity.name)[1]) % 3
+            return make_core(context, messenger, store, contents, register, [*seeds[turn:], *seeds[:turn]])
+
+        control = self.fleet(make=turned)
+        self.assertEqual((control.leader(), control.epoch()), ("c1", 1))
+
     def test_two_empty_seeds_form_nothing(self) -> None:
         control = ControlWorld(1, start=("c1", "c2"))
         self.addCleanup(control.close)
