Announcements with figures or nesting beyond bounds are answered 400

Cause: cache_tokens or loads above 64 bits passed the edge and raised OverflowError when told to the homes; deep nesting raised RecursionError from the decoder, which is no msgspec error. Both tests failed before (OverflowError, RecursionError). What: bounds of 10**12, none negative; RecursionError counts as malformed, also in health answers.

--- a/wingwood/registry/tests/test_worker_registry.py
+++ b/wingwood/registry/tests/test_worker_registry.py
@@ -4,11 +4,13 @@
 from functools import partial
 
 import msgspec
+from returns.result import Failure
 
 from simulation.world import World
 from wingwood.identifiers import PoolName, WorkerInstance
 from wingwood.registry.messages import TakeState
 from wingwood.registry.protocols import Engagement
+from wingwood.registry.worker_announcements import read_announcement
 from wingwood.registry.worker_registry import ASK_EVERY
 
 from .fleet import POOL, Fleet, Roster
@@ -46,8 +48,19 @@
             self.assertLess(self.fleet.feed_age(name), 2 * ASK_EVERY + 0.05)
 
     def test_malformed_announcements_are_answered_400(self) -> None:
-        for change in ({"address": "localhost:1"}, {"slots": 0}, {"state": "asleep"}, {"instance": ""}):
-            self.assertEqual(self.fleet.announce(self.worker, **change).status, 400)
+        changes: tuple[dict[str, object], ...] = (
+            {"address": "localhost:1"},
+            {"slots": 0},
+            {"state": "asleep"},
+            {"instance": ""},
+            {"cache_tokens": 10**30},
+            {"load": {"running": 10**30}},
+            {"load": {"running": 1, "waiting": -1}},
+        )
+        for change in changes:
+            self.assertEqual(self.fleet.announce(self.worker, "r0", **change).status, 400, change)
+        for body in (b"", b"\xff", b"[]", b'{"x":' + b"[" * 100_000):
+            self.assertIsInstance(read_announcement(body), Failure)
 
     def test_worker_that_changes_its_pool_stays_known(self) -> None:
         self.fleet.announce(self.worker, pool="other")
--- a/wingwood/registry/worker_announcements.py
+++ b/wingwood/registry/worker_announcements.py
@@ -20,6 +20,7 @@
 ANNOUNCE_PATH = "/workers/v1/announce"
 LIST_PATH = "/workers/v1/list"
 HEALTH_PATH = "/health"
+MOST = 10**12
 HEALTH_BYTES = 16 * 1024
 
 
@@ -54,16 +55,17 @@
     try:
         read = msgspec.json.decode(body, type=_AnnouncementBody)
         address = parse_address(read.address)
-    except (msgspec.MsgspecError, ValueError) as problem:
+    except (msgspec.MsgspecError, ValueError, RecursionError) as problem:
         return Failure(str(problem))
     for name, text in (("instance", read.instance), ("pool", read.pool)):
         if not 0 < len(text) <= 200 or not text.isprintable():
             return Failure(f"{name} must be 1 to 200 printable characters")
-    if not 0 < read.slots <= 100_000 or read.cache_tokens < 0 or len(read.zone) > 200:
-        return Failure("slots must be 1 to 100000, cache_tokens 0 or more, zone at most 200 characters")
-    load = None
-    if read.load is not None:
-        load = WorkerLoad(read.load.running, read.load.waiting, read.load.cache_tokens_used)
+    if not 0 < read.slots <= 100_000 or len(read.zone) > 200:
+        return Failure("slots must be 1 to 100000, zone at most 200 characters")
+    told = (0, 0, 0) if read.load is None else (read.load.running, read.load.waiting, read.load.cache_tokens_used)
+    if not all(0 <= number <= MOST for number in (read.cache_tokens, *told)):
+        return Failure(f"cache_tokens and the figures of load must be 0 to {MOST}")
+    load = None if read.load is None else WorkerLoad(*told)
     return Success(
         Worker(
             instance=WorkerInstance(read.instance),
@@ -135,7 +137,7 @@
                     return msgspec.json.decode(body, type=HealthAnswer)
                 body += data
             return None
-    except (TimeoutError, msgspec.MsgspecError):
+    except (TimeoutError, msgspec.MsgspecError, RecursionError):
         return None
     finally:
         exchange.cancel()
