Control core: bounds of appends and replication grow with the length

A 16 MB order would have counted as a sick disk on anything slower than 16 MB/s; now 50 ms a MB more here and 100 ms a MB for the backup's answer.

--- a/wingwood/control/core.py
+++ b/wingwood/control/core.py
@@ -1164,8 +1164,9 @@
         assert seat is not None
         message = ControlReplicate(seat.incarnation, epoch, before, self._replica.committed, entry)
         begun = self._now()
+        bound = self._limits.replicate + 2 * len(entry) / self._limits.rewrite_rate
         while True:
-            left = self._limits.replicate - (self._now() - begun)
+            left = bound - (self._now() - begun)
             if left <= 0 or self._lead is not lead:
                 return False
             answer = await self._ask(seat, message, ControlReplicated, Seconds(left))
--- a/wingwood/journal/journal.py
+++ b/wingwood/journal/journal.py
@@ -22,6 +22,8 @@
 """What a frame adds to its payload."""
 
 PATIENCE = Seconds(1.0)
+SLOWEST_RATE = 20e6
+"""Bytes a second that a healthy disk writes and syncs at least; long appends get that much longer."""
 
 Value = TypeVar("Value")
 
@@ -184,7 +186,8 @@
                 return Failure(JournalFault("sick", self._sick))
             data = frame(self._salt, self._length, payload)
             self._sick = "an append was left before its end"
-            match await self._disk(lambda: self._context.disk.append(self._name, data, self._length)):
+            patience = Seconds(self._patience + len(data) / SLOWEST_RATE)
+            match await self._disk(lambda: self._context.disk.append(self._name, data, self._length), patience):
                 case Success(_):
                     self._length += len(data)
                     self._sick = None
