--- a/emulator/tests/test_worker.py
+++ b/emulator/tests/test_worker.py
@@ -138,6 +138,27 @@
             self.assertAlmostEqual(answer.first_piece, uncached * PREFILL + DECODE, delta=0.02)
         self.assertEqual([sibling.headers["Cached-Tokens"], sibling.headers["Prompt-Tokens"]], ["1000", "1100"])
 
+    def test_prefills_are_done_one_after_the_other(self) -> None:
+        first = self.begin("/v1/chat", _body(1), _headers("one"))
+        second = self.begin("/v1/chat", _body(1), _headers("two"))
+        self.world.run(5)
+        times = sorted(answer.first_piece or 0.0 for answer in (first, second))
+        self.assertAlmostEqual(times[1] - times[0], (SHARED + OWN) * PREFILL, delta=0.05)
+
+    def test_the_next_turn_finds_the_answer_of_the_last_one_kept_too(self) -> None:
+        self.turn("s", tokens=20)
+        grown = [*_messages(), {"content": "z" * 20 * 4}]
+        answer = self.ask("/v1/chat", {"messages": grown, "max_tokens": 1}, _headers("s"))
+        self.assertEqual(answer.headers["Cached-Tokens"], str(SHARED + OWN + 20))
+
+    def test_a_caller_that_goes_away_before_the_first_token_frees_its_slot_at_once(self) -> None:
+        self.begin("/v1/chat", _body(1), _headers("s"))
+        self.world.run(0.1)
+        self.assertEqual(self.worker.running, 1)
+        self.world.kill("caller")
+        self.world.run(0.1)
+        self.assertEqual((self.worker.running, self.worker.runs[0].outcome), (0, "caller-gone"))
+
     def test_a_stream_is_one_event_per_token_and_ends_with_its_marker(self) -> None:
         events = self.turn("s", tokens=3).body.split(b"\n\n")
         self.assertEqual([json.loads(event[6:])["index"] for event in events[:3]], [0, 1, 2])
@@ -211,11 +232,11 @@
         self.switch("dark", seconds=5.0)
         self.world.run(0.1)
         before = len(self.told)
-        answer = self.begin("/v1/chat", _body(1), _headers("s"))
+        answers = [self.begin("/v1/chat", _body(1), _headers("s")), self.begin("/health")]
         self.world.run(4.5)
-        self.assertEqual((answer.end, len(self.told)), ("none", before))
+        self.assertEqual(([answer.end for answer in answers], len(self.told)), (["none"] * 2, before))
         self.world.run(3)
-        self.assertEqual(answer.end, "whole")
+        self.assertEqual([answer.end for answer in answers], ["whole"] * 2)
         self.assertGreater(len(self.told), before)
 
     def test_a_restart_is_a_new_instance_with_an_empty_cache_and_breaks_what_ran(self) -> None:
@@ -241,9 +262,12 @@
         self.assertGreater(self.turn("t").first_piece or 0.0, 7.0)
 
 
+def _messages() -> list[dict[str, str]]:
+    return [{"content": "x" * SHARED * 4}, {"content": "y" * OWN * 4}]
+
+
 def _body(tokens: int) -> dict[str, object]:
-    messages = [{"content": "x" * SHARED * 4}, {"content": "y" * OWN * 4}]
-    return {"messages": messages, "max_tokens": tokens, "call": "mark"}
+    return {"messages": _messages(), "max_tokens": tokens, "call": "mark"}
 
 
 def _headers(prefix: str, expect: str | None = None) -> tuple[tuple[str, str], ...]:
