--- a/bench/capacity/__main__.py
+++ b/bench/capacity/__main__.py
@@ -31,13 +31,14 @@
 
 
 def probes() -> dict[str, Callable[[], list[Row]]]:
-    from . import control, daemons, forward, ledger, members, messages, sessions, shares, workers  # noqa: PLC0415
+    from . import control, daemons, forward, ledger, members, messages, prefixes, sessions, shares, workers  # noqa: PLC0415
 
     found: dict[str, Callable[[], list[Row]]] = {
         "empty processes": daemons.measure_empty,
         "messages": messages.measure,
         "members changed": members.measure,
         "session map": sessions.measure,
+        "shared prefixes": prefixes.measure,
         "ledger entries": ledger.measure_entries,
         "ledger claims": ledger.measure_claims,
         "share asks": shares.measure_asks,
--- a/bench/capacity/fits.py
+++ b/bench/capacity/fits.py
@@ -67,6 +67,8 @@
         self.inputs = inputs
         fleets = inputs.fleets()
         pools = [row for row in inputs.rows("worker pools") if row["workers"] >= 300]
+        # Below some 250 claims a second each has a batch of its own; above, batches share the cost.
+        batched = [row for row in inputs.rows("ledger claims") if row["rate"] > 250]
         ran = [row | {"ran_total": row["ran_bytes"] * row["entries"]} for row in inputs.rows("ledger entries")]
         self.lines: dict[str, tuple[str, str, Line | None]] = {
             "heartbeat bytes": (
@@ -174,17 +176,12 @@
             "claims primary": (
                 "ledger claims",
                 "core of the primary per claim/s",
-                inputs.line("ledger claims", "rate", "primary_core"),
+                inputs.line_of(batched, "rate", "primary_core"),
             ),
             "claims backup": (
                 "ledger claims",
                 "core of the backup per claim/s",
-                inputs.line("ledger claims", "rate", "backup_core"),
-            ),
-            "claims router": (
-                "ledger claims",
-                "core of the router per claim/s",
-                inputs.line("ledger claims", "rate", "router_core"),
+                inputs.line_of(batched, "rate", "backup_core"),
             ),
             "calls core": (
                 "forward calls",
--- a/bench/capacity/page.py
+++ b/bench/capacity/page.py
@@ -63,12 +63,13 @@
             "not serving / behind",
         ]
     ]
-    for row in inputs.fleets():
+    earlier = [row for row in inputs.rows("earlier fleet 1000") if row.get("phases")]
+    for row in [*inputs.fleets(), *earlier]:
         for found in row["phases"]:
             rolled = found["all_in_force_ms"]
             table.append(
                 [
-                    f"{row['daemons']} in {row['processes']}",
+                    f"{row['daemons']} in {row['processes']}" + (", earlier run" if row in earlier else ""),
                     number(row["formed_after"]),
                     number(row["daemon_memory"] / 1e6),
                     f"{found['name']}, {found['changes']} changes",
@@ -125,6 +126,13 @@
         "look_up_us": "look-up µs",
         "note_bytes": "note B",
     },
+    "shared prefixes": {
+        "prefixes": "prefixes in use",
+        "part_bytes": "bytes of a part",
+        "known_even": "turns whose prefix the router knows, all alike",
+        "known_skewed": "the same, popularity 1/rank",
+        "turn_us": "µs a turn",
+    },
     "ledger entries": {
         "entries": "entries",
         "ran_bytes": "bytes, ran",
--- a/bench/capacity/planned_roles.py
+++ b/bench/capacity/planned_roles.py
@@ -125,11 +125,17 @@
         more = Value(self.frame_bytes() * (HOMES_FOLLOWED - 1) * ASKS_TO_A_HOME)
         return self.at("feed bytes", PLANNED.pools) + more
 
+    def edge_calls_more(self) -> float:
+        """Measured with one home a zone for all pools: four batches a second. Homes that differ get each its own."""
+        return (PLANNED.workers_each - 4.0) * PLANNED.zones
+
     def edge_core(self) -> Value:
-        return self.slope("edge core").times(PLANNED.workers_each) + self.slope("zones core").times(PLANNED.zones - 1)
+        passing = self.slope("zones core").times(PLANNED.zones - 1) + self.ask().times(self.edge_calls_more())
+        return self.slope("edge core").times(PLANNED.workers_each) + passing
 
     def edge_bytes(self) -> Value:
-        return self.slope("zones bytes").times(PLANNED.zones)
+        more = Value(self.edge_calls_more() * (self.frame_bytes() + 64), kind="a")
+        return self.slope("zones bytes").times(PLANNED.zones) + more
 
     def home_core(self) -> Value:
         """One duty: followers, renewals from as many edges as the pool has workers, questions among homes."""
@@ -172,7 +178,14 @@
         return Value(2 * 107.0 * PLANNED.calls_each, kind="m")
 
     def ledger_router_core(self) -> Value:
-        return self.slope("claims router").times(PLANNED.calls_each * ONCE_SHARE)
+        """At a router's own low rate nothing is batched: the cost a call of the slowest load."""
+        row = self.row("ledger claims", wanted_rate=30)
+        return Value(row["router_core"] / row["rate"] * PLANNED.calls_each * ONCE_SHARE, kind="m")
+
+    def ledger_core(self, name: str, claims: float) -> Value:
+        """Batches of one router were measured; from a thousand, each claim and each settle is a call of its own."""
+        own = self.at(f"claims {name}", claims)
+        return own + self.answer().times(2 * claims) if name == "primary" else own
 
     def forward_core(self) -> Value:
         # The measured streams have a call in each 100 pieces, the planned ones in each 430.
@@ -313,7 +326,7 @@
             lambda: f"{claims * size.retention / 1e6:.2f} M entries",
             lambda: f"{claims:,.0f} claims and settles, batched",
             lambda: kilobytes(Value(2 * claims * 2 * 60.0, kind="a")),
-            lambda: percent(worked.slope("claims primary").times(claims)),
+            lambda: percent(worked.ledger_core("primary", claims)),
             lambda: megabytes(worked.slope("ledger bytes").times(claims * size.retention * 1e-6)),
         ),
         (
@@ -321,7 +334,7 @@
             lambda: "the same",
             lambda: "the primary's batches",
             lambda: kilobytes(Value(claims * 2 * 60.0, kind="a")),
-            lambda: percent(worked.slope("claims backup").times(claims)),
+            lambda: percent(worked.ledger_core("backup", claims)),
             lambda: "the same",
         ),
         (
--- /dev/null
+++ b/bench/capacity/prefixes.py
@@ -0,0 +1,67 @@
+"""Shared prefixes: how often one router knows the prefix of a turn that comes to it, and what a part weighs."""
+
+from __future__ import annotations
+
+import gc
+import random
+import time
+import tracemalloc
+from collections.abc import Iterator
+from itertools import accumulate
+
+from wingwood.identifiers import Instant, PoolName, WorkerInstance
+from wingwood.placement.kept_prefixes import SHARED_MOST, SharedPrefixes
+
+from .common import Row
+from .planned import PLANNED
+
+NUMBERS = (500, 5_000, 50_000)
+SECONDS = 1_800.0
+
+
+def _turns(number: int, exponent: float, draw: random.Random) -> Iterator[int]:
+    """Which prefix each of one router's turns has; popularity falls with the rank to this power (0: all alike)."""
+    bounds = list(accumulate((rank + 1) ** -exponent for rank in range(number)))
+    while True:
+        yield from draw.choices(range(number), cum_weights=bounds, k=1000)
+
+
+def _known(number: int, exponent: float) -> tuple[float, float]:
+    """Share of the turns in the second half whose prefix had a size, and processor seconds for each turn."""
+    parts, pool, draw = SharedPrefixes(), PoolName("p"), random.Random(1)
+    count = int(SECONDS * PLANNED.calls_each)
+    known = 0
+    begun = time.process_time()
+    for turn, prefix in zip(range(count), _turns(number, exponent, draw), strict=False):
+        name = (f"shared-{prefix}", f"session-{turn}")
+        known += turn >= count // 2 and parts.tokens(pool, name) > 0
+        worker = WorkerInstance(f"model-{draw.randrange(8)}")
+        parts.sent(pool, name, turn, 3000, worker, Instant(turn / PLANNED.calls_each))
+    return known / (count - count // 2), (time.process_time() - begun) / count
+
+
+def measure() -> list[Row]:
+    rows: list[Row] = []
+    for number in NUMBERS:
+        gc.collect()
+        tracemalloc.start()
+        parts = SharedPrefixes()
+        held = min(number, SHARED_MOST)
+        for turn in range(8 * held):
+            name = (f"shared-{turn % held}", f"session-{turn}")
+            parts.sent(PoolName("p"), name, turn, 3000, WorkerInstance(f"model-{turn // held}"), Instant(0.0))
+        weight = tracemalloc.get_traced_memory()[0] / held
+        tracemalloc.stop()
+        even, turn_seconds = _known(number, 0.0)
+        skewed, _ = _known(number, 1.0)
+        rows.append(
+            {
+                "prefixes": number,
+                "bound_today": SHARED_MOST,
+                "part_bytes": weight,
+                "known_even": even,
+                "known_skewed": skewed,
+                "turn_us": turn_seconds * 1e6,
+            }
+        )
+    return rows
