--- /dev/null
+++ b/bench/roll_outs.py
@@ -0,0 +1,277 @@
+"""How soon a bundle is in force: ``python -m bench.roll_outs`` (docs/MEASUREMENTS.md; docs/DESIGN.md section 17).
+
+A real fleet is brought up; changes are made one after another, then as a storm. Each router is asked
+``/control/v1/health`` again and again over a kept connection. Counted is the time from the acknowledgement that the
+operator got to the router's first answer that tells this version or a newer one, 0 where that answer came first.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import json
+import os
+import sys
+import tempfile
+import time
+from bisect import bisect_left
+from collections.abc import Mapping, Sequence
+from pathlib import Path
+from typing import Any
+
+import click
+import msgspec
+from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
+from cryptography.hazmat.primitives.serialization import load_pem_private_key
+
+from fleet.http import JsonClient
+from fleet.launcher import Fleet, open_shape, push_bundle
+from fleet.shape import Shape
+from fleet.waiting import FleetProblem, wait_until
+from wingwood.bundle.canonical import canonical_json
+from wingwood.bundle.model import Order
+from wingwood.bundle.orders import make_order
+from wingwood.identifiers import BundleVersion, OrderId, SliceName, WallTime
+
+from .load.run import new_run_name, run_load
+from .load.target import read_target
+from .load.traffic import Callers, LoadOptions
+
+LOOK_EVERY = 0.005
+SETTLED_WITHIN = 15.0
+
+
+class Sighting(msgspec.Struct, frozen=True):
+    """At ``at`` an answer told ``version``; between two sightings of a router the version may have changed."""
+
+    at: float
+    version: int
+
+
+class RouterWatch:
+    """Asks one daemon for its version, one question after the other, and keeps each rise."""
+
+    def __init__(self, address: str) -> None:
+        self._host, _, port = address.rpartition(":")
+        self._port = int(port)
+        self.sightings: list[Sighting] = []
+        self.went_back = 0
+        """Answers with an older version than the one before; must stay 0."""
+        self.looks: list[float] = []
+        """How long each question took: the measure's own coarseness, beside ``LOOK_EVERY``."""
+
+    @property
+    def version(self) -> int:
+        return self.sightings[-1].version if self.sightings else 0
+
+    async def run(self) -> None:
+        """Until it is cancelled; raises FleetProblem when the daemon closes."""
+        reader, writer = await asyncio.open_connection(self._host, self._port)
+        question = f"GET /control/v1/health HTTP/1.1\r\nHost: {self._host}\r\n\r\n".encode()
+        try:
+            while True:
+                begun = time.monotonic()
+                writer.write(question)
+                head = await reader.readuntil(b"\r\n\r\n")
+                body = await reader.readexactly(_length(head))
+                now = time.monotonic()
+                self.looks.append(now - begun)
+                self.saw(now, int(json.loads(body)["version"]))
+                await asyncio.sleep(LOOK_EVERY)
+        except (OSError, asyncio.IncompleteReadError) as problem:
+            raise FleetProblem(f"{self._host}:{self._port} does not answer any more: {problem}") from None
+        finally:
+            writer.close()
+
+    def saw(self, at: float, version: int) -> None:
+        if version < self.version:
+            self.went_back += 1
+        elif version > self.version:
+            self.sightings.append(Sighting(at, version))
+
+
+def _length(head: bytes) -> int:
+    fields = (line.partition(b":") for line in head.lower().split(b"\r\n"))
+    return next(int(value) for name, _, value in fields if name == b"content-length")
+
+
+def in_force_after(acknowledged: Mapping[int, float], sightings: Sequence[Sighting]) -> list[float | None]:
+    """Per acknowledged version, rising: seconds until one router told it or a newer one; None: never seen."""
+    versions = [sighting.version for sighting in sightings]
+    found: list[float | None] = []
+    for version in sorted(acknowledged):
+        place = bisect_left(versions, version)
+        found.append(max(0.0, sightings[place].at - acknowledged[version]) if place < len(versions) else None)
+    return found
+
+
+class Operator:
+    """Signs one change after another on the newest version and remembers when each was acknowledged."""
+
+    def __init__(self, fleet: Fleet, http: JsonClient) -> None:
+        self._http = http
+        self._to = fleet.controls()[-1].operator
+        key = load_pem_private_key(fleet.operator_key_file.read_bytes(), None)
+        assert isinstance(key, Ed25519PrivateKey)
+        self._key = key
+        self._class = SliceName(f"class/{fleet.shape.classes[-1].name}")
+        self._slices: dict[SliceName, bytes] = {}
+        self.version = 0
+        self.acknowledged: dict[int, float] = {}
+        self.taken: list[float] = []
+        """Seconds from sending an order to its acknowledgement."""
+        self.other_outcomes: list[str] = []
+
+    async def read(self) -> None:
+        reply = await self._http.get(self._to, "/control/v1/bundle?newest=1")
+        self.version = int(reply.body["version"])
+        self._slices = {SliceName(name): canonical_json(value) for name, value in reply.body["slices"].items()}
+
+    async def change(self) -> None:
+        fields = json.loads(self._slices[self._class])
+        fields["weight"] = float((self.version + 1) % 900 + 1)
+        after = {**self._slices, self._class: canonical_json(fields)}
+        identifier = OrderId(os.urandom(16).hex())
+        signed_at = WallTime(time.time())
+        order: Order = make_order(BundleVersion(self.version), self._slices, after, self._key, identifier, signed_at)
+        begun = time.monotonic()
+        for _ in range(5):
+            reply = await self._http.post(self._to, "/control/v1/orders", order, patience=10.0)
+            if reply.good:
+                break
+            self.other_outcomes.append(f"{reply.status} {reply.body}")
+        else:
+            raise FleetProblem(f"order on version {self.version} was not taken: {self.other_outcomes[-1]}")
+        now = time.monotonic()
+        self.taken.append(now - begun)
+        self.version, self._slices = int(reply.body["version"]), after
+        self.acknowledged[self.version] = now
+
+
+def told(values: Sequence[float]) -> dict[str, float]:
+    """Milliseconds."""
+    if not values:
+        return {"count": 0}
+    ordered = sorted(values)
+    shares = {"p50": 0.5, "p95": 0.95, "p99": 0.99}
+    picked = {name: ordered[min(len(ordered) - 1, int(len(ordered) * share))] for name, share in shares.items()}
+    return {
+        "count": len(ordered),
+        **{name: round(1000 * value, 2) for name, value in {**picked, "max": ordered[-1]}.items()},
+    }
+
+
+class Measure:
+    def __init__(self, fleet: Fleet, http: JsonClient) -> None:
+        self._fleet = fleet
+        self.operator = Operator(fleet, http)
+        self.watches = {router.name: RouterWatch(router.operator) for router in fleet.routers()}
+        self.watching = [asyncio.create_task(watch.run()) for watch in self.watches.values()]
+
+    async def settled(self) -> bool:
+        """Whether all routers have the newest acknowledged version, waited for without end but ``SETTLED_WITHIN``."""
+        give_up = time.monotonic() + SETTLED_WITHIN
+        while time.monotonic() < give_up:
+            for task in self.watching:
+                if task.done():
+                    task.result()
+            if all(watch.version >= self.operator.version for watch in self.watches.values()):
+                return True
+            await asyncio.sleep(LOOK_EVERY)
+        return False
+
+    async def one_after_another(self, times: int) -> dict[str, Any]:
+        for _ in range(times):
+            await self.operator.change()
+            await self.settled()
+            await asyncio.sleep(0.05)
+        return self._report()
+
+    async def storm(self, rate: float, seconds: float) -> dict[str, Any]:
+        """``rate`` changes a second; each builds on the one before, so a late answer delays the next."""
+        begun = time.monotonic()
+        for number in range(int(rate * seconds)):
+            await asyncio.sleep(max(0.0, begun + number / rate - time.monotonic()))
+            await self.operator.change()
+        elapsed = time.monotonic() - begun
+        settled = await self.settled()
+        return {"changes_per_second": round(rate * seconds / elapsed, 1), "settled": settled, **self._report()}
+
+    def _report(self) -> dict[str, Any]:
+        acknowledged, self.operator.acknowledged = self.operator.acknowledged, {}
+        taken, self.operator.taken = self.operator.taken, []
+        others, self.operator.other_outcomes = self.operator.other_outcomes, []
+        each: list[float] = []
+        last: list[float] = []
+        never = 0
+        by_router = {name: in_force_after(acknowledged, watch.sightings) for name, watch in self.watches.items()}
+        for times in zip(*by_router.values(), strict=True):
+            seen = [value for value in times if value is not None]
+            never += len(times) - len(seen)
+            each += seen
+            if len(seen) == len(times):
+                last.append(max(seen))
+        looks = [look for watch in self.watches.values() for look in watch.looks]
+        return {
+            "changes": len(acknowledged),
+            "acknowledged_after": told(taken),
+            "in_force_each_router": told(each),
+            "in_force_last_router": told(last),
+            "never_seen": never,
+            "went_back": sum(watch.went_back for watch in self.watches.values()),
+            "other_outcomes": others,
+            "look": told(looks),
+        }
+
+
+async def _run(shape: Shape, folder: Path, times: int, rate: float, seconds: float, scale: float) -> dict[str, Any]:
+    http = JsonClient()
+    async with Fleet(shape, folder) as fleet:
+        await fleet.start()
+        await wait_until("control is complete", fleet.control_complete)
+        await push_bundle(fleet)
+        await fleet.ready()
+        started: list[Callers] = []
+        options = LoadOptions(seconds=3600.0, scale=scale, direct_share=0.0, run_name=new_run_name())
+        load = None
+        if scale > 0:
+            target = read_target(fleet.folder / "fleet.json")
+            load = asyncio.create_task(run_load(target, options, quiet=True, begun=started.append))
+        measure = Measure(fleet, http)
+        await measure.operator.read()
+        try:
+            await measure.settled()
+            found = {"load_average": os.getloadavg(), "one_after_another": await measure.one_after_another(times)}
+            found["storm"] = await measure.storm(rate, seconds)
+            found["load_average_end"] = os.getloadavg()
+        finally:
+            for task in measure.watching:
+                task.cancel()
+            for callers in started:
+                callers.stop()
+            result = (await load)[0] if load is not None else {}
+            http.close()
+        kept = ("calls", "outcomes", "refusals", "problems")
+        return {"shape": shape.name, **found, "callers": {name: result[name] for name in kept if name in result}}
+
+
+@click.command()
+@click.option("--shape", type=click.Path(path_type=Path), default=Path("despensa"), show_default=True)
+@click.option("--times", default=200, show_default=True, help="Changes one after another.")
+@click.option("--rate", default=50.0, show_default=True, help="Changes a second in the storm.")
+@click.option("--seconds", default=10.0, show_default=True, help="Length of the storm.")
+@click.option("--scale", default=0.0, show_default=True, help="Callers' load beside it, times the shape's rates.")
+def main(shape: Path, times: int, rate: float, seconds: float, scale: float) -> None:
+    """Prints JSON; exit code 1 when a router went back or never had a version, 2 when the fleet failed."""
+    try:
+        with tempfile.TemporaryDirectory(prefix="wingwood-roll-outs-") as folder:
+            found = asyncio.run(_run(open_shape(shape), Path(folder), times, rate, seconds, scale))
+    except FleetProblem as problem:
+        click.echo(f"error: {problem}", err=True)
+        sys.exit(2)
+    click.echo(json.dumps(found, indent=1))
+    parts = (found["one_after_another"], found["storm"])
+    sys.exit(1 if any(part["never_seen"] or part["went_back"] for part in parts) else 0)
+
+
+if __name__ == "__main__":
+    main()
