--- a/simulation/explore.py
+++ b/simulation/explore.py
@@ -39,6 +39,7 @@
     calls: int = 0
     simulated_seconds: float = 0.0
     in_force_seconds: list[float] = []
+    looked: dict[str, int] = {}
 
 
 class Composer:
@@ -251,6 +252,7 @@
         calls=report.calls,
         simulated_seconds=report.simulated_seconds,
         in_force_seconds=report.in_force_seconds,
+        looked=report.looked,
     )
 
 
@@ -340,6 +342,10 @@
         f"{simulated / max(real_seconds, 0.001):.1f} simulated s a second; "
         f"{sum(not each.passed for each in done)} seeds failed {json.dumps(dict(checks))}"
     )
+    looked: Counter[str] = Counter()
+    for each in done:
+        looked.update(each.looked)
+    print("judged: " + ", ".join(f"{count} {check}" for check, count in looked.items()))
     if in_force:
         print(
             f"acknowledgement to first look in force: p50 {in_force[len(in_force) // 2]:.2f} s, "
--- a/simulation/observer.py
+++ b/simulation/observer.py
@@ -8,7 +8,7 @@
 from __future__ import annotations
 
 from bisect import bisect_left
-from collections import defaultdict
+from collections import Counter, defaultdict
 from collections.abc import Callable, Mapping
 
 import msgspec
@@ -74,7 +74,8 @@
             self.arrivals_by_mark[arrival.mark].append(arrival)
         self.attempts = history.attempts()
         self.attempt_of = {attempt.mark: attempt for attempt in self.attempts}
-        self.calls = {call.identifier: call for call in history.calls}
+        self.looked: Counter[str] = Counter()
+        """How many things each check judged; one that judges nothing proves nothing."""
 
     def with_machines(self, *names: str) -> frozenset[str]:
         return frozenset(names) | {self.places.machine_of[name] for name in names if name in self.places.machine_of}
@@ -103,6 +104,7 @@
     for run in seen.history.runs:
         if run.idempotency_key:
             by_key[run.idempotency_key].append(run)
+    seen.looked["call-runs-twice"] += len(by_key)
     return [
         Violation(
             runs[1].started_at,
@@ -121,6 +123,7 @@
         for attempt in call.attempts:
             if attempt.told_run != "not-run" or attempt.ended_at is None:
                 continue
+            seen.looked["told-not-run-but-ran"] += 1
             for earlier in call.attempts[: attempt.number]:
                 if call.repeatable and earlier is not attempt:
                     continue
@@ -139,6 +142,7 @@
 def _answer_of_another_call(seen: Seen) -> list[Violation]:
     found = []
     for attempt in seen.attempts:
+        seen.looked["answer-of-another-call"] += len(attempt.events) + bool(attempt.answer_call)
         strange = [event.call for event in attempt.events if event.call != attempt.mark]
         if strange or (attempt.from_worker and attempt.answer_call and attempt.answer_call != attempt.mark):
             other = strange[0] if strange else attempt.answer_call
@@ -153,6 +157,7 @@
     for attempt in seen.attempts:
         if not attempt.succeeded:
             continue
+        seen.looked["success-never-given"] += 1
         runs = seen.runs_by_mark.get(attempt.mark, [])
         whole = [
             run
@@ -170,6 +175,7 @@
     for attempt in seen.attempts:
         if attempt.end != "whole" or attempt.status != 200 or attempt.code:
             continue
+        seen.looked["cut-answer-looks-whole"] += 1
         if attempt.tokens and not (attempt.done_marker and len(attempt.events) == attempt.tokens):
             text = f"{len(attempt.events)} of {attempt.tokens} events, end marker {attempt.done_marker}"
             found.append(_at(attempt, "cut-answer-looks-whole", text))
@@ -182,6 +188,7 @@
     found = []
     for attempt in seen.attempts:
         indexes = [event.index for event in attempt.events]
+        seen.looked["stream-out-of-order"] += len(indexes)
         if indexes != list(range(len(indexes))):
             found.append(_at(attempt, "stream-out-of-order", f"events came as {indexes[:40]}"))
         elif any(event.text != word(event.index) for event in attempt.events):
@@ -199,6 +206,7 @@
             continue
         run = runs[-1]
         worst, index = 0.0, 0
+        seen.looked["piece-held"] += len(attempt.events)
         for number, event in enumerate(attempt.events[: len(run.event_times)]):
             held = event.at - run.event_times[number]
             if held > worst:
@@ -232,11 +240,12 @@
         if index < 0:
             continue
         due_at, due = newest[index]
-        if poll.version >= due or (poll.daemon, due) in reported:
-            continue
         names = seen.with_machines(poll.daemon) | seen.places.controls
         if poll.asked_at < seen.quiet_since(names, poll.asked_at) + seen.bounds.back_after:
             continue
+        seen.looked["bundle-not-in-force"] += 1
+        if poll.version >= due or (poll.daemon, due) in reported:
+            continue
         reported.add((poll.daemon, due))
         found.append(
             Violation(
@@ -255,6 +264,7 @@
         polls[poll.daemon].append((poll.asked_at, poll.answered_at, poll.version))
     for daemon, listed in polls.items():
         highest: list[tuple[float, int]] = []
+        seen.looked["bundle-falls-back"] += len(listed)
         for asked_at, answered_at, version in listed:
             before = max((high for at, high in highest if at + seen.bounds.fall_back <= asked_at), default=0)
             if 0 < version < before:
@@ -278,6 +288,7 @@
         attempt = seen.attempt_of.get(run.mark)
         if attempt is None or attempt.key not in removed:
             continue
+        seen.looked["removed-key-works"] += 1
         late = run.started_at - removed[attempt.key]
         if late > bound:
             text = f"{attempt.mark} ran through {attempt.router} {late:.2f} s after its key's removal was acknowledged"
@@ -296,6 +307,7 @@
             limits.append(drain.begun_at + seen.bounds.drained)
         if not limits:
             continue
+        seen.looked["drained-worker-gets-turns"] += 1
         for arrival in seen.history.arrivals:
             if arrival.instance == drain.instance and arrival.at > min(limits):
                 late = arrival.at - drain.begun_at
@@ -310,6 +322,7 @@
     for order in seen.history.orders:
         for answer in order.answers:
             if answer.outcome == "accepted":
+                seen.looked["two-orders-win"] += 1
                 by_version[answer.version].add(order.order)
                 if answer.version != order.base + 1:
                     text = f"{order.order} on base {order.base} was accepted as version {answer.version}"
@@ -326,6 +339,7 @@
     listed = {entry.order: entry.version for entries in seen.history.final_history.values() for entry in entries}
     for order in seen.history.orders:
         definite = [answer for answer in order.answers if answer.outcome in ("accepted", "conflict", "invalid")]
+        seen.looked["resent-order-refused"] += len(order.answers) > 1
         outcomes = {(answer.outcome, answer.version if answer.outcome == "accepted" else 0) for answer in definite}
         if len(outcomes) > 1:
             text = f"{order.order} was answered {sorted(outcomes)}"
@@ -352,6 +366,7 @@
         if version < newest:
             text = f"{daemon} shows version {version} at the end; {newest} was acknowledged"
             found.append(Violation(seen.end, "acknowledged-bundle-vanishes", text))
+    seen.looked["acknowledged-bundle-vanishes"] += len(acknowledged) * len(seen.history.final_history)
     for daemon, entries in seen.history.final_history.items():
         listed = {entry.version: entry.order for entry in entries}
         oldest = min(listed, default=0)
@@ -375,6 +390,7 @@
         names = frozenset(fault.targets)
         if not names & seen.places.controls:
             continue
+        seen.looked["cut-off-control-leads"] += until > since
         for order in seen.history.orders:
             for answer in order.answers:
                 alone = since <= answer.asked_at and answer.answered_at < until
@@ -403,6 +419,7 @@
     found = []
     window, share, slack = seen.bounds.retry_window, seen.bounds.retry_share, seen.bounds.retry_slack
     for service, times in tries.items():
+        seen.looked["too-many-tries"] += len(times)
         times.sort()
         begun = sorted(calls[service])
         if len(times) > share * len(begun) + slack:
@@ -456,6 +473,7 @@
         shares = _Shares(seen.history, tenant, bounds.in_force)
         came = sorted(let_in[tenant])
         offered = sorted(sent[tenant])
+        seen.looked["paid-share-missed"] += len(came)
         for index, at in enumerate(came):
             in_force = shares.between(at - window, at)
             rate = max(share.paid_rate for share in in_force)
@@ -489,6 +507,7 @@
         for call in seen.history.calls
         if call.begun_at >= since and call.ended_at is not None and not _over_share(call)
     ]
+    seen.looked["service-not-back"] += len(calls)
     failed = [call for call in calls if not call.succeeded]
     found = _routers_not_back(seen, since)
     if not calls or len(failed) <= (1.0 - seen.bounds.back_share) * len(calls):
@@ -549,7 +568,12 @@
 }
 
 
-def judge(history: History, places: Places, bounds: Bounds, end: float) -> list[Violation]:
-    """All that went against the brief, in order of time."""
+def judge(
+    history: History, places: Places, bounds: Bounds, end: float, looked: Counter[str] | None = None
+) -> list[Violation]:
+    """All that went against the brief, in order of time; ``looked`` is told how many things each check judged."""
     seen = Seen(history, places, bounds, end)
-    return sorted(violation for check in CHECKS.values() for violation in check(seen))
+    violations = sorted(violation for check in CHECKS.values() for violation in check(seen))
+    if looked is not None:
+        looked.update(seen.looked)
+    return violations
--- a/simulation/scenario.py
+++ b/simulation/scenario.py
@@ -33,7 +33,7 @@
 
 from .fleet import Builds, Fleet, network_shape, shape_named
 from .history import Attempt
-from .observer import Bounds, Places, Violation, judge
+from .observer import CHECKS, Bounds, Places, Violation, judge
 from .operators import Slices, put_slice, set_field
 from .world import World
 
@@ -88,6 +88,8 @@
     timeline: str = ""
     ends: dict[str, int] = {}
     """How the attempts ended, counted."""
+    looked: dict[str, int] = {}
+    """How many things each check of the observer judged."""
     in_force_seconds: list[float] = []
     """From each acknowledgement to the first look at each router that showed it."""
 
@@ -623,7 +625,9 @@
 
 def _judge(scenario: Scenario, fleet: Fleet, report: Report) -> None:
     history, world = fleet.history, fleet.world
-    violations = judge(history, places_of(fleet), bounds_for(fleet), world.now)
+    looked: Counter[str] = Counter()
+    violations = judge(history, places_of(fleet), bounds_for(fleet), world.now, looked)
+    report.looked = {check: looked[check] for check in CHECKS}
     for text in world.broken_invariants:
         first, _, trace = text.partition("\n")
         at, _, where = first.partition(" ")
--- a/simulation/tests/test_observer.py
+++ b/simulation/tests/test_observer.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from collections import Counter
 from collections.abc import Callable
 
 from emulator.worker import word
@@ -295,5 +296,16 @@
                 spoil(history)
                 self.assertIn(check, {violation.check for violation in judge(history, PLACES, Bounds(), END)})
 
+    def test_good_history_is_judged_by_the_checks_that_it_has_matter_for(self) -> None:
+        looked: Counter[str] = Counter()
+        judge(good(), PLACES, Bounds(), END, looked)
+        needs_a_fault_or_refusal = {
+            "told-not-run-but-ran",
+            "removed-key-works",
+            "cut-off-control-leads",
+            "too-many-tries",
+        }
+        self.assertEqual({check for check in CHECKS if not looked[check]}, needs_a_fault_or_refusal)
+
     def test_no_check_is_without_a_bad_history(self) -> None:
         self.assertEqual({check for check, _ in BAD}, set(CHECKS))
