--- a/bench/capacity/__main__.py
+++ b/bench/capacity/__main__.py
@@ -31,7 +31,7 @@
 
 
 def probes() -> dict[str, Callable[[], list[Row]]]:
-    from . import control, daemons, forward, ledger, members, messages, prefixes, sessions, shares, workers  # noqa: PLC0415
+    from . import control, daemons, forward, keepers, ledger, members, messages, prefixes, sessions, shares, workers  # noqa: PLC0415
 
     found: dict[str, Callable[[], list[Row]]] = {
         "empty processes": daemons.measure_empty,
@@ -41,6 +41,7 @@
         "shared prefixes": prefixes.measure,
         "ledger entries": ledger.measure_entries,
         "ledger claims": ledger.measure_claims,
+        "keepers": keepers.measure,
         "share asks": shares.measure_asks,
         "share grants": shares.measure_grants,
         "forward calls": forward.measure_calls,
--- /dev/null
+++ b/bench/capacity/keepers.py
@@ -0,0 +1,97 @@
+"""Session keepers in one full mesh: what each spends on the questions among them, by their number.
+
+No daemon holds a session here. Keepers share a few child processes, so some of their wake-ups are shared too.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import random
+import sys
+import time
+from itertools import pairwise
+
+import msgspec
+from returns.result import Success
+
+from wingwood.identifiers import Address, DaemonName, Incarnation, Zone
+from wingwood.membership.keeper import SessionKeeper
+from wingwood.transport.frames import Identity
+from wingwood.transport.messenger import TcpMessenger
+
+from ..hollow_daemons import answer_parent, own_report
+from .common import KEY, Child, Row, per_second, real_quiet_context
+from .planned import PLANNED
+
+PORT = 32700
+NUMBERS = ((3, 1), (10, 1), (20, 2), (30, 3), (PLANNED.control_machines, 4))
+"""Keepers, and the processes that share them: 43 in one process need the whole of its core and never come to rest."""
+SECONDS = 8.0
+
+
+async def serve(first: int, end: int) -> None:
+    seeds = tuple(Address("127.0.0.1", PORT + number) for number in range(3))
+    messengers: list[TcpMessenger] = []
+    keepers: list[SessionKeeper] = []
+    for number in range(first, end):
+        own = Identity(
+            DaemonName(f"c{number:02}"),
+            Incarnation(f"{number:016x}"),
+            "control",
+            Zone(f"zone-{number % PLANNED.zones}"),
+            Address("127.0.0.1", PORT + number),
+        )
+        context = msgspec.structs.replace(real_quiet_context(), random=random.Random(number))
+        messenger = TcpMessenger(context, own, KEY)
+        keeper = SessionKeeper(context, messenger, seeds)
+        assert isinstance(messenger.start(), Success)
+        keeper.start()
+        messengers.append(messenger)
+        keepers.append(keeper)
+    await answer_parent(
+        lambda: own_report(messengers) | {"fewest_members": min(len(keeper.members()) for keeper in keepers)}
+    )
+
+
+def _one(count: int, processes: int) -> Row:
+    firsts = [count * number // processes for number in range(processes + 1)]
+    children = [Child("bench.capacity.keepers", str(first), str(end)) for first, end in pairwise(firsts)]
+
+    def reports() -> list[Row]:
+        return [child.report() for child in children]
+
+    try:
+        begun = time.monotonic()
+        while (fewest := min(report["fewest_members"] for report in reports())) < count:
+            if time.monotonic() - begun > 40:
+                raise TimeoutError(f"keepers know {fewest} of {count}")
+            time.sleep(0.1)
+        formed = time.monotonic() - begun
+        time.sleep(4.0)
+        before = reports()
+        time.sleep(SECONDS)
+        after = reports()
+
+        def each(field: str) -> float:
+            return sum(per_second(early, late, field) for early, late in zip(before, after, strict=True)) / count
+
+        return {
+            "keepers": count,
+            "processes": processes,
+            "formed_s": formed,
+            "members_after": min(report["fewest_members"] for report in after),
+            "keeper_core": each("processor"),
+            "keeper_bytes": each("messenger_bytes"),
+            "keeper_wire_bytes": each("wire_bytes"),
+        }
+    finally:
+        for child in children:
+            child.end()
+
+
+def measure() -> list[Row]:
+    return [_one(count, processes) for count, processes in NUMBERS]
+
+
+if __name__ == "__main__":
+    asyncio.run(serve(int(sys.argv[1]), int(sys.argv[2])))
--- a/bench/capacity/page.py
+++ b/bench/capacity/page.py
@@ -119,6 +119,15 @@
         "all_ms": "all ms",
         "share_keepers_first_ms": "shares, first time ms",
     },
+    "keepers": {
+        "keepers": "keepers",
+        "processes": "in processes",
+        "formed_s": "formed s",
+        "members_after": "fewest members at the end",
+        "keeper_core": "core each",
+        "keeper_bytes": "bytes/s each",
+        "keeper_wire_bytes": "on the wire",
+    },
     "session map": {
         "entries": "entries",
         "entry_bytes": "bytes each",
--- a/bench/capacity/planned_roles.py
+++ b/bench/capacity/planned_roles.py
@@ -197,18 +197,20 @@
 
     # --- control ------------------------------------------------------------------------------------
 
+    def mesh_more(self, machines: int, field: str) -> Value:
+        """What the questions among so many keepers cost each, beyond those among three."""
+        more, three = (self.row("keepers", keepers=count)[field] for count in (machines, 3))
+        return Value(more - three, kind="m")
+
     def keeper_core(self, machines: int) -> Value:
-        """Sessions of its part of the daemons, and the questions among all keepers (two a second each way)."""
-        # With three machines a third of the sessions is each one's own.
+        """A control core, the sessions of its part of the daemons, and the questions among all keepers."""
+        # Of the line's daemons a third are each keeper's own.
         sessions = self.slope("keeper core").times(3 * PLANNED.daemons / machines)
-        base = self.base("keeper core")
-        questions = (self.ask() + self.answer()).times(2 * (machines - 3))
-        return base + sessions + questions
+        return self.base("keeper core") + sessions + self.mesh_more(machines, "keeper_core")
 
     def keeper_bytes(self, machines: int) -> Value:
         sessions = self.slope("keeper bytes").times(3 * PLANNED.daemons / machines)
-        questions = Value(2 * 2 * (machines - 3) * (self.frame_bytes() + 100), kind="a")
-        return self.base("keeper bytes") + sessions + questions
+        return self.base("keeper bytes") + sessions + self.mesh_more(machines, "keeper_bytes")
 
     def keeper_memory_mb(self) -> Value:
         return self.at("control memory", PLANNED.slices) + self.slope("keeper memory").times(PLANNED.daemons * 1e-6)
