The broken variant that names another call keeps the answer's length

Since plain answers carry their length, and the variant made them one byte longer, so the routers died of it (HTTPOutputError) and no answer of another call came through. Change: harness only: the variant changes a letter of the call's id. Measured: scenario answer_of_another_call failed before, passes now.

--- a/simulation/broken.py
+++ b/simulation/broken.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import importlib
+import re
 from collections.abc import Callable
 from typing import Any
 
@@ -105,7 +106,7 @@
     async def next_piece(self) -> Result[bytes | None, HttpFault]:
         piece = await self.inner.next_piece()
         if isinstance(piece, Success) and (data := piece.unwrap()):
-            return Success(data.replace(b'"call":"', b'"call":"X'))
+            return Success(re.sub(rb'"call":"[^"]', b'"call":"~', data))  # of the same length
         return piece
 
 
