--- a/simulation/callers.py
+++ b/simulation/callers.py
@@ -198,7 +198,9 @@
         request = HttpRequest(
             "POST", door.address, service.path, tuple(headers), msgspec.json.encode(body), Seconds(2.0)
         )
-        exchange = PlainExchange(self.context.network, request, self._kept_stream(door.address), keep_open=True)
+        kept = self._kept_stream(door.address)
+        attempt.kept_connection = kept is not None
+        exchange = PlainExchange(self.context.network, request, kept, keep_open=True)
         try:
             await self._read(exchange, attempt, service)
         finally:
--- a/simulation/history.py
+++ b/simulation/history.py
@@ -47,6 +47,8 @@
     """What came that belongs to no event or answer."""
     retry_after: float | None = None
     sent_bytes: bool = False
+    kept_connection: bool = False
+    """Went over a connection of an earlier call."""
 
     @property
     def from_worker(self) -> bool:
