Routers' metrics show their state and what the award policy did

Cause: the placement report: its counts (awards, moves, lost look-ups) reached no metric; and a scrape did not tell the version in force or how old its proof was. Change: a collector read at each scrape: ready, version, ages of proof and session, members, ready workers, unsettled ledger outcomes, placement counts.

--- a/wingwood/daemons/router.py
+++ b/wingwood/daemons/router.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 from prometheus_client import CollectorRegistry
 from returns.result import Failure, Result, Success
@@ -24,6 +24,7 @@
 from ..operator_api.orders import OrderRoutes
 from ..operator_api.reading import HealthReport, ReadRoutes
 from ..operator_api.server import OperatorServer
+from ..placement.award_placement import AwardPlacement
 from ..placement.policies import placement_of
 from ..registry.protocols import Worker
 from ..registry.worker_registry import WorkerRegistry
@@ -32,6 +33,7 @@
 from ..transport.messenger import TcpMessenger
 from .day_file import DayFile
 from .process import NotStarted, run_daemon
+from .router_metrics import RouterState
 
 WORKERS_WITHIN = Seconds(3.0)
 """A router that has a bundle is ready after this also without having heard of workers: it may have none."""
@@ -86,6 +88,7 @@
             health=self.health,
             metrics=self.metrics,
         ).add_to(self.operator_server)
+        RouterState(self.health, self._placed, self.ledger.unsettled).add_to(self.metrics)
         self._stopping = False
         self._workers_heard = False
         """Once True it stays so: a pool that a later bundle brings does not take the router out."""
@@ -181,6 +184,9 @@
         known = self.membership.known_controls()
         return known if primary is None else list(dict.fromkeys([primary, *known]))
 
+    def _placed(self) -> Mapping[str, int]:
+        return self.placement.counts if isinstance(self.placement, AwardPlacement) else {}
+
     def _workers(self) -> Sequence[Worker]:
         return self.registry.all_workers()
 
--- /dev/null
+++ b/wingwood/daemons/router_metrics.py
@@ -0,0 +1,49 @@
+"""How a router stands, for the platform's monitoring (docs/DESIGN.md section 15.4)."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterable, Mapping
+
+from prometheus_client import CollectorRegistry
+from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
+
+from ..operator_api.reading import HealthReport
+
+
+class RouterState:
+    """A collector: read at each scrape, nothing is kept. ``placed``: the award policy's counts, if it is in use."""
+
+    def __init__(
+        self,
+        health: Callable[[], HealthReport],
+        placed: Callable[[], Mapping[str, int]],
+        unsettled: Callable[[], int],
+    ) -> None:
+        self._health = health
+        self._placed = placed
+        self._unsettled = unsettled
+
+    def add_to(self, registry: CollectorRegistry) -> None:
+        registry.register(self)
+
+    def describe(self) -> Iterable[Metric]:
+        return ()
+
+    def collect(self) -> Iterable[Metric]:
+        report = self._health()
+        gauges = {
+            "ready": ("1 while callers should be sent here", float(report.ready)),
+            "bundle_version": ("Version in force", float(report.version)),
+            "bundle_proof_age_seconds": ("Since it was proven the newest", report.bundle_proven_age),
+            "session_age_seconds": ("Since control confirmed the session", report.session_age),
+            "members": ("Daemons that are members", float(report.members)),
+            "workers_ready": ("Workers announced as ready", float(report.workers_ready)),
+            "ledger_unsettled": ("Outcomes not yet durable in the ledger", float(self._unsettled())),
+        }
+        for name, (meaning, value) in gauges.items():
+            if value is not None:
+                yield GaugeMetricFamily(f"wingwood_{name}", meaning, value=value)
+        decisions = CounterMetricFamily("wingwood_placement", "What the award policy did", labels=("what",))
+        for what, count in sorted(self._placed().items()):
+            decisions.add_metric((what,), count)
+        yield decisions
