Emulated worker: callers that leave in one moment no longer raise in its queue

Cause: a waiting call was cancelled, a slot that came free in the same round passed over its place, and the cancelled call then looked for that place in the queue.

--- a/emulator/tests/test_worker.py
+++ b/emulator/tests/test_worker.py
@@ -187,6 +187,18 @@
         self.assertEqual(self.worker.running, 0)
         self.assertEqual([run.outcome for run in self.worker.runs], ["caller-gone"] * 2)
 
+    def test_callers_that_go_away_together_while_it_is_frozen_free_all_places(self) -> None:
+        """What runs and what waits is cancelled in the same moment."""
+        for number in range(5):
+            self.begin("/v1/chat", _body(1000), _headers(f"s{number}"))
+        self.world.run(3)
+        self.world.freeze("worker")
+        self.world.kill("caller")
+        self.world.run(1)
+        self.world.wake("worker")
+        self.world.run(1)
+        self.assertEqual((self.worker.running, self.world.broken_invariants), (0, []))
+
     def test_another_instance_is_told_that_nothing_was_run(self) -> None:
         answer = self.turn("s", expect="another-life")
         self.assertEqual((answer.status, answer.headers["Not-Run"], self.worker.runs), (412, "true", []))
--- a/emulator/worker.py
+++ b/emulator/worker.py
@@ -292,7 +292,7 @@
         except asyncio.CancelledError:
             if place.done() and not place.cancelled():
                 self._free_slot()
-            else:
+            elif place in self._waiting:  # Not when a slot that came free has passed over it.
                 self._waiting.remove(place)
             raise
 
