One first token on a lost prefix no longer makes a router refuse long prompts

Cause: a turn that was thought to need 300-500 tokens of prefill needed all 6,000-10,000, because its prefix was gone from the worker. The sample of 0.005 s a token (0.00015 is true) moved the prefill figure from 0.0002 to 0.0007, so admission foresaw 4-5 s for a prompt that takes 1 s, and refused calls teach nothing. Ruled out: queues (loads of 0-4 on 8 slots, no wait foreseen), freezes counted as first-token time. Change: a sample of the prefill rate or of the base counts for at most twice the figure so far. Not done: a figure that is too high in truth and then falls is corrected only by turns that are let in.

--- a/wingwood/placement/tests/test_worker_estimates.py
+++ b/wingwood/placement/tests/test_worker_estimates.py
@@ -53,6 +53,13 @@
         self.learn(60, 1000, 0.0, 0.6, 1.0)
         self.assertAlmostEqual(self.workload.first_token(WORKER, 2000), 1.1, delta=0.05)
 
+    def test_a_prefix_that_was_not_kept_after_all_says_little_of_the_workers_speed(self) -> None:
+        """Else one call had admission refuse all long prompts, which then could never show better."""
+        self.learn(60, 6000, 0.0, 0.95, 1.0)
+        self.learn(1, 400, 0.0, 2.2, 3.0)
+        self.learn(1, 0, 0.0, 2.2, 3.0)
+        self.assertLess(self.workload.first_token(WORKER, 6500), 1.2)
+
     def test_time_in_the_queue_does_not_count_as_length_of_a_turn(self) -> None:
         """Else waits would make turns look long, and long turns foretell longer waits, without end."""
         self.elsewhere.running = 6.0
--- a/wingwood/placement/worker_estimates.py
+++ b/wingwood/placement/worker_estimates.py
@@ -19,6 +19,9 @@
 """Weight of one new sample in the moving averages."""
 TOLD_LOAD_TRUST = 0.7
 """A worker's own word counts less than what the routers counted: it is a second old, and may lie."""
+SAMPLE_MOST = 2.0
+"""Against the figure so far: a prefix that turns out not to be kept makes a worker look tens of times slower,
+and what such a forecast has admission refuse can't correct it."""
 FULL_AT = 4.0
 """Running and waiting turns per slot at which a worker counts as full."""
 
@@ -195,9 +198,10 @@
                 figures.foreseen += FOLD * (waited / figures.correction() - figures.foreseen)
                 continue
             if uncached < 64:
-                figures.base += FOLD * (first_token - figures.base)
+                figures.base += FOLD * (min(first_token, SAMPLE_MOST * figures.base) - figures.base)
             elif uncached >= 256:
-                sample = min(0.01, max(1e-6, (first_token - figures.base) / uncached))
+                most = min(0.01, SAMPLE_MOST * figures.per_token)
+                sample = min(most, max(1e-6, (first_token - figures.base) / uncached))
                 figures.per_token += FOLD * (sample - figures.per_token)
 
     def forget(self, instance: WorkerInstance) -> None:
