--- a/bench/capacity/page.py
+++ b/bench/capacity/page.py
@@ -63,13 +63,16 @@
             "not serving / behind",
         ]
     ]
-    earlier = [row for row in inputs.rows("earlier fleet 1000") if row.get("phases")]
-    for row in [*inputs.fleets(), *earlier]:
+    runs = [("", row) for row in inputs.fleets()]
+    for probe in inputs.probes():
+        if probe.startswith("other fleet "):
+            runs += [(probe.partition(",")[2], row) for row in inputs.rows(probe)]
+    for which, row in runs:
         for found in row["phases"]:
             rolled = found["all_in_force_ms"]
             table.append(
                 [
-                    f"{row['daemons']} in {row['processes']}" + (", earlier run" if row in earlier else ""),
+                    f"{row['daemons']} in {row['processes']}{which}",
                     number(row["formed_after"]),
                     number(row["daemon_memory"] / 1e6),
                     f"{found['name']}, {found['changes']} changes",
