--- a/bench/capacity/tests/test_page.py
+++ b/bench/capacity/tests/test_page.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import json
 import math
 import unittest
+from pathlib import Path
 from typing import Any
 
 from ..fits import Fits, Inputs
@@ -28,6 +30,13 @@
         )
         self.assertEqual(fill(filled, {"a": "| new |", "b": "| b |"}), filled)
 
+    def test_the_page_in_the_tree_is_the_one_of_the_inputs_in_the_tree(self) -> None:
+        root = Path(__file__).resolve().parents[3]
+        inputs = json.loads((root / "bench" / "capacity" / "measured.json").read_text())
+        page = (root / "docs" / "CAPACITY.md").read_text()
+        self.assertEqual(fill(page, tables(inputs)), page)
+        self.assertNotIn("not measured (", page)
+
     def test_a_marker_without_a_table_is_an_error(self) -> None:
         with self.assertRaisesRegex(ValueError, "asks for table 'lost'"):
             fill("<!-- table: lost -->\n<!-- end -->\n", {"a": ""})
