--- a/wingwood/control/core.py
+++ b/wingwood/control/core.py
@@ -1147,7 +1147,7 @@
         self._deliver(replies)
         if entry:
             self._tell_commit(lead)
-            await self._rewrite_if_long(1.0)
+            self._rewrite_later(1.0)
 
     async def _write_batch(self, lead: _Lead, entry: bytes, sequence: int) -> bool:
         async with self._lock:
@@ -1195,30 +1195,23 @@
         return store.journal.length > factor * max(self._limits.rewrite_bytes, 2 * store.rewritten_bytes)
 
     def _rewrite_later(self, factor: float) -> None:
-        """On the backup; later than on the primary, so that both don't do it at once."""
-        if self._is_long(factor) and not self._rewriting:
+        """Call between batches. On the backup with a higher factor, so that both don't do it at once."""
+        if self._is_long(factor) and not self._rewriting and self._now() >= self._rewrite_not_before:
             self._rewriting = True
-            self._context.tasks.spawn("journal rewrite", self._rewrite_if_long(factor))
-
-    async def _rewrite_if_long(self, factor: float) -> None:
-        if self._is_long(factor) and self._now() >= self._rewrite_not_before:
-            begun = self._now()
-            before = self._store.journal.length
-            async with self._lock:
-                if self._sick is None and not self._stale and self._is_long(factor):
-                    match await self._store.rewrite(self._replica.contents, self._limits.rewriting(before)):
-                        case Success(_):
-                            self._log(
-                                "journal-rewritten",
-                                bytes_before=before,
-                                bytes_after=self._store.journal.length,
-                                took=self._now() - begun,
-                            )
-                        case Failure(fault):
-                            self._log("journal-not-rewritten", kind=fault.kind, detail=fault.detail)
-                            self._rewrite_not_before = Instant(self._now() + 10.0)
-                            if self._store.journal.sick is not None or fault.kind == "slow":
-                                self._fail_store(fault)
+            compaction = self._store.compact(self._replica.contents())
+            self._context.tasks.spawn("journal rewrite", self._rewrite(compaction))
+
+    async def _rewrite(self, compaction: Coroutine[Any, Any, Result[None, JournalFault]]) -> None:
+        begun, before = self._now(), self._store.journal.length
+        match await compaction:
+            case Success(_):
+                after = self._store.journal.length
+                self._log("journal-rewritten", bytes_before=before, bytes_after=after, took=self._now() - begun)
+            case Failure(fault):
+                self._log("journal-not-rewritten", kind=fault.kind, detail=fault.detail)
+                self._rewrite_not_before = Instant(self._now() + 10.0)
+                if fault.kind == "slow" or (fault.kind != "sick" and self._store.journal.sick is not None):
+                    self._fail_store(fault)
         self._rewriting = False
 
     # -- proof of lead
--- a/wingwood/control/store.py
+++ b/wingwood/control/store.py
@@ -2,8 +2,8 @@
 
 from __future__ import annotations
 
-from collections.abc import Callable, Sequence
-from typing import Literal
+from collections.abc import Callable, Coroutine, Sequence
+from typing import Any, Literal
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -111,13 +111,7 @@
         def payloads() -> Sequence[bytes]:
             nonlocal kept
             kept = contents()
-            entries: list[Entry] = [FoundedEntry(self.incarnation), PromisedEntry(promise, not self.touched)]
-            if self.view is not None:
-                entries.append(AcceptedEntry(self.view))
-            if kept.snapshot is not None:
-                entries.append(kept.snapshot)
-            entries.extend(kept.batches)
-            return [_encode(entry) for entry in entries]
+            return self._payloads(kept, promise)
 
         match await self.journal.rewrite(payloads, patience):
             case Failure(fault):
@@ -128,6 +122,25 @@
         self.rewritten_bytes = self.journal.length
         return Success(None)
 
+    def _payloads(self, contents: Contents, promise: Promise) -> list[bytes]:
+        entries: list[Entry] = [FoundedEntry(self.incarnation), PromisedEntry(promise, not self.touched)]
+        if self.view is not None:
+            entries.append(AcceptedEntry(self.view))
+        if contents.snapshot is not None:
+            entries.append(contents.snapshot)
+        entries.extend(contents.batches)
+        return [_encode(entry) for entry in entries]
+
+    def compact(self, contents: Contents) -> Coroutine[Any, Any, Result[None, JournalFault]]:
+        """Makes the journal short. ``contents`` is all state up to ``sequence``; nothing else changes by it."""
+        return self._compact(self.journal.compact(self._payloads(contents, self.promise)))
+
+    async def _compact(self, compaction: Coroutine[Any, Any, Result[None, JournalFault]]) -> Result[None, JournalFault]:
+        outcome = await compaction
+        if isinstance(outcome, Success):
+            self.rewritten_bytes = self.journal.length
+        return outcome
+
     async def reload(self, patience: Seconds) -> Result[Contents, JournalFault]:
         """Reads everything back from the disk; the way out of each failure."""
         match await self.journal.open(patience):
--- a/wingwood/journal/journal.py
+++ b/wingwood/journal/journal.py
@@ -22,6 +22,8 @@
 """What a frame adds to its payload."""
 
 PATIENCE = Seconds(1.0)
+PIECE_BYTES = 256 * 1024
+"""A compaction holds appends for one such piece at a time."""
 SLOWEST_RATE = 20e6
 """Bytes a second that a healthy disk writes and syncs at least; long appends get that much longer."""
 
@@ -73,6 +75,14 @@
     )
 
 
+def _frames(salt: bytes, begin: int, payloads: Sequence[bytes]) -> bytes:
+    pieces: list[bytes] = []
+    for payload in payloads:
+        pieces.append(frame(salt, begin, payload))
+        begin += len(pieces[-1])
+    return b"".join(pieces)
+
+
 def _frame_at(salt: bytes, marker: bytes, data: bytes, offset: int) -> bytes | None:
     if data[offset : offset + MARKER_BYTES] != marker:
         return None
@@ -134,6 +144,10 @@
         self._salt = b""
         self._length = 0
         self._sick: str | None = "not opened"
+        self._generation = 0
+        """Counts files taken up under the name; a compaction of an earlier one is given up."""
+        self._since: list[bytes] | None = None
+        """Payloads appended since the compaction under way took its content."""
 
     @property
     def length(self) -> int:
@@ -176,6 +190,7 @@
                         return Failure(fault)
             self._salt = data[len(MAGIC) : len(MAGIC) + SALT_BYTES]
             self._length = found.sound_bytes
+            self._generation += 1
             self._sick = None
             return Success(found.payloads)
 
@@ -191,6 +206,8 @@
                 case Success(_):
                     self._length += len(data)
                     self._sick = None
+                    if self._since is not None:
+                        self._since.append(payload)
                     return Success(None)
                 case Failure(fault):
                     pass
@@ -230,13 +247,9 @@
 
     async def _replace(self, payloads: Sequence[bytes], patience: Seconds | None = None) -> Result[None, JournalFault]:
         salt = self._context.random.randbytes(SALT_BYTES)
-        pieces = []
-        length = HEADER_BYTES
-        for payload in payloads:
-            piece = frame(salt, length, payload)
-            pieces.append(piece)
-            length += len(piece)
-        data = header(salt, length) + b"".join(pieces)
+        frames = _frames(salt, HEADER_BYTES, payloads)
+        data = header(salt, HEADER_BYTES + len(frames)) + frames
+        self._generation += 1
         match await self._disk(lambda: self._context.disk.write_new(self._new_name, data), patience):
             case Failure(fault):
                 # The file under our name is as it was.
@@ -247,10 +260,56 @@
                 self._sick = f"rename: {fault.detail}"
                 return Failure(fault)
         self._salt = salt
-        self._length = length
+        self._length = len(data)
         self._sick = None
         return Success(None)
 
+    def compact(self, payloads: Sequence[bytes]) -> Coroutine[Any, Any, Result[None, JournalFault]]:
+        """Writes ``payloads``, which say the same as all appends until this call, in place of those.
+
+        Appends go on meanwhile; each waits for one piece at most. Await the result at once or in a task
+        of its own; one compaction at a time. ``sick`` when the file was replaced or read anew meanwhile.
+        """
+        self._since = []
+        return self._compact(payloads, self._generation)
+
+    async def _compact(self, payloads: Sequence[bytes], generation: int) -> Result[None, JournalFault]:
+        salt = self._context.random.randbytes(SALT_BYTES)
+        frames = _frames(salt, HEADER_BYTES, payloads)
+        data = header(salt, HEADER_BYTES + len(frames)) + frames
+        disk, name = self._context.disk, self._new_name
+        try:
+            for begin in range(0, len(data), PIECE_BYTES):
+                async with self._turn:
+                    match await self._piece(generation, name, begin, data[begin : begin + PIECE_BYTES]):
+                        case Failure(fault):
+                            return Failure(fault)
+            async with self._turn:
+                tail = _frames(salt, len(data), self._since or ())
+                match await self._piece(generation, name, len(data), tail):
+                    case Failure(fault):
+                        return Failure(fault)
+                self._sick = "a rename was left before its end"
+                match await self._disk(lambda: disk.rename(name, self._name)):
+                    case Failure(fault):
+                        self._sick = f"rename: {fault.detail}"
+                        return Failure(fault)
+                self._salt, self._length = salt, len(data) + len(tail)
+                self._generation += 1
+                self._sick = None
+                return Success(None)
+        finally:
+            self._since = None
+
+    async def _piece(self, generation: int, name: str, begin: int, data: bytes) -> Result[None, JournalFault]:
+        """Under the turn. Adds to the file that a compaction writes."""
+        if self._sick is not None or self._generation != generation:
+            return Failure(JournalFault("sick", self._sick or "the file was replaced meanwhile"))
+        disk = self._context.disk
+        if begin == 0:
+            return await self._disk(lambda: disk.write_new(name, data))
+        return await self._disk(lambda: disk.append(name, data, begin)) if data else Success(None)
+
     async def _disk(
         self, call: Callable[[], Coroutine[Any, Any, Result[Value, DiskFault]]], patience: Seconds | None = None
     ) -> Result[Value, JournalFault]:
--- a/wingwood/journal/tests/test_journal.py
+++ b/wingwood/journal/tests/test_journal.py
@@ -16,6 +16,7 @@
 from ...context.protocols import Context, DiskFault
 from ...identifiers import Seconds
 from .. import Journal, scan
+from ..journal import PIECE_BYTES
 from .memory_disk import MemoryDisk, PowerLost
 
 
@@ -153,6 +154,35 @@
         self.assertEqual(await journal.append(b"two"), Success(None))
         self.assertEqual(self.disk.most_under_way, 1)
 
+    @on_simulated_time
+    async def test_appends_go_on_during_a_compaction_and_wait_for_one_piece_at_most(self) -> None:
+        journal = await self.created(b"one")
+        whole = b"state" * (PIECE_BYTES // 5 * 3)
+        compacting = asyncio.ensure_future(journal.compact([b"first", whole]))
+        calls: list[int] = []
+        while not compacting.done():
+            before = self.disk.calls
+            self.assertEqual(await journal.append(b"more"), Success(None))
+            calls.append(self.disk.calls - before)
+        self.assertEqual(compacting.result(), Success(None))
+        self.assertEqual(max(calls[:-1]), 2, "its own call and one piece")
+        self.assertEqual(await self.read_back(), [b"first", whole, *[b"more"] * len(calls)])
+
+    @on_simulated_time
+    async def test_a_compaction_is_given_up_when_the_file_is_replaced_meanwhile(self) -> None:
+        for replace in (True, False):
+            journal = await self.created(b"one")
+            compacting = asyncio.ensure_future(journal.compact([b"x" * PIECE_BYTES * 2]))
+            await asyncio.sleep(0)
+            if replace:
+                await journal.rewrite(lambda: [b"state of another"])
+            else:
+                await journal.open()
+            self.assertEqual((await compacting).failure().kind, "sick")
+            await journal.append(b"two")
+            expected = [b"state of another", b"two"] if replace else [b"first", b"one", b"two"]
+            self.assertEqual(await self.read_back(), expected)
+
     @on_simulated_time
     async def test_a_folder_emptied_or_changed_under_it_takes_no_append(self) -> None:
         journal = await self.created(b"one")
@@ -196,6 +226,14 @@
         try:
             for number in range(30):
                 if randomness.random() < 0.2:
+                    compacting = asyncio.ensure_future(journal.compact(list(said)))
+                    for extra in range(randomness.randrange(3)):
+                        payload = f"{number}/{extra}".encode() * randomness.randrange(60)
+                        maybe = [*said, payload]
+                        (await journal.append(payload)).unwrap()
+                        said = maybe
+                    (await compacting).unwrap()
+                elif randomness.random() < 0.2:
                     compact = b"|".join(said)
                     maybe = [compact]
                     (await journal.rewrite(lambda payload=compact: [payload])).unwrap()  # type: ignore[misc]
