--- a/simulation/explore.py
+++ b/simulation/explore.py
@@ -202,6 +202,8 @@
             (
                 "kill all daemons for 1",
                 "kill all controls for 2",
+                "power off all controls for 3",
+                "power off all daemons for 1",
                 "freeze all controls for 5",
                 "kill all routers for 1",
                 "kill all workers for 3",
--- a/simulation/scenario.py
+++ b/simulation/scenario.py
@@ -377,15 +377,20 @@
     ]
 
 
-@_line(r"push large (?P<kilobytes>\d+) KB", "push large N KB            a valid bundle that grows by that much")
+@_line(
+    r"push large (?P<kilobytes>\d+) KB",
+    "push large N KB            a valid change of that much, other content each time",
+)
 def _large(match: re.Match[str]) -> tuple[Callable[[Fleet], None], float]:
     def push(fleet: Fleet) -> None:
         operator = fleet.operators["operator-1"]
 
+        stamp = int(fleet.world.now * 1000)
+
         def grow(slices: Slices) -> Slices:
             grown = dict(slices)
             for number in range(int(match["kilobytes"]) // 50):
-                keys = [f"{number:016x}{index:048x}" for index in range(700)]
+                keys = [f"{stamp:08x}{number:08x}{index:048x}" for index in range(700)]
                 value: dict[str, object] = {
                     "name": f"large-{number}",
                     "priority_class": fleet.shape.classes[0].name,
