--- a/wingwood/journal/tests/test_journal.py
+++ b/wingwood/journal/tests/test_journal.py
@@ -183,6 +183,20 @@
             expected = [b"state of another", b"two"] if replace else [b"first", b"one", b"two"]
             self.assertEqual(await self.read_back(), expected)
 
+    @on_simulated_time
+    async def test_a_full_disk_during_a_compaction_leaves_the_old_file(self) -> None:
+        journal = await self.created(b"one")
+        self.disk.fault, self.disk.faulty = DiskFault("full"), ("write_new",)
+        self.assertEqual((await journal.compact([b"x"])).failure().kind, "full")
+        self.disk.fault = None
+        compacting = asyncio.ensure_future(journal.compact([b"x" * PIECE_BYTES * 3]))
+        await journal.append(b"two")
+        self.disk.fault, self.disk.faulty = DiskFault("full"), ("append",)
+        self.assertEqual((await compacting).failure().kind, "full")
+        self.disk.fault = None
+        self.assertEqual(await journal.append(b"three"), Success(None))
+        self.assertEqual(await self.read_back(), [b"first", b"one", b"two", b"three"])
+
     @on_simulated_time
     async def test_a_folder_emptied_or_changed_under_it_takes_no_append(self) -> None:
         journal = await self.created(b"one")
