Idle workers of a plain pool share the calls, whatever their names

Change: the first of the least loaded in drawn (random) order is taken. Measured: the new test (90 calls over three idle workers, each more than 15) failed before, passes now; the slice's tests pass.

--- a/wingwood/placement/award_placement.py
+++ b/wingwood/placement/award_placement.py
@@ -319,8 +319,9 @@
         return next((worker for worker in order if not self._workload.is_full(worker)), order[0])
 
     def _least_loaded(self, ready: Sequence[Worker]) -> Worker:
+        """Of a few drawn ones, in drawn order: idle ones share the calls, whatever their names."""
         drawn = self._context.random.sample(list(ready), min(self._settings.candidates, len(ready)))
-        return min(drawn, key=lambda worker: (self._workload.load(worker) / worker.slots, worker.instance))
+        return min(drawn, key=lambda worker: self._workload.load(worker) / worker.slots)
 
     def _worker_changed(self, worker: Worker) -> None:
         if worker.state == "gone":
--- a/wingwood/placement/tests/test_plain_policies.py
+++ b/wingwood/placement/tests/test_plain_policies.py
@@ -120,6 +120,18 @@
         self.assertEqual(counts, [2, 2, 2])
         self.assertEqual(choices[0].worker.pool, POOL)
 
+    def test_idle_workers_of_a_plain_pool_share_the_calls(self) -> None:
+        """Ties by name gave nearly all calls of a quiet pool to its first worker."""
+        fleet, placements = self.placements("award")
+        for worker in self.workers:
+            worker.options = msgspec.structs.replace(worker.options, cache_tokens=0)
+            worker.restart_empty()
+            fleet.announce(worker)
+        fleet.world.run(0.1)
+        taken = [self.take(fleet, placements["r0"], "s/x") for _ in range(90)]
+        for worker in self.workers:
+            self.assertGreater(taken.count(worker.instance), 15)
+
 
 if __name__ == "__main__":
     unittest.main()
