Real-fleet faults: several together; probes of all routers side by side

Cause: on the full shape the probes went through 11 routers one after the other with 1 s of patience and mostly measured the emulated prefill (calls back 4.88 and 5.24 s after control and all daemons were killed). They now go side by side with the service's own patience. A fleet that cannot start (a port taken meanwhile) counts as not run, exit code 2. What: several_together kills primary and worker and freezes a router, then kills the next primary.

--- a/bench/real_faults.py
+++ b/bench/real_faults.py
@@ -142,6 +142,17 @@
         fleet.restart(name)
 
 
+async def several_together(fleet: Fleet) -> None:
+    """The primary killed, a router frozen, a worker killed, in one moment; then the new primary too, back by then."""
+    first = await _primary(fleet)
+    fleet.kill(first)
+    fleet.kill(_model_worker(fleet))
+    await _freeze(fleet, "router-2", 4.0)
+    fleet.restart(first)
+    await wait_until("control is complete again", fleet.control_complete)
+    fleet.kill(await _primary(fleet))
+
+
 async def routers_rolled(fleet: Fleet) -> None:
     """Each is asked to stop, ends its streams, and is started again before the next."""
     for router in fleet.routers():
@@ -207,6 +218,7 @@
     all_control_killed,
     all_control_killed_one_wiped,
     all_daemons_killed,
+    several_together,
     routers_rolled,
     controls_rolled,
     worker_killed,
@@ -274,7 +286,11 @@
         self._probes = 0
 
     async def run(self) -> CaseReport:
-        await self.fleet.start()
+        try:
+            await self.fleet.start()
+        except FleetProblem as problem:
+            self.report.not_run = str(problem).replace("\n", " ")
+            return self.report
         await wait_until("control is complete", self.fleet.control_complete)
         first = await push_bundle(self.fleet)
         await wait_until("the first bundle is in force", lambda: self.in_force(first))
@@ -327,9 +343,9 @@
 
     async def calls_answered(self, answered: set[str]) -> bool:
         """One whole chat and one whole call that runs once, through each live router."""
-        for router in self.live_routers():
-            if router.name not in answered and await self.both_answered(router):
-                answered.add(router.name)
+        left = [router for router in self.live_routers() if router.name not in answered]
+        whole = await asyncio.gather(*(self.both_answered(router) for router in left))
+        answered.update(router.name for router, both in zip(left, whole, strict=True) if both)
         return all(router.name in answered for router in self.live_routers())
 
     async def both_answered(self, router: DaemonPlan) -> bool:
@@ -344,7 +360,7 @@
                 max_tokens=1,
                 stream=service.streaming,
                 idempotency_key=None if service.repeatable else mark,
-                first_byte_patience=1.0,
+                first_byte_patience=service.first_byte_patience,
             )
             outcome = await self.caller.call(plan, parse_address(str(router.caller)))
             if not outcome.looks_whole:
@@ -455,7 +471,10 @@
 @click.option("--results", type=click.Path(path_type=Path), default=Path("results"), show_default=True)
 @click.option("--logs", type=click.Path(path_type=Path), help="Keep each case's settings, logs and data there.")
 def main(shape: Path, only: tuple[str, ...], times: int, results: Path, logs: Path | None) -> None:
-    """Runs the faults one after the other and writes real-faults.md and .json; exit code 1 after a violation."""
+    """Runs the faults one after the other and writes real-faults.md and .json.
+
+    Exit code 1 after a violation, 2 when a case could not be run.
+    """
     try:
         chosen = open_shape(shape)
     except FleetProblem as problem:
@@ -472,7 +491,9 @@
     results.mkdir(parents=True, exist_ok=True)
     (results / "real-faults.md").write_text(table(reports) + "\n")
     (results / "real-faults.json").write_text(json.dumps(msgspec.to_builtins(reports), indent=1))
-    sys.exit(1 if any(report.violations for report in reports) else 0)
+    if any(report.violations for report in reports):
+        sys.exit(1)
+    sys.exit(2 if any(report.not_run for report in reports) else 0)
 
 
 if __name__ == "__main__":
