A control daemon started on a failing disk waits until the disk heals

Measured: the new test (empty machine, failing disk, healed after 4 s) failed before, passes now: up and ready again.

--- a/wingwood/daemons/control.py
+++ b/wingwood/daemons/control.py
@@ -30,6 +30,8 @@
 from ..transport.messenger import TcpMessenger
 from .process import NotStarted, run_daemon
 
+DISK_RETRY = Seconds(1.0)
+"""Between tries to open the data folder of a full or failing disk at the start."""
 LED_WITHIN = Seconds(3.0)
 """A proof of lead that is older says that nobody leads; above what a take-over costs."""
 
@@ -43,7 +45,7 @@
         self._parts: _Parts | None = None
 
     async def start(self) -> Result[None, NotStarted]:
-        match await open_store(self._context, self._settings.begin_empty_when_damaged):
+        match await open_store(self._context, self._settings.begin_empty_when_damaged, retry_pause=DISK_RETRY):
             case Success((store, contents)):
                 self._parts = _Parts(self._context, self._settings, store, contents)
                 return self._parts.start()
--- a/wingwood/daemons/tests/test_control_ready.py
+++ b/wingwood/daemons/tests/test_control_ready.py
@@ -48,3 +48,26 @@
                     world.restart(name)
             self.assertTrue(world.wait_for(lambda: self.health(last).ready, 12.0))
             self.assertEqual(self.health(last).reasons, ())
+
+    def test_an_empty_one_that_is_started_on_a_failing_disk_waits_until_it_heals(self) -> None:
+        shape = shape_named("demo")
+        with World(1, network_shape(shape)) as world:
+            self.fleet = Fleet(world, shape, supervised=False)
+            self.fleet.start()
+            self.fleet.put_in_force()
+            name = self.fleet.names("control")[-1]
+            process = world.processes[name]
+            world.kill(name)
+            world.wipe(name)
+            process.machine.disk.set_mode("failing")
+            world.run(1.0)
+            world.restart(name)
+            world.run(3.0)
+            self.assertIsNone(process.stopped_because)
+            process.machine.disk.set_mode("well")
+
+            def up() -> bool:
+                return cast(ControlDaemon, self.fleet.daemons[name])._parts is not None
+
+            self.assertTrue(world.wait_for(up, 5.0))
+            self.assertTrue(world.wait_for(lambda: self.health(name).ready, 8.0))
