--- a/wingwood/daemons/tests/test_control_ready.py
+++ b/wingwood/daemons/tests/test_control_ready.py
@@ -58,7 +58,7 @@
             name = self.fleet.names("control")[-1]
             process = world.processes[name]
             world.kill(name)
-            world.wipe(name)
+            world.wipe(process.machine.name)
             process.machine.disk.set_mode("failing")
             world.run(1.0)
             world.restart(name)
