Observer: a call that lay in a frozen worker since before its key's removal is no fault

The calls had been sent before the removal; their bytes lay at the frozen machine, their callers had left, and the worker read them in the moment that it woke. No router can take them back. Ruled out: a router that sent late; the routers named were undisturbed and their callers gone before the bound. The check stays as strict for all else: it passes over a run only if the caller had left by the bound, the router, its machine and the caller's were undisturbed from the sending until a second after that, and the run began within 0.5 s of the end of that worker's freeze.

--- a/simulation/observer.py
+++ b/simulation/observer.py
@@ -292,12 +292,33 @@
             continue
         seen.looked["removed-key-works"] += 1
         late = run.started_at - removed[attempt.key]
-        if late > bound:
+        if late > bound and not _lay_in_a_frozen_worker(seen, attempt, run, removed[attempt.key] + bound):
             text = f"{attempt.mark} ran through {attempt.router} {late:.2f} s after its key's removal was acknowledged"
             found.append(Violation(run.started_at, "removed-key-works", text))
     return found
 
 
+def _lay_in_a_frozen_worker(seen: Seen, attempt: Attempt, run: SeenRun, limit: float) -> bool:
+    """Whether the call was sent by ``limit`` and the worker, frozen since before, read it when it woke.
+
+    The caller had left by ``limit``, and a router that is not disturbed sends nothing for a caller that left.
+    """
+    if attempt.ended_at is None or attempt.ended_at > limit:
+        return False
+    way = seen.with_machines(attempt.router, attempt.caller_machine)
+    if seen.history.disturbed(way, attempt.sent_at, attempt.ended_at + 1.0):
+        return False
+    worker = seen.with_machines(run.worker)
+    return any(
+        fault.kind == "freeze"
+        and worker.intersection(fault.targets)
+        and fault.begun_at <= attempt.ended_at
+        and fault.ended_at is not None
+        and fault.ended_at <= run.started_at <= fault.ended_at + 0.5
+        for fault in seen.history.faults
+    )
+
+
 def _drained_worker_gets_turns(seen: Seen) -> list[Violation]:
     found = []
     for drain in seen.history.drains:
--- a/simulation/tests/test_observer.py
+++ b/simulation/tests/test_observer.py
@@ -185,6 +185,30 @@
     history.orders[1].removed_keys = ("k",)
 
 
+def run_of_removed_key_by_a_worker_that_woke(history: History) -> None:
+    """Sent before the key's removal to a worker frozen until 30; the caller left at 23."""
+    history.orders[1].removed_keys = ("removed",)
+    history.faults = [Fault(kind="freeze", targets=("model-1",), begun_at=20.0, ended_at=30.0)]
+    made = history.calls[1].attempts[0]
+    made.key, made.sent_at, made.ended_at, made.end, made.events = "removed", 20.5, 23.0, "gave-up", []
+    history.runs[1].outcome = "caller-gone"
+
+
+def removed_key_through_a_frozen_router(history: History) -> None:
+    run_of_removed_key_by_a_worker_that_woke(history)
+    history.faults.append(Fault(kind="freeze", targets=("front-1",), begun_at=22.0, ended_at=30.0))
+
+
+def removed_key_of_a_late_call_for_a_frozen_worker(history: History) -> None:
+    run_of_removed_key_by_a_worker_that_woke(history)
+    history.calls[1].attempts[0].sent_at, history.calls[1].attempts[0].ended_at = 26.0, 29.0
+
+
+def removed_key_long_after_the_worker_woke(history: History) -> None:
+    run_of_removed_key_by_a_worker_that_woke(history)
+    history.faults[0].ended_at = 29.0
+
+
 def drained_turn(history: History) -> None:
     history.arrivals.append(arrival_of("x-1/1", at=43.0))
 
@@ -268,6 +292,9 @@
     ("bundle-not-in-force", late_bundle),
     ("bundle-falls-back", fallen_back),
     ("removed-key-works", removed_key),
+    ("removed-key-works", removed_key_through_a_frozen_router),
+    ("removed-key-works", removed_key_of_a_late_call_for_a_frozen_worker),
+    ("removed-key-works", removed_key_long_after_the_worker_woke),
     ("drained-worker-gets-turns", drained_turn),
     ("two-orders-win", both_win),
     ("resent-order-refused", resent_refused),
@@ -289,6 +316,11 @@
     def test_good_history_has_no_violation(self) -> None:
         self.assertEqual(judge(good(), PLACES, Bounds(), END), [])
 
+    def test_what_lay_in_a_frozen_worker_since_before_the_removal_is_no_work_of_a_removed_key(self) -> None:
+        history = good()
+        run_of_removed_key_by_a_worker_that_woke(history)
+        self.assertEqual(judge(history, PLACES, Bounds(), END), [])
+
     def test_each_check_speaks_on_a_history_that_breaks_it(self) -> None:
         for check, spoil in BAD:
             with self.subTest(check=check, spoiled=spoil.__name__):
