--- a/bench/capacity/fits.py
+++ b/bench/capacity/fits.py
@@ -151,6 +151,12 @@
                 "bytes/s of a home per zone",
                 inputs.line("worker zones", "zones", "home_bytes"),
             ),
+            "mesh bytes": (
+                "keepers",
+                "bytes/s of a keeper per keeper",
+                inputs.line("keepers", "keepers", "keeper_bytes"),
+            ),
+            "mesh core": ("keepers", "core of a keeper per keeper", inputs.line("keepers", "keepers", "keeper_core")),
             "members ms": (
                 "members changed",
                 "ms on the loop per router, one change",
--- a/bench/capacity/page.py
+++ b/bench/capacity/page.py
@@ -258,7 +258,8 @@
         "roles": markdown(role_rows(fits)),
         "budget": markdown(control_budget(fits)),
     }
-    for probe, columns in COLUMNS.items():
+    before = {"members changed, before": COLUMNS["members changed"]}
+    for probe, columns in (COLUMNS | before).items():
         about = inputs.about(probe)
         if "failed" in about:
             found[probe] = f"Not measured: {about['failed']}."
@@ -291,13 +292,13 @@
     fits = Fits(Inputs(measured))
     panels = [
         (
-            "members ms",
-            "members changed",
-            "routers",
-            "all_ms",
-            1000.0,
-            "routers",
-            "ms on a router's loop\nfor one change of members",
+            "mesh bytes",
+            "keepers",
+            "keepers",
+            "keeper_bytes",
+            43.0,
+            "session keepers",
+            "bytes/s of a keeper\nfor questions among keepers",
         ),
         (
             "zones bytes",
--- a/bench/capacity/text.py
+++ b/bench/capacity/text.py
@@ -13,7 +13,7 @@
     if size >= 10 ** (digits - 1):
         return f"{value:,.0f}"
     text = f"{value:.{digits}g}"
-    return f"{float(text):.7f}".rstrip("0").rstrip(".") if "e" in text else text
+    return f"{float(text):.10f}".rstrip("0").rstrip(".") if "e" in text else text
 
 
 def with_error(value: float, error: float) -> str:
