Calls that need the ledger are refused at once while it is away

Change: a claim may take three quarters of the patience; once one has found the ledger away, others get 503 ledger-unreachable with Retry-After in that moment, and one call in each half second asks again.

--- a/wingwood/forward/limits.py
+++ b/wingwood/forward/limits.py
@@ -25,6 +25,10 @@
     in_flight: int = 2000
     """Calls under way in one router; above three quarters of it tenants get their weighted shares."""
     ledger_patience: Seconds = Seconds(2.0)
+    ledger_part: float = 0.75
+    """Of the callers' patience; the rest is for the call itself."""
+    ledger_probe: Seconds = Seconds(0.5)
+    """While the ledger is away it is asked this often."""
     head_hold: Seconds = Seconds(0.05)
     """How long a worker's head waits for the first piece, so that a break in between can still be retried."""
     end_hold: Seconds = Seconds(1.0)
--- a/wingwood/forward/policies/at_most_once.py
+++ b/wingwood/forward/policies/at_most_once.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 from ...context.protocols import Context
-from ...identifiers import Seconds
+from ...identifiers import Instant, Seconds
 from ...ledger.protocols import CallKey, Known, Ledger, Unreachable
 from ..caller_format import IDEMPOTENCY_KEY, idempotency_key
 from ..limits import PathLimits
@@ -14,10 +14,20 @@
     "ran": ("the call with this key ran; its answer is not sent again", "ran", None),
     "unknown": ("a call with this key may have run; it will not run again", "unknown", None),
 }
+_LEDGER_AWAY = Refused(
+    status=503,
+    code="ledger-unreachable",
+    reason="the record of calls that may not be repeated can't be reached; this call was not sent",
+    retry_after=Seconds(1.0),
+)
 
 
 class AtMostOncePolicy:
-    """Claims the idempotency key of a call that may not be repeated before it is sent anywhere."""
+    """Claims the idempotency key of a call that may not be repeated before it is sent anywhere.
+
+    While the ledger is away, one call in each half second asks it; the others are refused at once, since
+    waiting out the callers' patience would only keep them from trying later.
+    """
 
     name = "at-most-once"
 
@@ -25,6 +35,9 @@
         self._context = context
         self._ledger = ledger
         self._limits = limits
+        self._away = False
+        """The last claim that came to an end got no answer."""
+        self._next_probe = Instant(0.0)
 
     async def apply(self, call: IncomingCall, proceed: Proceed) -> Answer:
         assert call.service is not None and call.tenant is not None
@@ -38,18 +51,19 @@
                 reason=f"calls of this service need one header {IDEMPOTENCY_KEY} of at most 200 plain characters",
             )
         key = CallKey(call.tenant.name, call.service.name, given)
-        claim = await self._ledger.claim(key, self._limits.ledger_patience)
+        now = self._context.clock.monotonic()
+        if self._away and now < self._next_probe:
+            return _LEDGER_AWAY
+        self._next_probe = Instant(now + self._limits.ledger_probe)
+        patience = self._limits.ledger_part * call.service.first_byte_patience
+        claim = await self._ledger.claim(key, Seconds(min(self._limits.ledger_patience, patience)))
+        self._away = isinstance(claim, Unreachable)
         match claim:
             case Known(known):
                 reason, run, retry_after = _KNOWN[known]
                 return Refused(status=409, code=f"call-{known}", reason=reason, run=run, retry_after=retry_after)
             case Unreachable():
-                return Refused(
-                    status=503,
-                    code="ledger-unreachable",
-                    reason="the record of calls that may not be repeated can't be reached; this call was not sent",
-                    retry_after=Seconds(1.0),
-                )
+                return _LEDGER_AWAY
         call.claimed = True
         state: RunState = "unknown"
         try:
--- /dev/null
+++ b/wingwood/forward/tests/test_unreachable_ledger.py
@@ -0,0 +1,110 @@
+"""Calls that may not be repeated while the ledger cannot be reached (docs/DESIGN.md section 12.4)."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any, cast
+
+import msgspec
+
+from simulation import World
+from wingwood.context.protocols import Context
+
+from ...identifiers import Address, Instant, RequestId, Seconds
+from ...ledger.protocols import CallKey, Claimed, Known, Unreachable
+from ..limits import PathLimits
+from ..policies.at_most_once import AtMostOncePolicy
+from ..protocols import Answer, Forwarded, IncomingCall, Refused
+from .stand_ins import CARDS, bundle_of
+
+HASTY = msgspec.structs.replace(CARDS, first_byte_patience=Seconds(2.0))
+
+
+class AbsentLedger:
+    """Takes as long as it may, then cannot say; until it is ``back``."""
+
+    def __init__(self, context: Context) -> None:
+        self.context = context
+        self.back = False
+        self.claims = 0
+
+    async def claim(self, key: CallKey, timeout: Seconds) -> Claimed | Known | Unreachable:
+        self.claims += 1
+        if self.back:
+            return Claimed("ticket")
+        await self.context.clock.sleep(timeout)
+        return Unreachable("away")
+
+    async def settle(self, key: CallKey, ticket: str, state: str) -> bool:
+        return True
+
+
+class UnreachableLedgerTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.world = self.enterContext(World(1))
+        self.answers: list[tuple[float, Answer]] = []
+
+        async def main(context: Context) -> None:
+            self.context = context
+            self.ledger = AbsentLedger(context)
+            self.policy = AtMostOncePolicy(context, cast(Any, self.ledger), PathLimits())
+
+        self.world.start("r1", main)
+        self.world.run(0.01)
+        self.number = 0
+
+    def call(self) -> None:
+        """One call; its answer and how long that took come into ``answers``."""
+        self.number += 1
+        key = f"key-{self.number}"
+
+        async def run() -> None:
+            now = self.context.clock.monotonic()
+            call = IncomingCall(
+                request=RequestId(key),
+                method="POST",
+                path="/cards",
+                headers=(("Idempotency-Key", key),),
+                body=b"{}",
+                peer=Address("10.0.0.9", 1),
+                arrived=Instant(now),
+                caller=cast(Any, None),
+                service=HASTY,
+                tenant=next(iter(bundle_of().tenants.values())),
+            )
+
+            async def proceed(_: IncomingCall) -> Answer:
+                return Forwarded(200)
+
+            answer = await self.policy.apply(call, proceed)
+            self.answers.append((self.context.clock.monotonic() - now, answer))
+
+        self.world.spawn(self.world.processes["r1"], run(), "call")
+
+    def test_the_first_is_refused_well_within_its_patience_and_later_ones_at_once(self) -> None:
+        self.call()
+        self.world.run(2.1)
+        waited, answer = self.answers.pop()
+        assert isinstance(answer, Refused)
+        self.assertEqual(answer.code, "ledger-unreachable")
+        self.assertLess(waited, 1.6)
+        for _ in range(40):
+            self.call()
+            self.world.run(0.1)
+        self.world.run(2.0)
+        self.assertEqual(len(self.answers), 40)
+        at_once = [waited for waited, _ in self.answers if waited < 0.01]
+        self.assertGreater(len(at_once), 30, "only a probe now and then waits")
+        self.assertTrue(all(isinstance(each, Refused) and each.retry_after for _, each in self.answers))
+
+    def test_service_is_back_soon_after_the_ledger_is(self) -> None:
+        self.call()
+        self.world.run(3.0)
+        self.ledger.back = True
+        self.answers.clear()
+        for _ in range(20):
+            self.call()
+            self.world.run(0.1)
+        served = [isinstance(answer, Forwarded) for _, answer in self.answers]
+        self.assertGreater(sum(served), 12, served)
+        self.assertTrue(all(served[-10:]))
