Capacity: later runs beside the earlier ones; processor figures are good to a factor of two to three

Ruled out: the code. What: the page says so, keeps the later tables beside the earlier, and what it may claim by them.

--- a/bench/capacity/page.py
+++ b/bench/capacity/page.py
@@ -258,8 +258,10 @@
         "roles": markdown(role_rows(fits)),
         "budget": markdown(control_budget(fits)),
     }
-    before = {"members changed, before": COLUMNS["members changed"]}
-    for probe, columns in (COLUMNS | before).items():
+    other = {"members changed, before": COLUMNS["members changed"]}
+    for probe in ("keepers", "messages", "forward streams", "forward calls"):
+        other[f"{probe}, later"] = COLUMNS[probe]
+    for probe, columns in (COLUMNS | other).items():
         about = inputs.about(probe)
         if "failed" in about:
             found[probe] = f"Not measured: {about['failed']}."
