A router that reaches neither control nor a worker says that it is not ready

Change: after 3 s without control a router asks its workers themselves, once a second and 16 at most; when none of any pool answers it is not ready, with the reason. Without workers alone it stays ready: then all routers are alike. Ruled out: waiting for calls to find the workers silent (still ready after 13 s).

--- a/wingwood/daemons/router.py
+++ b/wingwood/daemons/router.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from collections.abc import Mapping, Sequence
 
 from prometheus_client import CollectorRegistry
@@ -35,6 +36,11 @@
 from .process import NotStarted, run_daemon
 from .router_metrics import RouterState
 
+STRANDED_AFTER = Seconds(3.0)
+"""Without a word from control a router looks whether it still reaches any worker."""
+ALONE_ASKS_EVERY = Seconds(1.0)
+ALONE_ASKS = 16
+"""Workers asked at a time while no control daemon answers."""
 WORKERS_WITHIN = Seconds(3.0)
 """A router that has a bundle is ready after this also without having heard of workers: it may have none."""
 
@@ -109,6 +115,7 @@
         self.ledger.start()
         if self._day_file is not None:
             self._day_file.start()
+        self._context.tasks.spawn("workers when alone", self._ask_workers_when_alone())
         return Success(None)
 
     async def drain(self) -> None:
@@ -140,6 +147,8 @@
             reasons.append("no session with a control daemon yet")
         if not (heard := self._has_heard_of_workers()):
             reasons.append("not heard of the workers yet")
+        if stranded := self._is_stranded():
+            reasons.append("neither a control daemon nor a worker can be reached")
         now = self._context.clock.monotonic()
         proven, session = self.follower.proven_newest_at(), self.membership.session_proven_at()
         return HealthReport(
@@ -147,7 +156,7 @@
             role="router",
             zone=self._settings.zone,
             incarnation=self._identity.incarnation,
-            ready=self.path.ready() and heard,
+            ready=self.path.ready() and heard and not stranded,
             reasons=tuple(reasons),
             version=self.follower.version(),
             bundle_proven_age=None if proven is None else Seconds(now - proven),
@@ -174,6 +183,31 @@
             )
         return self._workers_heard
 
+    def _is_stranded(self) -> bool:
+        """Cut off from both sides: callers are served elsewhere, as no worker of any pool answers here.
+
+        Without workers alone a router stays ready: then all routers are alike, and callers need the answer.
+        """
+        return self._is_alone() and not self._ready_workers()
+
+    def _is_alone(self) -> bool:
+        session = self.membership.session_proven_at()
+        return session is not None and self._context.clock.monotonic() - session > STRANDED_AFTER
+
+    def _ready_workers(self) -> list[Worker]:
+        bundle = self.follower.current()
+        pools = {service.pool for service in bundle.services.values()} if bundle is not None else set()
+        return [worker for pool in sorted(pools) for worker in self.registry.ready(pool)]
+
+    async def _ask_workers_when_alone(self) -> None:
+        """Those that do not answer are suspected and leave the ready ones; see ``_is_stranded``."""
+        while True:
+            await self._context.clock.sleep(ALONE_ASKS_EVERY)
+            if self._is_alone():
+                asked = self._ready_workers()
+                chosen = self._context.random.sample(asked, min(ALONE_ASKS, len(asked)))
+                await asyncio.gather(*(self.registry.confirm(worker) for worker in chosen))
+
     def _tenant(self, name: TenantName) -> Tenant | None:
         bundle = self.follower.current()
         return None if bundle is None else bundle.tenants.get(name)
