A fleet whose seeds were all replaced comes back after everything was killed

Ruled out: the core (it had formed again and held version 3). Change: control daemons keep the members' addresses in a file and, after a start, learn each other from it and tell the routers where they are. Harness: a new machine is given living seeds when all old ones are gone; no other settings change.

--- a/simulation/fleet.py
+++ b/simulation/fleet.py
@@ -568,6 +568,10 @@
             if process.machine is old.machine and process.tags.get("role") == "router"
         ]
         seeds = self.settings[name].seeds
+        present = [each.internal for other, each in self.settings.items() if each.role == "control" and other != name]
+        if not set(seeds) & set(present):
+            # Whoever sets up a new machine names daemons that are there; all other settings stay as they are.
+            seeds = (*present[:2], seeds[0])
         machine = self._front_machine(old.machine.zone)
         new_name = self._next_name("control")
         self._forget(name)
--- a/wingwood/daemons/control.py
+++ b/wingwood/daemons/control.py
@@ -20,6 +20,7 @@
 from ..distribution.publisher import BundlePublisher
 from ..identifiers import Address, BundleVersion, Incarnation, Seconds
 from ..ledger.state import LedgerState
+from ..membership.address_book import AddressBook
 from ..membership.keeper import SessionKeeper
 from ..operator_api.orders import OrderRoutes
 from ..operator_api.reading import HealthReport, ReadRoutes
@@ -94,6 +95,7 @@
         self.source = CommittedBundles(self.core, self.state)
         self.publisher = BundlePublisher(context, self.messenger, self.core, self.source, self.keeper)
         self.keeper.tell(self.publisher.news)
+        self.address_book = AddressBook(context, self.messenger, self.keeper)
         self.registry = WorkerRegistry(context, self.messenger, self.keeper, settings)
         self.client = ControlClient(context, self.messenger, self.core.control_addresses)
         self.local_reader = LocalBundleReader(self.state, lambda: self.source.version, self._keeps_bundles)
@@ -120,6 +122,7 @@
         if isinstance(listening := self.operator_server.start(self._settings.operator), Failure):
             return Failure(NotStarted(f"operator address: {listening.failure().detail}"))
         self.keeper.start()
+        self.address_book.start()
         self.core.start()
         self.publisher.start()
         self.registry.start()
@@ -127,6 +130,7 @@
 
     def stop(self) -> None:
         self.publisher.stop()
+        self.address_book.stop()
         self.keeper.stop()
         self.operator_server.stop()
         self.messenger.stop()
--- a/wingwood/membership/client.py
+++ b/wingwood/membership/client.py
@@ -76,6 +76,7 @@
         self._rebalance_at = Instant(0.0)
         self._view = NamedView(self._list)
         messenger.on_call(AskKnownControls, self._on_ask_known_controls)
+        messenger.on_post(KnownControls, self._on_told_controls)
 
     # -- wiring
 
@@ -316,6 +317,12 @@
             self._fellows = known.fellows
         return known
 
+    def _on_told_controls(self, peer: Identity, message: KnownControls) -> None:
+        """From a control daemon that found this one in its address book; the teller counts as newest."""
+        if peer.role == "control":
+            for control in reversed(message.controls):
+                self._note_control(control)
+
     async def _ask_around(self) -> None:
         """No keeper answers: fellow daemons may have heard of control daemons at other addresses."""
         fellows = self.fellows()
--- a/wingwood/membership/keeper.py
+++ b/wingwood/membership/keeper.py
@@ -168,6 +168,10 @@
         """
         return self._heard_of_history or self.settling()
 
+    def learn(self, controls: Sequence[Address]) -> None:
+        """Of control daemons that may be there."""
+        self._learn(list(controls))
+
     def held_versions(self) -> dict[Incarnation, BundleVersion]:
         """Version in force at each daemon that holds its session here, as of its last heartbeat."""
         return {incarnation: session.version for incarnation, session in sorted(self._sessions.items())}
