Take out what nothing calls; the pools of a bundle are worked out in one place

Nothing called StreamScanner.mid_event, SessionKeeper.held_versions (with the field it read) and the alias Fields; the transport's idle bound was never looked at, though the link's page said "closed when idle"; the router worked out a bundle's pools in three places. No behaviour, check or test changed.

--- a/wingwood/context/protocols.py
+++ b/wingwood/context/protocols.py
@@ -9,7 +9,7 @@
 from __future__ import annotations
 
 import random
-from collections.abc import Awaitable, Callable, Coroutine, Mapping, Sequence
+from collections.abc import Awaitable, Callable, Coroutine, Sequence
 from typing import Any, Literal, Protocol
 
 import msgspec
@@ -197,6 +197,3 @@
     random: random.Random
     log: Log
     tasks: Tasks
-
-
-Fields = Mapping[str, object]
--- a/wingwood/daemons/router.py
+++ b/wingwood/daemons/router.py
@@ -16,7 +16,7 @@
 from ..forward.metrics import RequestMetrics
 from ..forward.recording import DayRecorder
 from ..forward.request_path import RequestPath
-from ..identifiers import Address, Incarnation, Instant, Seconds, TenantName
+from ..identifiers import Address, Incarnation, Instant, PoolName, Seconds, TenantName
 from ..ledger.client import RouterLedger
 from ..limits.admission import PatienceAdmission
 from ..limits.retry_budget import ServiceRetryBudget
@@ -169,7 +169,7 @@
         """Follows the workers of all pools from the start, not from a pool's first call on."""
         if self._bundle_since is None:
             self._bundle_since = self._context.clock.monotonic()
-        for pool in sorted({service.pool for service in bundle.services.values()}):
+        for pool in _pools(bundle):
             self.registry.watch(pool)
 
     def _has_heard_of_workers(self) -> bool:
@@ -177,9 +177,8 @@
         bundle = self.follower.current()
         if not self._workers_heard and bundle is not None and self._bundle_since is not None:
             waited = self._context.clock.monotonic() - self._bundle_since
-            pools = {service.pool for service in bundle.services.values()}
             self._workers_heard = waited > WORKERS_WITHIN or all(
-                self.registry.feed_age(pool) < float("inf") for pool in pools
+                self.registry.feed_age(pool) < float("inf") for pool in _pools(bundle)
             )
         return self._workers_heard
 
@@ -196,8 +195,8 @@
 
     def _ready_workers(self) -> list[Worker]:
         bundle = self.follower.current()
-        pools = {service.pool for service in bundle.services.values()} if bundle is not None else set()
-        return [worker for pool in sorted(pools) for worker in self.registry.ready(pool)]
+        pools = () if bundle is None else _pools(bundle)
+        return [worker for pool in pools for worker in self.registry.ready(pool)]
 
     async def _ask_workers_when_alone(self) -> None:
         """Those that do not answer are suspected and leave the ready ones; see ``_is_stranded``."""
@@ -225,6 +224,11 @@
         return self.registry.all_workers()
 
 
+def _pools(bundle: Bundle) -> list[PoolName]:
+    """Of all its services, sorted."""
+    return sorted({service.pool for service in bundle.services.values()})
+
+
 def build(context: Context, settings: DaemonSettings) -> RouterDaemon:
     return RouterDaemon(context, settings)
 
--- a/wingwood/forward/worker_format.py
+++ b/wingwood/forward/worker_format.py
@@ -167,10 +167,6 @@
             start = end + 1
         return Piece(piece[:start], self.events - before)
 
-    def mid_event(self) -> bool:
-        """Whether the bytes so far end inside an event."""
-        return self._line_length > 0 or self._has_data
-
     def _is_one_event(self, piece: bytes) -> bool:
         """The common case, seen without looking at each line: exactly one event of one short or long data line."""
         return (
--- a/wingwood/membership/keeper.py
+++ b/wingwood/membership/keeper.py
@@ -43,7 +43,6 @@
     def __init__(self, identity: Identity, renewed: Instant) -> None:
         self.identity = identity
         self.renewed = renewed
-        self.version = BundleVersion(0)
 
 
 class _Peer:
@@ -172,10 +171,6 @@
         """Of control daemons that may be there."""
         self._learn(list(controls))
 
-    def held_versions(self) -> dict[Incarnation, BundleVersion]:
-        """Version in force at each daemon that holds its session here, as of its last heartbeat."""
-        return {incarnation: session.version for incarnation, session in sorted(self._sessions.items())}
-
     def known_controls(self) -> list[Address]:
         """Control daemons heard of, live ones first."""
         heard = sorted((peer for peer in self._peers.values() if peer.identity is not None), key=_silence)
@@ -223,7 +218,6 @@
             self._supersede(peer)
         session.identity = peer
         session.renewed = max(session.renewed, renewed)
-        session.version = message.version
         if self._own.put(peer):
             self._own_changed()
             self._recount(peer.incarnation)
--- a/wingwood/transport/messenger.py
+++ b/wingwood/transport/messenger.py
@@ -72,12 +72,11 @@
     connect_timeout: Seconds = Seconds(0.5)
     silence: Seconds = Seconds(1.5)
     """A link on which a call has waited this long without any byte coming is closed and made anew."""
-    idle: Seconds = Seconds(60.0)
     retry_pause: Seconds = Seconds(0.1)
 
 
 class _Link:
-    """The outgoing connection to one peer; made when first needed, closed when idle or silent."""
+    """The outgoing connection to one peer; made when first needed, closed when silent."""
 
     def __init__(self, messenger: TcpMessenger, address: Address) -> None:
         self.messenger = messenger
