Bundle model gains hosts, splits, pools, limits and editions for the users' platform

Cause: the platform's routes choose by host and prefix, split calls over services, bound time, attempts and pauses per route, count tenants' quotas in tokens, and number configurations themselves; the model had no place for that. New fields have defaults that keep the meaning of all older slices. Weighed: the platform's items kept as opaque slices and read by each daemon (platform names would have reached the routers); a second bundle format (two of everything). Taken: the product's own slices, with annotations for reading back.

--- a/wingwood/bundle/model.py
+++ b/wingwood/bundle/model.py
@@ -28,6 +28,13 @@
 )
 
 
+class PoolShare(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """One pool of a split service and its part of the calls."""
+
+    pool: PoolName
+    weight: int
+
+
 class Service(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
     """Slice ``service/NAME``: how calls of one kind are treated."""
 
@@ -44,6 +51,24 @@
     """Longest pause between two pieces before the worker counts as dark."""
     retry_share: float = 0.15
     """Tries beyond the first, as a share of the service's calls."""
+    split: tuple[PoolShare, ...] = ()
+    """Pools that share the calls in proportion to their weights; empty: all calls go to ``pool``."""
+    latency_objective: Seconds | None = None
+    """A first piece (stream) or whole answer within this is on time; None: no objective is set."""
+    longest_pause: Seconds | None = None
+    """Longest pause between two pieces of a stream that is still on time."""
+    attempts: int = 4
+    """Most workers to which one call may be sent."""
+    urgency: int = 5
+    """0 goes first, 9 last; a tenant's priority class may set another."""
+    resumable: bool = False
+    """A broken stream may be continued at another worker after the last whole event."""
+    idempotency_keys: bool = True
+    """Calls that may not be repeated carry an idempotency key, which the ledger claims.
+
+    False: callers send none. Each call is then sent to a worker at most once by this fleet, and a
+    caller's own repetition is another call.
+    """
 
 
 class Route(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -53,6 +78,56 @@
     path_prefix: str
     service: ServiceName
     methods: tuple[str, ...] = ("POST",)
+    host: str = ""
+    """Lower-case host name that callers ask for; empty: any host for which no other route stands."""
+    needs_key: bool = True
+    """False: callers without a key are taken too, and belong to no tenant."""
+    position: int = 0
+    """Place among the operator's routes, for reading back in the same order."""
+    annotations: dict[str, Any] = {}
+    """What the operator's own tools keep with it; daemons only give it back."""
+
+
+class Engine(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """What is known beforehand of the model engines of a pool's workers."""
+
+    slots: int
+    """Calls that one worker runs side by side."""
+    cache_tokens: int
+    """KV cache of one worker, shared by running calls and kept prefixes."""
+    tokens_per_event: int = 1
+    """Generated tokens that one event of a stream holds."""
+
+
+class Pool(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Slice ``pool/NAME``: what is true of all workers of one pool. A bundle declares all of its pools or none."""
+
+    name: PoolName
+    connections: int = 0
+    """Most connections that one worker takes from all routers together; 0: no bound is known."""
+    health_path: str = "/health"
+    engine: Engine | None = None
+    position: int = 0
+    annotations: dict[str, Any] = {}
+
+
+class CallerLimits(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Slice ``limits/callers``: what callers may send and how long they may take or rest."""
+
+    name: str = "callers"
+    head_bytes: int = 32 * 1024
+    body_bytes: int = 4 * 1024 * 1024
+    head_time: Seconds = Seconds(10.0)
+    idle: Seconds = Seconds(75.0)
+    annotations: dict[str, Any] = {}
+
+
+class Edition(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
+    """Slice ``edition/operator``: the number that the operator gave to this bundle, beside the fleet's own version."""
+
+    name: str = "operator"
+    number: int = 0
+    annotations: dict[str, Any] = {}
 
 
 class PriorityClass(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -60,6 +135,8 @@
 
     name: ClassName
     weight: float = 1.0
+    urgency: int | None = None
+    """In place of the service's, when given; 0 goes first, 9 last."""
 
 
 class Tenant(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -68,12 +145,20 @@
     name: TenantName
     priority_class: ClassName
     paid_rate: float
-    """Calls per second over the whole fleet that it has paid for."""
+    """Calls (or tokens, see ``unit``) per second over the whole fleet that it has paid for."""
     burst: Seconds = Seconds(1.0)
     """How many seconds' worth of unused share it may save up."""
     keys: tuple[KeyDigest, ...] = ()
     services: tuple[ServiceName, ...] = ()
     """Which services it may call; empty means all."""
+    limited: bool = True
+    """False: ``paid_rate`` does not count and nothing is refused."""
+    unit: Literal["calls", "tokens"] = "calls"
+    """What ``paid_rate`` counts."""
+    plain_tokens: int = 1
+    """What a call that tells no token counts costs, where ``unit`` is ``tokens``."""
+    position: int = 0
+    annotations: dict[str, Any] = {}
 
 
 class RolloutChange(msgspec.Struct, frozen=True, kw_only=True, forbid_unknown_fields=True):
@@ -142,6 +227,9 @@
     rollouts: Mapping[str, Rollout] = msgspec.field(default_factory=dict)
     plain: Bundle | None = None
     """Without any variant chosen; None where this is it."""
+    pools: Mapping[PoolName, Pool] = msgspec.field(default_factory=dict)
+    caller_limits: CallerLimits | None = None
+    edition: Edition | None = None
 
     @property
     def version(self) -> BundleVersion:
@@ -160,6 +248,23 @@
     whole: bool = False
 
 
+class EditionChange(msgspec.Struct, frozen=True, kw_only=True):
+    """An order on the operator's own numbers: control makes the manifest and signs it.
+
+    ``order`` is the same whenever the same order is sent again, and differs between orders.
+    """
+
+    order: OrderId
+    base: int
+    """Edition on which it builds; 0: there is none yet."""
+    number: int
+    """Its own edition, above the base."""
+    changed: dict[SliceName, bytes]
+    removed: tuple[SliceName, ...] = ()
+    whole: bool = False
+    """``changed`` is everything and nothing else remains."""
+
+
 class OrderOutcome(msgspec.Struct, frozen=True, kw_only=True):
     """The first outcome of an order, given again to each resending."""
 
--- a/wingwood/placement/protocols.py
+++ b/wingwood/placement/protocols.py
@@ -9,10 +9,17 @@
 from returns.result import Result
 
 from ..bundle.model import Service
-from ..identifiers import RequestId, Seconds, SessionId, TenantName, WorkerInstance
+from ..identifiers import Instant, RequestId, Seconds, SessionId, TenantName, WorkerInstance
 from ..registry.protocols import Worker
 
 
+class PromptPart(msgspec.Struct, frozen=True):
+    """One part of a prompt; the same id is the same text wherever all parts before it are the same too."""
+
+    part: str
+    tokens: int
+
+
 class Turn(msgspec.Struct, frozen=True, kw_only=True):
     """One call, as far as its placement is concerned."""
 
@@ -24,7 +31,15 @@
     prefix: tuple[str, ...]
     """Parts of the ``Prefix`` header, shared parts first; the last is the session id; empty without a header."""
     prompt_tokens: int
-    """Estimated from the body's length."""
+    """Told by the caller, else estimated from the body's length."""
+    parts: tuple[PromptPart, ...] = ()
+    """The parts of ``prefix`` with their sizes, where callers tell them."""
+    generate_tokens: int = 0
+    """Most tokens that the answer may have, where callers tell it."""
+    urgency: int = 5
+    """0 goes first, 9 last."""
+    deadline: Instant | None = None
+    """When the caller gives the call up."""
 
     @property
     def session(self) -> SessionId | None:
--- a/wingwood/registry/protocols.py
+++ b/wingwood/registry/protocols.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from ..identifiers import Address, PoolName, WorkerInstance, Zone
+from ..identifiers import Address, PoolName, Seconds, WorkerInstance, Zone
 
 
 class WorkerLoad(msgspec.Struct, frozen=True):
@@ -32,6 +32,12 @@
     state: Literal["ready", "draining", "gone"] = "ready"
     """Draining and gone are final for an instance."""
     load: WorkerLoad | None = None
+    software: str = ""
+    """Version of the worker's program."""
+    weights: int | None = None
+    """Version of the model weights that it serves, where it tells one."""
+    cold_left: Seconds = Seconds(0.0)
+    """How much longer after its announcement it runs slower, as it told at its start."""
 
 
 class Registry(Protocol):
