--- a/wingwood/daemons/control.py
+++ b/wingwood/daemons/control.py
@@ -29,6 +29,7 @@
 from ..settings.model import DaemonSettings
 from ..transport.frames import Identity
 from ..transport.messenger import TcpMessenger
+from .dialect import ControlDialect
 from .process import NotStarted, run_daemon
 
 DISK_RETRY = Seconds(1.0)
@@ -40,15 +41,16 @@
 class ControlDaemon:
     """Its parts are made in ``start``, once the data folder has told which incarnation this is."""
 
-    def __init__(self, context: Context, settings: DaemonSettings) -> None:
+    def __init__(self, context: Context, settings: DaemonSettings, dialect: ControlDialect | None = None) -> None:
         self._context = context
         self._settings = settings
-        self._parts: _Parts | None = None
+        self._dialect = dialect or ControlDialect()
+        self._parts: ControlParts | None = None
 
     async def start(self) -> Result[None, NotStarted]:
         match await open_store(self._context, self._settings.begin_empty_when_damaged, retry_pause=DISK_RETRY):
             case Success((store, contents)):
-                self._parts = _Parts(self._context, self._settings, store, contents)
+                self._parts = ControlParts(self._context, self._settings, store, contents, self._dialect)
                 return self._parts.start()
             case Failure(fault):
                 return Failure(NotStarted(fault.detail))
@@ -64,8 +66,17 @@
             self._parts.stop()
 
 
-class _Parts:
-    def __init__(self, context: Context, settings: DaemonSettings, store: ControlStore, contents: Contents) -> None:
+class ControlParts:
+    """The slices of one control daemon, over its opened data folder."""
+
+    def __init__(
+        self,
+        context: Context,
+        settings: DaemonSettings,
+        store: ControlStore,
+        contents: Contents,
+        dialect: ControlDialect,
+    ) -> None:
         self._context = context
         self._settings = settings
         self._identity = Identity(
@@ -115,6 +126,7 @@
             health=self.health,
             metrics=self.metrics,
         ).add_to(self.operator_server)
+        dialect.add_routes(self, self.operator_server)
 
     def start(self) -> Result[None, NotStarted]:
         if isinstance(listening := self.messenger.start(), Failure):
@@ -207,6 +219,6 @@
     return ControlDaemon(context, settings)
 
 
-def run(settings: DaemonSettings) -> int:
+def run(settings: DaemonSettings, dialect: ControlDialect | None = None) -> int:
     """The process ``wingwood control``; returns its exit code."""
-    return run_daemon(settings, build)
+    return run_daemon(settings, lambda context, given: ControlDaemon(context, given, dialect))
--- a/wingwood/daemons/router.py
+++ b/wingwood/daemons/router.py
@@ -33,6 +33,7 @@
 from ..transport.frames import Identity
 from ..transport.messenger import TcpMessenger
 from .day_file import DayFile
+from .dialect import RouterDialect
 from .process import NotStarted, run_daemon
 from .router_metrics import RouterState
 
@@ -46,7 +47,8 @@
 
 
 class RouterDaemon:
-    def __init__(self, context: Context, settings: DaemonSettings) -> None:
+    def __init__(self, context: Context, settings: DaemonSettings, dialect: RouterDialect | None = None) -> None:
+        dialect = dialect or RouterDialect()
         self._context = context
         self._settings = settings
         self._identity = Identity(
@@ -94,6 +96,7 @@
             health=self.health,
             metrics=self.metrics,
         ).add_to(self.operator_server)
+        dialect.add_routes(self, self.operator_server)
         RouterState(self.health, self._placed, self.ledger.unsettled).add_to(self.metrics)
         self._stopping = False
         self._workers_heard = False
@@ -233,6 +236,6 @@
     return RouterDaemon(context, settings)
 
 
-def run(settings: DaemonSettings) -> int:
+def run(settings: DaemonSettings, dialect: RouterDialect | None = None) -> int:
     """The process ``wingwood router``; returns its exit code."""
-    return run_daemon(settings, build)
+    return run_daemon(settings, lambda context, given: RouterDaemon(context, given, dialect))
