--- a/tests_runner.py
+++ b/tests_runner.py
@@ -30,9 +30,9 @@
     single: list[list[str]] = []
     modules: list[list[str]] = []
     for path in sorted(ROOT.glob("*/**/tests/test_*.py")):
-        if ".venv" in path.parts:
+        if not {".venv", "target"}.isdisjoint(path.parts):
             continue
-        name = ".".join(path.relative_to(ROOT).with_suffix("").parts)
+        name = module_name(path)
         if only and only not in name:
             continue
         text = path.read_text()
@@ -45,6 +45,12 @@
     return single + modules
 
 
+def module_name(path: Path) -> str:
+    """The folder platform/ is imported under another name (docs/PLATFORM.md section 2)."""
+    folder, *rest = path.relative_to(ROOT).with_suffix("").parts
+    return ".".join(["wingwood_platform" if folder == "platform" else folder, *rest])
+
+
 def flatten(suite: unittest.TestSuite) -> list[unittest.TestCase]:
     found: list[unittest.TestCase] = []
     for part in suite:
--- a/wingwood/daemons/control.py
+++ b/wingwood/daemons/control.py
@@ -30,7 +30,7 @@
 from ..transport.frames import Identity
 from ..transport.messenger import TcpMessenger
 from .dialect import ControlDialect
-from .process import NotStarted, run_daemon
+from .process import NotStarted, Reread, run_daemon
 
 DISK_RETRY = Seconds(1.0)
 """Between tries to open the data folder of a full or failing disk at the start."""
@@ -65,6 +65,10 @@
         if self._parts is not None:
             self._parts.stop()
 
+    def settings_changed(self, settings: DaemonSettings) -> None:
+        if self._parts is not None:
+            self._parts.keeper.use_seeds(settings.seeds)
+
 
 class ControlParts:
     """The slices of one control daemon, over its opened data folder."""
@@ -219,6 +223,6 @@
     return ControlDaemon(context, settings)
 
 
-def run(settings: DaemonSettings, dialect: ControlDialect | None = None) -> int:
+def run(settings: DaemonSettings, dialect: ControlDialect | None = None, reread: Reread | None = None) -> int:
     """The process ``wingwood control``; returns its exit code."""
-    return run_daemon(settings, lambda context, given: ControlDaemon(context, given, dialect))
+    return run_daemon(settings, lambda context, given: ControlDaemon(context, given, dialect), reread)
--- a/wingwood/daemons/process.py
+++ b/wingwood/daemons/process.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import random
 import signal
 import sys
@@ -11,7 +12,7 @@
 from typing import Protocol
 
 import msgspec
-from returns.result import Failure, Result
+from returns.result import Failure, Result, Success
 
 from ..context.curl_client import CurlHttpClient
 from ..context.logs import EliotLog
@@ -19,11 +20,13 @@
 from ..context.protocols import Context, Disk
 from ..context.real import RealClock, RealDisk, RealNetwork, RealTasks
 from ..identifiers import Seconds
+from ..settings.load import SettingsProblem
 from ..settings.model import DaemonSettings
 
 EXIT_STOPPED = 0
 EXIT_NOT_STARTED = 3
 EXIT_BROKEN = 4
+REREAD_EVERY = Seconds(2.0)
 
 
 class NotStarted(msgspec.Struct, frozen=True):
@@ -46,6 +49,14 @@
         """Closes everything now."""
         ...
 
+    def settings_changed(self, settings: DaemonSettings) -> None:
+        """The settings file was written anew: takes over what may change in a running daemon, its seeds."""
+        ...
+
+
+Reread = Callable[[], Result[DaemonSettings, SettingsProblem]]
+"""Reads the settings once more from where they came from."""
+
 
 def real_context(settings: DaemonSettings, stop: Callable[[str], None]) -> Context:
     log = EliotLog(settings.name)
@@ -61,12 +72,19 @@
     )
 
 
-def run_daemon(settings: DaemonSettings, build: Callable[[Context, DaemonSettings], Daemon]) -> int:
-    """Runs until SIGTERM or SIGINT (drains, exit 0), or a broken invariant (exit 4); 3 when it cannot start."""
-    return asyncio.run(_run(settings, build))
+def run_daemon(
+    settings: DaemonSettings, build: Callable[[Context, DaemonSettings], Daemon], reread: Reread | None = None
+) -> int:
+    """Runs until SIGTERM or SIGINT (drains, exit 0), or a broken invariant (exit 4); 3 when it cannot start.
 
+    With ``reread`` the settings are looked at again on SIGHUP and every ``REREAD_EVERY`` seconds.
+    """
+    return asyncio.run(_run(settings, build, reread))
 
-async def _run(settings: DaemonSettings, build: Callable[[Context, DaemonSettings], Daemon]) -> int:
+
+async def _run(
+    settings: DaemonSettings, build: Callable[[Context, DaemonSettings], Daemon], reread: Reread | None
+) -> int:
     wanted_stop = asyncio.Event()
     broken: list[str] = []
 
@@ -85,6 +103,10 @@
     loop = asyncio.get_running_loop()
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, wanted_stop.set)
+    hung_up = asyncio.Event()
+    loop.add_signal_handler(signal.SIGHUP, hung_up.set)
+    if reread is not None:
+        context.tasks.spawn("settings", follow_settings(context, settings, reread, hung_up, daemon))
     context.log.event("started", role=settings.role, zone=settings.zone, internal=settings.internal)
     await wanted_stop.wait()
     if broken:
@@ -100,3 +122,21 @@
     daemon.stop()
     context.log.event("stopped", reason="asked to")
     return EXIT_STOPPED
+
+
+async def follow_settings(
+    context: Context, settings: DaemonSettings, reread: Reread, hung_up: asyncio.Event, daemon: Daemon
+) -> None:
+    """Hands changed settings to the daemon; unreadable ones are logged, and those before stay in force."""
+    while True:
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(REREAD_EVERY):
+                await hung_up.wait()
+        hung_up.clear()
+        match reread():
+            case Success(read) if read != settings:
+                settings = read
+                context.log.event("settings-changed", seeds=" ".join(map(str, read.seeds)))
+                daemon.settings_changed(read)
+            case Failure(problem):
+                context.log.event("settings-unreadable", problem=problem)
--- a/wingwood/daemons/router.py
+++ b/wingwood/daemons/router.py
@@ -34,7 +34,7 @@
 from ..transport.messenger import TcpMessenger
 from .day_file import DayFile
 from .dialect import RouterDialect
-from .process import NotStarted, run_daemon
+from .process import NotStarted, Reread, run_daemon
 from .router_metrics import RouterState
 
 STRANDED_AFTER = Seconds(3.0)
@@ -137,6 +137,9 @@
         self.operator_server.stop()
         self.messenger.stop()
 
+    def settings_changed(self, settings: DaemonSettings) -> None:
+        self.membership.use_seeds(settings.seeds)
+
     def health(self) -> HealthReport:
         reasons = []
         if self._stopping:
@@ -236,6 +239,6 @@
     return RouterDaemon(context, settings)
 
 
-def run(settings: DaemonSettings, dialect: RouterDialect | None = None) -> int:
+def run(settings: DaemonSettings, dialect: RouterDialect | None = None, reread: Reread | None = None) -> int:
     """The process ``wingwood router``; returns its exit code."""
-    return run_daemon(settings, lambda context, given: RouterDaemon(context, given, dialect))
+    return run_daemon(settings, lambda context, given: RouterDaemon(context, given, dialect), reread)
--- a/wingwood/membership/client.py
+++ b/wingwood/membership/client.py
@@ -92,6 +92,10 @@
         """Called when an answer says that others have seen this daemon leave since the last one."""
         self._lost_callbacks.append(callback)
 
+    def use_seeds(self, seeds: Sequence[Address]) -> None:
+        """Other addresses to begin with; what was learnt since the start stays known."""
+        self._seeds = tuple(seeds)
+
     def start(self) -> None:
         self._rebalance_at = Instant(self._context.clock.monotonic() + self._times.rebalance)
         self._task = self._context.tasks.spawn("membership session", self._hold_session_forever())
--- a/wingwood/membership/keeper.py
+++ b/wingwood/membership/keeper.py
@@ -176,6 +176,10 @@
         heard = sorted((peer for peer in self._peers.values() if peer.identity is not None), key=_silence)
         return list(dict.fromkeys([self._own_identity.internal, *(peer.address for peer in heard)]))
 
+    def use_seeds(self, seeds: Sequence[Address]) -> None:
+        """Other addresses to look for fellows at; those already known stay known."""
+        self._seeds = tuple(seeds)
+
     # -- answers to daemons
 
     async def _on_heartbeat(self, peer: Identity, message: Heartbeat) -> HeartbeatAnswer:
