Operators' source files know the new fields; seat of a silent control member after 2.2 s

The source now knows each new field and the kinds pool and limits; tables are written as TOML, null fields are left out. One literal in a test gained 'urgency: null', since all defaults are written into slices.

--- a/wingwood/command_line/source.py
+++ b/wingwood/command_line/source.py
@@ -12,18 +12,20 @@
 from returns.result import Failure
 
 from ..bundle.canonical import canonical_json, root_digest, slice_digest
-from ..bundle.model import Bundle, PriorityClass, Route, Service, Tenant
+from ..bundle.model import Bundle, CallerLimits, Engine, Pool, PoolShare, PriorityClass, Route, Service, Tenant
 from ..bundle.parse import empty_bundle, parse_bundle
 from ..identifiers import SliceName
 from .output import Problem
 
 Slices = dict[SliceName, bytes]
 
-KINDS: Mapping[str, type[Service | Route | PriorityClass | Tenant]] = {
+KINDS: Mapping[str, type[Service | Route | PriorityClass | Tenant | Pool | CallerLimits]] = {
     "service": Service,
     "route": Route,
     "class": PriorityClass,
     "tenant": Tenant,
+    "pool": Pool,
+    "limits": CallerLimits,
 }
 
 
@@ -33,6 +35,12 @@
     return float(value)
 
 
+def _whole(value: Any) -> int:
+    if type(value) is not int:
+        raise voluptuous.Invalid("expected a whole number")
+    return value
+
+
 def _yes_no(value: Any) -> bool:
     if not isinstance(value, bool):
         raise voluptuous.Invalid("expected true or false")
@@ -51,27 +59,66 @@
     return tuple(value)
 
 
-def _kind(value: Any) -> str:
-    allowed = get_args(next(each.type for each in msgspec.structs.fields(Service) if each.name == "kind"))
-    if value not in allowed:
-        raise voluptuous.Invalid(f"expected one of {', '.join(allowed)}")
-    return str(value)
+def _one_of(part: type[Service | Tenant], field: str) -> Callable[[Any], str]:
+    allowed = get_args(next(each.type for each in msgspec.structs.fields(part) if each.name == field))
+
+    def check(value: Any) -> str:
+        if value not in allowed:
+            raise voluptuous.Invalid(f"expected one of {', '.join(allowed)}")
+        return str(value)
+
+    return check
+
+
+def _maybe(check: Callable[[Any], Any]) -> Callable[[Any], Any]:
+    return lambda value: None if value is None else check(value)
+
+
+def _struct(part: Any) -> Callable[[Any], Any]:
+    """A table, or a list of them where ``part`` is a tuple type."""
+
+    def check(value: Any) -> Any:
+        try:
+            return msgspec.convert(value, type=part)
+        except msgspec.ValidationError as problem:
+            raise voluptuous.Invalid(str(problem)) from None
+
+    return check
+
+
+_ANNOTATIONS = _struct(dict[str, Any])
 
 
 FIELDS: Mapping[str, Mapping[str, Callable[[Any], Any]]] = {
     "service": {
         "name": _text,
         "pool": _text,
-        "kind": _kind,
+        "kind": _one_of(Service, "kind"),
         "repeatable": _yes_no,
         "streaming": _yes_no,
         "deadline": _number,
         "first_byte_patience": _number,
         "silence_patience": _number,
         "retry_share": _number,
+        "split": _struct(tuple[PoolShare, ...]),
+        "latency_objective": _maybe(_number),
+        "longest_pause": _maybe(_number),
+        "attempts": _whole,
+        "urgency": _whole,
+        "resumable": _yes_no,
+        "idempotency_keys": _yes_no,
+    },
+    "route": {
+        "name": _text,
+        "path_prefix": _text,
+        "service": _text,
+        "methods": _texts,
+        "host": _text,
+        "needs_key": _yes_no,
+        "position": _whole,
+        "annotations": _ANNOTATIONS,
     },
-    "route": {"name": _text, "path_prefix": _text, "service": _text, "methods": _texts},
-    "class": {"name": _text, "weight": _number},
+    "class": {"name": _text, "weight": _number, "urgency": _maybe(_whole)},
     "tenant": {
         "name": _text,
         "priority_class": _text,
@@ -79,6 +126,27 @@
         "burst": _number,
         "keys": _texts,
         "services": _texts,
+        "limited": _yes_no,
+        "unit": _one_of(Tenant, "unit"),
+        "plain_tokens": _whole,
+        "position": _whole,
+        "annotations": _ANNOTATIONS,
+    },
+    "pool": {
+        "name": _text,
+        "connections": _whole,
+        "health_path": _text,
+        "engine": _maybe(_struct(Engine)),
+        "position": _whole,
+        "annotations": _ANNOTATIONS,
+    },
+    "limits": {
+        "name": _text,
+        "head_bytes": _whole,
+        "body_bytes": _whole,
+        "head_time": _number,
+        "idle": _number,
+        "annotations": _ANNOTATIONS,
     },
 }
 
@@ -181,6 +249,20 @@
             fields = msgspec.json.decode(slices[name], type=dict[str, object])
             del fields["name"]
             title = name.partition("/")[2]
-            lines = [f"{field} = {msgspec.json.encode(value).decode()}" for field, value in fields.items()]
+            lines = [f"{field} = {_toml(value)}" for field, value in fields.items() if value is not None]
             blocks.append("\n".join([f'[{kind}."{title}"]', *lines]))
     return "\n\n".join(blocks) + "\n"
+
+
+def _toml(value: object) -> str:
+    """A value on one line. TOML has no null: fields without a value are left out."""
+    if isinstance(value, dict):
+        fields = (f"{_quoted(str(key))} = {_toml(each)}" for key, each in value.items() if each is not None)
+        return f"{{ {', '.join(fields)} }}" if value else "{}"
+    if isinstance(value, list):
+        return f"[{', '.join(_toml(each) for each in value)}]"
+    return _quoted(value)
+
+
+def _quoted(value: object) -> str:
+    return msgspec.json.encode(value).decode()
--- a/wingwood/command_line/tests/test_command_line.py
+++ b/wingwood/command_line/tests/test_command_line.py
@@ -376,7 +376,7 @@
         self.run_("bundle", "change", "--file", part, *self.signed)
         self.run_("bundle", "change", "--set", "class/gold@zone=b.weight=8", *self.signed)
         slices = self.fleet.state.slices_at(BundleVersion(3)) or {}
-        self.assertEqual(slices[SliceName("class/gold@zone=b")], b'{"name":"gold","weight":8.0}')
+        self.assertEqual(slices[SliceName("class/gold@zone=b")], b'{"name":"gold","urgency":null,"weight":8.0}')
         self.assertNotIn(b"8.0", slices[SliceName("class/gold")])
         source = self.write("back.toml", self.run_("bundle", "show", "--toml", *self.fleet.to).output)
         self.assertEqual(read_source(Path(source)), slices)
--- a/wingwood/control/limits.py
+++ b/wingwood/control/limits.py
@@ -20,7 +20,7 @@
     """A primary heard within this counts as heard when another asks."""
     member_silent: Seconds = Seconds(0.9)
     """A backup silent for this long is passed over for another."""
-    member_gone: Seconds = Seconds(4.0)
+    member_gone: Seconds = Seconds(2.2)
     """A member silent or sick for this long gives its seat to a live spare."""
     spare_silent: Seconds = Seconds(1.5)
     lead_unconfirmed: Seconds = Seconds(1.2)
