Bundles: pools, limits and editions are read and checked; routes are found by host and path parts

Cause: the users' platform has hundreds of routes over several hosts, splits calls over pools, counts tokens and numbers its own configurations; the reader knew none of these slices, and a call's route was found by a scan of all routes, which also never reached the second of two routes that share a prefix with other methods. Now: pool/NAME, limits/callers and edition/operator are read, checked by name and indexed; a bundle declares all of its pools or none; RouteIndex (one table per host) finds the longest prefix with one or two look-ups per slash, is changed by what changed, and refuses routes that take the same calls. Variants may not change host, needs_key, resumable and idempotency_keys: callers may retry at a router with another variant.

--- a/wingwood/bundle/canonical.py
+++ b/wingwood/bundle/canonical.py
@@ -9,12 +9,16 @@
 import msgspec
 
 from ..identifiers import Digest, SliceName
+from .gradual import Steps, at_once
 
 _encoder = msgspec.json.Encoder(order="sorted")
 
 NAME_PATTERN = r"[a-z0-9][a-z0-9._-]{0,63}"
-SLICE_NAME = re.compile(rf"(service|route|class|tenant|rollout)/({NAME_PATTERN})(?:@([a-z]+=[a-z0-9._-]{{1,64}}))?")
+SLICE_NAME = re.compile(
+    rf"(service|route|class|tenant|rollout|pool|limits|edition)/({NAME_PATTERN})(?:@([a-z]+=[a-z0-9._-]{{1,64}}))?"
+)
 """Kind, bare name, and for a variant (section 19) whom it is for."""
+STEP_NAMES = 2_000
 EMPTY_ROOT = Digest(hashlib.sha256(b"").hexdigest())
 
 
@@ -38,5 +42,16 @@
 
 def root_digest(digests: Mapping[SliceName, Digest]) -> Digest:
     """Hex SHA-256 over the lines ``NAME DIGEST``, sorted by name. Names hold neither spaces nor line ends."""
-    lines = "".join([f"{name} {digests[name]}\n" for name in sorted(digests)])
-    return Digest(hashlib.sha256(lines.encode()).hexdigest())
+    return at_once(root_digest_steps(digests))
+
+
+def root_digest_steps(digests: Mapping[SliceName, Digest]) -> Steps[Digest]:
+    """As ``root_digest``."""
+    root = hashlib.sha256()
+    names = sorted(digests)
+    for start in range(0, len(names), STEP_NAMES):
+        if start:
+            yield
+        lines = "".join([f"{name} {digests[name]}\n" for name in names[start : start + STEP_NAMES]])
+        root.update(lines.encode())
+    return Digest(root.hexdigest())
--- a/wingwood/bundle/model.py
+++ b/wingwood/bundle/model.py
@@ -26,6 +26,7 @@
     TenantName,
     WallTime,
 )
+from .route_index import RouteIndex
 
 
 class PoolShare(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
@@ -230,11 +231,26 @@
     pools: Mapping[PoolName, Pool] = msgspec.field(default_factory=dict)
     caller_limits: CallerLimits | None = None
     edition: Edition | None = None
+    route_index: RouteIndex = msgspec.field(default_factory=RouteIndex)
+    """Over ``routes``; made from them where it is not given."""
+
+    def __post_init__(self) -> None:
+        if self.routes and self.route_index.is_empty():
+            msgspec.structs.force_setattr(self, "route_index", RouteIndex.of(self.routes))
 
     @property
     def version(self) -> BundleVersion:
         return self.manifest.version
 
+    def find_route(self, host: str, path: str, method: str) -> Route | None:
+        """The route of a call: of the longest prefix, for its host before any host, in time O(parts of the path).
+
+        ``host`` as callers send it, with or without a port. Where routes stand at that prefix but none takes the
+        method, one of them is given: its ``methods`` lack it. A prefix ends where a part of the path does.
+        """
+        found = self.route_index.find(host, path)
+        return next((route for route in found if method in route.methods), found[0] if found else None)
+
 
 class Order(msgspec.Struct, frozen=True, kw_only=True):
     """What an operator sends: the signed manifest of the result, and what differs from the base.
@@ -251,7 +267,8 @@
 class EditionChange(msgspec.Struct, frozen=True, kw_only=True):
     """An order on the operator's own numbers: control makes the manifest and signs it.
 
-    ``order`` is the same whenever the same order is sent again, and differs between orders.
+    ``order`` is the same whenever the same order is sent again, and differs between orders. The slice of the
+    edition itself may stand in ``changed``, with this ``number``, for the sake of its annotations.
     """
 
     order: OrderId
@@ -273,6 +290,19 @@
     version: BundleVersion
     """The accepted version; for a conflict the version that is newest."""
     reason: str = ""
+    edition: int = 0
+    """Of an ``EditionChange``: the accepted edition; for a conflict the one that is newest."""
+
+
+class EditionStanding(msgspec.Struct, frozen=True, kw_only=True):
+    """Where the operator's numbers stand, as the primary knows it."""
+
+    number: int
+    """Newest edition; 0: there is none yet."""
+    version: BundleVersion
+    """Newest version; the edition's content is the one of this version."""
+    outcome: OrderOutcome | None = None
+    """Of the order asked about, when it was accepted."""
 
 
 class BundleDelta(msgspec.Struct, frozen=True, kw_only=True):
--- a/wingwood/bundle/state.py
+++ b/wingwood/bundle/state.py
@@ -338,7 +338,8 @@
         return next((entry for entry in reversed(self._past[name]) if entry[0] <= version), (BundleVersion(0), None))
 
     def _slices(self) -> dict[SliceName, bytes]:
-        return {name: past[-1][1] for name, past in sorted(self._past.items()) if past[-1][1] is not None}
+        newest = {name: self._past[name][-1][1] for name in sorted(self._past)}
+        return {name: data for name, data in newest.items() if data is not None}
 
     def slices_at(self, version: BundleVersion) -> dict[SliceName, bytes] | None:
         """All slices of a version that is still kept, by sorted name; None otherwise."""
@@ -346,6 +347,8 @@
             return {}
         if version not in self._manifests:
             return None
+        if version == self._version:
+            return self._slices()
         found = ((name, self._content_at(name, version)[1]) for name in sorted(self._past))
         return {name: data for name, data in found if data is not None}
 
--- a/wingwood/bundle/tests/samples.py
+++ b/wingwood/bundle/tests/samples.py
@@ -21,7 +21,17 @@
     WallTime,
 )
 from ..canonical import canonical_json
-from ..model import Order, OrderOutcome, PriorityClass, Route, Service, Tenant
+from ..model import (
+    CallerLimits,
+    Edition,
+    Order,
+    OrderOutcome,
+    Pool,
+    PriorityClass,
+    Route,
+    Service,
+    Tenant,
+)
 from ..orders import make_order
 from ..signing import public_hex
 from ..state import BundleState
@@ -59,8 +69,19 @@
     return dict(slice_of(part) for part in parts)
 
 
-def slice_of(part: Service | Route | PriorityClass | Tenant) -> tuple[SliceName, bytes]:
-    kinds = {Service: "service", Route: "route", PriorityClass: "class", Tenant: "tenant"}
+SlicePart = Service | Route | PriorityClass | Tenant | Pool | CallerLimits | Edition
+
+
+def slice_of(part: SlicePart) -> tuple[SliceName, bytes]:
+    kinds = {
+        Service: "service",
+        Route: "route",
+        PriorityClass: "class",
+        Tenant: "tenant",
+        Pool: "pool",
+        CallerLimits: "limits",
+        Edition: "edition",
+    }
     return SliceName(f"{kinds[type(part)]}/{part.name}"), canonical_json(part)
 
 
--- a/wingwood/bundle/tests/test_parse.py
+++ b/wingwood/bundle/tests/test_parse.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import unittest
+from typing import Any
 
 import msgspec
 from hypothesis import given, settings
@@ -12,12 +13,33 @@
 
 from ...identifiers import BundleVersion, ClassName, PoolName, Seconds, ServiceName, SliceName, TenantName
 from ..canonical import root_digest, slice_digest
-from ..model import Bundle, BundleDelta, PriorityClass, Route, Service, Tenant
+from ..model import (
+    Bundle,
+    BundleDelta,
+    CallerLimits,
+    Edition,
+    Engine,
+    Pool,
+    PoolShare,
+    PriorityClass,
+    Route,
+    Service,
+    Tenant,
+)
 from ..orders import difference
 from ..parse import apply_delta, apply_delta_gradually, parse_bundle
 from ..problem import BundleProblem
 from ..signing import sign_manifest, verify_manifest
-from .samples import OPERATOR, OPERATOR_KEYS, STRANGER, key_digest, order_between, sample_slices, slice_of
+from .samples import (
+    OPERATOR,
+    OPERATOR_KEYS,
+    STRANGER,
+    SlicePart,
+    key_digest,
+    order_between,
+    sample_slices,
+    slice_of,
+)
 
 Slices = dict[SliceName, bytes]
 
@@ -116,9 +138,93 @@
             self.assertEqual((problem.slice, problem.field, problem.value), (name, field, value))
             self.assertIn(mend, problem.mend)
 
+    def test_bounds_of_what_deployments_with_pools_set(self) -> None:
+        chat: dict[str, Any] = {"name": ServiceName("chat"), "pool": PoolName("model")}
+        shares = (PoolShare(pool=PoolName("model"), weight=0), PoolShare(pool=PoolName("spare"), weight=0))
+        negative = (PoolShare(pool=PoolName("model"), weight=-1), PoolShare(pool=PoolName("spare"), weight=2))
+        twice = (PoolShare(pool=PoolName("model"), weight=1), PoolShare(pool=PoolName("model"), weight=2))
+        tenant: dict[str, Any] = {"name": TenantName("tenant-1"), "priority_class": ClassName("gold")}
+        route: dict[str, Any] = {"name": "chat", "path_prefix": "/x", "service": ServiceName("chat")}
+        cases: list[tuple[SlicePart, str, str]] = [
+            (Service(**chat, split=shares), "split", "above 0"),
+            (Service(**chat, split=negative), "split", "from 0"),
+            (Service(**chat, split=twice), "split", "once"),
+            (Service(**chat, attempts=0), "attempts", "from 1"),
+            (Service(**chat, urgency=10), "urgency", "9"),
+            (Service(**chat, latency_objective=Seconds(0)), "latency_objective", "above 0"),
+            (Service(**chat, longest_pause=Seconds(-1)), "longest_pause", "above 0"),
+            (Route(**route, host="Chat.Example"), "host", "lower case"),
+            (Route(**route, host="chat.example:80"), "host", "without a port"),
+            (Route(**route, position=-1), "position", "from 0"),
+            (PriorityClass(name=ClassName("gold"), urgency=-1), "urgency", "from 0"),
+            (Tenant(**tenant, paid_rate=1.1e10), "paid_rate", "10000000000"),
+            (Tenant(**tenant, paid_rate=1.0, burst=Seconds(-1)), "burst", "from 0"),
+            (Tenant(**tenant, paid_rate=1.0, plain_tokens=-1), "plain_tokens", "from 0"),
+            (Pool(name=PoolName("model"), connections=-1), "connections", "from 0"),
+            (Pool(name=PoolName("model"), health_path="health"), "health_path", "starts with /"),
+            (Pool(name=PoolName("model"), engine=Engine(slots=0, cache_tokens=1)), "engine.slots", "from 1"),
+            (CallerLimits(body_bytes=0), "body_bytes", "from 1"),
+            (CallerLimits(idle=Seconds(0)), "idle", "above 0"),
+            (CallerLimits(name="others"), "name", "callers"),
+            (Edition(number=-1), "number", "from 0"),
+            (Edition(name="mine", number=1), "name", "operator"),
+        ]
+        for part, field, mend in cases:
+            name, data = slice_of(part)
+            problem = problem_of({**sample_slices(), name: data})
+            self.assertEqual((problem.code, problem.slice, problem.field), ("field", name, field))
+            self.assertIn(mend, problem.mend)
+        for fine in (
+            Tenant(**tenant, paid_rate=1e10, burst=Seconds(0), unit="tokens"),
+            Service(**chat, split=(shares[0], PoolShare(pool=PoolName("spare"), weight=1))),
+            Route(**route, host="chat.example"),
+            CallerLimits(),
+            Edition(number=3),
+        ):
+            name, data = slice_of(fine)
+            slices = {**sample_slices(), name: data}
+            self.assertIsInstance(parse_bundle(order_between(0, {}, slices).manifest, slices), Success)
+
+    def test_a_bundle_declares_all_of_its_pools_or_none(self) -> None:
+        model, plain = (slice_of(Pool(name=PoolName(name))) for name in ("model", "plain"))
+        problem = problem_of({**sample_slices(), **dict([model])})
+        self.assertEqual(
+            (problem.code, problem.slice, problem.field, problem.value),
+            ("reference", "service/cards", "pool", "plain"),
+        )
+        both = {**sample_slices(), **dict([model, plain])}
+        split = (PoolShare(pool=PoolName("model"), weight=1), PoolShare(pool=PoolName("spare"), weight=0))
+        name, data = slice_of(Service(name=ServiceName("chat"), pool=PoolName("model"), split=split))
+        self.assertEqual(problem_of({**both, name: data}).field, "split")
+        held = accepted(None, whole(both))
+        self.assertEqual(sorted(held.pools), ["model", "plain"])
+        lacking = {key: value for key, value in both.items() if key != "pool/model"}
+        problem = apply_delta(held, step(both, lacking, 1, 2), OPERATOR_KEYS).failure()
+        self.assertEqual((problem.code, problem.value), ("reference", "model"))
+        self.assertEqual(accepted(held, step(both, sample_slices(), 1, 2)).pools, {})
+
+    def test_limits_and_edition_are_read_and_taken_out(self) -> None:
+        extra = dict([slice_of(CallerLimits(idle=Seconds(15.0))), slice_of(Edition(number=7, annotations={"a": [1]}))])
+        slices = {**sample_slices(), **extra}
+        held = accepted(None, whole(slices))
+        assert held.caller_limits is not None and held.edition is not None
+        self.assertEqual((held.caller_limits.idle, held.edition.number), (15.0, 7))
+        bare = accepted(held, step(slices, sample_slices(), 1, 2))
+        self.assertEqual((bare.caller_limits, bare.edition), (None, None))
+
     def test_routes_must_not_overlap(self) -> None:
         name, data = slice_of(Route(name="other", path_prefix="/v1/chat", service=ServiceName("chat")))
         self.assertEqual(problem_of({**sample_slices(), name: data}).code, "double")
+        apart = [
+            Route(name="other", path_prefix="/v1/chat", service=ServiceName("chat"), methods=("GET",)),
+            Route(name="third", path_prefix="/v1/chat", service=ServiceName("chat"), host="chat.example"),
+        ]
+        slices = {**sample_slices(), **dict(slice_of(route) for route in apart)}
+        held = accepted(None, whole(slices))
+        self.assertEqual([route.name for route in held.route_index.find("", "/v1/chat")], ["chat", "other"])
+        name, data = slice_of(msgspec.structs.replace(apart[1], host=""))
+        problem = apply_delta(held, step(slices, {**slices, name: data}, 1, 2), OPERATOR_KEYS).failure()
+        self.assertEqual((problem.code, problem.slice, problem.field), ("double", "route/third", "path_prefix"))
 
     def test_slices_that_are_not_as_they_should_be_written(self) -> None:
         name = SliceName("class/gold")
@@ -178,7 +284,19 @@
 
 names = st.sampled_from(["a", "b", "c", "d"])
 services = st.builds(Service, name=names, pool=st.sampled_from(["m", "p", "!"]), repeatable=st.booleans())
-routes = st.builds(Route, name=names, path_prefix=st.sampled_from(["/", "/x", "/xy"]), service=names)
+routes = st.builds(
+    Route,
+    name=names,
+    path_prefix=st.sampled_from(["/", "/x", "/xy"]),
+    service=names,
+    host=st.sampled_from(["", "h"]),
+    methods=st.sampled_from([("GET",), ("POST",), ("GET", "POST")]),
+)
+pools = st.builds(Pool, name=st.sampled_from(["m", "p"]))
+singles = st.one_of(
+    st.builds(CallerLimits, body_bytes=st.sampled_from([0, 1])),
+    st.builds(Edition, number=st.integers(0, 2)),
+)
 classes = st.builds(PriorityClass, name=names, weight=st.sampled_from([1.0, 2.0]))
 tenants = st.builds(
     Tenant,
@@ -188,7 +306,7 @@
     keys=st.lists(st.sampled_from([key_digest(name) for name in "wxyz"]), max_size=2, unique=True).map(tuple),
     services=st.lists(names, max_size=1).map(tuple),
 )
-contents = st.lists(st.one_of(services, routes, classes, tenants), max_size=14).map(
+contents = st.lists(st.one_of(services, routes, classes, tenants, pools, singles), max_size=14).map(
     lambda parts: dict(slice_of(part) for part in parts)
 )
 base = {
--- /dev/null
+++ b/wingwood/bundle/tests/test_route_index.py
@@ -0,0 +1,152 @@
+"""Finding a call's route by host and path (docs/DESIGN.md section 5.7)."""
+
+from __future__ import annotations
+
+import time
+import unittest
+from collections.abc import Sequence
+
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ...identifiers import ServiceName
+from ..gradual import at_once
+from ..model import Route
+from ..parse import empty_bundle
+from ..problem import Broken
+from ..route_index import RouteIndex, plain_host
+
+CHAT = ServiceName("chat")
+
+
+def route(name: str, host: str, prefix: str, methods: tuple[str, ...] = ("POST",)) -> Route:
+    return Route(name=name, host=host, path_prefix=prefix, service=CHAT, methods=methods)
+
+
+def names(found: Sequence[Route]) -> list[str]:
+    return [each.name for each in found]
+
+
+class FindingTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.routes = [
+            route("root", "a.example", "/"),
+            route("deep", "a.example", "/v1/chat/"),
+            route("bare", "a.example", "/v1/chat", ("GET", "POST")),
+            route("fallback", "", "/v1/"),
+            route("get", "", "/v2", ("GET",)),
+            route("post", "", "/v2", ("POST",)),
+        ]
+        self.index = RouteIndex.of(self.routes)
+
+    def test_the_longest_prefix_of_the_host_wins_over_any_host(self) -> None:
+        for host, path, expected in (
+            ("a.example", "/v1/chat/more", ["deep"]),
+            ("A.Example:8080", "/v1/chat/", ["deep"]),
+            ("a.example", "/v1/chat", ["bare"]),
+            ("a.example", "/v1/chatter", ["root"]),
+            ("a.example", "/v2", ["root"]),
+            ("b.example", "/v1/chat", ["fallback"]),
+            ("b.example", "/v1", []),
+            ("b.example", "/v2/x", ["get", "post"]),
+            ("b.example", "/v20", []),
+            ("", "/v1/x", ["fallback"]),
+            ("a.example", "", []),
+        ):
+            self.assertEqual(names(self.index.find(host, path)), expected, (host, path))
+
+    def test_a_bundle_finds_the_route_that_takes_the_method_or_one_that_does_not(self) -> None:
+        bundle = msgspec.structs.replace(empty_bundle(), routes=tuple(self.routes))
+        found = [bundle.find_route("b.example", "/v2/x", method) for method in ("GET", "POST", "PUT")]
+        self.assertEqual([each.name for each in found if each is not None], ["get", "post", "get"])
+        self.assertIsNone(bundle.find_route("b.example", "/none", "GET"))
+
+    def test_hosts_lose_case_and_port(self) -> None:
+        for sent, plain in (
+            ("A.example", "a.example"),
+            ("a.example:", "a.example"),
+            ("[::1]:80", "[::1]"),
+            ("[::1]", "[::1]"),
+            ("10.0.0.1:8080", "10.0.0.1"),
+        ):
+            self.assertEqual(plain_host(sent), plain)
+
+    def test_a_change_leaves_the_index_that_it_comes_from_as_it_was(self) -> None:
+        after = at_once(self.index.changed([self.routes[1]], [route("new", "c.example", "/")]))
+        self.assertEqual(names(after.find("a.example", "/v1/chat/more")), ["bare"])
+        self.assertEqual(names(after.find("c.example", "/x")), ["new"])
+        self.assertEqual(names(self.index.find("a.example", "/v1/chat/more")), ["deep"])
+        self.assertEqual(self.index.find("c.example", "/x"), ())
+
+    def test_routes_that_take_the_same_calls_are_refused(self) -> None:
+        with self.assertRaises(Broken) as refused:
+            at_once(self.index.changed([], [route("other", "a.example", "/v1/chat", ("PUT", "GET"))]))
+        problem = refused.exception.problem
+        self.assertEqual((problem.code, problem.slice), ("double", "route/other"))
+        self.assertIn("route/bare takes GET", problem.mend)
+
+    def test_ten_thousand_routes_do_not_slow_a_call(self) -> None:
+        few = RouteIndex.of([route(f"r{number}", "a.example", f"/p{number}/") for number in range(10)])
+        many = RouteIndex.of([route(f"r{number}", "a.example", f"/p{number}/") for number in range(10_000)])
+
+        def best(index: RouteIndex) -> float:
+            times = []
+            for _ in range(20):
+                begun = time.perf_counter()
+                for _ in range(200):
+                    index.find("a.example", "/p7/x/y")
+                times.append(time.perf_counter() - begun)
+            return min(times)
+
+        self.assertEqual(names(many.find("a.example", "/p9999/x")), ["r9999"])
+        self.assertLess(best(many), 10 * best(few))
+
+
+hosts = st.sampled_from(["", "h", "i"])
+prefixes = st.sampled_from(["/", "/a", "/a/", "/a/b", "/a/b/", "/ab", "/ab/"])
+tables = st.dictionaries(st.sampled_from("pqrstu"), st.tuples(hosts, prefixes), max_size=6)
+paths = st.lists(st.sampled_from(["a", "b", "ab", ""]), max_size=4).map(lambda parts: "/" + "/".join(parts))
+
+
+def apart(table: dict[str, tuple[str, str]]) -> list[Route]:
+    """Without those that would take the calls of another."""
+    taken = {place: name for name, place in sorted(table.items(), reverse=True)}
+    return [route(name, *place) for place, name in taken.items()]
+
+
+def scanned(routes: Sequence[Route], host: str, path: str) -> list[str]:
+    """The definition, looked up in the slow way."""
+    for wanted in dict.fromkeys((host, "")):
+        fitting = [
+            each
+            for each in routes
+            if each.host == wanted
+            and (
+                path == each.path_prefix
+                or path.startswith(each.path_prefix if each.path_prefix.endswith("/") else each.path_prefix + "/")
+            )
+        ]
+        if fitting:
+            return [max(fitting, key=lambda each: len(each.path_prefix)).name]
+    return []
+
+
+class AnyTableTest(unittest.TestCase):
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    @given(tables, tables, hosts, paths)
+    def test_found_as_by_a_scan_and_the_same_by_change_as_whole(
+        self, before: dict[str, tuple[str, str]], after: dict[str, tuple[str, str]], host: str, path: str
+    ) -> None:
+        held, wanted = apart(before), apart(after)
+        index = at_once(
+            RouteIndex.of(held).changed(
+                [each for each in held if each not in wanted], [each for each in wanted if each not in held]
+            )
+        )
+        self.assertEqual(index, RouteIndex.of(wanted))
+        self.assertEqual(names(index.find(host, path)), scanned(wanted, host, path))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/wingwood/bundle/variants.py
+++ b/wingwood/bundle/variants.py
@@ -9,6 +9,8 @@
 import msgspec
 
 from ..identifiers import ClassName, DaemonName, ServiceName, SliceName, Zone
+from .draft import check_pools
+from .gradual import at_once
 from .model import Bundle, PriorityClass, Route, Service
 from .problem import Broken, BundleProblem
 
@@ -82,10 +84,12 @@
     services = {part.name: part for part in parts if isinstance(part, Service)}
     routes = {part.name: part for part in parts if isinstance(part, Route)}
     classes = {part.name: part for part in parts if isinstance(part, PriorityClass)}
+    replaced = [route for route in plain.routes if route.name in routes] if routes else []
     return msgspec.structs.replace(
         plain,
         services={**plain.services, **services} if services else plain.services,
         routes=tuple(routes.get(route.name, route) for route in plain.routes) if routes else plain.routes,
+        route_index=at_once(plain.route_index.changed(replaced, list(routes.values()))),
         classes={**plain.classes, **classes} if classes else plain.classes,
         plain=plain,
     )
@@ -105,10 +109,12 @@
         match bundle.variants[name]:
             case Service() as service:
                 plain_service = bundle.services.get(service.name)
-                _same(name, service, plain_service, ("kind", "repeatable"))
+                _same(name, service, plain_service, ("kind", "repeatable", "resumable", "idempotency_keys"))
+                if bundle.pools:
+                    check_pools(name, service, bundle.pools)
             case Route() as route:
                 plain_route = routes.get(route.name)
-                _same(name, route, plain_route, ("path_prefix", "methods"))
+                _same(name, route, plain_route, ("host", "path_prefix", "methods", "needs_key"))
                 assert plain_route is not None
                 _check_target(name, route, plain_route, bundle.services)
             case PriorityClass() as priority:
