Control takes orders on the operator's own numbers, makes the bundle and signs it

Cause: the users' operator sends configurations under his own numbers and without a signature; the product took signed orders on its own versions only. Now: SubmitEdition beside SubmitOrder. An order id that was accepted is accepted again, also after take-over, restart and later changes; another base is a conflict; a number not above the newest is invalid; else the primary makes the manifest, puts edition/operator in, signs with signing_key and checks as always. Refusals of editions are not recorded, so none can stand against the same order later. FindEdition tells, proven by the backup, the newest number and whether an order was accepted. Signed orders may not take the number back. Weighed: a fingerprint over the slices (a patch translated again from later content would have refused an order that was taken; now over id, base and number); recorded refusals as for signed orders (a conflict that came early would stick); signing at the daemon that takes the order (the version isn't known there). DaemonSettings.signing_key: 64 hex digits, never shown, no flag; bundle_signers is what control and routers trust.

--- a/wingwood/bundle/gradual.py
+++ b/wingwood/bundle/gradual.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Generator
+from collections.abc import Callable, Generator
 from typing import TypeVar
 
 Value = TypeVar("Value")
@@ -31,3 +31,15 @@
             value: Value = done.value
             return value
         await asyncio.sleep(0)
+
+
+async def gradually_while(wanted: Callable[[], bool], steps: Steps[Value]) -> Value | None:
+    """As ``gradually``; None once the result is not wanted any more."""
+    while wanted():
+        try:
+            next(steps)
+        except StopIteration as done:
+            value: Value = done.value
+            return value
+        await asyncio.sleep(0)
+    return None
--- a/wingwood/bundle/parse.py
+++ b/wingwood/bundle/parse.py
@@ -66,6 +66,11 @@
     return change_bundle(empty_bundle(), manifest, slices, (), place)
 
 
+def parse_steps(manifest: Manifest, slices: Mapping[SliceName, bytes]) -> Steps[Checked]:
+    """As ``parse_bundle``, in steps."""
+    return change_steps(empty_bundle(), _given(manifest), slices, ())
+
+
 def apply_delta(
     bundle: Bundle | None, delta: BundleDelta, operator_keys: Collection[str], place: Place | None = None
 ) -> Checked:
--- a/wingwood/bundle/state.py
+++ b/wingwood/bundle/state.py
@@ -10,26 +10,33 @@
 
 from __future__ import annotations
 
+import asyncio
 import re
 from collections import deque
-from collections.abc import Collection, Sequence
+from collections.abc import Callable, Collection, Sequence
 from typing import Literal
 
 import msgspec
+from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
 from returns.result import Failure, Success
 
-from ..control.protocols import SubmitOrder
+from ..control.protocols import BundleCommand, FindEdition, SubmitEdition, SubmitOrder
 from ..identifiers import BundleVersion, OrderId, SliceName, WallTime
-from .model import Bundle, BundleDelta, Manifest, Order, OrderOutcome
+from .editions import EDITION_SLICE, edition_fingerprint, number_in, signed_steps
+from .gradual import Steps, at_once, gradually_while
+from .model import Bundle, BundleDelta, EditionChange, EditionStanding, Manifest, Order, OrderOutcome
 from .orders import difference, fingerprint
-from .parse import BUNDLE_BYTES, change_bundle, empty_bundle, parse_bundle
+from .parse import BUNDLE_BYTES, Checked, change_bundle, empty_bundle, parse_bundle, parse_steps
 from .problem import BundleProblem
-from .signing import verify_manifest
+from .signing import public_hex, verify_manifest
 
 _ORDER_ID = re.compile(r"[!-~]{1,64}")
 SCAN_ABOVE = 1_000
 """A holder further behind than this is served by a look at every slice, not by the history."""
 
+PREPARED_ORDERS = 4
+"""Each may hold all slices of a bundle."""
+
 Decided = Literal["accepted", "conflict", "invalid"]
 
 
@@ -62,6 +69,14 @@
     removed: tuple[SliceName, ...]
 
 
+class _Prepared(msgspec.Struct, frozen=True):
+    """An edition that was checked, and signed if it is valid, before its turn to be decided."""
+
+    held: Bundle
+    """On which it builds."""
+    checked: Checked
+
+
 class _Remembered(msgspec.Struct, array_like=True, gc=False):
     """An order's first outcome; for an accepted one also its line of the history."""
 
@@ -95,15 +110,20 @@
 
     ``operator_keys``: hex Ed25519 keys whose orders count. ``outcome_retention``: orders remembered.
     ``history_versions``: past versions whose slices and manifests are kept. ``bundle_bytes``: largest bundle.
+    ``signing_key``: seed of the Ed25519 key with which editions are signed (None: none are taken; its public key
+    counts as an operator's); ``wall`` tells when, for people.
     """
 
     kind = "bundle"
+    command_type = BundleCommand
 
     _version: BundleVersion
     _parsed: Bundle | None
     """The newest bundle, when it was decided here or has been read since."""
     _candidate: Bundle | None
     """The bundle of the record that ``decide`` returned last, until it is applied."""
+    _prepared: dict[bytes, _Prepared]
+    """By fingerprint; the oldest first."""
     _manifests: dict[BundleVersion, Manifest]
     _past: dict[SliceName, list[tuple[BundleVersion, bytes | None]]]
     """Each slice's contents by the version that brought them, oldest first; None: removed."""
@@ -122,8 +142,15 @@
         outcome_retention: int = 100_000,
         history_versions: int = 200,
         bundle_bytes: int = BUNDLE_BYTES,
+        signing_key: bytes | None = None,
+        wall: Callable[[], WallTime] = lambda: WallTime(0.0),
     ) -> None:
-        self._operator_keys = frozenset(operator_keys)
+        self._signing_key = None if signing_key is None else Ed25519PrivateKey.from_private_bytes(signing_key)
+        own = () if self._signing_key is None else (public_hex(self._signing_key),)
+        self._operator_keys = frozenset([*operator_keys, *own])
+        self._wall = wall
+        self._preparing = asyncio.Lock()
+        """One order at a time, so that those that come together cost no more memory and time than one."""
         self._outcome_retention = outcome_retention
         self._history_versions = history_versions
         self._bundle_bytes = bundle_bytes
@@ -137,10 +164,18 @@
     # deciding
 
     def decide(self, command: msgspec.Struct) -> tuple[bytes | None, msgspec.Struct]:
-        """``SubmitOrder`` to ``OrderOutcome``; no record when the order is not authentic or was decided before."""
-        if not isinstance(command, SubmitOrder):
-            raise TypeError(f"bundle state got {type(command).__name__}")
-        order, manifest = command.order, command.order.manifest
+        """Orders to ``OrderOutcome``; no record when the order is not authentic or was decided before."""
+        match command:
+            case SubmitOrder(order):
+                return self._decide_order(order)
+            case SubmitEdition(change):
+                return self._decide_edition(change)
+            case FindEdition(wanted):
+                return None, self._standing(wanted)
+        raise TypeError(f"bundle state got {type(command).__name__}")
+
+    def _decide_order(self, order: Order) -> tuple[bytes | None, OrderOutcome]:
+        manifest = order.manifest
         mark = fingerprint(manifest)
         known = self._remembered.get(manifest.order)
         if known is not None and known.fingerprint == mark:
@@ -160,11 +195,11 @@
                 if size > self._bundle_bytes:
                     reason = f"the bundle has {size} bytes: keep it to {self._bundle_bytes} (bundle_bytes in settings)"
                     return self._record_refusal(manifest, mark, "invalid", reason)
-                changed, gone = difference(held.slices, bundle.slices)
-                self._candidate = bundle
-                record = AcceptedRecord(manifest, changed, gone, mark)
+                if (bundle.edition.number if bundle.edition is not None else 0) < self._edition_number():
+                    reason = f"{EDITION_SLICE}: the operator's number is {self._edition_number()} and never goes back"
+                    return self._record_refusal(manifest, mark, "invalid", reason)
                 outcome = OrderOutcome(order=manifest.order, outcome="accepted", version=manifest.version)
-                return msgspec.msgpack.encode(record), outcome
+                return self._record_acceptance(held, bundle, mark), outcome
             case Failure(BundleProblem() as problem):
                 if problem.code == "root":
                     # The slices are not those that were signed, so nothing authentic is refused.
@@ -172,6 +207,120 @@
                 return self._record_refusal(manifest, mark, "invalid", str(problem))
         raise AssertionError("a result is a success or a failure")
 
+    def _record_acceptance(self, held: Bundle, bundle: Bundle, mark: bytes) -> bytes:
+        changed, gone = difference(held.slices, bundle.slices)
+        self._candidate = bundle
+        return msgspec.msgpack.encode(AcceptedRecord(bundle.manifest, changed, gone, mark))
+
+    # deciding on the operator's own numbers
+
+    def _edition_number(self) -> int:
+        past = self._past.get(EDITION_SLICE)
+        return 0 if not past else number_in(past[-1][1])
+
+    def _standing(self, order: OrderId) -> EditionStanding:
+        known = self._remembered.get(order)
+        accepted = known is not None and known.outcome == "accepted"
+        return EditionStanding(
+            number=self._edition_number(),
+            version=self._version,
+            outcome=_outcome_of(known) if known is not None and accepted else None,
+        )
+
+    def _decide_edition(self, change: EditionChange) -> tuple[bytes | None, OrderOutcome]:
+        """Only what is accepted is recorded: a refusal says how things stand, and the same order may come again."""
+        mark = edition_fingerprint(change)
+        known = self._remembered.get(change.order)
+        if known is not None and known.fingerprint == mark:
+            return None, msgspec.structs.replace(_outcome_of(known), edition=change.number)
+        current = self._edition_number()
+        if known is None and change.base != current:
+            reason = f"base is {change.base}, but edition {current} is the newest: read it and build on it"
+            return None, self._edition_refused(change, "conflict", reason)
+        refusal = self._refuse_ill_formed(change, known, current)
+        if refusal is not None:
+            return None, self._edition_refused(change, "invalid", refusal)
+        held = self._parsed_bundle()
+        prepared = self._prepared.get(mark)
+        if prepared is not None and prepared.held is held:
+            checked = prepared.checked
+        else:
+            checked = at_once(self._edition_steps(held, change))
+        match checked:
+            case Success(bundle):
+                pass
+            case Failure(problem):
+                return None, self._edition_refused(change, "invalid", str(problem))
+        size = sum(map(len, bundle.slices.values()))
+        if size > self._bundle_bytes:
+            reason = f"the bundle has {size} bytes: keep it to {self._bundle_bytes} (bundle_bytes in settings)"
+            return None, self._edition_refused(change, "invalid", reason)
+        outcome = OrderOutcome(order=change.order, outcome="accepted", version=bundle.version, edition=change.number)
+        return self._record_acceptance(held, bundle, mark), outcome
+
+    def _edition_steps(self, held: Bundle, change: EditionChange) -> Steps[Checked]:
+        assert self._signing_key is not None, "an order without a key to sign it is refused"
+        return signed_steps(held, change, self._signing_key, self._wall)
+
+    async def prepare(self, command: msgspec.Struct) -> None:
+        """Checks and signs a large order beforehand, step by step, so that ``decide`` holds up nothing for long.
+
+        What was prepared counts only for the version that was newest meanwhile.
+        """
+        if not isinstance(command, SubmitEdition):
+            return
+        change, mark = command.change, edition_fingerprint(command.change)
+        async with self._preparing:
+            current = self._edition_number()
+            if mark in self._prepared or change.base != current or change.order in self._remembered:
+                return
+            if self._refuse_ill_formed(change, None, current) is not None:
+                return
+            held = await self._parsed_gradually()
+            if held is None:
+                return
+            checked = await gradually_while(lambda: self._parsed is held, self._edition_steps(held, change))
+            if checked is not None and self._parsed is held:
+                while len(self._prepared) >= PREPARED_ORDERS:
+                    del self._prepared[next(iter(self._prepared))]
+                self._prepared[mark] = _Prepared(held, checked)
+
+    async def _parsed_gradually(self) -> Bundle | None:
+        """As ``_parsed_bundle``; None when another version came meanwhile."""
+        if self._parsed is None and self._version > 0:
+            manifest = self._manifests[self._version]
+            steps = parse_steps(manifest, self._slices())
+            parsed = await gradually_while(lambda: self._manifests.get(self._version) is manifest, steps)
+            if parsed is None or self._manifests.get(self._version) is not manifest:
+                return None
+            self._parsed = parsed.unwrap()
+        return self._parsed_bundle()
+
+    def _refuse_ill_formed(self, change: EditionChange, known: _Remembered | None, current: int) -> str | None:
+        if self._signing_key is None:
+            return "this fleet takes signed orders only: control has no signing_key in its settings"
+        if known is not None:
+            return f"order {change.order} was used before with other content; make a new order id"
+        if not _ORDER_ID.fullmatch(change.order):
+            return f"order is {change.order[:80]!r}: 1 to 64 letters without spaces"
+        if change.number <= current:
+            return f"number is {change.number}: it must be above {current}, the newest edition"
+        size = sum(len(data) for data in change.changed.values())
+        if size > self._bundle_bytes:
+            return f"the order has {size} bytes: keep it to {self._bundle_bytes} (bundle_bytes in settings)"
+        return None
+
+    def _edition_refused(self, change: EditionChange, outcome: Decided, reason: str) -> OrderOutcome:
+        return OrderOutcome(
+            order=change.order,
+            outcome=outcome,
+            version=self._version,
+            reason=reason,
+            edition=self._edition_number(),
+        )
+
+    # deciding on signed orders
+
     def _refuse_unsigned(self, order: Order, known: _Remembered | None) -> str | None:
         manifest = order.manifest
         reason = verify_manifest(manifest, self._operator_keys)
@@ -237,6 +386,7 @@
         if manifest.version != self._version + 1:
             raise RuntimeError(f"record of version {manifest.version} after version {self._version}")
         candidate, self._candidate = self._candidate, None
+        self._prepared.clear()
         self._parsed = candidate if candidate is not None and candidate.manifest == manifest else None
         self._version = manifest.version
         self._manifests[manifest.version] = manifest
@@ -409,6 +559,7 @@
         self._version = BundleVersion(0)
         self._parsed = None
         self._candidate = None
+        self._prepared = {}
         self._manifests = {}
         self._past = {}
         self._forgotten_removal = BundleVersion(0)
--- a/wingwood/bundle/tests/samples.py
+++ b/wingwood/bundle/tests/samples.py
@@ -7,7 +7,7 @@
 import msgspec
 from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
 
-from ...control.protocols import SubmitOrder
+from ...control.protocols import SubmitEdition, SubmitOrder
 from ...identifiers import (
     BundleVersion,
     ClassName,
@@ -24,6 +24,7 @@
 from ..model import (
     CallerLimits,
     Edition,
+    EditionChange,
     Order,
     OrderOutcome,
     Pool,
@@ -39,6 +40,9 @@
 OPERATOR = Ed25519PrivateKey.from_private_bytes(b"\x01" * 32)
 STRANGER = Ed25519PrivateKey.from_private_bytes(b"\x02" * 32)
 OPERATOR_KEYS = (public_hex(OPERATOR),)
+SIGNING_KEY = b"\x03" * 32
+SIGNER = public_hex(Ed25519PrivateKey.from_private_bytes(SIGNING_KEY))
+"""Control's own, for editions."""
 
 
 def key_digest(key: str) -> KeyDigest:
@@ -102,3 +106,20 @@
         state.apply(record)
     assert isinstance(outcome, OrderOutcome)
     return outcome
+
+
+def submit_edition(state: BundleState, change: EditionChange) -> OrderOutcome:
+    """Decides and applies at once, as the primary does."""
+    record, outcome = state.decide(SubmitEdition(change))
+    if record is not None:
+        state.apply(record)
+    assert isinstance(outcome, OrderOutcome)
+    return outcome
+
+
+def edition_change(
+    base: int, number: int, changed: dict[SliceName, bytes], order: str = "", whole: bool = True
+) -> EditionChange:
+    return EditionChange(
+        order=OrderId(order or f"edition-{base}-{number}"), base=base, number=number, changed=changed, whole=whole
+    )
--- /dev/null
+++ b/wingwood/bundle/tests/test_editions.py
@@ -0,0 +1,271 @@
+"""Orders on the operator's own numbers (docs/DESIGN.md section 5.8)."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+import unittest
+from typing import Any
+
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ...control.protocols import FindEdition, SubmitEdition
+from ...identifiers import BundleVersion, ClassName, OrderId, SliceName, WallTime
+from ..editions import EDITION_SLICE
+from ..model import Bundle, Edition, EditionChange, EditionStanding, OrderOutcome, PriorityClass
+from ..parse import apply_delta
+from ..signing import verify_manifest
+from ..state import BundleState
+from .samples import (
+    OPERATOR_KEYS,
+    SIGNER,
+    SIGNING_KEY,
+    edition_change,
+    order_between,
+    sample_slices,
+    slice_of,
+    submit,
+    submit_edition,
+)
+
+Slices = dict[SliceName, bytes]
+NEWER = dict([slice_of(PriorityClass(name=ClassName("gold"), weight=8.0))])
+
+
+def new_state(**changes: Any) -> BundleState:
+    return BundleState(OPERATOR_KEYS, signing_key=SIGNING_KEY, wall=lambda: WallTime(5.0), **changes)
+
+
+def restarted(state: BundleState, **changes: Any) -> BundleState:
+    fresh = new_state(**changes)
+    fresh.restore(state.snapshot())
+    return fresh
+
+
+def newest(state: BundleState) -> Slices:
+    slices = state.slices_at(state.version)
+    assert slices is not None
+    return slices
+
+
+def standing(state: BundleState, order: str = "") -> EditionStanding:
+    record, answer = state.decide(FindEdition(OrderId(order)))
+    assert record is None and isinstance(answer, EditionStanding)
+    return answer
+
+
+class EditionTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.state = new_state()
+        self.slices = sample_slices()
+        self.first = edition_change(0, 7, self.slices)
+        self.accepted = submit_edition(self.state, self.first)
+
+    def test_the_state_makes_and_signs_the_bundle_and_puts_the_edition_in(self) -> None:
+        self.assertEqual((self.accepted.outcome, self.accepted.version, self.accepted.edition), ("accepted", 1, 7))
+        manifest = self.state.manifest_at(BundleVersion(1))
+        assert manifest is not None
+        self.assertIsNone(verify_manifest(manifest, (SIGNER,)))
+        self.assertEqual((manifest.order, manifest.signed_at, manifest.base), (self.first.order, 5.0, 0))
+        edition = msgspec.json.decode(newest(self.state)[EDITION_SLICE], type=Edition)
+        self.assertEqual(edition, Edition(number=7))
+        self.assertEqual(
+            {name: data for name, data in newest(self.state).items() if name != EDITION_SLICE}, self.slices
+        )
+        delta = self.state.delta_since(BundleVersion(0), BundleVersion(1))
+        assert delta is not None
+        held: Bundle = apply_delta(None, delta, (SIGNER,)).unwrap()
+        assert held.edition is not None
+        self.assertEqual(held.edition.number, 7)
+
+    def test_bases_and_numbers(self) -> None:
+        for base, number, outcome in (
+            (0, 9, "conflict"),
+            (5, 9, "conflict"),
+            (8, 9, "conflict"),
+            (7, 7, "invalid"),
+            (7, 3, "invalid"),
+            (0, 3, "conflict"),
+            (7, 9, "accepted"),
+            (7, 10, "conflict"),
+            (9, 12, "accepted"),
+        ):
+            change = edition_change(base, number, NEWER, whole=False)
+            self.assertEqual(submit_edition(self.state, change).outcome, outcome, (base, number))
+        self.assertEqual((standing(self.state).number, standing(self.state).version), (12, 3))
+
+    def test_an_accepted_order_is_accepted_again_whatever_came_after_it(self) -> None:
+        second = edition_change(7, 9, NEWER, whole=False)
+        submit_edition(self.state, second)
+        backup = new_state()
+        primary = new_state()
+        for change in (self.first, second):
+            record, _ = primary.decide(SubmitEdition(change))
+            assert record is not None
+            primary.apply(record)
+            backup.apply(record)
+        for state in (self.state, restarted(self.state), backup, restarted(backup)):
+            self.assertEqual(state.decide(SubmitEdition(self.first)), (None, self.accepted))
+            again = msgspec.structs.replace(self.first, changed={**self.slices, **NEWER})
+            self.assertEqual(state.decide(SubmitEdition(again)), (None, self.accepted))
+            found = standing(state, self.first.order).outcome
+            assert found is not None
+            self.assertEqual((found.outcome, found.version), ("accepted", 1))
+            self.assertIsNone(standing(state, "other").outcome)
+        self.assertEqual(primary.snapshot(), backup.snapshot())
+
+    def test_refusals_are_not_remembered(self) -> None:
+        early = edition_change(9, 12, NEWER, "early", whole=False)
+        self.assertEqual(submit_edition(self.state, early).outcome, "conflict")
+        submit_edition(self.state, edition_change(7, 9, NEWER, whole=False))
+        self.assertEqual(submit_edition(self.state, early).outcome, "accepted")
+        before = self.state.snapshot()
+        submit_edition(self.state, edition_change(12, 13, {SliceName("class/gold"): b"{}"}, "bad", whole=False))
+        self.assertEqual(self.state.snapshot(), before)
+
+    def test_an_order_id_of_another_order_is_invalid(self) -> None:
+        for base, number in ((7, 9), (0, 9)):
+            outcome = submit_edition(self.state, edition_change(base, number, NEWER, self.first.order, whole=False))
+            self.assertEqual(outcome.outcome, "invalid")
+            self.assertIn("used before", outcome.reason)
+        signed = order_between(1, newest(self.state), {**newest(self.state), **NEWER}, "mine")
+        self.assertEqual(submit(self.state, signed).outcome, "accepted")
+        self.assertEqual(submit_edition(self.state, edition_change(7, 9, {}, "mine", whole=False)).outcome, "invalid")
+
+    def test_what_does_not_check_is_refused_with_its_reason(self) -> None:
+        for changed, reason in (
+            ({SliceName("class/gold"): b"{}"}, "class/gold"),
+            ({SliceName("odd/x"): b"{}"}, "are called"),
+            ({EDITION_SLICE: b'{"annotations":{},"name":"operator","number":8}'}, "must be 9"),
+        ):
+            outcome = submit_edition(self.state, edition_change(7, 9, changed, whole=False))
+            self.assertEqual(outcome.outcome, "invalid")
+            self.assertIn(reason, outcome.reason)
+        self.assertIn("without spaces", submit_edition(self.state, edition_change(7, 9, {}, "a b")).reason)
+        unsigned = BundleState(OPERATOR_KEYS)
+        self.assertIn("signing_key", submit_edition(unsigned, self.first).reason)
+        small = new_state(bundle_bytes=500)
+        self.assertIn("bundle_bytes", submit_edition(small, self.first).reason)
+        self.assertEqual((self.state.version, unsigned.version, small.version), (1, 0, 0))
+
+    def test_a_change_takes_out_what_it_names_and_a_whole_one_all_else(self) -> None:
+        gone = SliceName("tenant/tenant-4")
+        change = msgspec.structs.replace(
+            edition_change(7, 9, NEWER, whole=False), removed=(gone, SliceName("tenant/none"))
+        )
+        self.assertEqual(submit_edition(self.state, change).outcome, "accepted")
+        after = {name: data for name, data in {**self.slices, **NEWER}.items() if name != gone}
+        self.assertEqual({n: d for n, d in newest(self.state).items() if n != EDITION_SLICE}, after)
+        submit_edition(self.state, edition_change(9, 10, NEWER))
+        self.assertEqual(sorted(newest(self.state)), ["class/gold", EDITION_SLICE])
+
+    def test_annotations_of_an_edition_stay_until_they_are_changed(self) -> None:
+        def notes() -> object:
+            return msgspec.json.decode(newest(self.state)[EDITION_SLICE], type=Edition).annotations
+
+        name, data = slice_of(Edition(number=8, annotations={"a": [1, None]}))
+        submit_edition(self.state, edition_change(7, 8, {name: data}, whole=False))
+        self.assertEqual(notes(), {"a": [1, None]})
+        submit_edition(self.state, edition_change(8, 9, NEWER, whole=False))
+        self.assertEqual(notes(), {"a": [1, None]})
+        submit_edition(self.state, edition_change(9, 10, NEWER))
+        self.assertEqual(notes(), {})
+
+    def test_signed_orders_do_not_take_the_number_back(self) -> None:
+        held = newest(self.state)
+        for number, after in enumerate((self.slices, {**held, **dict([slice_of(Edition(number=6))])})):
+            outcome = submit(self.state, order_between(1, held, after, f"back-{number}"))
+            self.assertEqual(outcome.outcome, "invalid")
+            self.assertIn("never goes back", outcome.reason)
+        self.assertEqual(submit(self.state, order_between(1, held, {**held, **NEWER}, "on")).outcome, "accepted")
+        self.assertEqual(standing(self.state).number, 7)
+
+    def test_outcomes_are_kept_for_so_many_orders(self) -> None:
+        state = new_state(outcome_retention=2)
+        changes = [edition_change(number, number + 1, NEWER) for number in range(3)]
+        for change in changes:
+            submit_edition(state, change)
+        self.assertEqual([submit_edition(state, change).outcome for change in changes[1:]], ["accepted"] * 2)
+        self.assertEqual(submit_edition(state, changes[0]).outcome, "conflict")
+
+    @settings(max_examples=100, deadline=None, derandomize=True)
+    @given(st.lists(st.tuples(st.integers(0, 6), st.integers(1, 8), st.integers(0, 2)), max_size=30), st.data())
+    def test_one_order_wins_each_base_and_is_never_refused_again(
+        self, tries: list[tuple[int, int, int]], data: st.DataObject
+    ) -> None:
+        state = new_state()
+        won: dict[int, EditionChange] = {}
+        for base, number, writer in tries:
+            weight = dict([slice_of(PriorityClass(name=ClassName("gold"), weight=1.0 + writer))])
+            change = edition_change(base, number, weight, f"{base}-{number}-{writer}", whole=False)
+            outcome = submit_edition(state, change)
+            if outcome.outcome == "accepted":
+                self.assertEqual(won.setdefault(base, change), change)
+            else:
+                self.assertNotIn(change, won.values())
+            if data.draw(st.integers(0, 4)) == 0:
+                state = restarted(state)
+        for change in won.values():
+            self.assertEqual(submit_edition(state, change).outcome, "accepted")
+        numbers = [change.number for _, change in sorted(won.items())]
+        self.assertEqual(numbers, sorted(set(numbers)))
+        self.assertEqual(standing(state).number, max(numbers, default=0))
+
+
+class PreparingTest(unittest.TestCase):
+    def test_what_was_prepared_is_decided_as_if_it_were_not(self) -> None:
+        prepared, plain = new_state(), new_state()
+        change = edition_change(0, 1, sample_slices())
+        asyncio.run(prepared.prepare(SubmitEdition(change)))
+        self.assertEqual(prepared.decide(SubmitEdition(change)), plain.decide(SubmitEdition(change)))
+        bad = edition_change(0, 1, {SliceName("class/gold"): b"{}"}, "bad")
+        asyncio.run(prepared.prepare(SubmitEdition(bad)))
+        self.assertEqual(prepared.decide(SubmitEdition(bad)), plain.decide(SubmitEdition(bad)))
+
+    def test_what_was_prepared_for_an_older_version_does_not_count(self) -> None:
+        state = new_state()
+        submit_edition(state, edition_change(0, 1, sample_slices()))
+        rest = edition_change(1, 2, NEWER, "rest", whole=False)
+
+        async def overtaken() -> None:
+            preparing = asyncio.create_task(state.prepare(SubmitEdition(rest)))
+            await asyncio.sleep(0)
+            held = newest(state)
+            fewer = {name: data for name, data in held.items() if name != "tenant/tenant-4"}
+            self.assertEqual(submit(state, order_between(1, held, fewer, "between")).outcome, "accepted")
+            await preparing
+
+        asyncio.run(overtaken())
+        self.assertEqual(submit_edition(state, rest).version, 3)
+        self.assertNotIn("tenant/tenant-4", newest(state))
+
+    def test_a_large_order_is_prepared_in_short_steps_and_decided_at_once(self) -> None:
+        state, change = new_state(), edition_change(0, 1, sample_slices(3_000))
+        turns: list[float] = []
+
+        async def run() -> None:
+            async def count() -> None:
+                while True:
+                    turns.append(time.perf_counter())
+                    await asyncio.sleep(0)
+
+            counting = asyncio.create_task(count())
+            await state.prepare(SubmitEdition(change))
+            counting.cancel()
+
+        asyncio.run(run())
+        self.assertGreater(len(turns), 20)
+        prepared = state._prepared
+        self.assertEqual(len(prepared), 1)
+        begun = time.perf_counter()
+        _, outcome = state.decide(SubmitEdition(change))
+        took = time.perf_counter() - begun
+        assert isinstance(outcome, OrderOutcome)
+        self.assertEqual(outcome.outcome, "accepted")
+        self.assertLess(took, (turns[-1] - turns[0]) / 2)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/wingwood/bundle/tests/test_state.py
+++ b/wingwood/bundle/tests/test_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import unittest
+from typing import Any
 
 import msgspec
 from hypothesis import given, settings
@@ -23,7 +24,7 @@
     return {**slices, **dict([slice_of(PriorityClass(name=ClassName("gold"), weight=weight))])}
 
 
-def restarted(state: BundleState, **changes: int) -> BundleState:
+def restarted(state: BundleState, **changes: Any) -> BundleState:
     fresh = BundleState(OPERATOR_KEYS, **changes)
     fresh.restore(state.snapshot())
     return fresh
--- a/wingwood/command_line/daemons.py
+++ b/wingwood/command_line/daemons.py
@@ -10,14 +10,14 @@
 import msgspec
 from returns.result import Failure
 
-from ..settings.load import FLAG_OF, expectation, read_settings
+from ..settings.load import FLAG_OF, SECRETS, expectation, read_settings
 from ..settings.model import DaemonSettings
 from .options import json_option
 from .output import Problem, print_json
 
 LISTS = ("seeds", "operator_keys")
 """Settings that are lists: their flag is given once for each entry."""
-HIDDEN = ("role", "fleet_key")
+HIDDEN = ("role", *SECRETS)
 """Not flags: the subcommand says the role, and a secret does not belong on a command line."""
 MEANINGS = {
     "name": "The daemon's name, alone in the fleet",
--- a/wingwood/control/client.py
+++ b/wingwood/control/client.py
@@ -14,7 +14,7 @@
 from ..identifiers import Address, Instant, Seconds
 from ..transport.messenger import Messenger
 from .messages import ControlCommand, ControlDecision, ControlLeader, ControlWhoLeads
-from .protocols import NotDecided, SubmitOrder
+from .protocols import NotDecided, SubmitEdition, SubmitOrder
 
 Reply = TypeVar("Reply", bound=msgspec.Struct)
 
@@ -111,7 +111,7 @@
             last = NotDecided("unknown", last.primary, last.detail)
         return Failure(last)
 
-    async def submit(self, command: SubmitOrder, timeout: Seconds) -> Result[OrderOutcome, NotDecided]:
+    async def submit(self, command: SubmitOrder | SubmitEdition, timeout: Seconds) -> Result[OrderOutcome, NotDecided]:
         """An operator's order; sending it again is always safe."""
         return await self.decide("bundle", command, OrderOutcome, timeout)
 
--- a/wingwood/control/core.py
+++ b/wingwood/control/core.py
@@ -44,7 +44,7 @@
     StateRecord,
     View,
 )
-from .protocols import Applier, NotDecided, SubmitOrder, ViewReport
+from .protocols import Applier, NotDecided, PreparingApplier, SubmitOrder, ViewReport
 from .replica import Replica
 from .store import Contents, ControlStore, decode_batch, encode_batch
 
@@ -624,6 +624,9 @@
             command = msgspec.msgpack.decode(message.command, type=command_type)
         except msgspec.MsgspecError as malformed:
             return ControlDecision(fault=NotDecided("not-leading", detail=f"malformed command: {malformed}"))
+        applier = self._replica.appliers[message.kind]
+        if isinstance(applier, PreparingApplier) and self.leads():
+            await applier.prepare(command)
         match await self.decide(message.kind, command, message.budget):
             case Success(reply):
                 return ControlDecision(reply=msgspec.msgpack.encode(reply), primary=self._seat.address)
--- a/wingwood/control/protocols.py
+++ b/wingwood/control/protocols.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import Literal, Protocol
+from typing import Literal, Protocol, runtime_checkable
 
 import msgspec
 from returns.result import Result
 
-from ..bundle.model import BundleDelta, Manifest, Order, OrderOutcome
-from ..identifiers import Address, BundleVersion, Epoch, Incarnation
+from ..bundle.model import BundleDelta, EditionChange, Manifest, Order, OrderOutcome
+from ..identifiers import Address, BundleVersion, Epoch, Incarnation, OrderId
 from ..transport.frames import Identity
 
 
@@ -37,6 +37,15 @@
         ...
 
 
+@runtime_checkable
+class PreparingApplier(Protocol):
+    """An applier whose large commands are worked on before their turn, in steps that let others run."""
+
+    async def prepare(self, command: msgspec.Struct) -> None:
+        """Changes nothing that is replicated; ``decide`` comes to the same without it, but holds up more."""
+        ...
+
+
 class NotDecided(msgspec.Struct, frozen=True):
     """``not-leading``: nothing happened here, ask ``primary``. ``unknown``: it may or may not become durable."""
 
@@ -99,19 +108,42 @@
     def on_committed(self, callback: Callable[[Manifest], None]) -> None: ...
 
 
-class SubmitOrder(msgspec.Struct, frozen=True):
+class SubmitOrder(msgspec.Struct, frozen=True, tag=True):
     """Command: an operator's order, from any daemon. Reply: OrderOutcome."""
 
     order: Order
 
 
+class SubmitEdition(msgspec.Struct, frozen=True, tag=True):
+    """Command: an order on the operator's own numbers, from any daemon. Reply: OrderOutcome."""
+
+    change: EditionChange
+
+
+class FindEdition(msgspec.Struct, frozen=True, tag=True):
+    """Command: the newest edition, and whether this order (empty: none) was accepted. Reply: EditionStanding.
+
+    As any command it is answered by a primary that its backup confirms, so nothing acknowledged before it is missing.
+    """
+
+    order: OrderId = OrderId("")
+
+
+BundleCommand = SubmitOrder | SubmitEdition | FindEdition
+"""What the applier of kind ``bundle`` takes."""
+
+
 __all__ = [
     "Applier",
+    "BundleCommand",
     "BundleSource",
     "ControlCore",
+    "FindEdition",
     "Identity",
     "NotDecided",
     "OrderOutcome",
+    "PreparingApplier",
+    "SubmitEdition",
     "SubmitOrder",
     "ViewReport",
 ]
--- a/wingwood/daemons/router.py
+++ b/wingwood/daemons/router.py
@@ -63,7 +63,7 @@
         self.messenger = TcpMessenger(context, self._identity, settings.fleet_key)
         self.membership = MembershipClient(context, self.messenger, settings.seeds)
         self.follower = BundleFollower(
-            context, self.messenger, self.membership, settings.operator_keys, settings.removed_key_bound
+            context, self.messenger, self.membership, settings.bundle_signers, settings.removed_key_bound
         )
         self.control = ControlClient(context, self.messenger, self._control_addresses)
         self.registry = WorkerRegistry(context, self.messenger, self.membership, settings)
--- a/wingwood/settings/load.py
+++ b/wingwood/settings/load.py
@@ -18,6 +18,8 @@
 FLEET_KEY_BYTES = 16
 """Shortest shared secret that is taken."""
 KEY_FILE = "fleet_key_file"
+SECRETS = ("fleet_key", "signing_key")
+"""Never shown, and not taken from a command line."""
 
 
 class SettingsProblem(msgspec.Struct, frozen=True, kw_only=True):
@@ -105,6 +107,14 @@
     return bytes.fromhex(value)
 
 
+def _signing_key(value: Any) -> bytes:
+    if not isinstance(value, str) or not re.fullmatch(r"[0-9a-fA-F]{64}", value):
+        raise _Expected("expected the 32 bytes of an Ed25519 private key as 64 hex digits")
+    if len(set(value.lower())) == 1:
+        raise _Expected("expected a secret, not one digit over and over")
+    return bytes.fromhex(value)
+
+
 def _yes_or_no(value: Any) -> bool:
     if not isinstance(value, bool):
         raise _Expected("expected true or false")
@@ -135,6 +145,7 @@
         1000,
         "operators' public keys",
     ),
+    "signing_key": _signing_key,
     "removed_key_bound": _seconds(2.0, 3600.0),
     "balancing": _one_of(*_literals["balancing"]),
     "record_file": _PATH,
@@ -214,7 +225,7 @@
             return Failure(SettingsProblem(file=where, key=key, expected=near))
         if key not in document:
             return Failure(SettingsProblem(file=file, key=key, expected=f"missing; {expectation(key)}"))
-        shown = "(hidden)" if key == "fleet_key" else repr(document[key])[:80]
+        shown = "(hidden)" if key in SECRETS else repr(document[key])[:80]
         return Failure(SettingsProblem(file=where, key=key, value=shown, expected=first.msg))
     return _check_together(DaemonSettings(**checked), file)
 
--- a/wingwood/settings/model.py
+++ b/wingwood/settings/model.py
@@ -5,7 +5,9 @@
 from typing import Literal
 
 import msgspec
+from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
 
+from ..bundle.signing import public_hex
 from ..identifiers import Address, DaemonName, Seconds, Zone
 
 
@@ -29,6 +31,8 @@
     """Shared secret of the daemons."""
     operator_keys: tuple[str, ...]
     """Hex Ed25519 public keys whose bundles are taken."""
+    signing_key: bytes | None = None
+    """Seed (32 bytes) of the Ed25519 key with which control signs operators' editions; its public key counts too."""
     removed_key_bound: Seconds | None = None
     """Despensa: 5.0 -- a router that cannot prove its bundle newest stops serving in time. None: serves on."""
     balancing: Literal["award", "round-robin", "least-loaded", "sticky"] = "award"
@@ -46,3 +50,11 @@
     bundle_bytes: int = 16 * 1024 * 1024
     begin_empty_when_damaged: bool = False
     """Control, for one start only: a damaged journal is put aside and this machine is filled anew by its peers."""
+
+    @property
+    def bundle_signers(self) -> tuple[str, ...]:
+        """Hex Ed25519 public keys whose bundles are taken: the operators', and that of ``signing_key``."""
+        if self.signing_key is None:
+            return self.operator_keys
+        own = public_hex(Ed25519PrivateKey.from_private_bytes(self.signing_key))
+        return tuple(dict.fromkeys([*self.operator_keys, own]))
--- a/wingwood/settings/tests/test_load.py
+++ b/wingwood/settings/tests/test_load.py
@@ -7,7 +7,9 @@
 from pathlib import Path
 
 import msgspec
+from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
 
+from ...bundle.signing import public_hex
 from ...identifiers import Address
 from ..load import CHECKS, check_settings, expectation, read_settings
 from ..model import DaemonSettings
@@ -87,6 +89,16 @@
 
     def test_a_secret_is_not_repeated(self) -> None:
         self.assertNotIn("5ecret", self.said({**ROUTER, "fleet_key": "5ecret"}))
+        self.assertNotIn("5ecret", self.said({**ROUTER, "signing_key": "5ecret"}))
+
+    def test_the_signing_key_is_a_seed_whose_public_key_counts_as_an_operators(self) -> None:
+        settings = check_settings({**CONTROL, "signing_key": "0a" * 32}, "f").unwrap()
+        self.assertEqual(settings.signing_key, b"\x0a" * 32)
+        own = public_hex(Ed25519PrivateKey.from_private_bytes(b"\x0a" * 32))
+        self.assertEqual(settings.bundle_signers, ("cd" * 32, own))
+        self.assertEqual(check_settings(CONTROL, "f").unwrap().bundle_signers, ("cd" * 32,))
+        for wrong in ("0a" * 31, "0a" * 33, "zz" * 32, 7, "0" * 64):
+            self.assertIn("(hidden): expected", self.said({**CONTROL, "signing_key": wrong}))
 
     def test_keys_that_do_not_go_together(self) -> None:
         self.assertEqual(check_settings(CONTROL, "f").unwrap().data_folder, "data")
