Editions are submitted and read back with proof, across losses of control daemons

Cause: operators need the newest acknowledged content from any control daemon, or no answer, never an old one. Now: control daemons have an EditionClient, which submits within a bound, asks the primary (whose backup confirms it) which version is newest, and takes exactly that version from the nearest reader that has it; readers that are behind are waited for. Weighed: a local read on the primary after prove_lead (bound to one daemon); the whole bundle as the answer of the command (16 MB through the queue of decisions); taken: a small proven answer, then the content by version, which is the same wherever it is durable.

--- a/wingwood/daemons/control.py
+++ b/wingwood/daemons/control.py
@@ -22,6 +22,7 @@
 from ..ledger.state import LedgerState
 from ..membership.address_book import AddressBook
 from ..membership.keeper import SessionKeeper
+from ..operator_api.editions import EditionClient
 from ..operator_api.orders import OrderRoutes
 from ..operator_api.reading import HealthReport, ReadRoutes
 from ..operator_api.server import OperatorServer
@@ -94,7 +95,12 @@
         self.messenger = TcpMessenger(context, self._identity, settings.fleet_key)
         self.keeper = SessionKeeper(context, self.messenger, settings.seeds)
         self.state = BundleState(
-            settings.operator_keys, settings.outcome_retention, settings.history_versions, settings.bundle_bytes
+            settings.bundle_signers,
+            settings.outcome_retention,
+            settings.history_versions,
+            settings.bundle_bytes,
+            settings.signing_key,
+            context.clock.wall,
         )
         self.ledger = LedgerState(context.clock, settings.ledger_retention, self.keeper.is_member)
         self.core = ReplicatedCore(
@@ -116,6 +122,7 @@
         self.local_reader = LocalBundleReader(self.state, lambda: self.source.version, self._keeps_bundles)
         self.local_reader.serve(self.messenger)
         self.remote_reader = RemoteBundleReader(self.messenger, self._primary)
+        self.editions = EditionClient(self.client, (self.local_reader, self.remote_reader), context.clock)
         self.metrics = CollectorRegistry()
         self._gauges(self.metrics)
         self._parsed: Bundle | None = None
