--- /dev/null
+++ b/bench/configuration_steps.py
@@ -0,0 +1,117 @@
+"""How long the operator's configurations hold the event loop: ``python -m bench.configuration_steps [ROUTES ...]``.
+
+For each size and stage one line: processor time in all, and the longest time between two turns of the event loop.
+Stages: translation of a whole configuration, checking on the primary beforehand, its decision and record, a router's
+reading, giving back, and the same for a patch of one route.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import gc
+import sys
+import time
+from collections.abc import Awaitable, Callable
+from typing import TypeVar
+
+import msgspec
+from wingwood_platform.configuration import TranslatedChange, translate_patch, translate_whole, written_configuration
+from wingwood_platform.tests.configurations import SIGNING_KEY, large_configuration, route
+
+from wingwood.bundle.model import Bundle, EditionChange
+from wingwood.bundle.parse import apply_delta_gradually
+from wingwood.bundle.signing import public_hex
+from wingwood.bundle.state import BundleState
+from wingwood.control.protocols import SubmitEdition
+from wingwood.identifiers import BundleVersion, OrderId
+
+SIZES = (350, 2_000)
+Value = TypeVar("Value")
+
+
+async def measured(title: str, work: Callable[[], Awaitable[Value]]) -> Value:
+    """Runs the work beside a task that notes each turn of the loop."""
+    longest, last = 0.0, time.perf_counter()
+
+    async def watch() -> None:
+        nonlocal longest, last
+        while True:
+            now = time.perf_counter()
+            longest, last = max(longest, now - last), now
+            await asyncio.sleep(0)
+
+    gc.collect()
+    watching = asyncio.create_task(watch())
+    await asyncio.sleep(0)
+    longest, last, begun = 0.0, time.perf_counter(), time.process_time()
+    value = await work()
+    longest = max(longest, time.perf_counter() - last)
+    spent = time.process_time() - begun
+    watching.cancel()
+    print(f"  {title:34s} {1000 * spent:7.1f} ms in all, longest {1000 * longest:6.2f} ms", flush=True)
+    return value
+
+
+class Stages:
+    """One control state and one router's bundle."""
+
+    def __init__(self) -> None:
+        self.state = BundleState((), signing_key=SIGNING_KEY)
+        self.signers = (public_hex(self.state._signing_key),) if self.state._signing_key else ()
+        self.bundle: Bundle | None = None
+
+    async def take(self, title: str, change: EditionChange) -> None:
+        command = SubmitEdition(change)
+        sent = await measured(f"{title}: encode command", self._now(lambda: msgspec.msgpack.encode(command)))
+        await measured(f"{title}: decode command", self._now(lambda: msgspec.msgpack.decode(sent, type=SubmitEdition)))
+        await measured(f"{title}: prepare", lambda: self.state.prepare(command))
+        record, _ = await measured(f"{title}: decide", self._now(lambda: self.state.decide(command)))
+        assert record is not None
+        await measured(f"{title}: apply", self._now(lambda: self.state.apply(record)))
+        since = BundleVersion(0 if self.bundle is None else self.bundle.version)
+        delta = self.state.delta_since(since, self.state.version)
+        assert delta is not None
+        held = self.bundle
+        self.bundle = (
+            await measured(f"{title}: router reads", lambda: apply_delta_gradually(held, delta, self.signers))
+        ).unwrap()
+
+    def _now(self, work: Callable[[], Value]) -> Callable[[], Awaitable[Value]]:
+        async def run() -> Value:
+            return work()
+
+        return run
+
+
+def change_of(order: str, base: int, content: TranslatedChange) -> EditionChange:
+    return EditionChange(
+        order=OrderId(order),
+        base=base,
+        number=content.number,
+        changed=content.changed,
+        removed=content.removed,
+        whole=content.whole,
+    )
+
+
+async def run(routes: int) -> None:
+    body = msgspec.json.encode(large_configuration(routes))
+    print(f"{routes} routes, {len(body)} bytes", flush=True)
+    stages = Stages()
+    whole = (await measured("whole: translate", lambda: translate_whole(body))).unwrap()
+    await stages.take("whole", change_of("whole", 0, whole))
+    held = stages.state.slices_at(stages.state.version)
+    assert held is not None
+    await measured("give back", lambda: written_configuration(held))
+    patch = msgspec.json.encode({"version": 8, "upsert": {"routes": [route("r-00001", service="s2")]}})
+    small = (await measured("patch: translate", lambda: translate_patch(patch, held))).unwrap()
+    await stages.take("patch", change_of("patch", 7, small))
+
+
+def main() -> None:
+    for routes in [int(each) for each in sys.argv[1:]] or SIZES:
+        asyncio.run(run(routes))
+
+
+if __name__ == "__main__":
+    main()
