--- /dev/null
+++ b/wingwood/context/tests/stand_in_worker.py
@@ -0,0 +1,249 @@
+"""A scripted worker on any Network, and the two beds that run the same test against it: loopback and simulation."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+from collections import Counter
+from collections.abc import Awaitable, Callable, Sequence
+from typing import Protocol
+from unittest import mock
+
+import msgspec
+from returns.result import Success
+from tornado.iostream import BaseIOStream, IOStream, StreamClosedError
+
+from simulation import SimulatedStream, World, address_of
+
+from ...identifiers import Address
+from ..connection_pool import ConnectionLimits
+from ..pooled_client import PooledHttpClient
+from ..protocols import Clock, Context, HttpExchange, HttpFault, HttpHead, HttpRequest, Listener, Network
+from ..real import RealClock, RealNetwork, RealTasks
+
+ECHO = "X-Id"
+PATIENCE = 10.0
+PORT = 9000
+
+
+class Turn:
+    """One request, as the worker got it."""
+
+    def __init__(self, worker: StandInWorker, stream: BaseIOStream, connection: int, number: int) -> None:
+        self.worker = worker
+        self.stream = stream
+        self.connection = connection
+        self.number = number
+        """Counts the requests of its connection, from 1."""
+        self.id = ""
+        self.method = ""
+        self.body = b""
+
+    def answer(self, body: bytes = b"ok", *headers: str, status: str = "200 OK", id: str | None = None) -> bytes:
+        """A whole answer with its length."""
+        lines = [f"HTTP/1.1 {status}", f"{ECHO}: {self.id if id is None else id}", f"Content-Length: {len(body)}"]
+        return "\r\n".join([*lines, *headers, "", ""]).encode() + body
+
+    async def send(self, data: bytes) -> None:
+        await self.stream.write(data)
+
+    def reset(self) -> None:
+        """Ends the connection by RST."""
+        self.worker.resets(self.stream)
+
+    async def closed_by_client(self) -> None:
+        """Waits, reading on, until the client has closed."""
+        try:
+            while True:
+                await self.stream.read_bytes(65536, partial=True)
+        except StreamClosedError:
+            return
+
+
+Script = Callable[[Turn], Awaitable[None]]
+
+
+async def answers_ok(turn: Turn) -> None:
+    await turn.send(turn.answer(b"body of " + turn.id.encode(), "Keep-Alive: timeout=8"))
+
+
+class StandInWorker:
+    """Counts what it receives. A script may close or reset the stream, which ends its connection."""
+
+    def __init__(self, script: Script, reads_bodies: bool = True) -> None:
+        self.script = script
+        self.reads_bodies = reads_bodies
+        self.received: Counter[str] = Counter()
+        """Requests of which the head came whole, by id."""
+        self.bodies: dict[str, bytes] = {}
+        self.connections = 0
+        self.open = 0
+        self.streams: list[BaseIOStream] = []
+        self._listener: Listener | None = None
+
+    def start(self, network: Network, addresses: Sequence[Address]) -> Address:
+        for address in addresses:
+            match network.listen(address, self._serve):
+                case Success(listener):
+                    self._listener = listener
+                    return address
+        raise AssertionError("no free port")
+
+    def stop(self) -> None:
+        if self._listener is not None:
+            self._listener.close()
+        for stream in self.streams:
+            stream.close()
+
+    def resets(self, stream: BaseIOStream) -> None:
+        if isinstance(stream, SimulatedStream):
+            stream.endpoint.network.break_connection(stream.endpoint.peer)
+        elif isinstance(stream, IOStream):
+            stream.socket.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        stream.close()
+
+    async def _serve(self, stream: BaseIOStream, peer: Address) -> None:
+        self.connections += 1
+        self.open += 1
+        self.streams.append(stream)
+        connection, number = self.connections, 0
+        try:
+            while not stream.closed():
+                number += 1
+                turn = Turn(self, stream, connection, number)
+                await self._read(turn)
+                await self.script(turn)
+        except StreamClosedError:
+            pass
+        finally:
+            stream.close()
+            self.open -= 1
+
+    async def _read(self, turn: Turn) -> None:
+        head = (await turn.stream.read_until(b"\r\n\r\n")).decode("latin-1")
+        first, *lines = head.split("\r\n")
+        headers = {name.lower(): value.strip() for name, _, value in (line.partition(":") for line in lines)}
+        turn.id, turn.method = headers.get(ECHO.lower(), ""), first.split(" ")[0]
+        self.received[turn.id] += 1
+        length = int(headers.get("content-length", "0"))
+        if length and self.reads_bodies:
+            turn.body = self.bodies[turn.id] = await turn.stream.read_bytes(length)
+
+
+class Outcome(msgspec.Struct):
+    """What the consumer of one call got."""
+
+    head: HttpHead | None
+    body: bytes
+    fault: HttpFault | None
+
+    def told(self) -> tuple[str, bool, bool]:
+        assert self.fault is not None
+        return self.fault.kind, self.fault.request_sent, self.fault.on_kept_connection
+
+
+async def take_answer(exchange: HttpExchange) -> Outcome:
+    head = await exchange.head()
+    if not isinstance(head, Success):
+        return Outcome(None, b"", head.failure())
+    body = b""
+    while True:
+        piece = await exchange.next_piece()
+        if not isinstance(piece, Success):
+            return Outcome(head.unwrap(), body, piece.failure())
+        data = piece.unwrap()
+        if data is None:
+            return Outcome(head.unwrap(), body, None)
+        body += data
+
+
+class Bed:
+    """A worker, a client that keeps connections, and the world they share."""
+
+    def __init__(self, worker: StandInWorker, clock: Clock) -> None:
+        self.worker = worker
+        self.clock = clock
+        self.address = Address("127.0.0.1", 0)
+        self.client: PooledHttpClient
+        self.network: Network
+        self.world: World | None = None
+        self._ids = 0
+
+    def request(self, body: bytes = b"", **more: object) -> HttpRequest:
+        """A request with an id of its own, which may reuse connections."""
+        self._ids += 1
+        identifier = str(more.pop("id", f"call-{self._ids}"))
+        fields: dict[str, object] = {
+            "method": "POST",
+            "address": self.address,
+            "path": "/p",
+            "headers": ((ECHO, identifier),),
+            "echo": (ECHO, identifier),
+            "body": body,
+            "reuse": True,
+            **more,
+        }
+        return HttpRequest(**fields)  # type: ignore[arg-type]
+
+    def start(self, body: bytes = b"", **more: object) -> HttpExchange:
+        return self.client.start(self.request(body, **more))
+
+    async def call(self, body: bytes = b"", **more: object) -> Outcome:
+        return await take_answer(self.start(body, **more))
+
+    async def until(self, condition: Callable[[], bool]) -> None:
+        async with asyncio.timeout(PATIENCE):
+            while not condition():
+                await asyncio.sleep(0.001)
+
+
+class Scenario(Protocol):
+    async def __call__(self, bed: Bed) -> None: ...
+
+
+def run_on_loopback(scenario: Scenario, worker: StandInWorker, limits: ConnectionLimits | None = None) -> None:
+    """Real sockets and real time."""
+
+    async def main() -> None:
+        problems: list[str] = []
+        network, bed = RealNetwork(), Bed(worker, RealClock())
+        tasks = RealTasks(mock.Mock(), problems.append)
+        bed.network = network
+        bed.address = worker.start(network, [Address("127.0.0.1", port) for port in range(23400, 23700)])
+        bed.client = PooledHttpClient(network, bed.clock, tasks, limits)
+        try:
+            async with asyncio.timeout(3 * PATIENCE):
+                await scenario(bed)
+        finally:
+            bed.client.close()
+            worker.stop()
+            await asyncio.sleep(0)
+        assert not problems, problems
+
+    asyncio.run(main())
+
+
+def run_in_simulation(
+    scenario: Scenario, worker: StandInWorker, limits: ConnectionLimits | None = None, seed: int = 1
+) -> None:
+    """Virtual time, bytes split anywhere."""
+    done: list[bool] = []
+    with World(seed) as world:
+
+        async def serve(context: Context) -> None:
+            worker.start(context.network, [address_of(world.machines["worker"], PORT)])
+
+        async def run(context: Context) -> None:
+            bed = Bed(worker, context.clock)
+            bed.world, bed.network = world, context.network
+            bed.address = address_of(world.machines["worker"], PORT)
+            bed.client = PooledHttpClient(context.network, context.clock, context.tasks, limits)
+            await scenario(bed)
+            done.append(True)
+
+        world.start("worker", serve)
+        world.start("router", run)
+        world.wait_for(lambda: bool(done or world.broken_invariants), within=600.0)
+        assert not world.broken_invariants, "\n".join(world.broken_invariants)
+        assert done, "the scenario did not end"
--- /dev/null
+++ b/wingwood/context/tests/test_answer_parser.py
@@ -0,0 +1,185 @@
+"""The answer parser: what it takes, what it refuses, and that it makes no difference how the bytes are cut."""
+
+from __future__ import annotations
+
+import itertools
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ..answer_parser import AnswerParser
+from ..http_exchange import HEAD_BYTES, ChunkDecoder
+
+ECHO = ("X-Id", "one")
+
+
+def read(pieces: list[bytes], method: str = "POST", echo: tuple[str, str] | None = None) -> tuple[object, ...]:
+    """All that a client can see of an answer that came in these pieces, and then the connection's end."""
+    parser = AnswerParser(method, echo)
+    body = b""
+    for at, piece in enumerate(pieces):
+        if piece and parser.outcome == "under way":
+            body += parser.take(piece)
+            if parser.outcome != "under way":
+                parser.surplus += sum(map(len, pieces[at + 1 :]))
+    if parser.outcome == "under way":
+        parser.take_end()
+    surplus = parser.surplus if parser.outcome == "ended" else 0
+    persistent = parser.outcome == "ended" and parser.persistent
+    return parser.outcome, parser.head, body, surplus, persistent, parser.idle_timeout if persistent else None
+
+
+def cut(data: bytes, places: list[int]) -> list[bytes]:
+    bounds = [0, *sorted(place % (len(data) + 1) for place in places), len(data)]
+    return [data[start:end] for start, end in itertools.pairwise(bounds)]
+
+
+names = st.sampled_from(
+    ["Content-Length", "content-length", "Transfer-Encoding", "Connection", "Keep-Alive", "X-Id", "X-A", "X B", "", "é"]
+)
+values = st.one_of(
+    st.sampled_from(["0", "3", "5", "chunked", "close", "keep-alive", "timeout=5, max=2", "one", "two", " 5 ", "\t"]),
+    st.sampled_from(["9" * 30, "9" * 5000, "-1", "5, 5", "gzip, chunked", "a\nb", "a\r", "\x00", "²"]),
+    st.text(st.characters(max_codepoint=255), max_size=8),
+)
+header_lines = st.tuples(names, values).map(lambda pair: f"{pair[0]}: {pair[1]}".encode("latin-1"))
+status_lines = st.sampled_from(
+    [b"HTTP/1.1 200 OK"] * 6
+    + [
+        b"HTTP/1.1 100 Continue",
+        b"HTTP/1.0 200 OK",
+        b"HTTP/1.1 204 No",
+        b"HTTP/1.1 101 S",
+        b"HTTP/1.1 20",
+        b"HTTP/2 200",
+    ]
+)
+heads = st.tuples(status_lines, st.lists(header_lines, max_size=4)).map(lambda t: b"\r\n".join([t[0], *t[1], b"", b""]))
+bodies = st.one_of(
+    st.sampled_from(
+        [b"", b"abc", b"hello", b"3\r\nabc\r\n0\r\n\r\n", b"3;x=1\r\nabc\r\n0\r\nT: 1\r\n\r\nmore", b"3\nabc"]
+    ),
+    st.sampled_from(
+        [b"1" * 5000 + b"\r\n", b"3;" + b"e" * 5000 + b"\r\nabc\r\n0\r\n\r\n", b"0\r\n" + b"t" * 5000 + b"\r\n"]
+    ),
+    st.binary(max_size=12),
+)
+answers = st.tuples(st.lists(heads, min_size=1, max_size=3), bodies).map(lambda t: b"".join(t[0]) + t[1])
+mangled = st.tuples(answers, st.integers(0, 400), st.binary(max_size=3)).map(
+    lambda t: t[0][: t[1]] + t[2] + t[0][t[1] + len(t[2]) :]
+)
+places = st.lists(st.integers(0, 20_000), max_size=8)
+
+
+class Fuzz(unittest.TestCase):
+    @settings(max_examples=1500, deadline=None, derandomize=True)
+    @given(st.one_of(answers, mangled), places, st.sampled_from(["POST", "HEAD"]), st.sampled_from([None, ECHO]))
+    def test_cuts_make_no_difference(
+        self, data: bytes, where: list[int], method: str, echo: tuple[str, str] | None
+    ) -> None:
+        whole = read([data], method, echo)
+        self.assertEqual(read(cut(data, where), method, echo), whole)
+
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    @given(st.one_of(answers, mangled))
+    def test_single_bytes_make_no_difference(self, data: bytes) -> None:
+        self.assertEqual(read([data[at : at + 1] for at in range(len(data))]), read([data]))
+
+    @settings(max_examples=1500, deadline=None, derandomize=True)
+    @given(st.one_of(st.binary(max_size=300), st.binary(max_size=300).map(lambda rest: b"HTTP/1.1 200 OK\r\n" + rest)))
+    def test_random_bytes_come_to_an_outcome(self, data: bytes) -> None:
+        self.assertNotEqual(read([data])[0], "under way")
+
+    @settings(max_examples=500, deadline=None, derandomize=True)
+    @given(st.binary(max_size=300), places)
+    def test_chunks(self, data: bytes, where: list[int]) -> None:
+        def decode(pieces: list[bytes]) -> tuple[bytes, bool, bool]:
+            decoder = ChunkDecoder()
+            body = b""
+            for piece in pieces:
+                if not decoder.ended and decoder.problem is None:
+                    body += decoder.take(piece)
+            return body, decoder.ended, decoder.problem is not None
+
+        for chunked in (data, b"%x\r\n%b\r\n0\r\n\r\n" % (len(data) or 1, data or b"x")):
+            self.assertEqual(decode(cut(chunked, where)), decode([chunked]))
+
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    @given(st.binary(max_size=300), st.lists(st.integers(1, 40), max_size=6), places)
+    def test_body_comes_out_as_it_went_in(self, body: bytes, sizes: list[int], where: list[int]) -> None:
+        length = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(body), body)
+        chunks, at = b"", 0
+        for size in [*sizes, len(body)]:
+            part = body[at : at + size]
+            at += size
+            chunks += b"%x\r\n%b\r\n" % (len(part), part) if part else b""
+        chunked = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n" + chunks + b"0\r\n\r\n"
+        for data in (length, chunked):
+            outcome, _, got, surplus, persistent, _ = read(cut(data, where))
+            self.assertEqual((outcome, got, surplus, persistent), ("ended", body, 0, True))
+
+
+class Heads(unittest.TestCase):
+    def outcome(self, data: bytes, echo: tuple[str, str] | None = None) -> object:
+        return read([data], echo=echo)[0]
+
+    def test_refused(self) -> None:
+        for head in (
+            b"HTTP/1.1 200 OK\nContent-Length: 0\n\n",
+            b"HTTP/1.1 200 OK\r\nX: a\r\n folded\r\nContent-Length: 0\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nX: a\rb\r\nContent-Length: 0\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nX: a\x00b\r\nContent-Length: 0\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nContent-Length : 0\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nContent-Length: +0\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nContent-Length: " + b"9" * 5000 + b"\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\nContent-Length: 1\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nno colon\r\nContent-Length: 0\r\n\r\n",
+            b"HTTP/1.1  200 OK\r\nContent-Length: 0\r\n\r\n",
+            b"HTTP/2 200 OK\r\nContent-Length: 0\r\n\r\n",
+            b"http/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+            b"\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+            b"HTTP/1.1 100 Continue\r\n\r\n" * (HEAD_BYTES // 25 + 1),
+        ):
+            with self.subTest(head=head[:60]):
+                self.assertEqual(self.outcome(head), "malformed")
+
+    def test_refused_without_waiting_for_more(self) -> None:
+        for beginning in (b"SSH-2.0", b"X", b"HTTP/1.1 200 OK\n", b"HTTP/1.1 200 OK\r\n" + b"x" * HEAD_BYTES):
+            parser = AnswerParser("POST")
+            parser.take(beginning)
+            self.assertEqual(parser.outcome, "malformed", beginning[:40])
+
+    def test_echo(self) -> None:
+        head = b"HTTP/1.1 200 OK\r\n%bContent-Length: 0\r\n\r\n"
+        for line, outcome in (
+            (b"X-Id: one\r\n", "ended"),
+            (b"x-ID:one \r\n", "ended"),
+            (b"X-Id: One\r\n", "foreign"),
+            (b"X-Id: one\r\nX-Id: two\r\n", "foreign"),
+            (b"", "foreign"),
+        ):
+            self.assertEqual(self.outcome(head % line, ECHO), outcome, line)
+        self.assertEqual(self.outcome(head % b"", ("X-Id", "")), "ended")
+        self.assertEqual(self.outcome(head % b"X-Id: one\r\n", ("X-Id", "")), "foreign")
+
+    def test_interim_answers_tell_nothing_of_the_answer(self) -> None:
+        early = b"HTTP/1.1 103 Early\r\nX-Id: two\r\nConnection: close\r\nKeep-Alive: timeout=9\r\n\r\n"
+        outcome, _, body, surplus, persistent, idle = read(
+            [early + b"HTTP/1.1 200 OK\r\nX-Id: one\r\nContent-Length: 2\r\n\r\nok"], echo=ECHO
+        )
+        self.assertEqual((outcome, body, surplus, persistent, idle), ("ended", b"ok", 0, True, None))
+
+    def test_surplus_is_counted(self) -> None:
+        for answer in (
+            b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok",
+            b"HTTP/1.1 204 No Content\r\n\r\n",
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+        ):
+            self.assertEqual(read([answer + b"more"])[3], 4)
+            self.assertEqual(read([answer])[3], 0)
+
+    def test_long_trailers_and_chunk_lines_are_refused(self) -> None:
+        head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+        for body in (b"0\r\n" + b"T: 1234567890\r\n" * 6000 + b"\r\n", b"1;" + b"x" * 5000 + b"\r\na\r\n0\r\n\r\n"):
+            self.assertEqual(self.outcome(head + body), "broken")
--- /dev/null
+++ b/wingwood/context/tests/test_pooled_soak.py
@@ -0,0 +1,262 @@
+"""A worker that misbehaves at random, many calls, and what must hold for each (docs/DESIGN.md section 12.2).
+
+Two clients that are broken on purpose show that the checks see what they are for.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from collections.abc import Callable
+from random import Random
+from unittest import mock
+
+from returns.result import Failure, Result
+
+from ...identifiers import Seconds
+from ..answer_parser import AnswerParser
+from ..connection_pool import ConnectionLimits, PooledConnection
+from ..pooled_client import PooledHttpClient
+from ..protocols import HttpExchange, HttpFault, HttpHead, HttpRequest
+from .stand_in_worker import ECHO, Bed, Outcome, StandInWorker, Turn, run_in_simulation, run_on_loopback, take_answer
+
+CALLERS = 6
+CALLS = 40
+SEEDS = range(8)
+
+
+class MisbehavingWorker:
+    """Mostly answers well. Each stray thing it sends is a whole answer, to an earlier request of the connection."""
+
+    def __init__(self, random: Random) -> None:
+        self._random = random
+
+    async def __call__(self, turn: Turn) -> None:
+        random = self._random
+        if turn.number > 1 and random.random() < 0.05:
+            await turn.send(turn.answer(b"body of earlier", id="earlier"))
+        await asyncio.sleep(random.choice([0.0, 0.0, 0.001, 0.005]))
+        behaviour = random.choices(
+            ["whole", "chunks", "no length", "cut", "reset", "silent close", "stray", "close", "garbage", "early"],
+            [50, 15, 4, 4, 4, 4, 5, 5, 2, 2],
+        )[0]
+        answer = turn.answer(self.body(turn.id), "Keep-Alive: timeout=1")
+        match behaviour:
+            case "whole":
+                await turn.send(answer)
+            case "chunks":
+                await self._send_chunks(turn)
+            case "no length":
+                head = f"HTTP/1.1 200 OK\r\n{ECHO}: {turn.id}\r\n\r\n".encode()
+                await turn.send(head + self.body(turn.id))
+                turn.stream.close()
+            case "cut":
+                await turn.send(answer[: random.randint(1, len(answer) - 1)])
+                turn.stream.close()
+            case "reset":
+                await turn.send(answer[: random.randint(1, len(answer) - 1)])
+                turn.reset()
+            case "silent close":
+                turn.stream.close()
+            case "stray":
+                await turn.send(answer)
+                await asyncio.sleep(random.choice([0.0, 0.001, 0.01]))
+                await turn.send(turn.answer(b"body of stray", id="stray"))
+            case "close":
+                await turn.send(turn.answer(self.body(turn.id), "Connection: close"))
+            case "garbage":
+                await turn.send(random.randbytes(300))
+            case "early":
+                await turn.send(answer)
+                turn.reset()
+
+    @staticmethod
+    def body(id: str) -> bytes:
+        return f"body of {id}".encode() * 3
+
+    async def _send_chunks(self, turn: Turn) -> None:
+        await turn.send(f"HTTP/1.1 200 OK\r\n{ECHO}: {turn.id}\r\nTransfer-Encoding: chunked\r\n\r\n".encode())
+        for piece in (self.body(turn.id)[:5], self.body(turn.id)[5:]):
+            await asyncio.sleep(0.0005)
+            await turn.send(f"{len(piece):x}\r\n".encode() + piece + b"\r\n")
+        await turn.send(b"0\r\n\r\n")
+
+
+def soak(seed: int, make_client: Callable[[Bed], None] | None = None, on_loopback: bool = False) -> Counts:
+    """Plays it and judges each call; raises AssertionError at what must not be."""
+    random = Random(seed)
+    worker = StandInWorker(MisbehavingWorker(Random(seed + 1000)))
+    counts = Counts()
+
+    async def caller(bed: Bed, name: str) -> None:
+        for number in range(CALLS):
+            identifier = f"{name}-{number}"
+            within = Seconds(0.02) if random.random() < 0.3 else None
+            exchange = bed.start(b"x" * random.choice([0, 100, 55_000]), id=identifier, reuse_within=within)
+            try:
+                async with asyncio.timeout(2.0):
+                    outcome = await take_answer(exchange)
+            except TimeoutError:
+                exchange.cancel()
+                outcome = await take_answer(exchange)
+            judge(identifier, outcome, worker)
+            counts.add(outcome)
+            await asyncio.sleep(random.choice([0.0, 0.001, 0.004, 0.02]))
+
+    async def scenario(bed: Bed) -> None:
+        if make_client is not None:
+            make_client(bed)
+        async with asyncio.TaskGroup() as group:
+            for number in range(CALLERS):
+                group.create_task(caller(bed, f"caller-{number}"))
+        pool = bed.client.pool
+        assert pool.open_connections() == pool.idle_connections(), "a place was not given back"
+        assert bed.client.calls() == 0
+        counts.reused = bed.client.counts.reused
+
+    limits = ConnectionLimits(per_address=CALLERS)
+    if on_loopback:
+        run_on_loopback(scenario, worker, limits)
+    else:
+        run_in_simulation(scenario, worker, limits, seed)
+    twice = [identifier for identifier, times in worker.received.items() if times > 1]
+    assert not twice, f"sent twice: {twice}"
+    return counts
+
+
+class Counts:
+    def __init__(self) -> None:
+        self.whole = 0
+        self.faults: dict[str, int] = {}
+        self.on_kept = 0
+        self.reused = 0
+
+    def add(self, outcome: Outcome) -> None:
+        if outcome.fault is None:
+            self.whole += 1
+        else:
+            self.faults[outcome.fault.kind] = self.faults.get(outcome.fault.kind, 0) + 1
+            self.on_kept += outcome.fault.on_kept_connection
+
+
+def judge(identifier: str, outcome: Outcome, worker: StandInWorker) -> None:
+    expected = MisbehavingWorker.body(identifier)
+    assert expected.startswith(outcome.body), f"{identifier} got {outcome.body!r}"
+    if outcome.fault is None:
+        assert outcome.body == expected, f"{identifier} ended with {outcome.body!r}"
+        times = worker.received[identifier]
+        assert times == 1, f"{identifier} sent twice" if times else f"{identifier} answered and never received"
+    elif not outcome.fault.request_sent:
+        assert worker.received[identifier] == 0, f"{identifier} was received, and told as unsent"
+    if outcome.fault is not None and outcome.fault.on_kept_connection:
+        assert outcome.head is None and outcome.fault.kind == "broken"
+
+
+class Soak(unittest.TestCase):
+    def test_in_simulation(self) -> None:
+        for seed in SEEDS:
+            with self.subTest(seed=seed):
+                counts = soak(seed)
+                self.assertGreater(counts.whole, CALLERS * CALLS // 2)
+                self.assertGreater(counts.reused, CALLERS * CALLS // 4)
+                self.assertGreater(counts.faults["broken"], 0)
+
+    def test_on_loopback(self) -> None:
+        counts = soak(1, on_loopback=True)
+        self.assertGreater(counts.whole, CALLERS * CALLS // 2)
+        self.assertGreater(counts.reused, CALLERS * CALLS // 4)
+
+
+class Resending(HttpExchange):
+    """Broken on purpose: sends again what broke on a kept connection, as client libraries do."""
+
+    def __init__(self, client: PooledHttpClient, request: HttpRequest) -> None:
+        self._client = client
+        self._request = request
+        self._exchange = client.start(request)
+
+    async def head(self) -> Result[HttpHead, HttpFault]:
+        head = await self._exchange.head()
+        if isinstance(head, Failure) and head.failure().on_kept_connection:
+            self._exchange = self._client.start(self._request)
+            head = await self._exchange.head()
+        return head
+
+    async def next_piece(self) -> Result[bytes | None, HttpFault]:
+        return await self._exchange.next_piece()
+
+    def cancel(self) -> None:
+        self._exchange.cancel()
+
+    def request_sent(self) -> bool:
+        return self._exchange.request_sent()
+
+
+class BrokenVariants(unittest.TestCase):
+    def caught(self, said: str, make_client: Callable[[Bed], None] | None = None) -> int:
+        """In how many seeds the checks object, all with these words."""
+        objections = 0
+        for seed in SEEDS:
+            try:
+                soak(seed, make_client)
+            except AssertionError as objection:
+                self.assertIn(said, str(objection))
+                objections += 1
+        return objections
+
+    def test_resending_is_caught(self) -> None:
+        def make(bed: Bed) -> None:
+            bed.start = lambda body=b"", **more: Resending(bed.client, bed.request(body, **more))  # type: ignore[method-assign]
+
+        self.assertGreater(self.caught("sent twice", make), len(SEEDS) // 2)
+
+    def test_believing_every_answer_is_caught(self) -> None:
+        with mock.patch.object(AnswerParser, "_is_foreign", lambda self, echoed: False):
+            self.assertGreater(self.caught(" got b'body of"), len(SEEDS) // 2)
+
+    def test_reusing_what_showed_something_is_caught(self) -> None:
+        """Half of the connections end while they rest, the other half get a stray answer."""
+
+        async def answer(turn: Turn) -> None:
+            await turn.send(turn.answer(MisbehavingWorker.body(turn.id)))
+            await asyncio.sleep(0.001)
+            if turn.connection % 2:
+                turn.stream.close()
+            else:
+                await turn.send(turn.answer(b"stray", id="stray"))
+
+        def spoiled() -> int:
+            faults: list[HttpFault] = []
+
+            async def scenario(bed: Bed) -> None:
+                for _ in range(10):
+                    outcome = await bed.call()
+                    faults.extend([outcome.fault] if outcome.fault is not None else [])
+                    await asyncio.sleep(0.02)
+
+            run_in_simulation(scenario, StandInWorker(answer))
+            return len(faults)
+
+        self.assertEqual(spoiled(), 0)
+        with (
+            mock.patch.object(PooledConnection, "shows_nothing", _believes_in_it),
+            mock.patch.object(PooledConnection, "_take_events", _only_in_use(PooledConnection._take_events)),
+        ):
+            self.assertEqual(spoiled(), 5)
+
+
+def _believes_in_it(connection: PooledConnection) -> bool:
+    connection.go_on_reading()
+    return True
+
+
+def _only_in_use(
+    original: Callable[[PooledConnection, object, int], None],
+) -> Callable[[PooledConnection, object, int], None]:
+    def take(connection: PooledConnection, source: object, events: int) -> None:
+        if connection.user is None:
+            connection._watch(0)
+        else:
+            original(connection, source, events)
+
+    return take
--- /dev/null
+++ b/wingwood/context/tests/test_real_network.py
@@ -0,0 +1,175 @@
+"""Real sockets: their options, their bounds, and a listener that can't take connections (docs/DESIGN.md section 3)."""
+
+from __future__ import annotations
+
+import asyncio
+import os
+import resource
+import socket
+import unittest
+from unittest import mock
+
+from returns.result import Failure, Success
+from tornado.iostream import BaseIOStream, IOStream
+
+from ...identifiers import Address, Seconds
+from ..real import CONNECTIONS_OUT_AT_LEAST, OTHER_DESCRIPTORS, TCP_USER_TIMEOUT, RealNetwork, _Listening
+
+PORTS = range(23700, 23800)
+SOON = Seconds(1.0)
+
+
+class Sockets(unittest.IsolatedAsyncioTestCase):
+    async def asyncSetUp(self) -> None:
+        self.taken: list[BaseIOStream] = []
+        self.came = asyncio.Event()
+
+    def take(self, stream: BaseIOStream, peer: Address) -> None:
+        self.taken.append(stream)
+        self.addCleanup(stream.close)
+        self.came.set()
+
+    def listen(self, network: RealNetwork) -> tuple[Address, _Listening]:
+        for port in PORTS:
+            address = Address("127.0.0.1", port)
+            match network.listen(address, self.take):
+                case Success(listener):
+                    self.addCleanup(listener.close)
+                    assert isinstance(listener, _Listening)
+                    return address, listener
+        raise AssertionError("no free port")
+
+    async def connected(self, network: RealNetwork, address: Address) -> IOStream:
+        stream = (await network.connect(address, SOON)).unwrap()
+        assert isinstance(stream, IOStream)
+        self.addCleanup(stream.close)
+        return stream
+
+    async def test_options_on_both_ends(self) -> None:
+        network = RealNetwork()
+        address, _ = self.listen(network)
+        near = await self.connected(network, address)
+        async with asyncio.timeout(SOON):
+            await self.came.wait()
+        for stream in (near, self.taken[0]):
+            assert isinstance(stream, IOStream)
+            told = {
+                name: stream.socket.getsockopt(socket.IPPROTO_TCP, getattr(socket, name))
+                for name in ("TCP_NODELAY", "TCP_USER_TIMEOUT", "TCP_KEEPIDLE", "TCP_KEEPINTVL", "TCP_KEEPCNT")
+            }
+            self.assertEqual(
+                told,
+                {
+                    "TCP_NODELAY": 1,
+                    "TCP_USER_TIMEOUT": int(1000 * TCP_USER_TIMEOUT),
+                    "TCP_KEEPIDLE": 1,
+                    "TCP_KEEPINTVL": 1,
+                    "TCP_KEEPCNT": 2,
+                },
+            )
+            self.assertEqual(stream.socket.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE), 1)
+
+    async def test_an_option_that_the_system_lacks_costs_no_connection(self) -> None:
+        network = RealNetwork()
+        address, _ = self.listen(network)
+        refused = mock.patch("wingwood.context.real._CONNECTION_OPTIONS", ((socket.IPPROTO_TCP, 9999, 1),))
+        with refused:
+            await self.connected(network, address)
+            async with asyncio.timeout(SOON):
+                await self.came.wait()
+
+    async def test_address_can_be_taken_again_at_once(self) -> None:
+        network = RealNetwork()
+        address, listener = self.listen(network)
+        near = await self.connected(network, address)
+        async with asyncio.timeout(SOON):
+            await self.came.wait()
+        self.taken[0].close()
+        near.close()
+        listener.close()
+        listener.close()
+        again = network.listen(address, self.take)
+        assert isinstance(again, Success)
+        again.unwrap().close()
+
+    async def test_given_bound_counts_both_directions(self) -> None:
+        outer = RealNetwork()
+        network = RealNetwork(most_descriptors=OTHER_DESCRIPTORS + 2)
+        self.assertEqual(network.most_connections(), 2)
+        address, _ = self.listen(network)
+        streams = [await self.connected(outer, address) for _ in range(3)]
+        async with asyncio.timeout(SOON):
+            self.assertEqual(await asyncio.get_running_loop().sock_recv(streams[2].socket, 1), b"")
+        self.assertEqual((len(self.taken), network.open_connections()), (2, 2))
+        self.taken[0].close()
+        self.assertEqual(network.open_connections(), 1)
+        self.came.clear()
+        await self.connected(outer, address)
+        async with asyncio.timeout(SOON):
+            await self.came.wait()
+
+    async def test_connections_out_beyond_the_bound_fail_at_once(self) -> None:
+        network = RealNetwork(most_descriptors=OTHER_DESCRIPTORS + 1)
+        address, _ = self.listen(RealNetwork())
+        streams = [await self.connected(network, address) for _ in range(1 + CONNECTIONS_OUT_AT_LEAST)]
+        fault = (await network.connect(address, SOON)).failure()
+        self.assertEqual(fault.kind, "exhausted")
+        streams[0].close()
+        await self.connected(network, address)
+
+    async def test_refused_and_given_up_connections_are_not_counted(self) -> None:
+        network = RealNetwork()
+        self.assertEqual((await network.connect(Address("127.0.0.1", 1), SOON)).failure().kind, "refused")
+        opening = asyncio.ensure_future(network.connect(Address("127.0.0.1", 1), SOON))
+        await asyncio.sleep(0)
+        opening.cancel()
+        await asyncio.gather(opening, return_exceptions=True)
+        self.assertEqual(network.open_connections(), 0)
+
+    async def test_no_descriptor_left(self) -> None:
+        """Connecting fails typed; a listener pauses in place of spinning, and takes the connection when it can."""
+        network = RealNetwork()
+        address, listener = self.listen(network)
+        with socket.socket() as raw:
+            raw.setblocking(False)
+            soft, hard = resource.getrlimit(resource.RLIMIT_NOFILE)
+            spare = os.dup(0)
+            os.close(spare)
+            resource.setrlimit(resource.RLIMIT_NOFILE, (spare, hard))
+            tries = 0
+            accept = listener._accept
+
+            def counted() -> None:
+                nonlocal tries
+                tries += 1
+                accept()
+
+            try:
+                fault = (await network.connect(address, SOON)).failure()
+                self.assertEqual(fault.kind, "exhausted")
+                with mock.patch.object(listener, "_accept", counted):
+                    listener._loop.remove_reader(listener._listener)
+                    listener._go_on()
+                    await asyncio.get_running_loop().sock_connect(raw, (address.host, address.port))
+                    await asyncio.sleep(0.35)
+                    self.assertIn(tries, range(2, 6))
+                    self.assertEqual(self.taken, [])
+            finally:
+                resource.setrlimit(resource.RLIMIT_NOFILE, (soft, hard))
+            async with asyncio.timeout(SOON):
+                await self.came.wait()
+
+    async def test_silent_address_is_given_up_in_time(self) -> None:
+        with socket.socket() as full:
+            full.bind(("127.0.0.1", 0))
+            full.listen(0)
+            network, address = RealNetwork(), Address("127.0.0.1", full.getsockname()[1])
+            kinds: list[str] = []
+            for _ in range(4):
+                outcome = await network.connect(address, Seconds(0.1))
+                if isinstance(outcome, Failure):
+                    kinds.append(outcome.failure().kind)
+                else:
+                    self.addCleanup(outcome.unwrap().close)
+            self.assertIn("timeout", kinds)
+            self.assertEqual(network.open_connections(), 4 - len(kinds))
