--- a/wingwood/forward/policies/authentication.py
+++ b/wingwood/forward/policies/authentication.py
@@ -102,7 +102,7 @@
         return None
 
     def _route(self, bundle: Bundle, call: IncomingCall, path: str) -> Route | None:
-        return _find_route(bundle, call.header("Host") or "", path)
+        return bundle.find_route(call.header("Host") or "", path, call.method)
 
     def _accept_key(self, call: IncomingCall, bundle: Bundle, route: Route) -> Refused | None:
         digest = self._format.key(call)
@@ -148,17 +148,3 @@
         return None
     known = any(hmac.compare_digest(digest, key) for key in bundle.tenants[owner].keys)
     return owner if known else None
-
-
-def _find_route(bundle: Bundle, host: str, path: str) -> Route | None:
-    """Of the caller's host first, then of any; longest prefix first, as the bundle keeps them.
-
-    A prefix ends where a part of the path does.
-    """
-    name = host.partition(":")[0].lower()
-    fitting = [route for route in bundle.routes if route.host in {name, ""} and _begins(path, route.path_prefix)]
-    return next((route for route in fitting if route.host), next(iter(fitting), None))
-
-
-def _begins(path: str, prefix: str) -> bool:
-    return path.startswith(prefix) and (path == prefix or prefix.endswith("/") or path[len(prefix)] == "/")
