--- a/wingwood/forward/tests/stand_ins.py
+++ b/wingwood/forward/tests/stand_ins.py
@@ -308,6 +308,8 @@
         self.lost: list[float] = []
         """When the router closed a connection before the script had ended."""
         self.script = script
+        self.keeps = False
+        """Connections stay open for further requests, unless the script closes them."""
         self.process: Process = world.start(name, self._main)
         self.worker = Worker(
             instance=WorkerInstance(f"{name}-1"),
@@ -324,11 +326,14 @@
         self.connections += 1
         stream.set_close_callback(lambda: self.lost.append(self.world.now))
         try:
-            head = (await stream.read_until(b"\r\n\r\n")).decode("latin-1")
-            request = Request(head[:-4], b"", self.world.now)
-            request.body = await stream.read_bytes(int(request.header("Content-Length") or "0"))
-            self.requests.append(request)
-            await self.script(stream, request)
+            while True:
+                head = (await stream.read_until(b"\r\n\r\n")).decode("latin-1")
+                request = Request(head[:-4], b"", self.world.now)
+                request.body = await stream.read_bytes(int(request.header("Content-Length") or "0"))
+                self.requests.append(request)
+                await self.script(stream, request)
+                if not self.keeps:
+                    break
         except StreamClosedError:
             return
         stream.set_close_callback(None)
