Quotas in tokens, allowances by which routers decide themselves, retry budgets from the fleet's slack

Cause: tenants' quotas are counted in tokens over all routers in sliding windows with a tolerance, and calls within them must not wait or be refused; budgets of tries have a slack that was left unused. Each router uses by itself what the tenant's keeper allowed it and is guarded against using an allowance twice; RetryBounds give ratio, slack and window, keyed by pool.

--- a/bench/capacity/shares.py
+++ b/bench/capacity/shares.py
@@ -69,13 +69,13 @@
         number = 0
         for name in names:
             number += 1
-            await shares._answer_ask(members[1], LeaseAsk(name, 1e6, tenants[0].burst, 1, 0, 0, number))
+            await shares._answer_ask(members[1], LeaseAsk(name, 1e6, tenants[0].burst, "calls", number, (1,)))
         asks = 5_000
         begun = time.process_time()
         for step in range(asks):
             number += 1
-            ask = LeaseAsk(names[step % count], 1e6, tenants[0].burst, 1, 0, 0, number)
-            assert (await shares._answer_ask(members[1], ask)).granted == 1
+            ask = LeaseAsk(names[step % count], 1e6, tenants[0].burst, "calls", number, (1,))
+            assert (await shares._answer_ask(members[1], ask)).granted == (True,)
         rows.append({"tenants": count, "grant_us": (time.process_time() - begun) / asks * 1e6})
     return rows
 
--- a/bench/forward_stand_ins.py
+++ b/bench/forward_stand_ins.py
@@ -78,20 +78,20 @@
 
 
 class NoShares:
-    async def take(self, tenant: Tenant) -> ShareRefused | None:
+    async def take(self, tenant: Tenant, cost: int = 1) -> ShareRefused | None:
         return None
 
 
 class NoLimits:
     """Admission that refuses nothing; no retries."""
 
-    def take(self, service: ServiceName) -> bool:
+    def take(self, service: Service, pool: PoolName | None = None) -> bool:
         return False
 
     def refuse(self, service: Service, predicted_first_token: Seconds) -> ShareRefused | None:
         return None
 
-    def earned(self, service: Service) -> None: ...
+    def earned(self, service: Service, pool: PoolName | None = None) -> None: ...
 
 
 class NoLedger:
--- a/bench/limits_bench.py
+++ b/bench/limits_bench.py
@@ -227,7 +227,7 @@
 
     await timed("call from a lease", 10 * asks, lambda _: shares[0].take(far))
     keeper = identities[1]
-    ask = LeaseAsk(far.name, far.paid_rate, far.burst, 1, 0, 0, 1 << 40)
+    ask = LeaseAsk(far.name, far.paid_rate, far.burst, far.unit, 1 << 40, (1,))
 
     async def one_ask(number: int) -> object:
         numbered = msgspec.structs.replace(ask, number=(1 << 40) + number)
--- a/simulation/broken.py
+++ b/simulation/broken.py
@@ -304,7 +304,7 @@
 
 
 def _lets_all_in(router: Any) -> None:
-    async def take(_: Any) -> None:
+    async def take(_: Any, cost: int = 1) -> None:
         return None
 
     router.shares.take = take
@@ -314,10 +314,10 @@
     """Refuses half of the calls as beyond the share."""
     take, calls = router.shares.take, 0
 
-    async def half(tenant: Any) -> Any:
+    async def half(tenant: Any, cost: int = 1) -> Any:
         nonlocal calls
         calls += 1
-        return ShareRefused(Seconds(0.5)) if calls % 2 else await take(tenant)
+        return ShareRefused(Seconds(0.5)) if calls % 2 else await take(tenant, cost)
 
     router.shares.take = half
 
--- a/wingwood/daemons/router.py
+++ b/wingwood/daemons/router.py
@@ -77,7 +77,7 @@
             settings,
             self.follower,
             self.shares,
-            ServiceRetryBudget(),
+            ServiceRetryBudget(context.clock, lambda: len(self.membership.routers())),
             self.ledger,
             self.placement,
             self.registry,
--- a/wingwood/forward/policies/limits.py
+++ b/wingwood/forward/policies/limits.py
@@ -7,7 +7,10 @@
 
 
 class PaidSharePolicy:
-    """Refuses what goes past the tenant's paid share; what stays earns its service's retry budget."""
+    """Each call earns its service's retry budget; what goes past its tenant's paid share is refused.
+
+    Calls of routes that need no key have no tenant, and no share.
+    """
 
     name = "paid-share"
 
@@ -17,13 +20,13 @@
 
     async def apply(self, call: IncomingCall, proceed: Proceed) -> Answer:
         assert call.service is not None
-        over = None if call.tenant is None else await self._shares.take(call.tenant)
-        if over is not None:
-            return Refused(
-                status=429,
-                code="share-exceeded",
-                reason="the tenant's paid share is used up",
-                retry_after=over.retry_after,
-            )
         self._retry_budget.earned(call.service)
-        return await proceed(call)
+        over = None if call.tenant is None else await self._shares.take(call.tenant, call.quota_cost)
+        if over is None:
+            return await proceed(call)
+        return Refused(
+            status=429,
+            code="share-exceeded",
+            reason="the tenant's paid share is used up",
+            retry_after=over.retry_after,
+        )
--- a/wingwood/forward/policies/retry.py
+++ b/wingwood/forward/policies/retry.py
@@ -57,7 +57,7 @@
         assert call.service is not None
         if call.runs + 1 >= call.service.attempts:
             return False
-        call.retry_reserved = self._budget.take(call.service.name)
+        call.retry_reserved = self._budget.take(call.service)
         return call.retry_reserved
 
     def _may_try_again(self, call: IncomingCall, answer: NotAnswered) -> bool:
@@ -71,7 +71,7 @@
         if call.retry_reserved:
             call.retry_reserved = False
             return True
-        return self._budget.take(call.service.name)
+        return self._budget.take(call.service)
 
     @staticmethod
     def _repeatable(call: IncomingCall) -> bool:
--- a/wingwood/forward/tests/stand_ins.py
+++ b/wingwood/forward/tests/stand_ins.py
@@ -122,18 +122,20 @@
         self.budget = 10
         self.earned_by: list[str] = []
         self.shares_taken = 0
+        self.costs: list[int] = []
         self.waits = Seconds(0.0)
         """How long taking a share takes."""
 
-    async def take_share(self, tenant: Tenant) -> ShareRefused | None:
+    async def take_share(self, tenant: Tenant, cost: int) -> ShareRefused | None:
         self.shares_taken += 1
+        self.costs.append(cost)
         await asyncio.sleep(self.waits)
         return self.share_refused
 
-    def earned(self, service: Service) -> None:
+    def earned(self, service: Service, pool: PoolName | None = None) -> None:
         self.earned_by.append(service.name)
 
-    def take(self, service: ServiceName) -> bool:
+    def take(self, service: Service, pool: PoolName | None = None) -> bool:
         self.budget -= 1
         return self.budget >= 0
 
@@ -145,8 +147,8 @@
     def __init__(self, limits: StandInLimits) -> None:
         self._limits = limits
 
-    async def take(self, tenant: Tenant) -> ShareRefused | None:
-        return await self._limits.take_share(tenant)
+    async def take(self, tenant: Tenant, cost: int = 1) -> ShareRefused | None:
+        return await self._limits.take_share(tenant, cost)
 
 
 class StandInLedger:
--- a/wingwood/limits/bucket.py
+++ b/wingwood/limits/bucket.py
@@ -41,10 +41,10 @@
         self.fill(now)
         self.level = max(-self.most, min(self.most, self.level + tokens))
 
-    def wait(self, now: Instant) -> Seconds:
-        """Until the next whole token."""
+    def wait(self, now: Instant, wanted: float = 1.0) -> Seconds:
+        """Until ``wanted`` tokens are there."""
         self.fill(now)
-        return Seconds(max(0.0, (1.0 - self.level) / self.rate)) if self.rate > 0 else Seconds(60.0)
+        return Seconds(max(0.0, (wanted - self.level) / self.rate)) if self.rate > 0 else Seconds(60.0)
 
 
 class RecentCount:
@@ -81,6 +81,20 @@
             total += int(events)
         return total
 
+    def by_age(self, now: Instant, step: Seconds) -> tuple[int, ...]:
+        """Counts of the events not older than one step, two steps and so on, as differences."""
+        self._forget(now)
+        counts: list[int] = []
+        for at, events in reversed(self._steps):
+            age = int(max(0.0, now - at) / step)
+            counts.extend([0] * (age + 1 - len(counts)))
+            counts[age] += int(events)
+        return tuple(counts)
+
+    def clear(self) -> None:
+        self._steps.clear()
+        self._total = 0
+
     def rate(self, now: Instant) -> float:
         """Per second over the window."""
         return self.count(now) / self._window
--- a/wingwood/limits/keepers.py
+++ b/wingwood/limits/keepers.py
@@ -2,7 +2,10 @@
 
 from __future__ import annotations
 
-from ..identifiers import TenantName
+from collections.abc import Sequence
+
+from ..context.protocols import Clock
+from ..identifiers import Instant, Seconds, TenantName
 from ..membership.protocols import Membership
 from ..membership.rendezvous import weight
 from ..transport.frames import Identity
@@ -14,8 +17,11 @@
     A member more or less costs one hash per known tenant, not one per tenant and member.
     """
 
-    def __init__(self, membership: Membership) -> None:
+    def __init__(self, membership: Membership, clock: Clock | None = None) -> None:
         self._membership = membership
+        self._clock = clock
+        self._gone: dict[str, tuple[Identity, Instant]] = {}
+        """By name: a router that ceased to be a member and has not come back, and since when."""
         self._routers: dict[str, Identity] = {}
         self._chosen: dict[TenantName, tuple[int, Identity]] = {}
         self._deputies: dict[TenantName, Identity | None] = {}
@@ -53,6 +59,34 @@
         self._catch_up()
         return [self._routers[key] for key in sorted(self._routers)]
 
+    def gone(self, within: Seconds) -> list[Identity]:
+        """Routers that were members so short a time ago and have not come back (in another life)."""
+        self._catch_up()
+        if self._clock is None:
+            return []
+        now = self._clock.monotonic()
+        for name in [name for name, (_, since) in self._gone.items() if now - since > within]:
+            del self._gone[name]
+        return [router for router, _ in self._gone.values()]
+
+    def keeper_before(self, tenant: TenantName, missing: Sequence[Identity]) -> bool:
+        """Whether one of these would keep the share if it were a member, and so may have kept it before."""
+        keeper = self.keeper(tenant)
+        if keeper is None:
+            return bool(missing)
+        own = weight(tenant, f"{keeper.name}/{keeper.incarnation}")
+        return any(weight(tenant, f"{router.name}/{router.incarnation}") >= own for router in missing)
+
+    def _note_gone(self, before: dict[str, Identity], now: dict[str, Identity]) -> None:
+        present = {router.name for router in now.values()}
+        if self._clock is None:
+            return
+        for router in before.values():
+            if router.name not in present:
+                self._gone.setdefault(router.name, (router, self._clock.monotonic()))
+        for name in present:
+            self._gone.pop(name, None)
+
     def _catch_up(self) -> None:
         if not self._changed:
             return
@@ -63,6 +97,7 @@
         self._deputies.clear()
         before = self._routers
         self._routers = now
+        self._note_gone(before, now)
         added = sorted(key for key in now if key not in before)
         gone = {key for key in before if key not in now}
         for tenant, (best, router) in list(self._chosen.items()):
--- a/wingwood/limits/messages.py
+++ b/wingwood/limits/messages.py
@@ -7,42 +7,51 @@
 from ..identifiers import Seconds, TenantName
 
 RECENT = Seconds(4.0)
-"""Over how long keeper and routers count recent use, so that a router's part of it can be told."""
+"""Over how long a router counts its own use to tell its need."""
 
 
 class LeaseAsk(msgspec.Struct, frozen=True, array_like=True):
-    """A router asks a tenant's share keeper for tokens; answered by LeaseGrant."""
+    """A router asks a tenant's share keeper, or its deputy; answered by LeaseGrant.
+
+    Amounts are in the tenant's unit.
+    """
 
     tenant: TenantName
     paid_rate: float
     burst: Seconds
-    """Rate and burst as the asker's bundle has them; the keeper's own bundle goes first."""
-    wanted: int
-    returned: int
-    """Leased tokens whose time ran out unused."""
-    unleased: int
-    """Calls taken from the fallback share since the last ask that was answered."""
+    unit: str
+    """Rate, burst and unit as the asker's bundle has them; the keeper's own bundle goes first."""
     number: int
     """Counts the asker's asks; one that comes after a later one lay in buffers and is void."""
+    costs: tuple[int, ...]
+    """Of the calls that wait; none when the ask only tells of use."""
+    used: int = 0
+    """Used without a grant of this keeper since the last ask that it answered."""
+    need: float = 0.0
+    """Per second: what the router would use by itself until it asks again."""
+    saved: float = 0.0
+    """What it keeps of that from before."""
+    poured: float = 0.0
+    """For a deputy's account: unused part of what the keeper let the router use by itself."""
 
 
 class LeaseGrant(msgspec.Struct, frozen=True, array_like=True):
     keeper: bool
-    """False: this router does not keep the tenant's share (any more, or yet)."""
-    granted: int
-    wait: Seconds
-    """When ``granted`` is less than ``wanted``: how long until the next token."""
-    level: float = 0.0
-    """What is left in the bucket."""
-    rate: float = 0.0
-    """Tokens granted per second of late, to all routers (RECENT seconds)."""
-
-
-class LeaseReturn(msgspec.Struct, frozen=True, array_like=True):
-    """Post: leased tokens that went unused."""
-
-    tenant: TenantName
-    tokens: int
+    """False: this router neither keeps the tenant's share nor stands in for who does."""
+    stands_in: bool = False
+    """The grant comes from the deputy's account, and the keeper has to be told of it."""
+    granted: tuple[bool, ...] = ()
+    """For each of the asked calls."""
+    wait: Seconds = Seconds(0.0)
+    """When one was not granted: how long until it would be."""
+    allowed: float = 0.0
+    """Per second: what the router may use by itself from now on, for ``RouterShare.AUTONOMY``."""
+    plenty: bool = False
+    """The bucket holds enough for credit."""
+    used: float | None = 0.0
+    """By all routers in the last window, as the keeper knows; None: it does not know yet."""
+    promised: float = 0.0
+    """Per second: what all routers together may use by themselves."""
 
 
 class UseQuestion(msgspec.Struct, frozen=True, array_like=True):
@@ -50,19 +59,25 @@
 
     tenant: TenantName
     window: Seconds
+    step: Seconds
 
 
 class UseAnswer(msgspec.Struct, frozen=True, array_like=True):
-    used: int
-    """Calls accepted within the window, and tokens still held."""
+    used: tuple[int, ...]
+    """In each step of the window, the newest first."""
     known: Seconds
     """How much of the window this router has been up."""
     level: float | None
     """From the keeper until now: what its bucket held; it grants no more."""
     number: int
     """The answerer's newest ask; what it asked until then is void, since its use is in this report."""
-    keeper_answered: Seconds = Seconds(1e9)
-    """How long ago the keeper itself (no deputy) last granted it something."""
+    allowed: float = 0.0
+    saved: float = 0.0
+    """What it may go on using by itself; see LeaseGrant and LeaseAsk."""
+    told_used: float = 0.0
+    told_promised: float = 0.0
+    told_ago: Seconds = Seconds(1e9)
+    """``LeaseGrant.used`` and ``promised`` of the last keeper, and how long ago they were told."""
 
 
 class MemberQuestion(msgspec.Struct, frozen=True, array_like=True):
--- a/wingwood/limits/protocols.py
+++ b/wingwood/limits/protocols.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from ..bundle.model import Service, Tenant
-from ..identifiers import Seconds, ServiceName
+from ..identifiers import PoolName, Seconds
 
 
 class ShareRefused(msgspec.Struct, frozen=True):
@@ -15,18 +15,23 @@
 
 
 class Shares(Protocol):
-    async def take(self, tenant: Tenant) -> ShareRefused | None:
-        """Counts one call against the tenant's paid rate over the whole fleet; None when it fits."""
+    async def take(self, tenant: Tenant, cost: int = 1) -> ShareRefused | None:
+        """Counts a call against the tenant's paid rate over the whole fleet; None when it fits.
+
+        ``cost`` is in the tenant's ``unit``: 1, or the call's tokens (prompt and the most it may generate).
+        """
         ...
 
 
 class RetryBudget(Protocol):
-    def earned(self, service: Service) -> None:
-        """A call of the service came in."""
+    """Kept by pool: services that share one share its budget."""
+
+    def earned(self, service: Service, pool: PoolName | None = None) -> None:
+        """A call of the service came in; ``pool`` once it is chosen (None: by the service's split)."""
         ...
 
-    def take(self, service: ServiceName) -> bool:
-        """Whether one try beyond the first may be made now. No budget before calls have earned it."""
+    def take(self, service: Service, pool: PoolName | None = None) -> bool:
+        """Whether one try beyond the first may be made now, at ``pool`` (None: the service's own)."""
         ...
 
 
--- a/wingwood/limits/tests/share_fleet.py
+++ b/wingwood/limits/tests/share_fleet.py
@@ -3,17 +3,21 @@
 from __future__ import annotations
 
 from collections.abc import Callable, Sequence
+from random import Random
 
 from simulation import World, address_of
 from wingwood.bundle.model import Tenant
 from wingwood.context.protocols import Context
 from wingwood.identifiers import ClassName, DaemonName, Incarnation, Instant, Seconds, TenantName, Zone
 from wingwood.limits.shares import FleetShares, ShareBounds
+from wingwood.limits.tolerance import QuotaTolerance
 from wingwood.transport.frames import Identity
 from wingwood.transport.messenger import TcpMessenger
 
 PORT = 7000
 LOST_AFTER = 2.0
+Cost = Callable[[Random], int]
+"""Of one call."""
 Load = Callable[[int, float], float]
 """Offered calls per second at a router (by number) at a time of the world."""
 
@@ -62,8 +66,16 @@
         load: Load,
         most_rate: float,
         bounds: ShareBounds | None = None,
+        tolerance: QuotaTolerance | None = None,
+        cost: Cost = lambda _: 1,
     ) -> None:
         self.bounds = bounds
+        self.tolerance = tolerance
+        self.cost = cost
+        self.uses: list[tuple[float, int]] = []
+        """(time, cost) of each accepted call, in the order of time."""
+        self.owed: list[tuple[float, int]] = []
+        """The same of all calls, refused ones too."""
         self.world = world
         self.tenant = tenant
         self.rates = [(0.0, tenant.paid_rate)]
@@ -93,7 +105,9 @@
             messenger = TcpMessenger(context, identity, b"fleet key")
             messenger.start()
             membership = HeldMembership()
-            self.shares[name] = FleetShares(context, messenger, membership, lambda _: self.tenant, self.bounds)
+            self.shares[name] = FleetShares(
+                context, messenger, membership, lambda _: self.tenant, self.bounds, self.tolerance
+            )
             self.lost.pop(name, None)
             self.identities[name] = identity
             context.tasks.spawn("heartbeat", self._heartbeat(context, name, membership))
@@ -137,11 +151,14 @@
         while True:
             await context.clock.sleep(Seconds(context.random.expovariate(self.most_rate)))
             if context.random.random() * self.most_rate < self.load(number, self.world.now):
-                context.tasks.spawn("call", self._call(number, shares))
+                context.tasks.spawn("call", self._call(number, shares, self.cost(context.random)))
 
-    async def _call(self, number: int, shares: FleetShares) -> None:
+    async def _call(self, number: int, shares: FleetShares, cost: int = 1) -> None:
         began = self.world.now
-        refused = await shares.take(self.tenant)
+        self.owed.append((began, cost))
+        refused = await shares.take(self.tenant, cost)
+        if refused is None:
+            self.uses.append((self.world.now, cost))
         self.calls.append((began, number, refused is None, self.world.now - began))
 
     def accepted(self, start: float, end: float) -> int:
@@ -170,6 +187,18 @@
         offered = self.offered(start, end)
         return 1.0 - self.accepted(start, end) / offered if offered else 0.0
 
+    def most_used(self, window: float, start: float = 0.0) -> int:
+        """Highest use in any sliding window after ``start``, over all routers."""
+        most = used = oldest = 0
+        uses = [(at, cost) for at, cost in self.uses if at >= start]
+        for at, cost in uses:
+            used += cost
+            while uses[oldest][0] < at - window:
+                used -= uses[oldest][1]
+                oldest += 1
+            most = max(most, used)
+        return most
+
     def worst_window(self, start: float, end: float, width: float) -> float:
         """Highest ``of_paid`` over any window of that width, in steps of a tenth of it."""
         steps = int((end - start - width) / (width / 10)) + 1
--- a/wingwood/limits/tests/test_parts.py
+++ b/wingwood/limits/tests/test_parts.py
@@ -21,7 +21,6 @@
 from ..admission import PatienceAdmission
 from ..bucket import RecentCount, TokenBucket
 from ..keepers import ShareKeepers
-from ..retry_budget import MOST_SAVED, MOST_SHARE, ServiceRetryBudget
 from .share_fleet import HeldMembership
 
 
@@ -81,24 +80,6 @@
     return Identity(DaemonName(f"r{number}"), Incarnation("i"), "router", Zone("a"), Address("127.0.0.1", number))
 
 
-class RetryBudgetTest(unittest.TestCase):
-    def test_tries_stay_under_a_fifth_of_the_calls_at_every_moment(self) -> None:
-        for share in (0.15, 0.9):
-            budget, tries = ServiceRetryBudget(), 0
-            for calls in range(1, 500):
-                budget.earned(service(share))
-                tries += budget.take(ServiceName("chat"))
-                self.assertLess(tries, calls / 5)
-            self.assertGreater(tries, 450 * min(share, MOST_SHARE))
-
-    def test_a_long_calm_saves_up_little_and_a_service_pays_only_for_itself(self) -> None:
-        budget = ServiceRetryBudget()
-        for _ in range(10_000):
-            budget.earned(service())
-        self.assertFalse(budget.take(ServiceName("cards")))
-        self.assertEqual(sum(budget.take(ServiceName("chat")) for _ in range(100)), int(MOST_SAVED))
-
-
 class AdmissionTest(unittest.TestCase):
     def test_refuses_what_comes_too_late_for_its_callers(self) -> None:
         admission = PatienceAdmission()
--- /dev/null
+++ b/wingwood/limits/tests/test_retry_budget.py
@@ -0,0 +1,158 @@
+"""Retry budgets of single routers and of whole fleets (docs/DESIGN.md section 14.2)."""
+
+from __future__ import annotations
+
+import random
+import unittest
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ...bundle.model import PoolShare, Service
+from ...identifiers import Instant, PoolName, Seconds, ServiceName, WallTime
+from ..retry_budget import MOST_SAVED, MOST_SHARE, RetryBounds, ServiceRetryBudget
+
+RATIO = 0.2
+WINDOW = 10.0
+
+
+class HeldClock:
+    """A clock that stands where it is put."""
+
+    def __init__(self, now: float = 0.0) -> None:
+        self.now = now
+
+    def monotonic(self) -> Instant:
+        return Instant(self.now)
+
+    def wall(self) -> WallTime:
+        return WallTime(self.now)
+
+    async def sleep(self, seconds: Seconds) -> None:
+        raise AssertionError("nothing here waits")
+
+
+def service(retry_share: float = 0.15, pool: str = "model", split: tuple[PoolShare, ...] = ()) -> Service:
+    return Service(name=ServiceName("chat"), pool=PoolName(pool), retry_share=retry_share, split=split)
+
+
+class RetryBudgetTest(unittest.TestCase):
+    def budget(self, slack: float | None = None, routers: int = 11) -> ServiceRetryBudget:
+        bounds = RetryBounds() if slack is None else RetryBounds(ratio=RATIO, slack=slack, window=Seconds(WINDOW))
+        self.clock = HeldClock()
+        return ServiceRetryBudget(self.clock, lambda: routers, bounds)
+
+    def test_tries_stay_under_a_fifth_of_the_calls_at_every_moment(self) -> None:
+        for share in (0.15, 0.9):
+            budget, tries = self.budget(), 0
+            for calls in range(1, 500):
+                budget.earned(service(share))
+                tries += budget.take(service(share))
+                self.assertLess(tries, calls / 5)
+            self.assertGreater(tries, 450 * min(share, MOST_SHARE))
+
+    def test_a_long_calm_saves_up_little_and_a_pool_pays_only_for_itself(self) -> None:
+        budget = self.budget()
+        for _ in range(10_000):
+            budget.earned(service())
+        self.assertFalse(budget.take(service(pool="cards")))
+        self.assertEqual(sum(budget.take(service()) for _ in range(100)), int(MOST_SAVED))
+
+    def test_the_slack_is_there_after_a_calm_time_without_any_call(self) -> None:
+        budget = self.budget(slack=62.0)
+        self.assertFalse(budget.take(service()), "nothing at the start")
+        self.clock.now = 60.0
+        self.assertEqual(sum(budget.take(service()) for _ in range(100)), int(0.4 * 62 / 11))
+
+    def test_a_large_fleet_has_at_least_one_try_a_router(self) -> None:
+        budget = self.budget(slack=200.0, routers=400)
+        self.clock.now = 600.0
+        self.assertEqual(sum(budget.take(service()) for _ in range(100)), 1)
+
+    def test_a_split_call_counts_for_all_its_pools_until_one_is_chosen(self) -> None:
+        split = service(split=(PoolShare(PoolName("a"), 90), PoolShare(PoolName("b"), 10)))
+        budget = self.budget()
+        for _ in range(60):
+            budget.earned(split)
+        self.assertFalse(budget.take(split, PoolName("b")))
+        self.assertTrue(budget.take(split, PoolName("a")))
+        for _ in range(10):
+            budget.earned(split, PoolName("b"))
+        self.assertTrue(budget.take(split, PoolName("b")))
+
+
+class _Fleet:
+    """Budgets of all routers; keeps when each call came and each further try was made."""
+
+    def __init__(self, routers: int, slack: float) -> None:
+        self.clock = HeldClock()
+        self.bounds = RetryBounds(ratio=RATIO, slack=slack, window=Seconds(WINDOW))
+        self.members = routers
+        self.budgets = [self.new_budget() for _ in range(routers)]
+        self.calls: list[float] = []
+        self.tries: list[float] = []
+
+    def new_budget(self) -> ServiceRetryBudget:
+        return ServiceRetryBudget(self.clock, lambda: self.members, self.bounds)
+
+    def offer(self, number: int) -> None:
+        """A call, all of whose tries fail."""
+        treated = service(retry_share=RATIO)
+        self.budgets[number].earned(treated)
+        self.calls.append(self.clock.now)
+        for _ in range(3):
+            if self.budgets[number].take(treated):
+                self.tries.append(self.clock.now)
+
+    def worst(self) -> float:
+        """Highest excess of tries over the ratio in any window, counting only the window's own calls."""
+        worst = 0.0
+        for end, last in enumerate(self.tries):
+            start = last - WINDOW
+            tried = sum(1 for at in self.tries[: end + 1] if at >= start)
+            called = sum(1 for at in self.calls if start <= at <= last)
+            worst = max(worst, tried - RATIO * called)
+        return worst
+
+
+class FleetRetryBudgetTest(unittest.TestCase):
+    @settings(max_examples=60, deadline=None)
+    @given(
+        seed=st.integers(0, 1 << 30),
+        fleet=st.sampled_from([(11, 62.0), (80, 200.0), (3, 62.0)]),
+        calm=st.floats(0.0, 40.0),
+        restarts=st.lists(st.floats(0.0, 30.0), max_size=4),
+    )
+    def test_any_window_of_any_schedule_stays_within_the_slack(
+        self, seed: int, fleet: tuple[int, float], calm: float, restarts: list[float]
+    ) -> None:
+        routers, slack = fleet
+        world, random_ = _Fleet(routers, slack), random.Random(seed)
+        world.clock.now = calm
+        waiting = sorted(calm + restart for restart in restarts)
+        while world.clock.now < calm + 30.0:
+            world.clock.now += random_.expovariate(40.0 if random_.random() < 0.9 else 1.0)
+            while waiting and waiting[0] < world.clock.now:
+                waiting.pop(0)
+                share = random_.choice((0.2, 1.0))  # Some routers, or all at once.
+                world.members = random_.choice((routers, (routers + 1) // 2))
+                world.budgets = [world.new_budget() if random_.random() < share else budget for budget in world.budgets]
+            world.offer(random_.randrange(routers))
+        self.assertLessEqual(world.worst(), slack)
+
+    def test_a_budget_that_starts_full_would_be_caught(self) -> None:
+        def worst(start_full: bool) -> float:
+            world = _Fleet(11, 62.0)
+            world.clock.now = 60.0
+            for _restart in range(9):
+                for number in range(44):
+                    world.offer(number % 11)
+                world.clock.now += 1.0
+                world.budgets = [world.new_budget() for _ in range(11)]
+                if start_full:
+                    for budget in world.budgets:
+                        budget._began = Instant(world.clock.now - 60.0)
+            return world.worst()
+
+        self.assertLessEqual(worst(start_full=False), 62.0)
+        self.assertGreater(worst(start_full=True), 62.0)
--- a/wingwood/limits/tests/test_shares.py
+++ b/wingwood/limits/tests/test_shares.py
@@ -3,15 +3,15 @@
 from __future__ import annotations
 
 import unittest
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from unittest import mock
 
 import msgspec
 
 from simulation import World
 
-from ...identifiers import TenantName
-from ...transport.frames import Identity
+from ...identifiers import Instant
+from ..kept_share import StandIn
 from ..messages import UseAnswer, UseQuestion
 from ..shares import FleetShares, ShareBounds
 from .share_fleet import Load, ShareFleet, tenant
@@ -97,7 +97,7 @@
                 world.cut(keeper, name)
 
         self.assertLess(self.run_fleet(even(200), 20, cut).worst_window(5.0, SECONDS, 3.0), 1.6)
-        with mock.patch.object(FleetShares, "_granted_elsewhere", _never_granted_elsewhere):
+        with mock.patch.object(StandIn, "grant", _all_granted):
             self.assertGreater(self.run_fleet(even(200), 20, cut).worst_window(5.0, SECONDS, 3.0), 1.6)
 
     def test_a_killed_keeper_of_a_fleet_too_large_to_be_asked(self) -> None:
@@ -176,12 +176,12 @@
         self.assertLess(max(call[3] for call in fleet.calls), 0.11)
 
 
-async def _never_granted_elsewhere(shares: FleetShares, tenant: TenantName, keeper: Identity) -> bool:
-    return False
+def _all_granted(account: StandIn, costs: Sequence[int], poured: float, now: Instant) -> tuple[bool, ...]:
+    return tuple(True for _ in costs)
 
 
 _use_of = FleetShares._use_of
 
 
 def _nothing_used(shares: FleetShares, question: UseQuestion) -> UseAnswer:
-    return msgspec.structs.replace(_use_of(shares, question), used=0)
+    return msgspec.structs.replace(_use_of(shares, question), used=(), told_used=0.0)
