--- a/bench/placement_bench.py
+++ b/bench/placement_bench.py
@@ -609,7 +609,7 @@
             )
 
             async def told() -> None:
-                await fleet.routers[name].registry._announced(worker)
+                await fleet.routers[name].registry.announced(worker)
 
             world.spawn(world.processes[name], told(), "announce")
 
--- a/wingwood/daemons/control.py
+++ b/wingwood/daemons/control.py
@@ -117,7 +117,7 @@
         self.publisher = BundlePublisher(context, self.messenger, self.core, self.source, self.keeper)
         self.keeper.tell(self.publisher.news)
         self.address_book = AddressBook(context, self.messenger, self.keeper)
-        self.registry = WorkerRegistry(context, self.messenger, self.keeper, settings)
+        self.registry = WorkerRegistry(context, self.messenger, self.keeper, settings, dialect.announcements)
         self.client = ControlClient(context, self.messenger, self.core.control_addresses)
         self.local_reader = LocalBundleReader(self.state, lambda: self.source.version, self._keeps_bundles)
         self.local_reader.serve(self.messenger)
--- a/wingwood/daemons/dialect.py
+++ b/wingwood/daemons/dialect.py
@@ -8,6 +8,8 @@
 import msgspec
 
 from ..operator_api.protocols import OperatorRoutes
+from ..registry.announcements import AnnouncementFormat
+from ..registry.worker_announcements import OwnAnnouncements
 
 if TYPE_CHECKING:
     from .control import ControlParts
@@ -24,3 +26,5 @@
     """Formats and further routes of a control daemon."""
 
     add_routes: Callable[[ControlParts, OperatorRoutes], None] = lambda parts, routes: None
+    announcements: AnnouncementFormat = msgspec.field(default_factory=OwnAnnouncements)
+    """How workers announce themselves."""
--- a/wingwood/daemons/router.py
+++ b/wingwood/daemons/router.py
@@ -202,7 +202,8 @@
     def _ready_workers(self) -> list[Worker]:
         bundle = self.follower.current()
         pools = () if bundle is None else _pools(bundle)
-        return [worker for pool in pools for worker in self.registry.ready(pool)]
+        ready = [worker for pool in pools for worker in self.registry.ready(pool)]
+        return [worker for worker in ready if not self.registry.is_suspected(worker.instance)]
 
     async def _ask_workers_when_alone(self) -> None:
         """Those that do not answer are suspected and leave the ready ones; see ``_is_stranded``."""
--- a/wingwood/registry/messages.py
+++ b/wingwood/registry/messages.py
@@ -11,6 +11,8 @@
 """Running, waiting, and tokens used in the KV cache."""
 Counts = dict[int, tuple[int, int]]
 """Running and expected turns (``Engagement``), by the home's number of the worker."""
+CallCounts = dict[int, tuple[int, int]]
+"""Calls that succeeded and calls that failed, by the home's number of the worker."""
 
 
 class WorkerEntry(msgspec.Struct, frozen=True, array_like=True):
@@ -19,37 +21,58 @@
     """Whether the sender counts its announcement as renewed."""
     number: int = -1
     """The sending home's short name for the worker in what follows; -1 from others."""
+    announced: int = 0
+    """Sequence number of the announcement that told this; of two, the later one's attributes hold."""
 
 
-class TakeState(msgspec.Struct, frozen=True):
+class TakeState(msgspec.Struct, frozen=True, array_like=True):
     """Call to a home: a worker's own announcement of a new instance or state. Reply: StateTaken."""
 
     worker: Worker
+    announced: int = 0
 
 
-class StateTaken(msgspec.Struct, frozen=True):
+class StateTaken(msgspec.Struct, frozen=True, array_like=True):
     worker: Worker
     """As kept now; its state is further on than the announced one when that was final already."""
+    home: bool = True
+    """Whether the taker counts itself as its zone's home of the pool."""
+    zones: int = 1
+    """How many zones have routers, as the taker knows them."""
 
 
 class Renewal(msgspec.Struct, frozen=True, array_like=True):
     pool: PoolName
     instance: WorkerInstance
     load: LoadFigures | None
+    sequence: int = 0
+    """The worker's own number of its announcement; 0 for none."""
 
 
-class TakeRenewals(msgspec.Struct, frozen=True):
+class TakeRenewals(msgspec.Struct, frozen=True, array_like=True):
     """Call to a home: the renewals that one daemon took since its last call. Reply: RenewalsTaken."""
 
     renewals: tuple[Renewal, ...]
 
 
-class RenewalsTaken(msgspec.Struct, frozen=True):
+class RenewalsTaken(msgspec.Struct, frozen=True, array_like=True):
     unknown: tuple[WorkerInstance, ...]
     """Must be announced in full again."""
 
 
-class StateSeen(msgspec.Struct, frozen=True):
+class AskWorker(msgspec.Struct, frozen=True):
+    """Call to any router: which worker is this? Reply: WorkerTold."""
+
+    instance: WorkerInstance
+
+
+class WorkerTold(msgspec.Struct, frozen=True):
+    worker: Worker | None
+    age: Seconds
+    """How old the answerer's knowledge is of the pool it is least sure of; infinite when it knows none."""
+
+
+class StateSeen(msgspec.Struct, frozen=True, array_like=True):
     """Post: a state learnt in another way than from the home; states only move on, so it can be merged by anyone."""
 
     worker: Worker
@@ -66,9 +89,11 @@
     """The asker's part (a router's own, or a home's for its zone)."""
     offered: tuple[WorkerEntry, ...] = ()
     """All the asker knows, for a home that is new to it (repair)."""
+    outcomes: CallCounts | None = None
+    """Of the asker's calls since it last told, by the home's number of the worker."""
 
 
-class FeedQuestion(msgspec.Struct, frozen=True):
+class FeedQuestion(msgspec.Struct, frozen=True, array_like=True):
     """Call: a router to the homes of its zone, a home to those of the other zones. Reply: FeedAnswer."""
 
     pools: tuple[PoolQuestion, ...]
@@ -88,9 +113,11 @@
     """Changed after the asked load sequence, by number."""
     engaged: Counts | None
     """The part of all others than the asker."""
+    ejected: tuple[int, ...] = ()
+    """Workers that the zone's home leaves out for the time being, for the outcomes of calls to them."""
 
 
-class FeedAnswer(msgspec.Struct, frozen=True):
+class FeedAnswer(msgspec.Struct, frozen=True, array_like=True):
     home: Incarnation
     session_age: Seconds
     """How long ago the answerer's membership was last proven."""
@@ -99,7 +126,7 @@
     """Given when no pool was asked for."""
 
 
-class FeedPush(msgspec.Struct, frozen=True):
+class FeedPush(msgspec.Struct, frozen=True, array_like=True):
     """Post from a home to the routers of its zone, at once on a change of state."""
 
     home: Incarnation
--- a/wingwood/registry/pool_table.py
+++ b/wingwood/registry/pool_table.py
@@ -6,12 +6,10 @@
 
 import msgspec
 
-from ..identifiers import Instant, PoolName, Seconds, WorkerInstance
+from ..identifiers import Address, Instant, PoolName, Seconds, WorkerInstance
 from .messages import LoadFigures, WorkerEntry
 from .protocols import Worker, WorkerLoad
 
-UNRENEWED_AFTER = Seconds(3.0)
-"""Renewals come each second; a worker that missed three gets no new turns."""
 FORGOTTEN_AFTER = Seconds(120.0)
 FINAL_KEPT_FOR = Seconds(600.0)
 ORDER = {"ready": 0, "draining": 1, "gone": 2}
@@ -25,6 +23,12 @@
     load_sequence: int
     number: int
     changed_at: Instant
+    known_since: Instant
+    """``worker.cold_left`` counts from here."""
+    announced: int = 0
+    """Number of the announcement that told the worker's attributes."""
+    heard: int = 0
+    """Highest number of its announcements, renewals among them."""
 
 
 class PoolTable:
@@ -39,6 +43,7 @@
         self._next_number = 0
         self.records: dict[WorkerInstance, WorkerRecord] = {}
         self._ready: tuple[Worker, ...] | None = None
+        self._standing: tuple[Worker, ...] | None = None
 
     def ready(self) -> tuple[Worker, ...]:
         if self._ready is None:
@@ -49,7 +54,27 @@
             )
         return self._ready
 
-    def announced(self, worker: Worker, now: Instant) -> list[Worker]:
+    def standing(self) -> tuple[Worker, ...]:
+        """Those that have not said that they leave, renewed or not, sorted by instance."""
+        if self._standing is None:
+            self._standing = tuple(
+                record.worker for _, record in sorted(self.records.items()) if record.worker.state == "ready"
+            )
+        return self._standing
+
+    def at_address(self, address: Address) -> list[Worker]:
+        """Workers there that are not gone."""
+        return [
+            record.worker
+            for _, record in sorted(self.records.items())
+            if record.worker.address == address and record.worker.state != "gone"
+        ]
+
+    def cold_left(self, instance: WorkerInstance, now: Instant) -> Seconds:
+        record = self.records.get(instance)
+        return Seconds(0.0) if record is None else Seconds(max(0.0, record.worker.cold_left - now + record.known_since))
+
+    def announced(self, worker: Worker, now: Instant, sequence: int = 0) -> list[Worker]:
         """A worker's own word, first hand. A new ready instance ends the older ones at its address.
 
         Gives the workers that changed.
@@ -61,9 +86,15 @@
                 if other.worker.address == worker.address and other.worker.state != "gone":
                     self._set(other, msgspec.structs.replace(other.worker, state="gone"), other.renewed, now)
                     changed.append(other.worker)
-        if self.merge(WorkerEntry(worker, True), now, judge_renewal=True):
+        record = self.records.get(worker.instance)
+        late = record is not None and 0 < sequence < record.heard
+        entry = WorkerEntry(worker, True, announced=sequence)
+        if self.merge(entry, now, judge_renewal=not late):
             changed.append(self.records[worker.instance].worker)
-        self.records[worker.instance].renewed_at = now
+        record = self.records[worker.instance]
+        record.heard = max(record.heard, sequence)
+        if not late:
+            record.renewed_at = now
         return changed
 
     def merge(self, entry: WorkerEntry, now: Instant, judge_renewal: bool) -> bool:
@@ -79,6 +110,9 @@
                 load_sequence=0,
                 number=self._next_number,
                 changed_at=now,
+                known_since=now,
+                announced=entry.announced,
+                heard=entry.announced,
             )
             self.numbers[self._next_number] = worker.instance
             self._next_number += 1
@@ -88,9 +122,16 @@
         state = max(worker.state, record.worker.state, key=ORDER.__getitem__)
         load = worker.load or record.worker.load
         renewed = entry.renewed if judge_renewal else record.renewed
-        differs = state != record.worker.state or renewed != record.renewed
+        attributes = record.worker
+        if entry.announced > record.announced:
+            record.announced = entry.announced
+            attributes = msgspec.structs.replace(worker, cold_left=record.worker.cold_left)
+        merged = msgspec.structs.replace(attributes, state=state, load=load)
+        differs = renewed != record.renewed or msgspec.structs.replace(merged, load=None) != msgspec.structs.replace(
+            record.worker, load=None
+        )
         if differs:
-            self._set(record, msgspec.structs.replace(record.worker, state=state, load=load), renewed, now)
+            self._set(record, merged, renewed, now)
         elif load != record.worker.load and load is not None:
             self.set_load(worker.instance, load)
         return differs
@@ -102,14 +143,22 @@
         self.load_sequence += 1
         record.load_sequence = self.load_sequence
         record.worker = msgspec.structs.replace(record.worker, load=load)
-        self._ready = None
+        self._ready = self._standing = None
         return True
 
-    def renewed(self, instance: WorkerInstance, load: WorkerLoad | None, now: Instant) -> bool | None:
-        """None: unknown here; else whether it counts as renewed again only now."""
+    def renewed(
+        self, instance: WorkerInstance, load: WorkerLoad | None, now: Instant, sequence: int = 0
+    ) -> bool | None:
+        """None: unknown here; else whether it counts as renewed again only now.
+
+        A renewal that comes after a later one of the same worker is old and renews nothing.
+        """
         record = self.records.get(instance)
         if record is None:
             return None
+        if 0 < sequence <= record.heard:
+            return False
+        record.heard = max(record.heard, sequence)
         record.renewed_at = now
         if load is not None:
             self.set_load(instance, load)
@@ -123,12 +172,12 @@
         for record in self.records.values():
             record.renewed_at = now
 
-    def expire(self, now: Instant) -> list[Worker]:
-        """For homes: marks and forgets what was not renewed; gives the workers marked now."""
+    def expire(self, now: Instant, unrenewed_after: Seconds) -> list[Worker]:
+        """For homes: marks what was not renewed for so long; gives the workers marked now."""
         changed = []
         for _, record in sorted(self.records.items()):
             silent = now - record.renewed_at
-            if record.renewed and silent > UNRENEWED_AFTER and record.worker.state != "gone":
+            if record.renewed and silent > unrenewed_after and record.worker.state != "gone":
                 self._set(record, record.worker, False, now)
                 changed.append(record.worker)
         return changed
@@ -140,18 +189,21 @@
             if (record.worker.state == "gone" or not record.renewed) and now - record.changed_at > kept_for:
                 del self.records[instance]
                 del self.numbers[record.number]
-                self._ready = None
+                self._ready = self._standing = None
 
-    def entries(self, instances: Iterable[WorkerInstance] | None = None) -> tuple[WorkerEntry, ...]:
+    def entries(self, now: Instant, instances: Iterable[WorkerInstance] | None = None) -> tuple[WorkerEntry, ...]:
         wanted = sorted(self.records if instances is None else instances)
-        return tuple(
-            WorkerEntry(self.records[instance].worker, self.records[instance].renewed, self.records[instance].number)
-            for instance in wanted
-            if instance in self.records
-        )
+        return tuple(self._entry(self.records[instance], now) for instance in wanted if instance in self.records)
+
+    def _entry(self, record: WorkerRecord, now: Instant) -> WorkerEntry:
+        """``cold_left`` as of now, since the taker counts it from when the entry comes."""
+        worker = record.worker
+        if worker.cold_left:
+            worker = msgspec.structs.replace(worker, cold_left=self.cold_left(worker.instance, now))
+        return WorkerEntry(worker, record.renewed, record.number, record.announced)
 
-    def changed_since(self, sequence: int) -> tuple[WorkerEntry, ...]:
-        return self.entries(instance for instance, record in self.records.items() if record.sequence > sequence)
+    def changed_since(self, sequence: int, now: Instant) -> tuple[WorkerEntry, ...]:
+        return self.entries(now, [instance for instance, record in self.records.items() if record.sequence > sequence])
 
     def loads_since(self, load_sequence: int) -> dict[int, LoadFigures]:
         return {
@@ -166,4 +218,4 @@
         record.changed_at = now
         record.worker = worker
         record.renewed = renewed
-        self._ready = None
+        self._ready = self._standing = None
--- /dev/null
+++ b/wingwood/registry/tests/test_circuit_breakers.py
@@ -0,0 +1,88 @@
+from __future__ import annotations
+
+import itertools
+import unittest
+
+from wingwood.identifiers import Instant, WorkerInstance
+from wingwood.registry.circuit_breakers import (
+    FORGOTTEN_AFTER,
+    PAUSE_FIRST,
+    PAUSE_LONGEST,
+    SUCCESSES_TO_FORGET,
+    TRIAL_LONGEST,
+    CircuitBreakers,
+)
+
+W0 = WorkerInstance("w0")
+
+
+class CircuitBreakersTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.breakers = CircuitBreakers()
+        self.now = Instant(1000.0)
+
+    def after(self, seconds: float) -> Instant:
+        self.now = Instant(self.now + seconds)
+        return self.now
+
+    def pause(self) -> float:
+        """Opens the breaker and gives how long it admits nothing, to 10 ms."""
+        self.assertTrue(self.breakers.open(W0, self.now))
+        begun = self.now
+        while not self.breakers.admits(W0, self.now):
+            self.after(0.01)
+        return self.now - begun
+
+    def test_pauses_grow_and_are_bounded(self) -> None:
+        pauses = [self.pause() for _ in range(6)]
+        self.assertAlmostEqual(pauses[0], PAUSE_FIRST, delta=0.02)
+        for shorter, longer in itertools.pairwise(pauses):
+            self.assertAlmostEqual(longer, min(PAUSE_LONGEST, 2 * shorter), delta=0.05)
+        self.assertAlmostEqual(pauses[-1], PAUSE_LONGEST, delta=0.02)
+
+    def test_after_the_pause_one_call_at_a_time(self) -> None:
+        self.pause()
+        self.breakers.begin(W0, self.now)
+        self.assertFalse(self.breakers.admits(W0, self.now))
+        self.assertFalse(self.breakers.admits(W0, self.after(1.0)))
+        self.assertTrue(self.breakers.close(W0))
+        self.breakers.begin(W0, self.now)
+        self.assertTrue(self.breakers.admits(W0, self.now))
+        self.assertFalse(self.breakers.close(W0), "it was trusted already")
+
+    def test_trial_that_told_nothing_makes_room_for_the_next(self) -> None:
+        self.pause()
+        self.breakers.begin(W0, self.now)
+        self.breakers.release(W0)
+        self.assertTrue(self.breakers.admits(W0, self.now))
+        self.assertFalse(self.breakers.is_closed(W0))
+
+    def test_trial_that_never_ends_does_not_keep_the_worker_out(self) -> None:
+        self.pause()
+        self.breakers.begin(W0, self.now)
+        self.assertTrue(self.breakers.admits(W0, self.after(TRIAL_LONGEST)))
+
+    def test_failures_of_calls_begun_before_do_not_lengthen_the_pause(self) -> None:
+        self.assertTrue(self.breakers.open(W0, self.now))
+        self.assertFalse(self.breakers.open(W0, self.after(0.1)))
+        self.assertTrue(self.breakers.admits(W0, self.after(PAUSE_FIRST)))
+
+    def test_successes_in_a_row_or_time_make_the_pause_short_again(self) -> None:
+        for _ in range(3):
+            self.pause()
+        for _ in range(SUCCESSES_TO_FORGET):
+            self.breakers.close(W0)
+        self.assertFalse(self.breakers)
+        self.assertAlmostEqual(self.pause(), PAUSE_FIRST, delta=0.02)
+        self.pause()
+        self.after(FORGOTTEN_AFTER + 1.0)
+        self.assertAlmostEqual(self.pause(), PAUSE_FIRST, delta=0.02)
+
+    def test_one_success_between_failures_does_not_shorten_the_pause(self) -> None:
+        self.pause()
+        self.breakers.close(W0)
+        self.assertAlmostEqual(self.pause(), 2 * PAUSE_FIRST, delta=0.02)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/wingwood/registry/tests/test_outliers.py
@@ -0,0 +1,83 @@
+from __future__ import annotations
+
+import random
+import unittest
+
+from wingwood.identifiers import Instant, WorkerInstance
+from wingwood.registry.outliers import EJECTED_FIRST, EJECTED_LONGEST, Outcomes, OutlierDetector
+
+WORKERS = [WorkerInstance(f"w{number}") for number in range(9)]
+STEP = 0.3
+
+
+class OutlierDetectorTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.detector = OutlierDetector()
+        self.now = Instant(500.0)
+        self.random = random.Random(4)
+
+    def step(self, failing: dict[WorkerInstance, float], calls: float = 1.0, otherwise: float = 0.0) -> set[str]:
+        """A step of traffic, ``calls`` a second to each worker that is in; gives who is left out after it."""
+        out = self.detector.judge(WORKERS, self.now)
+        for worker in WORKERS:
+            if worker not in out and self.random.random() < calls * STEP:
+                failed = int(self.random.random() < failing.get(worker, otherwise))
+                self.detector.record(worker, Outcomes(1 - failed, failed), self.now)
+        self.now = Instant(self.now + STEP)
+        return set(self.detector.judge(WORKERS, self.now))
+
+    def share_out(
+        self, failing: dict[WorkerInstance, float], seconds: float, otherwise: float = 0.0
+    ) -> dict[str, float]:
+        steps = int(seconds / STEP)
+        out = dict.fromkeys(map(str, WORKERS), 0)
+        for _ in range(steps):
+            for worker in self.step(failing, otherwise=otherwise):
+                out[worker] += 1
+        return {worker: count / steps for worker, count in out.items()}
+
+    def test_worker_that_fails_part_of_its_calls_is_left_out_most_of_the_time(self) -> None:
+        out = self.share_out({WORKERS[2]: 0.4}, 60.0)
+        self.assertGreater(out["w2"], 0.5)
+        self.assertEqual([worker for worker, share in out.items() if share and worker != "w2"], [])
+
+    def test_worker_whose_calls_all_fail_is_left_out_soon(self) -> None:
+        began = self.now
+        while not self.step({WORKERS[2]: 1.0}, calls=3.0):
+            self.assertLess(self.now - began, 3.0)
+
+    def test_failures_everywhere_leave_nobody_out(self) -> None:
+        out = self.share_out({}, 60.0, otherwise=0.35)
+        self.assertLess(max(out.values()), 0.05)
+
+    def test_rare_failures_leave_hardly_anybody_out(self) -> None:
+        out = self.share_out({}, 120.0, otherwise=0.03)
+        self.assertLess(max(out.values()), 0.05)
+
+    def test_at_most_half_are_left_out(self) -> None:
+        failing = dict.fromkeys(WORKERS[:3], 1.0) | dict.fromkeys(WORKERS[3:7], 0.9)
+        most = max(len(self.step(failing)) for _ in range(300))
+        self.assertLessEqual(most, 4)
+
+    def test_pauses_grow_and_are_bounded(self) -> None:
+        pauses = []
+        for _ in range(6):
+            self.detector.record(WORKERS[0], Outcomes(0, 6), self.now)
+            for worker in WORKERS[1:]:
+                self.detector.record(worker, Outcomes(6, 0), self.now)
+            self.assertEqual(self.detector.judge(WORKERS, self.now), {WORKERS[0]})
+            begun = self.now
+            while self.detector.judge(WORKERS, self.now):
+                self.now = Instant(self.now + 0.05)
+            pauses.append(self.now - begun)
+        self.assertAlmostEqual(pauses[0], EJECTED_FIRST, delta=0.06)
+        self.assertAlmostEqual(pauses[1], 2 * EJECTED_FIRST, delta=0.06)
+        self.assertAlmostEqual(pauses[-1], EJECTED_LONGEST, delta=0.06)
+
+    def test_only_worker_of_a_pool_is_never_left_out(self) -> None:
+        self.detector.record(WORKERS[0], Outcomes(0, 50), self.now)
+        self.assertEqual(self.detector.judge(WORKERS[:1], self.now), frozenset())
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/wingwood/registry/worker_announcements.py
+++ b/wingwood/registry/worker_announcements.py
@@ -1,4 +1,4 @@
-"""The workers' edge: every name, path, body and status code that workers see (docs/DESIGN.md section 10.1).
+"""The product's own workers' edge: every name, path, body and status code (docs/DESIGN.md section 10.1).
 
 A worker sends ``POST /workers/v1/announce`` to the operator address of any daemon, about once a
 second and at once when its state changes, and answers ``GET /health`` itself.
@@ -14,7 +14,8 @@
 
 from ..context.protocols import HttpClient, HttpRequest
 from ..identifiers import Address, PoolName, Seconds, WorkerInstance, Zone, parse_address
-from ..operator_api.protocols import OperatorReply
+from ..operator_api.protocols import OperatorReply, OperatorRequest
+from .announcements import Announcement, AnnouncementRoute, Departure
 from .protocols import Worker, WorkerLoad
 
 ANNOUNCE_PATH = "/workers/v1/announce"
@@ -80,23 +81,30 @@
     )
 
 
-def malformed(problem: str) -> OperatorReply:
-    return OperatorReply(status=400, body={"code": "malformed", "reason": problem})
+class OwnAnnouncements:
+    """The product's own ``AnnouncementFormat``."""
 
+    routes = (AnnouncementRoute("POST", ANNOUNCE_PATH),)
 
-def taken(worker: Worker) -> OperatorReply:
-    return OperatorReply(body={"code": "taken", "instance": worker.instance, "state": worker.state})
+    def read(self, request: OperatorRequest) -> Result[Announcement | Departure, str]:
+        return read_announcement(request.body).map(Announcement)
 
+    def malformed(self, problem: str) -> OperatorReply:
+        return OperatorReply(status=400, body={"code": "malformed", "reason": problem})
 
-def instance_over(worker: Worker) -> OperatorReply:
-    """The announced state goes back behind a final one; a new life needs a new instance."""
-    body: dict[str, object] = {"code": "instance-over", "instance": worker.instance, "state": worker.state}
-    return OperatorReply(status=409, body=body)
+    def taken(self, worker: Worker) -> OperatorReply:
+        return OperatorReply(body={"code": "taken", "instance": worker.instance, "state": worker.state})
 
+    def departed(self, instance: WorkerInstance) -> OperatorReply:
+        return OperatorReply(body={"code": "taken", "instance": instance, "state": "gone"})
 
-def tell_another(reason: str) -> OperatorReply:
-    """Not every home has it: the worker tells another daemon, which is harmless to repeat."""
-    return OperatorReply(status=503, body={"code": "tell-another", "reason": reason})
+    def over(self, worker: Worker) -> OperatorReply:
+        """A new life needs a new instance."""
+        body: dict[str, object] = {"code": "instance-over", "instance": worker.instance, "state": worker.state}
+        return OperatorReply(status=409, body=body)
+
+    def tell_another(self, reason: str) -> OperatorReply:
+        return OperatorReply(status=503, body={"code": "tell-another", "reason": reason})
 
 
 def list_of(workers: list[tuple[Worker, bool, bool]]) -> OperatorReply:
--- /dev/null
+++ b/wingwood/registry/worker_checks.py
@@ -0,0 +1,325 @@
+"""How a router finds out whether a doubtful worker works: by asking its health, or by trial calls.
+
+docs/DESIGN.md sections 10.3 and 10.6.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+from typing import Protocol
+
+import msgspec
+
+from ..context.protocols import Context
+from ..identifiers import Instant, PoolName, Seconds, WorkerInstance
+from .circuit_breakers import CircuitBreakers
+from .outliers import Outcomes
+from .pool_table import PoolTable
+from .protocols import Worker
+from .worker_announcements import HealthAnswer, ask_health
+
+FEED_BOUND = Seconds(1.0)
+"""A feed proven longer ago is not trusted: the worker itself is asked before each turn."""
+HEALTH_TIMEOUT = Seconds(0.3)
+HEALTH_TRUSTED = Seconds(0.4)
+SUSPECT_FIRST = Seconds(0.2)
+SUSPECT_LONGEST = Seconds(5.0)
+SUSPECT_FORGOTTEN = Seconds(30.0)
+
+
+class RegistryView(Protocol):
+    """What the checks need of the registry."""
+
+    def find(self, instance: WorkerInstance) -> Worker | None: ...
+
+    def ready(self, pool: PoolName) -> Sequence[Worker]: ...
+
+    def feed_age(self, pool: PoolName) -> float: ...
+
+    def is_renewed(self, instance: WorkerInstance) -> bool: ...
+
+    def is_ejected(self, instance: WorkerInstance) -> bool:
+        """By the zone's home, for the outcomes of calls there."""
+        ...
+
+    def learnt(self, seen: Worker) -> None:
+        """A state learnt from the worker itself, to be told on."""
+        ...
+
+    def changed(self, worker: Worker) -> None:
+        """Whether it may get turns has changed here."""
+        ...
+
+
+class WorkerCheck(Protocol):
+    """Part of ``Registry``, by one of two ways (``DaemonSettings.worker_check``)."""
+
+    def ready(self, table: PoolTable) -> Sequence[Worker]: ...
+
+    def is_suspected(self, instance: WorkerInstance) -> bool: ...
+
+    async def confirm(self, worker: Worker) -> bool: ...
+
+    def begin(self, instance: WorkerInstance) -> bool: ...
+
+    def succeeded(self, instance: WorkerInstance) -> None: ...
+
+    def failed(self, instance: WorkerInstance) -> None: ...
+
+    def suspect(self, worker: Worker, reason: str) -> None: ...
+
+    def misplaced(self, worker: Worker) -> None: ...
+
+    def abandoned(self, instance: WorkerInstance) -> None: ...
+
+    def take_outcomes(self, instances: Sequence[WorkerInstance]) -> dict[WorkerInstance, Outcomes]:
+        """Of calls to these workers since the last time."""
+        ...
+
+    def forget(self, instance: WorkerInstance) -> None: ...
+
+
+class _Suspicion(msgspec.Struct):
+    times: int
+    last: Instant
+    out: bool
+
+
+class HealthChecks:
+    """A suspected worker is out until it answers its health check; so is one that is doubtful while the feed is old."""
+
+    def __init__(self, context: Context, view: RegistryView) -> None:
+        self._context = context
+        self._view = view
+        self._suspicions: dict[WorkerInstance, _Suspicion] = {}
+        self._health: dict[WorkerInstance, tuple[Instant, bool]] = {}
+        self._asked: dict[WorkerInstance, asyncio.Future[bool]] = {}
+
+    def ready(self, table: PoolTable) -> Sequence[Worker]:
+        workers = table.ready()
+        if self._suspicions:
+            return tuple(worker for worker in workers if not self.is_suspected(worker.instance))
+        return workers
+
+    def is_suspected(self, instance: WorkerInstance) -> bool:
+        suspicion = self._suspicions.get(instance)
+        return suspicion is not None and suspicion.out
+
+    async def confirm(self, worker: Worker) -> bool:
+        """The smallest exception: a feed older than the bound is backed by the worker's own word (section 10.3)."""
+        if not self._may_run(worker.instance):
+            return False
+        if self._view.feed_age(worker.pool) <= FEED_BOUND:
+            return True
+        known = self._health.get(worker.instance)
+        if known is not None and self._now() - known[0] <= HEALTH_TRUSTED:
+            return known[1] and self._may_run(worker.instance)
+        asked = self._asked.get(worker.instance)
+        if asked is None:
+            asked = self._asked[worker.instance] = asyncio.get_running_loop().create_future()
+            self._context.tasks.spawn(f"health {worker.instance}", self._ask(worker, asked))
+        return await asyncio.shield(asked) and self._may_run(worker.instance)
+
+    def begin(self, instance: WorkerInstance) -> bool:
+        return self._may_run(instance)
+
+    def succeeded(self, instance: WorkerInstance) -> None:
+        return
+
+    def failed(self, instance: WorkerInstance) -> None:
+        return
+
+    def suspect(self, worker: Worker, reason: str) -> None:
+        now = self._now()
+        suspicion = self._suspicions.get(worker.instance)
+        if suspicion is None:
+            suspicion = self._suspicions[worker.instance] = _Suspicion(0, now, False)
+        if suspicion.out:
+            return
+        suspicion.times = suspicion.times + 1 if now - suspicion.last < SUSPECT_FORGOTTEN else 1
+        suspicion.last = now
+        suspicion.out = True
+        self._context.log.event("worker-suspected", worker=worker.instance, times=suspicion.times, reason=reason)
+        self._context.tasks.spawn(f"recheck {worker.instance}", self._recheck(worker, suspicion))
+        self._view.changed(worker)
+
+    def misplaced(self, worker: Worker) -> None:
+        self.suspect(worker, "another worker answers at its address")
+
+    def abandoned(self, instance: WorkerInstance) -> None:
+        return
+
+    def take_outcomes(self, instances: Sequence[WorkerInstance]) -> dict[WorkerInstance, Outcomes]:
+        return {}
+
+    def forget(self, instance: WorkerInstance) -> None:
+        self._suspicions.pop(instance, None)
+        self._health.pop(instance, None)
+
+    def _now(self) -> Instant:
+        return self._context.clock.monotonic()
+
+    def _may_run(self, instance: WorkerInstance) -> bool:
+        worker = self._view.find(instance)
+        return (
+            worker is not None
+            and worker.state == "ready"
+            and self._view.is_renewed(instance)
+            and not self.is_suspected(instance)
+        )
+
+    async def _ask(self, worker: Worker, waiter: asyncio.Future[bool]) -> None:
+        asked_at = self._now()
+        answer = await ask_health(self._context.http, worker.address, HEALTH_TIMEOUT)
+        good = self._take(worker, answer)
+        self._health[worker.instance] = (asked_at, good)
+        del self._asked[worker.instance]
+        if not waiter.done():
+            waiter.set_result(good)
+        if answer is None and (found := self._view.find(worker.instance)) is not None and found.state != "gone":
+            self.suspect(found, "no answer to its health check")
+
+    def _take(self, worker: Worker, answer: HealthAnswer | None) -> bool:
+        if answer is None:
+            return False
+        if answer.instance == worker.instance and answer.state == "ready":
+            return True
+        state = answer.state if answer.instance == worker.instance else "gone"
+        self._view.learnt(msgspec.structs.replace(worker, state=state, load=None))
+        return False
+
+    async def _recheck(self, worker: Worker, suspicion: _Suspicion) -> None:
+        pause = min(SUSPECT_LONGEST, SUSPECT_FIRST * 2 ** (suspicion.times - 1))
+        while True:
+            await self._context.clock.sleep(Seconds(pause))
+            current = self._view.find(worker.instance)
+            if current is None or current.state != "ready":
+                self._suspicions.pop(worker.instance, None)
+                return
+            if self._take(current, await ask_health(self._context.http, worker.address, HEALTH_TIMEOUT)):
+                suspicion.out = False
+                suspicion.last = self._now()
+                self._context.log.event("worker-trusted-again", worker=worker.instance)
+                self._view.changed(current)
+                return
+            pause = min(1.0, max(pause, SUSPECT_FIRST) * 1.5)
+
+
+class TrialCalls:
+    """Workers are never asked for their health: real calls tell (section 10.6)."""
+
+    def __init__(self, context: Context, view: RegistryView, unrenewed_after: Seconds) -> None:
+        self._context = context
+        self._view = view
+        self._unrenewed_after = unrenewed_after
+        self._breakers = CircuitBreakers()
+        self._succeeded_at: dict[WorkerInstance, Instant] = {}
+        self._outcomes: dict[WorkerInstance, Outcomes] = {}
+
+    def ready(self, table: PoolTable) -> Sequence[Worker]:
+        """Those heard of late that are not left out, else all that have not said that they leave."""
+        standing = table.standing()
+        heard = self._heard(table, standing)
+        if not self._breakers and not any(self._view.is_ejected(worker.instance) for worker in heard):
+            return heard
+        return self._admitted(heard) or self._admitted(standing) or heard
+
+    def is_suspected(self, instance: WorkerInstance) -> bool:
+        return not self._breakers.is_closed(instance) or self._view.is_ejected(instance)
+
+    async def confirm(self, worker: Worker) -> bool:
+        found = self._view.find(worker.instance)
+        return found is not None and found.state == "ready"
+
+    def begin(self, instance: WorkerInstance) -> bool:
+        worker = self._view.find(instance)
+        if worker is None or worker.state != "ready":
+            return False
+        now = self._now()
+        if self._breakers.on_trial(instance, now) and not self._is_last_resort(worker):
+            return False
+        self._breakers.begin(instance, now)
+        return True
+
+    def succeeded(self, instance: WorkerInstance) -> None:
+        self._succeeded_at[instance] = self._now()
+        self._count(instance, Outcomes(succeeded=1))
+        if self._breakers.close(instance):
+            self._context.log.event("worker-trusted-again", worker=instance)
+            self._tell_changed(instance)
+
+    def failed(self, instance: WorkerInstance) -> None:
+        """Counted for the zone; a worker that is on trial for worse has failed its trial."""
+        self._count(instance, Outcomes(failed=1))
+        worker = self._view.find(instance)
+        if worker is not None and not self._breakers.is_closed(instance):
+            self._open(worker, "its trial failed", longest=False)
+
+    def suspect(self, worker: Worker, reason: str) -> None:
+        self._count(worker.instance, Outcomes(failed=1))
+        self._open(worker, reason, longest=False)
+
+    def misplaced(self, worker: Worker) -> None:
+        """Not final on one router's word; whoever has the address now announces itself, which is."""
+        self._open(worker, "another worker answers at its address", longest=True)
+
+    def abandoned(self, instance: WorkerInstance) -> None:
+        self._breakers.release(instance)
+
+    def take_outcomes(self, instances: Sequence[WorkerInstance]) -> dict[WorkerInstance, Outcomes]:
+        return {instance: self._outcomes.pop(instance) for instance in instances if instance in self._outcomes}
+
+    def forget(self, instance: WorkerInstance) -> None:
+        self._breakers.forget(instance)
+        self._succeeded_at.pop(instance, None)
+        self._outcomes.pop(instance, None)
+
+    def _now(self) -> Instant:
+        return self._context.clock.monotonic()
+
+    def _heard(self, table: PoolTable, standing: Sequence[Worker]) -> Sequence[Worker]:
+        """Renewed, or answering this router's calls, which is as good; all when that leaves none."""
+        renewed = table.ready()
+        if len(renewed) == len(standing):
+            return renewed
+        since = self._now() - self._unrenewed_after
+        heard = tuple(
+            worker
+            for worker in standing
+            if self._view.is_renewed(worker.instance)
+            or self._succeeded_at.get(worker.instance, Instant(float("-inf"))) > since
+        )
+        return heard or standing
+
+    def _admitted(self, workers: Sequence[Worker]) -> Sequence[Worker]:
+        """At most half are left out at once; those left out longest get their trial sooner for that."""
+        now = self._now()
+        admitted = {worker.instance for worker in workers if self._is_admitted(worker.instance, now)}
+        trying = {worker.instance for worker in workers if self._breakers.on_trial(worker.instance, now)}
+        missing = (len(workers) + 1) // 2 - len(admitted | trying)
+        if missing > 0:
+            left_out = [worker.instance for worker in workers if worker.instance not in admitted | trying]
+            left_out.sort(key=lambda instance: (self._breakers.opened_at(instance), instance))
+            admitted.update(left_out[:missing])
+        return tuple(worker for worker in workers if worker.instance in admitted)
+
+    def _is_admitted(self, instance: WorkerInstance, now: Instant) -> bool:
+        return self._breakers.admits(instance, now) and not self._view.is_ejected(instance)
+
+    def _is_last_resort(self, worker: Worker) -> bool:
+        """Every worker of its pool is on trial."""
+        return worker in self._view.ready(worker.pool)
+
+    def _open(self, worker: Worker, reason: str, longest: bool) -> None:
+        if self._breakers.open(worker.instance, self._now(), longest):
+            self._context.log.event("worker-suspected", worker=worker.instance, reason=reason)
+            self._view.changed(worker)
+
+    def _count(self, instance: WorkerInstance, outcomes: Outcomes) -> None:
+        self._outcomes[instance] = self._outcomes.get(instance, Outcomes()) + outcomes
+
+    def _tell_changed(self, instance: WorkerInstance) -> None:
+        worker = self._view.find(instance)
+        if worker is not None:
+            self._view.changed(worker)
--- a/wingwood/registry/worker_registry.py
+++ b/wingwood/registry/worker_registry.py
@@ -1,22 +1,26 @@
-"""Takes workers' announcements, keeps their states as a home, follows the homes (docs/DESIGN.md section 10)."""
+"""Keeps workers' states as a home, follows the homes, tells which workers to use (docs/DESIGN.md section 10)."""
 
 from __future__ import annotations
 
-import asyncio
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 import msgspec
-from returns.result import Failure, Success
+from returns.result import Success
 
 from ..context.protocols import Context
-from ..identifiers import Address, Incarnation, Instant, PoolName, Seconds, WorkerInstance, Zone
+from ..identifiers import Incarnation, Instant, PoolName, Seconds, WorkerInstance, Zone
 from ..membership.protocols import Membership
 from ..membership.rendezvous import ranked
 from ..operator_api.protocols import OperatorReply, OperatorRequest, OperatorRoutes
 from ..settings.model import DaemonSettings
 from ..transport.frames import Identity
 from ..transport.messenger import Messenger
+from .announcement_taker import AnnouncementTaker
+from .announcements import AnnouncementFormat
+from .engagement import EngagementSums, Told, by_instance, by_number
 from .messages import (
+    AskWorker,
+    CallCounts,
     Counts,
     FeedAnswer,
     FeedPush,
@@ -30,44 +34,28 @@
     TakeRenewals,
     TakeState,
     WorkerEntry,
+    WorkerTold,
 )
-from .pool_table import ORDER, PoolTable
+from .outliers import Outcomes, OutlierDetector
+from .pool_table import PoolTable, WorkerRecord
 from .protocols import Engagement, Worker, WorkerLoad
-from .worker_announcements import (
-    ANNOUNCE_PATH,
-    LIST_PATH,
-    HealthAnswer,
-    ask_health,
-    instance_over,
-    list_of,
-    malformed,
-    read_announcement,
-    taken,
-    tell_another,
-)
+from .worker_announcements import LIST_PATH, OwnAnnouncements, list_of
+from .worker_checks import HealthChecks, TrialCalls, WorkerCheck
 
 ASK_EVERY = Seconds(0.3)
 ASK_TIMEOUT = Seconds(0.4)
-RENEW_EVERY = Seconds(0.25)
-TELL_TIMEOUT = Seconds(0.5)
-SLOW_HOME = Seconds(0.1)
-TELL_AGAIN_FOR = Seconds(10.0)
-FEED_BOUND = Seconds(1.0)
-"""A feed proven longer ago is not trusted: the worker itself is asked before each turn."""
 SESSION_BOUND = Seconds(1.5)
 """A home whose membership was proven longer ago may have been passed over by announcements."""
-HEALTH_TIMEOUT = Seconds(0.3)
-HEALTH_TRUSTED = Seconds(0.4)
-SUSPECT_FIRST = Seconds(0.2)
-SUSPECT_LONGEST = Seconds(5.0)
-SUSPECT_FORGOTTEN = Seconds(30.0)
+ANOTHER_ZONE_AFTER = Seconds(0.8)
+"""A follower whose knowledge was proven longer ago asks another zone's home as well; usual is up to 0.6 s."""
+DEAF_AFTER = Seconds(2.0)
+"""A home that hears no renewal of any worker for so long takes the silence for control's, not the workers'."""
+EJECTED_TRUSTED = Seconds(2.0)
 ENGAGED_TRUSTED = Seconds(2.0)
-SUMMED_EVERY = Seconds(0.25)
 LOADS_AT_ONCE = 40
 """A pool of more workers is told of their loads less often, in proportion."""
 NEIGHBOUR_EVERY = 10
 """Rounds between the questions to a neighbour for pools not known here."""
-ACKNOWLEDGED_MOST = 20_000
 OFFERED_MOST = 5_000
 
 
@@ -95,84 +83,76 @@
     """The other zones' homes that have answered, and when they were last asked with success."""
 
 
-class _Told(msgspec.Struct, frozen=True):
+class _Ejected(msgspec.Struct, frozen=True):
     at: Instant
-    engaged: dict[WorkerInstance, Engagement]
-
-
-class _Sum(msgspec.Struct, frozen=True):
-    at: Instant
-    zone: dict[WorkerInstance, Engagement]
-    fleet: dict[WorkerInstance, Engagement]
-    parts: dict[Incarnation, dict[WorkerInstance, Engagement]]
-    """What each router of the zone put into it."""
-
-
-class _Suspicion(msgspec.Struct):
-    times: int
-    last: Instant
-    out: bool
+    instances: frozenset[WorkerInstance]
 
 
 class WorkerRegistry:
-    """Registry and EngagementExchange. Runs on every daemon; only routers are homes."""
+    """Registry, CallOutcomes and EngagementExchange. Runs on every daemon; only routers are homes."""
 
     def __init__(
-        self, context: Context, messenger: Messenger, membership: Membership, settings: DaemonSettings
+        self,
+        context: Context,
+        messenger: Messenger,
+        membership: Membership,
+        settings: DaemonSettings,
+        form: AnnouncementFormat | None = None,
     ) -> None:
+        """``form``: how workers announce themselves to this daemon; the product's own if not given."""
         self._context = context
         self._messenger = messenger
         self._membership = membership
         self._is_router = settings.role == "router"
         self._zone = settings.zone
+        self._unrenewed_after = settings.worker_unrenewed_after
+        self._by_trial = settings.worker_check == "trial"
+        self._form = form or OwnAnnouncements()
         self._tables: dict[PoolName, PoolTable] = {}
         self._pool_of: dict[WorkerInstance, PoolName] = {}
         self._feeds: dict[tuple[PoolName, Incarnation], _Feed] = {}
         self._proven_at: dict[PoolName, Instant] = {}
         self._homes: dict[PoolName, _Home] = {}
+        self._started_at = self._renewals_heard_at = context.clock.monotonic()
         self._zone_routers = self._group_routers()
         self._home_cache: dict[PoolName, dict[Zone, Identity]] = {}
         self._stale_homes: dict[PoolName, dict[Zone, Identity]] = {}
         """Homes in zones that did not change, of pools not asked for since."""
-        self._acknowledged: dict[WorkerInstance, Worker] = {}
-        self._renewals: dict[WorkerInstance, Renewal] = {}
         self._asking: set[Incarnation] = set()
-        self._told: dict[PoolName, dict[Incarnation, _Told]] = {}
-        self._zone_told: dict[PoolName, dict[Zone, _Told]] = {}
-        self._sums: dict[PoolName, _Sum] = {}
-        self._elsewhere: dict[PoolName, _Told] = {}
-        self._suspicions: dict[WorkerInstance, _Suspicion] = {}
-        self._health: dict[WorkerInstance, tuple[Instant, bool]] = {}
-        self._health_asked: dict[WorkerInstance, asyncio.Future[bool]] = {}
+        self._sums = EngagementSums(messenger.identity.incarnation, self._engaged_trusted)
+        self._elsewhere: dict[PoolName, Told] = {}
+        self._outliers: dict[PoolName, OutlierDetector] = {}
+        self._ejected: dict[PoolName, _Ejected] = {}
+        self._check: WorkerCheck = (
+            TrialCalls(context, self, self._unrenewed_after) if self._by_trial else HealthChecks(context, self)
+        )
+        self._taker = AnnouncementTaker(context, messenger, membership, self, self._form, not self._is_router)
         self._listeners: list[Callable[[Worker], None]] = []
-        self._count: Callable[[PoolName], dict[WorkerInstance, Engagement]] = lambda pool: {}
         self._round = 0
         messenger.on_call(TakeState, self._take_state)
         messenger.on_call(TakeRenewals, self._take_renewals)
         messenger.on_call(FeedQuestion, self._answer_feed)
+        messenger.on_call(AskWorker, self._tell_worker)
         messenger.on_post(FeedPush, self._take_push)
         messenger.on_post(StateSeen, self._take_seen)
         membership.on_change(self._members_changed)
 
     def start(self) -> None:
         self._context.tasks.spawn("worker feed", self._follow())
-        self._context.tasks.spawn("worker renewals", self._pass_renewals())
+        self._taker.start()
 
     def add_routes(self, routes: OperatorRoutes) -> None:
-        routes.add("POST", ANNOUNCE_PATH, self.announce)
+        for route in self._form.routes:
+            routes.add(route.method, route.path, self.announce)
         routes.add("GET", LIST_PATH, self._list)
 
     # --- Registry -----------------------------------------------------------------------------
 
     def ready(self, pool: PoolName) -> Sequence[Worker]:
-        workers = self._table(pool).ready()
-        if self._suspicions:
-            return tuple(worker for worker in workers if not self._suspected(worker.instance))
-        return workers
+        return self._check.ready(self._table(pool))
 
     def find(self, instance: WorkerInstance) -> Worker | None:
-        pool = self._pool_of.get(instance)
-        record = None if pool is None else self._tables[pool].records.get(instance)
+        record = self._record(instance)
         return None if record is None else record.worker
 
     def all_workers(self) -> Sequence[Worker]:
@@ -182,36 +162,33 @@
         ]
 
     async def confirm(self, worker: Worker) -> bool:
-        """The smallest exception: a feed older than the bound is backed by the worker's own word (section 10.3)."""
-        if not self._may_run(worker.instance):
-            return False
-        if self.feed_age(worker.pool) <= FEED_BOUND:
-            return True
-        known = self._health.get(worker.instance)
-        if known is not None and self._now() - known[0] <= HEALTH_TRUSTED:
-            return known[1] and self._may_run(worker.instance)
-        asked = self._health_asked.get(worker.instance)
-        if asked is None:
-            asked = self._health_asked[worker.instance] = asyncio.get_running_loop().create_future()
-            self._context.tasks.spawn(f"health {worker.instance}", self._confirm_by_health(worker, asked))
-        return await asyncio.shield(asked) and self._may_run(worker.instance)
-
-    def suspect(self, instance: WorkerInstance) -> None:
+        return await self._check.confirm(worker)
+
+    def begin(self, instance: WorkerInstance) -> bool:
+        return self._check.begin(instance)
+
+    def succeeded(self, instance: WorkerInstance) -> None:
+        self._check.succeeded(instance)
+
+    def failed(self, instance: WorkerInstance) -> None:
+        self._check.failed(instance)
+
+    def suspect(self, instance: WorkerInstance, reason: str = "") -> None:
         worker = self.find(instance)
-        if worker is None or worker.state == "gone":
-            return
-        now = self._now()
-        suspicion = self._suspicions.get(instance)
-        if suspicion is None:
-            suspicion = self._suspicions[instance] = _Suspicion(0, now, False)
-        if suspicion.out:
-            return
-        suspicion.times = suspicion.times + 1 if now - suspicion.last < SUSPECT_FORGOTTEN else 1
-        suspicion.last = now
-        suspicion.out = True
-        self._context.log.event("worker-suspected", worker=instance, times=suspicion.times)
-        self._context.tasks.spawn(f"recheck {instance}", self._recheck(worker, suspicion))
-        self._notify([worker])
+        if worker is not None and worker.state != "gone":
+            self._check.suspect(worker, reason)
+
+    def misplaced(self, instance: WorkerInstance) -> None:
+        worker = self.find(instance)
+        if worker is not None and worker.state != "gone":
+            self._check.misplaced(worker)
+
+    def abandoned(self, instance: WorkerInstance) -> None:
+        self._check.abandoned(instance)
+
+    def cold_left(self, instance: WorkerInstance) -> Seconds:
+        pool = self._pool_of.get(instance)
+        return Seconds(0.0) if pool is None else self._tables[pool].cold_left(instance, self._now())
 
     def on_change(self, callback: Callable[[Worker], None]) -> None:
         self._listeners.append(callback)
@@ -219,7 +196,7 @@
     # --- EngagementExchange ----------------------------------------------------------------------
 
     def count_with(self, count: Callable[[PoolName], dict[WorkerInstance, Engagement]]) -> None:
-        self._count = count
+        self._sums.count = count
 
     def elsewhere(self, instance: WorkerInstance) -> Engagement:
         pool = self._pool_of.get(instance)
@@ -230,6 +207,30 @@
             return Engagement()
         return told.engaged.get(instance, Engagement())
 
+    def is_suspected(self, instance: WorkerInstance) -> bool:
+        """Whether calls there, or its health check, failed of late; as a last resort it may be ready all the same."""
+        return self._check.is_suspected(instance)
+
+    # --- for the worker check ---------------------------------------------------------------------
+
+    def is_renewed(self, instance: WorkerInstance) -> bool:
+        record = self._record(instance)
+        return record is not None and record.renewed
+
+    def is_ejected(self, instance: WorkerInstance) -> bool:
+        pool = self._pool_of.get(instance)
+        ejected = None if pool is None else self._ejected.get(pool)
+        return ejected is not None and instance in ejected.instances and self._now() - ejected.at <= EJECTED_TRUSTED
+
+    def learnt(self, seen: Worker) -> None:
+        self._take_handed_over(WorkerEntry(seen, True))
+        for home in self.zone_homes(seen.pool).values():
+            if home.incarnation != self._messenger.identity.incarnation:
+                self._messenger.post(home.internal, StateSeen(seen))
+
+    def changed(self, worker: Worker) -> None:
+        self._notify([worker])
+
     # --- what is known ------------------------------------------------------------------------
 
     def watch(self, pool: PoolName) -> None:
@@ -248,6 +249,10 @@
     def _now(self) -> Instant:
         return self._context.clock.monotonic()
 
+    def _record(self, instance: WorkerInstance) -> WorkerRecord | None:
+        pool = self._pool_of.get(instance)
+        return None if pool is None else self._tables[pool].records.get(instance)
+
     def _table(self, pool: PoolName) -> PoolTable:
         table = self._tables.get(pool)
         if table is None:
@@ -255,17 +260,6 @@
             self._assume_homes([pool])
         return table
 
-    def _suspected(self, instance: WorkerInstance) -> bool:
-        suspicion = self._suspicions.get(instance)
-        return suspicion is not None and suspicion.out
-
-    def _may_run(self, instance: WorkerInstance) -> bool:
-        pool = self._pool_of.get(instance)
-        record = None if pool is None else self._tables[pool].records.get(instance)
-        return (
-            record is not None and record.renewed and record.worker.state == "ready" and not self._suspected(instance)
-        )
-
     def _notify(self, workers: Sequence[Worker]) -> None:
         for worker in workers:
             for listener in self._listeners:
@@ -307,7 +301,7 @@
         zones = self._zone_routers
         return self._zone if self._zone in zones or not zones else next(iter(zones))
 
-    def _zone_homes(self, pool: PoolName) -> dict[Zone, Identity]:
+    def zone_homes(self, pool: PoolName) -> dict[Zone, Identity]:
         homes = self._home_cache.get(pool)
         if homes is None:
             stale = self._stale_homes.pop(pool, {})
@@ -324,7 +318,7 @@
         return {zone: tuple(routers) for zone, routers in sorted(zones.items())}
 
     def _home_of(self, pool: PoolName, zone: Zone) -> Identity | None:
-        return self._zone_homes(pool).get(zone)
+        return self.zone_homes(pool).get(zone)
 
     def _is_home(self, pool: PoolName) -> bool:
         home = self._home_of(pool, self._zone)
@@ -339,9 +333,7 @@
             pool: {zone: home for zone, home in homes.items() if zone in unchanged}
             for pool, homes in {**self._stale_homes, **before}.items()
         }
-        for instance, worker in sorted(self._acknowledged.items()):
-            if before.get(worker.pool) != self._zone_homes(worker.pool):
-                del self._acknowledged[instance]  # announced in full again with the next renewal
+        self._taker.homes_changed(before)
         self._assume_homes(sorted(self._tables))
 
     def _assume_homes(self, pools: Sequence[PoolName]) -> None:
@@ -359,17 +351,22 @@
                 self._settle(pool)
 
     def _other_homes(self, pool: PoolName) -> set[Incarnation]:
-        return {identity.incarnation for zone, identity in self._zone_homes(pool).items() if zone != self._zone}
+        return {identity.incarnation for zone, identity in self.zone_homes(pool).items() if zone != self._zone}
 
     def _home_age(self, pool: PoolName) -> Seconds:
-        """How old this home's knowledge is: a state is told to the homes of all zones, so any of them may have more."""
+        """How old this home's knowledge is: that of the freshest majority of the zones' homes, its own among them.
+
+        An acknowledged state is with a majority of them, so one of these has it.
+        """
         home = self._homes.get(pool)
         now = self._now()
         session = self._membership.session_proven_at()
         if home is None or not home.settled or session is None or now - session > SESSION_BOUND:
             return Seconds(float("inf"))
-        asked = [home.answered.get(other, Instant(float("-inf"))) for other in self._other_homes(pool)]
-        return Seconds(now - min(asked, default=now))
+        others = self._other_homes(pool)
+        answered = sorted((home.answered.get(other, Instant(float("-inf"))) for other in others), reverse=True)
+        needed = (len(others) + 1) // 2
+        return Seconds(0.0 if needed == 0 else now - answered[needed - 1])
 
     def _settle(self, pool: PoolName) -> None:
         """A new home counts as settled when every other zone's home has answered. Until then it vouches for nothing."""
@@ -384,33 +381,62 @@
         table = self._tables[pool]
         own = self._messenger.identity
         push = FeedPush(
-            own.incarnation, pool, previous, table.sequence, table.entries(worker.instance for worker in workers)
+            own.incarnation,
+            pool,
+            previous,
+            table.sequence,
+            table.entries(self._now(), [worker.instance for worker in workers]),
         )
         for router in self._membership.routers():
             if router.zone == self._zone and router.incarnation != own.incarnation:
                 self._messenger.post(router.internal, push)
 
     async def _take_state(self, peer: Identity, message: TakeState) -> StateTaken:
-        return StateTaken(self._take_first_hand(message.worker))
+        return self.take_first_hand(message.worker, message.announced)
 
-    def _take_first_hand(self, worker: Worker) -> Worker:
+    def take_first_hand(self, worker: Worker, sequence: int) -> StateTaken:
         table = self._table(worker.pool)
-        previous = table.sequence
-        changed = table.announced(worker, self._now())
+        previous, is_new = table.sequence, worker.instance not in table.records
+        changed = table.announced(worker, self._now(), sequence)
         self._changed(changed)
         self._push(worker.pool, changed, previous)
-        return table.records[worker.instance].worker
+        self._hear_renewals()
+        if is_new and worker.state == "ready":
+            self._end_in_other_pools(worker)
+        return StateTaken(table.records[worker.instance].worker, self._is_home(worker.pool), len(self._zone_routers))
+
+    def _end_in_other_pools(self, worker: Worker) -> None:
+        """Its address was another's, of another pool: that one is gone."""
+        for pool, table in sorted(self._tables.items()):
+            if pool != worker.pool:
+                for other in table.at_address(worker.address):
+                    if other.instance == worker.instance:
+                        continue
+                    self.learnt(msgspec.structs.replace(other, state="gone", load=None))
+
+    async def _tell_worker(self, peer: Identity, message: AskWorker) -> WorkerTold:
+        ages = [self.feed_age(pool) for pool in sorted(self._tables)]
+        return WorkerTold(self.find(message.instance), Seconds(max(ages, default=float("inf"))))
+
+    def _hear_renewals(self) -> None:
+        """After a time in which nobody was heard, each worker's own silence counts from now."""
+        now = self._now()
+        if self._by_trial and now - self._renewals_heard_at > DEAF_AFTER:
+            for pool in self._homes:
+                self._tables[pool].all_renewed(now)
+        self._renewals_heard_at = now
 
     async def _take_renewals(self, peer: Identity, message: TakeRenewals) -> RenewalsTaken:
-        return RenewalsTaken(self._renew(message.renewals))
+        return RenewalsTaken(self.renew(message.renewals))
 
-    def _renew(self, renewals: Sequence[Renewal]) -> tuple[WorkerInstance, ...]:
+    def renew(self, renewals: Sequence[Renewal]) -> tuple[WorkerInstance, ...]:
         unknown = []
+        self._hear_renewals()
         for renewal in renewals:
             table = self._table(renewal.pool)
             previous = table.sequence
             load = None if renewal.load is None else WorkerLoad(*renewal.load)
-            outcome = table.renewed(renewal.instance, load, self._now())
+            outcome = table.renewed(renewal.instance, load, self._now(), renewal.sequence)
             if outcome is None:
                 unknown.append(renewal.instance)
                 continue
@@ -432,37 +458,57 @@
             for entry in question.offered:
                 self._take_handed_over(entry)
             follows = question.home == own
-            wanted = question.load_sequence is not None
-            if follows and question.engaged is not None:
-                told = _Told(now, _by_instance(question.engaged, table.numbers))
-                if peer.zone == self._zone:
-                    self._told.setdefault(question.pool, {})[peer.incarnation] = told
-                elif peer.role == "router":
-                    self._zone_told.setdefault(question.pool, {})[peer.zone] = told
+            if follows:
+                self._take_counts(peer, table, question, now)
             home = self._homes.get(question.pool)
+            load_sequence = question.load_sequence
             answers.append(
                 PoolAnswer(
                     question.pool,
                     home is not None and home.settled,
                     self._home_age(question.pool),
                     table.sequence,
-                    table.changed_since(question.sequence if follows else -1),
+                    table.changed_since(question.sequence if follows else -1, now),
                     table.load_sequence,
-                    table.loads_since(question.load_sequence) if follows and question.load_sequence is not None else {},
-                    self._counts_for(peer, table) if wanted else None,
+                    table.loads_since(load_sequence) if follows and load_sequence is not None else {},
+                    self._counts_for(peer, table) if load_sequence is not None else None,
+                    self._ejected_numbers(table) if peer.zone == self._zone else (),
                 )
             )
         known = () if message.pools else tuple(sorted(self._tables))
         age = Seconds(float("inf") if proven is None else now - proven)
         return FeedAnswer(own, age, tuple(answers), known)
 
+    def _take_counts(self, peer: Identity, table: PoolTable, question: PoolQuestion, now: Instant) -> None:
+        if question.engaged is not None:
+            told = Told(now, by_instance(question.engaged, table.numbers))
+            if peer.zone == self._zone:
+                self._sums.router_told(table.pool, peer.incarnation, told)
+            elif peer.role == "router":
+                self._sums.zone_told(table.pool, peer.zone, told)
+        for number, (succeeded, failed) in (question.outcomes or {}).items():
+            if number in table.numbers:
+                self._record_outcomes(table.pool, {table.numbers[number]: Outcomes(succeeded, failed)})
+
     def _counts_for(self, peer: Identity, table: PoolTable) -> Counts:
+        now = self._now()
         engaged = (
-            self._engaged_by_others(table.pool, peer.incarnation)
+            self._sums.by_others(table.pool, peer.incarnation, now)
             if peer.zone == self._zone
-            else self._engaged_in_zone(table.pool)
+            else self._sums.in_zone(table.pool, now)
         )
-        return _by_number(engaged, {instance: record.number for instance, record in table.records.items()})
+        return by_number(engaged, {instance: record.number for instance, record in table.records.items()})
+
+    def _record_outcomes(self, pool: PoolName, outcomes: Mapping[WorkerInstance, Outcomes]) -> None:
+        detector = self._outliers.setdefault(pool, OutlierDetector())
+        for instance, counted in outcomes.items():
+            detector.record(instance, counted, self._now())
+
+    def _ejected_numbers(self, table: PoolTable) -> tuple[int, ...]:
+        ejected = self._ejected.get(table.pool)
+        if ejected is None:
+            return ()
+        return tuple(table.records[each].number for each in sorted(ejected.instances) if each in table.records)
 
     def _take_handed_over(self, entry: WorkerEntry) -> None:
         table = self._table(entry.worker.pool)
@@ -470,45 +516,6 @@
         if self._merge(entry, judge_renewal=False):
             self._push(entry.worker.pool, [entry.worker], previous)
 
-    def _engaged_in_zone(self, pool: PoolName) -> dict[WorkerInstance, Engagement]:
-        return self._summed(pool).zone
-
-    def _engaged_by_others(self, pool: PoolName, asker: Incarnation) -> dict[WorkerInstance, Engagement]:
-        """All but what the asker itself had told when the sum was made."""
-        summed = self._summed(pool)
-        part = summed.parts.get(asker)
-        if not part:
-            return summed.fleet
-        others = dict(summed.fleet)
-        for instance, own in part.items():
-            total = others[instance]
-            others[instance] = Engagement(total.running - own.running, total.expected - own.expected)
-        return others
-
-    def _summed(self, pool: PoolName) -> _Sum:
-        """Made once for all who ask within a while: a zone's home is asked by each of its routers."""
-        now = self._now()
-        summed = self._sums.get(pool)
-        if summed is not None and now - summed.at < SUMMED_EVERY:
-            return summed
-        trusted = self._engaged_trusted(pool)
-        parts = {self._messenger.identity.incarnation: self._count(pool)}
-        told = self._told.get(pool, {})
-        for incarnation in sorted(told):
-            if now - told[incarnation].at > trusted:
-                del told[incarnation]
-            else:
-                parts[incarnation] = told[incarnation].engaged
-        zone: dict[WorkerInstance, Engagement] = {}
-        for part in parts.values():
-            _add(zone, part)
-        fleet = dict(zone)
-        for _, other in sorted(self._zone_told.get(pool, {}).items()):
-            if now - other.at <= trusted:
-                _add(fleet, other.engaged)
-        summed = self._sums[pool] = _Sum(now, zone, fleet, parts)
-        return summed
-
     # --- following the homes ------------------------------------------------------------------
 
     async def _follow(self) -> None:
@@ -536,12 +543,13 @@
         zone = self._followed_zone()
         targets: dict[Incarnation, tuple[Identity, list[PoolName]]] = {}
         for pool in sorted(self._tables):
-            homes = self._zone_homes(pool)
+            homes = self.zone_homes(pool)
             if self._is_home(pool):
-                self._elsewhere[pool] = _Told(self._now(), self._engaged_by_others(pool, own))
+                self._elsewhere[pool] = Told(self._now(), self._sums.by_others(pool, own, self._now()))
                 followed = [identity for other, identity in homes.items() if other != self._zone]
             else:
                 followed = [homes[zone]] if zone in homes else []
+                followed += self._stand_ins(pool, homes, zone)
             for identity in followed:
                 targets.setdefault(identity.incarnation, (identity, []))[1].append(pool)
         self._round += 1
@@ -555,19 +563,43 @@
                 self._asking.add(incarnation)
                 self._context.tasks.spawn(f"ask feed {identity.name}", self._ask(identity, pools))
 
+    def _stand_ins(self, pool: PoolName, homes: Mapping[Zone, Identity], zone: Zone) -> list[Identity]:
+        """Another zone's home while the followed one proves nothing; a different one in each round."""
+        others = [identity for other, identity in homes.items() if other != zone]
+        unproven_for = min(self.feed_age(pool), self._now() - self._started_at)
+        if not others or unproven_for <= ANOTHER_ZONE_AFTER:
+            return []
+        return [others[self._round % len(others)]]
+
     def _question(self, identity: Identity, pool: PoolName) -> PoolQuestion:
         is_home = self._is_home(pool)
         feed = self._feeds.get((pool, identity.incarnation))
         if feed is None:
-            offered = self._tables[pool].entries()[:OFFERED_MOST] if self._is_router and not is_home else ()
+            offered = self._tables[pool].entries(self._now())[:OFFERED_MOST] if self._is_router and not is_home else ()
             return PoolQuestion(pool, Incarnation(""), -1, -1, None, offered)
         now = self._now()
-        if now - feed.loads_at < self._loads_every(pool) - ASK_EVERY / 2:
+        follows = is_home or identity.zone == self._followed_zone()
+        if not follows or now - feed.loads_at < self._loads_every(pool) - ASK_EVERY / 2:
             return PoolQuestion(pool, identity.incarnation, feed.sequence, None, None)
         feed.loads_at = now
-        engaged = self._engaged_in_zone(pool) if is_home else self._count(pool)
-        counts = _by_number(engaged, feed.by_instance)
-        return PoolQuestion(pool, identity.incarnation, feed.sequence, feed.load_sequence, counts)
+        engaged = self._sums.in_zone(pool, now) if is_home else self._sums.count(pool)
+        return PoolQuestion(
+            pool,
+            identity.incarnation,
+            feed.sequence,
+            feed.load_sequence,
+            by_number(engaged, feed.by_instance),
+            outcomes=None if is_home else self._outcomes(pool, feed.by_instance),
+        )
+
+    def _outcomes(self, pool: PoolName, numbers: Mapping[WorkerInstance, int]) -> CallCounts | None:
+        counted = self._check.take_outcomes(sorted(self._tables[pool].records))
+        told = {
+            numbers[instance]: (outcomes.succeeded, outcomes.failed)
+            for instance, outcomes in counted.items()
+            if instance in numbers
+        }
+        return told or None
 
     async def _ask(self, identity: Identity, pools: Sequence[PoolName]) -> None:
         asked_at = self._now()
@@ -589,12 +621,14 @@
     def _take_answer(self, identity: Identity, answer: FeedAnswer, part: PoolAnswer, asked_at: Instant) -> None:
         table = self._table(part.pool)
         is_home = self._is_home(part.pool)
-        if is_home:
-            follows = identity.zone != self._zone
-        else:
-            current = self._home_of(part.pool, self._followed_zone())
-            follows = current is not None and current.incarnation == identity.incarnation
-        if not follows:
+        followed = self._home_of(part.pool, identity.zone)
+        if followed is None or followed.incarnation != identity.incarnation:
+            return
+        if is_home and identity.zone == self._zone:
+            return
+        stands_in = not is_home and identity.zone != self._followed_zone()
+        if stands_in:
+            self._take_stand_in(part, answer, asked_at)
             return
         for entry in part.entries:
             if is_home:
@@ -613,19 +647,49 @@
                 self._notify([table.records[instance].worker])
         if part.engaged is not None:
             feed.load_sequence = max(feed.load_sequence, part.load_sequence)
-            told = _Told(self._now(), _by_instance(part.engaged, feed.numbers))
+            told = Told(self._now(), by_instance(part.engaged, feed.numbers))
             if is_home:
-                self._zone_told.setdefault(part.pool, {})[identity.zone] = told
+                self._sums.zone_told(part.pool, identity.zone, told)
             else:
                 self._elsewhere[part.pool] = told
         if is_home:
             self._homes[part.pool].answered[identity.incarnation] = asked_at
             self._settle(part.pool)
-        elif part.settled and answer.session_age <= SESSION_BOUND:
-            self._proven_at[part.pool] = Instant(asked_at - part.age)
+            return
+        ejected = frozenset(feed.numbers[number] for number in part.ejected if number in feed.numbers)
+        self._set_ejected(part.pool, ejected)
+        self._prove(part, answer, asked_at)
+
+    def _take_stand_in(self, part: PoolAnswer, answer: FeedAnswer, asked_at: Instant) -> None:
+        """Another zone's home: its word on renewals counts while the followed one gives none."""
+        judge = part.settled and self.feed_age(part.pool) > ANOTHER_ZONE_AFTER
+        for entry in part.entries:
+            self._merge(entry, judge_renewal=judge)
+        if judge:
+            for key in [key for key in self._feeds if key[0] == part.pool and key[1] != answer.home]:
+                del self._feeds[key]  # renewals were judged by another meanwhile, so all is asked for anew
+        feed = self._feeds.get((part.pool, answer.home)) or self._followed_anew(part.pool, answer.home)
+        feed.name(part.entries)
+        if part.settled:
+            feed.sequence = max(feed.sequence, part.sequence)
+        self._prove(part, answer, asked_at)
+
+    def _prove(self, part: PoolAnswer, answer: FeedAnswer, asked_at: Instant) -> None:
+        if part.settled and answer.session_age <= SESSION_BOUND:
+            proven = Instant(asked_at - part.age)
+            self._proven_at[part.pool] = max(proven, self._proven_at.get(part.pool, proven))
+
+    def _set_ejected(self, pool: PoolName, instances: frozenset[WorkerInstance]) -> None:
+        before = self._ejected.get(pool)
+        self._ejected[pool] = _Ejected(self._now(), instances)
+        for instance in sorted(instances ^ (before.instances if before is not None else frozenset())):
+            worker = self.find(instance)
+            if worker is not None:
+                self._context.log.event("worker-ejected", worker=instance, out=instance in instances)
+                self._notify([worker])
 
     def _followed_anew(self, pool: PoolName, home: Incarnation) -> _Feed:
-        current = {identity.incarnation for identity in self._zone_homes(pool).values()}
+        current = {identity.incarnation for identity in self.zone_homes(pool).values()}
         for key in [key for key in self._feeds if key[0] == pool and key[1] not in current]:
             del self._feeds[key]
         feed = self._feeds[(pool, home)] = _Feed()
@@ -655,12 +719,14 @@
 
     def _expire(self) -> None:
         now = self._now()
+        deaf = self._by_trial and now - self._renewals_heard_at > DEAF_AFTER
         for pool, home in sorted(self._homes.items()):
             self._settle(pool)
-            if home.settled:
+            self._judge(pool)
+            if home.settled and not deaf:
                 table = self._tables[pool]
                 previous = table.sequence
-                expired = table.expire(now)
+                expired = table.expire(now, self._unrenewed_after)
                 self._changed(expired)
                 self._push(pool, expired, previous)
         for _, table in sorted(self._tables.items()):
@@ -668,172 +734,31 @@
         for instance, pool in sorted(self._pool_of.items()):
             if instance not in self._tables[pool].records:
                 del self._pool_of[instance]
-                self._suspicions.pop(instance, None)
-                self._health.pop(instance, None)
+                self._check.forget(instance)
+
+    def _judge(self, pool: PoolName) -> None:
+        """As the zone's home: who is left out for the outcomes of the zone's calls."""
+        table = self._tables[pool]
+        self._record_outcomes(pool, self._check.take_outcomes(sorted(table.records)))
+        ready = [worker.instance for worker in table.ready()]
+        self._set_ejected(pool, self._outliers[pool].judge(ready, self._now()))
 
     # --- announcements ------------------------------------------------------------------------
 
     async def announce(self, request: OperatorRequest) -> OperatorReply:
-        """Renewals are noted and answered at once; a new instance or state is told to every zone's home first."""
-        match read_announcement(request.body):
-            case Success(worker):
-                return await self._announced(worker)
-            case Failure(problem):
-                return malformed(problem)
-        raise AssertionError("a result is a success or a failure")
-
-    async def _announced(self, worker: Worker) -> OperatorReply:
-        without_load = msgspec.structs.replace(worker, load=None)
-        if self._acknowledged.get(worker.instance) == without_load:
-            load = worker.load
-            figures = None if load is None else (load.running, load.waiting, load.cache_tokens_used)
-            self._renewals[worker.instance] = Renewal(worker.pool, worker.instance, figures)
-            return taken(worker)
-        homes = self._zone_homes(worker.pool)
-        if not homes:
-            return tell_another("this daemon knows no router yet")
-        outcomes = await asyncio.gather(*(self._tell_in_zone(zone, home, worker) for zone, home in homes.items()))
-        missing = [zone for zone, outcome in zip(homes, outcomes, strict=True) if outcome is None]
-        furthest = max(
-            (outcome.state for outcome in outcomes if outcome is not None),
-            key=ORDER.__getitem__,
-            default=worker.state,
-        )
-        if missing:
-            if worker.state != "ready":
-                self._context.tasks.spawn(f"tell again {worker.instance}", self._tell_again(worker, missing))
-            return tell_another(f"no answer from the home of {', '.join(missing)}")
-        if ORDER[furthest] > ORDER[worker.state]:
-            return instance_over(msgspec.structs.replace(worker, state=furthest))
-        self._acknowledged[worker.instance] = without_load
-        while len(self._acknowledged) > ACKNOWLEDGED_MOST:
-            del self._acknowledged[next(iter(self._acknowledged))]
-        return taken(worker)
-
-    async def _tell(self, home: Identity, worker: Worker) -> Worker | None:
-        if home.incarnation == self._messenger.identity.incarnation:
-            return self._take_first_hand(worker)
-        answered = await self._messenger.call(home.internal, TakeState(worker), StateTaken, TELL_TIMEOUT)
-        return answered.unwrap().worker if isinstance(answered, Success) else None
-
-    async def _tell_in_zone(self, zone: Zone, home: Identity, worker: Worker) -> Worker | None:
-        """A final state goes past a home that is slow to answer, to the zone's routers themselves."""
-        if worker.state == "ready":
-            return await self._tell(home, worker)
-        telling = asyncio.ensure_future(self._tell(home, worker))
-        await asyncio.wait({telling}, timeout=SLOW_HOME)
-        if not telling.done() or telling.result() is None:
-            self._tell_around(worker, [zone])
-        return await telling
-
-    def _tell_around(self, worker: Worker, zones: Sequence[Zone]) -> None:
-        """A final state whose home does not answer goes to the routers of that zone directly."""
-        for router in self._membership.routers():
-            if router.zone in zones:
-                self._messenger.post(router.internal, StateSeen(worker))
+        return await self._taker.announce(request)
 
-    async def _tell_again(self, worker: Worker, missing: Sequence[Zone]) -> None:
-        until = self._now() + TELL_AGAIN_FOR
-        left = list(missing)
-        while left and self._now() < until:
-            await self._context.clock.sleep(ASK_EVERY)
-            homes = self._zone_homes(worker.pool)
-            asked = [(zone, homes[zone]) for zone in left if zone in homes]
-            outcomes = await asyncio.gather(*(self._tell(home, worker) for _, home in asked))
-            left = [zone for (zone, _), outcome in zip(asked, outcomes, strict=True) if outcome is None]
+    async def announced(self, worker: Worker, sequence: int = 0) -> OperatorReply:
+        return await self._taker.announced(worker, sequence)
 
-    async def _pass_renewals(self) -> None:
-        while True:
-            await self._context.clock.sleep(RENEW_EVERY)
-            renewals, self._renewals = self._renewals, {}
-            batches: dict[Address, tuple[Identity, list[Renewal]]] = {}
-            for _, renewal in sorted(renewals.items()):
-                for home in self._zone_homes(renewal.pool).values():
-                    batches.setdefault(home.internal, (home, []))[1].append(renewal)
-            for _, (home, batch) in sorted(batches.items()):
-                if home.incarnation == self._messenger.identity.incarnation:
-                    self._forget_acknowledged(self._renew(batch))
-                else:
-                    self._context.tasks.spawn(f"renewals to {home.name}", self._pass_batch(home, batch))
-
-    async def _pass_batch(self, home: Identity, batch: Sequence[Renewal]) -> None:
-        answered = await self._messenger.call(home.internal, TakeRenewals(tuple(batch)), RenewalsTaken, TELL_TIMEOUT)
-        if isinstance(answered, Success):
-            self._forget_acknowledged(answered.unwrap().unknown)
-
-    def _forget_acknowledged(self, instances: Sequence[WorkerInstance]) -> None:
-        for instance in instances:
-            self._acknowledged.pop(instance, None)
+    async def departed(self, instance: WorkerInstance) -> OperatorReply:
+        return await self._taker.departed(instance)
 
     async def _list(self, request: OperatorRequest) -> OperatorReply:
         return list_of(
             [
-                (record.worker, record.renewed, self._suspected(instance))
+                (record.worker, record.renewed, self._check.is_suspected(instance))
                 for _, table in sorted(self._tables.items())
                 for instance, record in sorted(table.records.items())
             ]
         )
-
-    # --- asking the worker itself -------------------------------------------------------------
-
-    async def _confirm_by_health(self, worker: Worker, waiter: asyncio.Future[bool]) -> None:
-        asked_at = self._now()
-        answer = await ask_health(self._context.http, worker.address, HEALTH_TIMEOUT)
-        good = self._take_health(worker, answer)
-        self._health[worker.instance] = (asked_at, good)
-        del self._health_asked[worker.instance]
-        if not waiter.done():
-            waiter.set_result(good)
-        if answer is None:
-            self.suspect(worker.instance)
-
-    def _take_health(self, worker: Worker, answer: HealthAnswer | None) -> bool:
-        if answer is None:
-            return False
-        if answer.instance == worker.instance and answer.state == "ready":
-            return True
-        state = answer.state if answer.instance == worker.instance else "gone"
-        seen = msgspec.structs.replace(worker, state=state, load=None)
-        self._take_handed_over(WorkerEntry(seen, True))
-        for home in self._zone_homes(worker.pool).values():
-            if home.incarnation != self._messenger.identity.incarnation:
-                self._messenger.post(home.internal, StateSeen(seen))
-        return False
-
-    async def _recheck(self, worker: Worker, suspicion: _Suspicion) -> None:
-        pause = min(SUSPECT_LONGEST, SUSPECT_FIRST * 2 ** (suspicion.times - 1))
-        while True:
-            await self._context.clock.sleep(Seconds(pause))
-            current = self.find(worker.instance)
-            if current is None or current.state != "ready":
-                self._suspicions.pop(worker.instance, None)
-                return
-            if self._take_health(current, await ask_health(self._context.http, worker.address, HEALTH_TIMEOUT)):
-                suspicion.out = False
-                suspicion.last = self._now()
-                self._context.log.event("worker-trusted-again", worker=worker.instance)
-                self._notify([current])
-                return
-            pause = min(1.0, max(pause, SUSPECT_FIRST) * 1.5)
-
-
-def _add(totals: dict[WorkerInstance, Engagement], more: dict[WorkerInstance, Engagement]) -> None:
-    for instance, part in more.items():
-        total = totals.get(instance, Engagement())
-        totals[instance] = Engagement(total.running + part.running, total.expected + part.expected)
-
-
-def _by_number(engaged: dict[WorkerInstance, Engagement], numbers: dict[WorkerInstance, int]) -> Counts:
-    return {
-        numbers[instance]: (round(part.running), round(part.expected))
-        for instance, part in engaged.items()
-        if instance in numbers
-    }
-
-
-def _by_instance(counts: Counts, instances: dict[int, WorkerInstance]) -> dict[WorkerInstance, Engagement]:
-    return {
-        instances[number]: Engagement(float(running), float(expected))
-        for number, (running, expected) in counts.items()
-        if number in instances
-    }
--- a/wingwood/settings/load.py
+++ b/wingwood/settings/load.py
@@ -148,6 +148,8 @@
     "signing_key": _signing_key,
     "removed_key_bound": _seconds(2.0, 3600.0),
     "balancing": _one_of(*_literals["balancing"]),
+    "worker_check": _one_of(*_literals["worker_check"]),
+    "worker_unrenewed_after": _seconds(1.0, 600.0),
     "record_file": _PATH,
     "log_calls": _yes_or_no,
     "stop_within": _seconds(0.0, 600.0),
--- a/wingwood/settings/model.py
+++ b/wingwood/settings/model.py
@@ -36,6 +36,10 @@
     removed_key_bound: Seconds | None = None
     """Despensa: 5.0 -- a router that cannot prove its bundle newest stops serving in time. None: serves on."""
     balancing: Literal["award", "round-robin", "least-loaded", "sticky"] = "award"
+    worker_check: Literal["health", "trial"] = "health"
+    """How doubtful workers are found to work: their health check, or real calls, one at a time (section 10.6)."""
+    worker_unrenewed_after: Seconds = Seconds(3.0)
+    """Silence after which a worker is avoided; three announcements and a little more."""
     record_file: str | None = None
     """Where a router records its day for the replay tool; a path below the data folder."""
     log_calls: bool = True
