--- /dev/null
+++ b/bench/engine_model.py
@@ -0,0 +1,206 @@
+"""A model of a batching engine with chunked prefill and a KV cache of prompt parts, on virtual time.
+
+Each step gives every running stream one token and prefills up to a chunk of waiting prompts, first come
+first served. A step takes a base time, a little per running stream, and the chunk's prefill. Finished
+prompts leave their told parts in the cache; the least recently used go when running turns need room.
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections import OrderedDict, deque
+from collections.abc import Sequence
+
+import msgspec
+
+from wingwood.identifiers import Address, PoolName, WorkerInstance, Zone
+from wingwood.placement.protocols import PromptPart
+from wingwood.placement.told_parts import Chain, chains
+from wingwood.registry.protocols import Worker, WorkerLoad
+
+QUIET_STEPS = 8
+"""Steps taken at once while nothing is prefilled."""
+
+
+class Engine(msgspec.Struct, frozen=True, kw_only=True):
+    """Times in seconds, sizes in tokens."""
+
+    slots: int = 32
+    cache_tokens: int = 232_000
+    step: float = 0.00068
+    step_per_stream: float = 0.0000015
+    prefill_per_token: float = 1 / 310_000
+    chunk: int = 2048
+    tokens_per_event: int = 34
+
+
+class Stream:
+    """One turn at an engine: the instants of its events, and a future that ends with it."""
+
+    def __init__(self, parts: tuple[PromptPart, ...], prompt: int, generate: int, end: asyncio.Future[None]) -> None:
+        self.parts = parts
+        self.prompt = prompt
+        self.generate = max(1, generate)
+        self.end = end
+        self.first: asyncio.Future[None] = end.get_loop().create_future()
+        self.left_to_prefill = -1
+        """-1: not begun."""
+        self.cached = 0
+        self.generated = 0
+        self.events: list[float] = []
+        self.gone = False
+
+    @property
+    def rest(self) -> int:
+        return max(0, self.prompt - sum(part.tokens for part in self.parts))
+
+
+class EngineWorker:
+    def __init__(self, number: int, engine: Engine, zone: Zone) -> None:
+        self.instance = WorkerInstance(f"w{number}")
+        self.engine = engine
+        self.zone = zone
+        self.up = True
+        self.slow = 1.0
+        self._loop = asyncio.get_event_loop()
+        self._cache: OrderedDict[Chain, int] = OrderedDict()
+        self._cached_tokens = 0
+        self._held = 0
+        self._waiting: deque[Stream] = deque()
+        self._running: list[Stream] = []
+        self._stepping = False
+        self.read_tokens = 0
+        self.read_part_tokens = 0
+
+    def announced(self, pool: PoolName) -> Worker:
+        return Worker(
+            instance=self.instance,
+            address=Address("127.0.0.1", 1),
+            pool=pool,
+            zone=self.zone,
+            slots=self.engine.slots,
+            cache_tokens=self.engine.cache_tokens,
+            load=WorkerLoad(len(self._running), len(self._waiting)),
+        )
+
+    @property
+    def present(self) -> int:
+        return len(self._running) + len(self._waiting)
+
+    def take(self, parts: tuple[PromptPart, ...], prompt: int, generate: int) -> Stream:
+        stream = Stream(parts, prompt, generate, self._loop.create_future())
+        self._waiting.append(stream)
+        self._wake()
+        return stream
+
+    def tokens_ahead(self) -> int:
+        """Tokens that a new prompt has before it."""
+        waiting = sum(stream.prompt - self.cached(stream.parts) for stream in self._waiting)
+        return waiting + sum(max(0, stream.left_to_prefill) for stream in self._running)
+
+    def thaw(self) -> None:
+        self.up = True
+        self._wake()
+
+    # --- steps --------------------------------------------------------------------------------
+
+    def _wake(self) -> None:
+        if not self._stepping and self.up and (self._waiting or self._running):
+            self._stepping = True
+            self._step()
+
+    def _step(self) -> None:
+        self._admit()
+        prefilled, reading = self._prefill_chunk()
+        decoding = [stream for stream in self._running if stream.left_to_prefill == 0]
+        steps = 1
+        if not reading and decoding:
+            steps = min(QUIET_STEPS, *(self._to_boundary(stream) for stream in decoding))
+        per_step = self.engine.step + self.engine.step_per_stream * len(self._running)
+        seconds = (steps * per_step + prefilled * self.engine.prefill_per_token) * self.slow
+        self._loop.call_later(seconds, self._stepped, decoding, steps)
+
+    def _to_boundary(self, stream: Stream) -> int:
+        event = self.engine.tokens_per_event
+        return min(stream.generate - stream.generated, event - stream.generated % event)
+
+    def _admit(self) -> None:
+        self._waiting = deque(stream for stream in self._waiting if not stream.gone)
+        for stream in [stream for stream in self._running if stream.gone]:
+            self._leave(stream)
+        while self._waiting and len(self._running) < self.engine.slots:
+            stream = self._waiting[0]
+            if self._running and self._held + stream.rest + stream.generate > self.engine.cache_tokens:
+                return
+            self._waiting.popleft()
+            self._running.append(stream)
+            self._held += stream.rest + stream.generate
+            stream.cached = self.cached(stream.parts)
+            self._touch(stream.parts, stream.cached)
+            stream.left_to_prefill = stream.prompt - stream.cached
+            self.read_tokens += stream.left_to_prefill
+            self.read_part_tokens += stream.prompt - stream.rest - stream.cached
+
+    def _prefill_chunk(self) -> tuple[int, bool]:
+        """Tokens prefilled in this step, and whether prompts remain."""
+        left = self.engine.chunk
+        for stream in self._running:
+            if stream.left_to_prefill > 0 and left > 0:
+                tokens = min(left, stream.left_to_prefill)
+                stream.left_to_prefill -= tokens
+                left -= tokens
+                if stream.left_to_prefill == 0:
+                    self._keep(stream.parts)
+        reading = left < self.engine.chunk
+        return self.engine.chunk - left, reading
+
+    def _stepped(self, decoding: Sequence[Stream], steps: int) -> None:
+        now = self._loop.time()
+        for stream in decoding:
+            if stream.gone:
+                continue
+            stream.generated += steps
+            done = stream.generated >= stream.generate
+            if done or stream.generated % self.engine.tokens_per_event == 0:
+                stream.events.append(now)
+                if not stream.first.done():
+                    stream.first.set_result(None)
+            if done:
+                self._leave(stream)
+                stream.end.set_result(None)
+        self._stepping = False
+        self._wake()
+
+    def _leave(self, stream: Stream) -> None:
+        self._running.remove(stream)
+        self._held -= stream.rest + stream.generate
+        self._keep(stream.parts)
+
+    # --- the cache ----------------------------------------------------------------------------
+
+    def cached(self, parts: tuple[PromptPart, ...]) -> int:
+        """Tokens of a prompt that it keeps."""
+        tokens = 0
+        for chain, upto in chains(parts):
+            if chain not in self._cache:
+                break
+            tokens = upto
+        return tokens
+
+    def _touch(self, parts: tuple[PromptPart, ...], tokens: int) -> None:
+        """Longest first, so that a prefix is never older than what follows on it."""
+        for chain, upto in reversed(list(chains(parts))):
+            if upto <= tokens and chain in self._cache:
+                self._cache.move_to_end(chain)
+
+    def _keep(self, parts: tuple[PromptPart, ...]) -> None:
+        before = 0
+        for chain, upto in chains(parts):
+            if chain not in self._cache:
+                self._cache[chain] = upto - before
+                self._cached_tokens += upto - before
+            before = upto
+        self._touch(parts, before)
+        while self._cache and self._cached_tokens + self._held > self.engine.cache_tokens:
+            _, tokens = self._cache.popitem(last=False)
+            self._cached_tokens -= tokens
--- a/bench/forward_stand_ins.py
+++ b/bench/forward_stand_ins.py
@@ -114,6 +114,8 @@
     async def choose(self, turn: Turn, excluded: Sequence[WorkerInstance]) -> Result[Choice, NoWorker]:
         return Success(self._choice)
 
+    def begun(self, turn: Turn, choice: Choice, first_token_after: Seconds) -> None: ...
+
     def finished(
         self,
         turn: Turn,
--- a/bench/placement_bench.py
+++ b/bench/placement_bench.py
@@ -45,10 +45,11 @@
     Zone,
 )
 from wingwood.limits.admission import PatienceAdmission
-from wingwood.placement.award_placement import AwardPlacement, AwardSettings
+from wingwood.placement.award_placement import AwardPlacement
 from wingwood.placement.plain_policies import LeastLoaded, RoundRobin, StickyByHash
 from wingwood.placement.protocols import Choice, Placement, Turn
 from wingwood.placement.session_map import Entry, KeeperMap, LocalMap, Unreachable, session_key
+from wingwood.placement.settings import AwardSettings
 from wingwood.registry.protocols import Engagement, Worker, WorkerLoad
 from wingwood.registry.tests.fleet import POOL as FEED_POOL
 from wingwood.registry.tests.fleet import Fleet
--- /dev/null
+++ b/bench/told_placement_bench.py
@@ -0,0 +1,527 @@
+"""Compares balancing policies where callers tell their prompts' parts (docs/DESIGN.md section 11.10).
+
+    python -m bench.told_placement_bench --table normal --seeds 3
+
+Routers run the real placement code on virtual time; engines are those of bench/engine_model.py. Two kinds of
+calls: summaries with long shared prefixes and short answers, and chat with short prompts and long streams.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import json
+import statistics
+import time
+from collections import Counter
+from collections.abc import Sequence
+from pathlib import Path
+from random import Random
+from typing import Any, cast
+
+import click
+import msgspec
+from returns.result import Success
+
+from simulation.virtual_time import VirtualTimeLoop
+from wingwood.bundle.model import Service
+from wingwood.context.protocols import Context
+from wingwood.identifiers import (
+    Address,
+    DaemonName,
+    Incarnation,
+    Instant,
+    PoolName,
+    RequestId,
+    Seconds,
+    ServiceName,
+    TenantName,
+    Zone,
+)
+from wingwood.placement.award_placement import AwardPlacement
+from wingwood.placement.plain_policies import LeastLoaded, RoundRobin, StickyByHash
+from wingwood.placement.protocols import Choice, Placement, PromptPart, Turn
+from wingwood.placement.session_map import KeeperMap, LocalMap
+from wingwood.placement.settings import AwardSettings
+from wingwood.transport.frames import Identity
+
+from .engine_model import Engine, EngineWorker, Stream
+from .placement_bench import BenchClock, BenchMembership, BenchMessenger, BenchRegistry, BenchTasks, NoMap, Wires
+
+POOL = PoolName("model")
+SUMMARY = Service(
+    name=ServiceName("summary"),
+    pool=POOL,
+    latency_objective=Seconds(0.2),
+    longest_pause=Seconds(0.2),
+    first_byte_patience=Seconds(2.0),
+    urgency=6,
+)
+CHAT = Service(
+    name=ServiceName("chat"),
+    pool=POOL,
+    latency_objective=Seconds(0.15),
+    longest_pause=Seconds(0.2),
+    first_byte_patience=Seconds(2.0),
+    urgency=4,
+)
+CALLER_WAY = 0.008
+"""Seconds between caller and router both ways, with the work of both."""
+ZONES = ("a", "b", "c")
+ZONE_DELAY = 0.0014
+DARK_AFTER = 0.8
+"""A router gives up a worker without a first token after so many seconds, and tries another once."""
+NOTICED_AFTER = 0.6
+"""Seconds after which the registry has a dark worker out."""
+
+
+class Shape(msgspec.Struct, frozen=True, kw_only=True):
+    """One run. Times in seconds; the trouble lasts from ``begins`` to the end, and only then is measured."""
+
+    policy: str = "award"
+    seconds: float = 40.0
+    begins: float = 15.0
+    routers: int = 11
+    workers: int = 9
+    engine: Engine = Engine()
+    summaries: float = 121.0
+    chats: float = 8.7
+    subjects: int = 2060
+    burst: float = 1.0
+    """Factor on the summaries during the trouble."""
+    hot: float = 0.0
+    """Share of the summaries that have the same subject during the trouble."""
+    dark: int = 0
+    """Workers that freeze when the trouble begins and thaw after 5 s, again and again."""
+    slow: int = 0
+    """Workers that run 3 times slower during the trouble."""
+    settings: AwardSettings = AwardSettings()
+
+
+class Served(msgspec.Struct, frozen=True):
+    service: str
+    first: float
+    """Infinite when refused or lost."""
+    longest_pause: float
+    predicted: float
+
+
+class Oracle:
+    """Sees every engine's queue and cache at the moment of the choice: a bound for all that can be known."""
+
+    def __init__(self, workers: Sequence[EngineWorker]) -> None:
+        self._workers = workers
+
+    async def choose(self, turn: Turn, excluded: Sequence[Any]) -> Any:
+        def cost(worker: EngineWorker) -> int:
+            return worker.tokens_ahead() + turn.prompt_tokens - worker.cached(turn.parts)
+
+        open_workers = [w for w in self._workers if w.up and w.instance not in excluded]
+        best = min(open_workers, key=cost)
+        first_token = cost(best) * best.engine.prefill_per_token + 0.03
+        return Success(Choice(worker=best.announced(POOL), how="policy", first_token=Seconds(first_token)))
+
+    def begun(self, turn: Turn, choice: Choice, first_token_after: Seconds) -> None:
+        pass
+
+    def finished(self, turn: Turn, choice: Choice, outcome: Any, generated: int, first: Seconds | None) -> None:
+        pass
+
+
+class Prompts:
+    """Draws prompts: skewed subjects, sizes with long tails."""
+
+    def __init__(self, shape: Shape, random: Random) -> None:
+        self._random = random
+        self._kinds = [PromptPart(f"k{n}", self._size(2500, 0.4)) for n in range(4)]
+        self._chat_kinds = [PromptPart(f"c{n}", self._size(47, 0.4)) for n in range(40)]
+        self._subjects = self._chains(shape.subjects, self._kinds, "s", 3800, 0.7)
+        self._sessions = self._chains(147, self._chat_kinds, "t", 32, 0.7)
+        self._subject_weights = _skewed(len(self._subjects))
+        self._session_weights = _skewed(len(self._sessions))
+
+    def _size(self, mean: float, spread: float) -> int:
+        return max(1, round(mean * self._random.lognormvariate(-spread * spread / 2, spread)))
+
+    def _chains(
+        self, count: int, kinds: Sequence[PromptPart], name: str, mean: float, spread: float
+    ) -> list[tuple[PromptPart, ...]]:
+        return [
+            (self._random.choice(kinds), PromptPart(f"{name}{number}", self._size(mean, spread)))
+            for number in range(count)
+        ]
+
+    def summary(self, hot: float, event: int) -> tuple[tuple[PromptPart, ...], int, int]:
+        """Parts, tokens of the whole prompt, and tokens to generate."""
+        if self._random.random() < hot:
+            parts = self._subjects[-1]
+        else:
+            parts = self._random.choices(self._subjects, cum_weights=self._subject_weights)[0]
+        own = min(39_600, self._size(2890, 1.0))
+        return parts, own + sum(part.tokens for part in parts), event * self._random.choice((1, 1, 1, 2, 2, 4))
+
+    def chat(self, event: int) -> tuple[tuple[PromptPart, ...], int, int]:
+        parts = self._random.choices(self._sessions, cum_weights=self._session_weights)[0]
+        own = min(1000, self._size(141, 0.8))
+        return parts, own + sum(part.tokens for part in parts), event * min(211, self._size(89, 0.84))
+
+
+def _skewed(count: int) -> list[float]:
+    total = 0.0
+    return [total := total + (rank + 1) ** -0.3 for rank in range(count)]
+
+
+class Run:
+    def __init__(self, shape: Shape, seed: int) -> None:
+        self.shape = shape
+        self.loop = VirtualTimeLoop(Random(seed))
+        self.random = Random(seed)
+        self.error: BaseException | None = None
+        self.loop.on_unhandled = lambda _, details: self._failed(details)
+        asyncio.set_event_loop(self.loop)
+        self.workers = [EngineWorker(n, shape.engine, Zone(ZONES[n % 3])) for n in range(shape.workers)]
+        self.prompts = Prompts(shape, Random(seed + 7))
+        self.wires = Wires(self.loop, ZONE_DELAY)
+        self.registries: list[BenchRegistry] = []
+        self.served: list[Served] = []
+        self.read_before = (0, 0)
+        self.calls = 0
+        self.identities = [
+            Identity(
+                name=DaemonName(f"r{n}"),
+                incarnation=Incarnation(f"r{n}.1"),
+                role="router",
+                zone=Zone(ZONES[n % 3]),
+                internal=Address("127.0.0.1", 24000 + n),
+            )
+            for n in range(shape.routers)
+        ]
+        self.membership = BenchMembership(self.identities)
+        self.placements = [self._placement(identity, seed) for identity in self.identities]
+        self.router_weights = [1.0 + self.random.random() for _ in self.identities]
+
+    def _failed(self, details: dict[str, Any]) -> None:
+        self.error = details.get("exception") or RuntimeError(str(details))
+        self.loop.limit = 0.0
+
+    def _placement(self, identity: Identity, seed: int) -> Placement:
+        context = Context(
+            clock=cast(Any, BenchClock(self.loop)),
+            network=cast(Any, None),
+            disk=cast(Any, None),
+            http=cast(Any, None),
+            random=Random(f"{seed} {identity.name}"),
+            log=cast(Any, None),
+            tasks=cast(Any, BenchTasks(self.loop)),
+        )
+        registry = cast(Any, BenchRegistry(cast(Any, _Announcers(self.workers)), self.registries))
+        registry.refresh_loads()
+        match self.shape.policy:
+            case "round-robin":
+                return RoundRobin(context, registry, registry)
+            case "oracle":
+                return Oracle(self.workers)
+            case "least-loaded":
+                return LeastLoaded(context, registry, registry)
+            case "sticky":
+                return StickyByHash(context, registry, registry)
+        membership = cast(Any, self.membership)
+        session_map: Any
+        match self.shape.policy:
+            case "award-local":
+                session_map = LocalMap()
+            case "award-no-map":
+                session_map = NoMap()
+            case _:
+                session_map = KeeperMap(context, cast(Any, BenchMessenger(self.wires, identity)), membership)
+        zone = None if self.shape.policy == "award-guessed" else identity.zone
+        placement = AwardPlacement(context, membership, registry, registry, session_map, self.shape.settings, zone)
+        if not isinstance(session_map, NoMap):
+            session_map.on_keep = placement.kept_here
+        return placement
+
+    def go(self) -> dict[str, float]:
+        shape = self.shape
+        self.loop.create_task(self._arrivals(SUMMARY))
+        self.loop.create_task(self._arrivals(CHAT))
+        self.loop.create_task(self._refresh())
+        self.loop.call_later(shape.begins, self._trouble)
+        self.loop.limit = shape.seconds
+        self.loop.run_forever()
+        if self.error is not None:
+            raise self.error
+        for task in asyncio.all_tasks(self.loop):
+            task._log_destroy_pending = False  # type: ignore[attr-defined]
+        self.loop.on_unhandled = None
+        self.loop.close()
+        return self._report()
+
+    # --- troubles -----------------------------------------------------------------------------
+
+    def _trouble(self) -> None:
+        self.read_before = self._read()
+        for worker in self.workers[: self.shape.slow]:
+            worker.slow = 3.0
+        if self.shape.dark:
+            self.loop.create_task(self._darken())
+
+    async def _darken(self) -> None:
+        number = 0
+        while True:
+            struck = [self.workers[(number + n) % len(self.workers)] for n in range(self.shape.dark)]
+            number += self.shape.dark
+            for worker in struck:
+                worker.up = False
+            self.loop.call_later(NOTICED_AFTER, self._tell)
+            await asyncio.sleep(5.0)
+            for worker in struck:
+                worker.thaw()
+            self._tell()
+            await asyncio.sleep(3.0)
+
+    def _tell(self) -> None:
+        for registry in self.registries:
+            registry.refresh_loads()
+
+    async def _refresh(self) -> None:
+        """Each third of a second the counts of the others, at different instants; loads each second."""
+        step = 0
+        while True:
+            await asyncio.sleep(0.03)
+            step += 1
+            for number, registry in enumerate(self.registries):
+                if step % 11 == number % 11:
+                    registry.refresh_running()
+                if step % 33 == number % 33 and not self.shape.dark:
+                    registry.refresh_loads()
+
+    # --- calls --------------------------------------------------------------------------------
+
+    async def _arrivals(self, service: Service) -> None:
+        while True:
+            rate = self.shape.chats
+            in_trouble = self.loop.time() >= self.shape.begins
+            if service is SUMMARY:
+                rate = self.shape.summaries * (self.shape.burst if in_trouble else 1.0)
+            await asyncio.sleep(self.random.expovariate(rate))
+            router = self.random.choices(range(self.shape.routers), self.router_weights)[0]
+            self.loop.create_task(self._call(service, router, in_trouble))
+
+    async def _call(self, service: Service, router: int, counted: bool) -> None:
+        self.calls += 1
+        event = self.shape.engine.tokens_per_event
+        hot = self.shape.hot if counted else 0.0
+        parts, prompt, generate = self.prompts.summary(hot, event) if service is SUMMARY else self.prompts.chat(event)
+        began = self.loop.time()
+        turn = Turn(
+            request=RequestId(f"q{self.calls}"),
+            service=service,
+            tenant=TenantName("t"),
+            weight=1.0,
+            prefix=tuple(part.part for part in parts),
+            prompt_tokens=prompt,
+            parts=() if self.shape.policy == "award-guessed" else parts,
+            generate_tokens=generate,
+            urgency=service.urgency,
+            deadline=Instant(began + (2.0 if service is SUMMARY else 15.0)),
+        )
+        served = Served(service.name, float("inf"), 0.0, 0.0)
+        excluded: list[Any] = []
+        for _ in range(2):
+            stream, predicted, choice = await self._try(turn, router, parts, excluded)
+            if stream is not None and stream.events:
+                gaps = [after - before for before, after in itertools.pairwise(stream.events)]
+                first = stream.events[0] - began + CALLER_WAY
+                served = Served(service.name, first, max(gaps, default=0.0), predicted)
+                break
+            if choice is None:
+                break
+            excluded.append(choice.worker.instance)
+        if counted:
+            self.served.append(served)
+
+    async def _try(
+        self, turn: Turn, router: int, parts: tuple[PromptPart, ...], excluded: Sequence[Any]
+    ) -> tuple[Stream | None, float, Any]:
+        placement = self.placements[router]
+        chosen = await placement.choose(turn, excluded)
+        if not isinstance(chosen, Success):
+            return None, 0.0, None
+        choice = chosen.unwrap()
+        worker = next(worker for worker in self.workers if worker.instance == choice.worker.instance)
+        sent = self.loop.time()
+        way = ZONE_DELAY if worker.zone != self.identities[router].zone else 0.0002
+        await asyncio.sleep(way)
+        stream = worker.take(parts, turn.prompt_tokens, turn.generate_tokens)
+        await asyncio.wait([stream.first], timeout=DARK_AFTER)
+        if not stream.first.done():
+            stream.gone = True
+            placement.finished(turn, choice, "broken", 0, None)
+            return stream, 0.0, choice
+        await asyncio.sleep(way)
+        after = Seconds(self.loop.time() - sent)
+        placement.begun(turn, choice, after)
+        await stream.end
+        placement.finished(turn, choice, "whole", turn.generate_tokens, after)
+        return stream, choice.first_token, choice
+
+    # --- the report ---------------------------------------------------------------------------
+
+    def _read(self) -> tuple[int, int]:
+        return sum(worker.read_tokens for worker in self.workers), sum(w.read_part_tokens for w in self.workers)
+
+    def _report(self) -> dict[str, float]:
+        report: dict[str, float] = {}
+        for service in (SUMMARY, CHAT):
+            served = [each for each in self.served if each.service == service.name]
+            firsts = sorted(each.first for each in served)
+            objective = service.latency_objective or 0.0
+            report[f"{service.name}_in_time"] = sum(first <= objective for first in firsts) / max(1, len(firsts))
+            for share in (50, 95):
+                report[f"{service.name}_p{share}"] = min(9.9, firsts[int(share / 100 * len(firsts))])
+            pause = service.longest_pause or 0.0
+            paused = sum(each.longest_pause > pause for each in served)
+            report[f"{service.name}_paused"] = paused / max(1, len(served))
+            report[f"{service.name}_lost"] = sum(each.first > 9.0 for each in served) / max(1, len(served))
+        errors = [abs(each.predicted - each.first + CALLER_WAY) for each in self.served if each.first < 9.0]
+        report["off"] = statistics.fmean(errors)
+        read, parts = self._read()
+        seconds = self.shape.seconds - self.shape.begins
+        report["read_per_s"] = (read - self.read_before[0]) / seconds
+        report["parts_read_per_s"] = (parts - self.read_before[1]) / seconds
+        report["use"] = report["read_per_s"] * self.shape.engine.prefill_per_token / self.shape.workers
+        report["bytes_per_call"] = self.wires.bytes / max(1, self.calls)
+        counts: Counter[str] = Counter()
+        for placement in self.placements:
+            counts.update(getattr(placement, "counts", {}))
+        report["award_share"] = counts["award"] / max(1, self.calls)
+        report["moves"] = counts["moves"] / max(1, counts["awards"])
+        return report
+
+
+class _Announcers:
+    """The workers as BenchRegistry reads them."""
+
+    def __init__(self, workers: Sequence[EngineWorker]) -> None:
+        self._workers = workers
+
+    def __iter__(self) -> Any:
+        return iter([_Announcer(worker) for worker in self._workers])
+
+
+class _Announcer:
+    def __init__(self, worker: EngineWorker) -> None:
+        self._worker = worker
+        self.up = worker.up
+
+    def announced(self) -> Any:
+        return self._worker.announced(POOL)
+
+
+POLICIES = ("award-guessed", "least-loaded", "sticky", "award-no-map", "award-local", "award", "oracle")
+LARGE_CACHE = Engine(slots=12, cache_tokens=872_000, step=0.00057, prefill_per_token=1 / 346_000, tokens_per_event=45)
+
+
+def tables() -> dict[str, dict[str, Shape]]:
+    base = Shape()
+    troubles = {
+        "normal": base,
+        "burst": msgspec.structs.replace(base, burst=1.5),
+        "burst-2": msgspec.structs.replace(base, burst=2.0),
+        "hot": msgspec.structs.replace(base, hot=0.26),
+        "dark": msgspec.structs.replace(base, dark=2),
+        "slow": msgspec.structs.replace(base, slow=2),
+    }
+    for name, shape in list(troubles.items()):
+        troubles[f"{name}-large"] = msgspec.structs.replace(shape, engine=LARGE_CACHE, chats=5.3)
+    return {
+        name: {policy: msgspec.structs.replace(shape, policy=policy) for policy in POLICIES}
+        for name, shape in troubles.items()
+    }
+
+
+def processor_time(workers: int, turns: int = 3000) -> list[float]:
+    """Sorted seconds of choose, begun and finished together, of one router with a map of its own."""
+    run = Run(Shape(policy="award-local", workers=workers), 1)
+    placement = run.placements[0]
+    times = []
+
+    async def all_turns() -> None:
+        for number in range(turns):
+            parts, prompt, generate = run.prompts.summary(0.0, 34)
+            turn = Turn(
+                request=RequestId(f"q{number}"),
+                service=SUMMARY,
+                tenant=TenantName("t"),
+                weight=1.0,
+                prefix=tuple(part.part for part in parts),
+                prompt_tokens=prompt,
+                parts=parts,
+                generate_tokens=generate,
+                deadline=Instant(run.loop.time() + 2.0),
+            )
+            await asyncio.sleep(0.08)
+            began = time.process_time()
+            choice = (await placement.choose(turn, ())).unwrap()
+            placement.begun(turn, choice, Seconds(0.05))
+            placement.finished(turn, choice, "whole", generate, Seconds(0.05))
+            times.append(time.process_time() - began)
+
+    run.loop.run_until_complete(all_turns())
+    run.loop.on_unhandled = None
+    run.loop.close()
+    return sorted(times)
+
+
+COLUMNS = (
+    "summary_in_time",
+    "summary_p95",
+    "summary_lost",
+    "chat_in_time",
+    "chat_p95",
+    "chat_paused",
+    "parts_read_per_s",
+    "use",
+    "off",
+    "award_share",
+    "moves",
+    "bytes_per_call",
+)
+
+
+@click.command()
+@click.option("--table", "names", multiple=True, help="Which tables (also: processor); else all.")
+@click.option("--policy", "policies", multiple=True, help="Which policies; else all.")
+@click.option("--seeds", default=3, show_default=True)
+@click.option("--set", "changes", multiple=True, help="NAME=VALUE of AwardSettings.")
+@click.option("--json", "json_file", type=click.Path(path_type=Path), help="Writes all figures there.")
+def main(
+    names: tuple[str, ...], policies: tuple[str, ...], seeds: int, changes: tuple[str, ...], json_file: Path | None
+) -> None:
+    """Prints a table per trouble: means over the seeds."""
+    if "processor" in names:
+        for workers in (9, 30):
+            times = processor_time(workers)
+            middle, high = times[len(times) // 2], times[int(0.95 * len(times))]
+            click.echo(f"{workers} workers: p50 {middle * 1e3:.3f} ms, p95 {high * 1e3:.3f} ms")
+    found = tables()
+    changed: dict[str, Any] = {name: json.loads(value) for name, value in (change.split("=") for change in changes)}
+    settings = msgspec.structs.replace(AwardSettings(), **changed)
+    results: dict[str, dict[str, dict[str, float]]] = {}
+    for name in [name for name in names if name != "processor"] or ([] if names else list(found)):
+        click.echo(f"\n{name}: {seeds} seeds")
+        click.echo(f"{'':<16}" + "".join(f"{column:>17}" for column in COLUMNS))
+        for policy, shape in found[name].items():
+            if policies and policy not in policies:
+                continue
+            changed_shape = msgspec.structs.replace(shape, settings=settings)
+            reports = [Run(changed_shape, seed).go() for seed in range(1, seeds + 1)]
+            mean = {key: statistics.fmean(report[key] for report in reports) for key in reports[0]}
+            results.setdefault(name, {})[policy] = mean
+            click.echo(f"{policy:<16}" + "".join(f"{mean[column]:>17.3f}" for column in COLUMNS))
+    if json_file is not None:
+        json_file.write_text(json.dumps(results, indent=1) + "\n")
+
+
+if __name__ == "__main__":
+    main()
--- a/wingwood/forward/tests/stand_ins.py
+++ b/wingwood/forward/tests/stand_ins.py
@@ -199,6 +199,8 @@
                 return Success(Choice(worker=worker, how="award", first_token=self.first_token))
         return Failure(NoWorker("none-ready", Seconds(2.0)))
 
+    def begun(self, turn: Turn, choice: Choice, first_token_after: Seconds) -> None: ...
+
     def finished(
         self,
         turn: Turn,
--- /dev/null
+++ b/wingwood/placement/guessed_bids.py
@@ -0,0 +1,133 @@
+"""Bids where callers tell no sizes: prompts by their length, prefixes by what was seen below them."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Sequence
+
+from ..context.protocols import Context
+from ..identifiers import Instant, PoolName, RequestId, Seconds, WorkerInstance
+from ..membership.protocols import Membership
+from ..registry.protocols import Worker
+from .bids import Forecast, Pressure, cheapest
+from .kept_prefixes import EvictionModel, SharedPrefixes
+from .prefix_order import PrefixOrders
+from .protocols import Turn
+from .session_map import Entry
+from .settings import AwardSettings
+from .worker_estimates import Workload
+
+
+class GuessedBids:
+    """A ``Bidder`` (docs/DESIGN.md sections 11.3 to 11.5)."""
+
+    def __init__(
+        self,
+        context: Context,
+        membership: Membership,
+        workload: Workload,
+        pressure: Pressure,
+        orders: PrefixOrders,
+        settings: AwardSettings,
+    ) -> None:
+        self._context = context
+        self._membership = membership
+        self._workload = workload
+        self._pressure = pressure
+        self._orders = orders
+        self._settings = settings
+        self._shared = SharedPrefixes()
+        self._evictions = EvictionModel()
+
+    def session_kept(self, key: int, entry: Entry, capacity: int) -> None:
+        """This router keeps the session's entry. ``capacity``: KV cache tokens of the whole pool."""
+        routers = max(2, len(self._membership.routers()))
+        self._evictions.touched(entry.pool, key, entry.own_tokens, entry.touched_at, capacity * 2 / routers)
+
+    def kept_tokens(self, turn: Turn, entry: Entry | None, worker: Worker) -> int:
+        since = self._evictions.kept_since(worker.pool)
+        if entry is not None and entry.holder == worker.instance and entry.touched_at >= since:
+            return min(entry.tokens, turn.prompt_tokens)
+        return min(turn.prompt_tokens, self._shared.kept(worker.pool, turn.prefix, worker.instance, since))
+
+    def session_tokens(self, turn: Turn, tokens: int) -> int:
+        return tokens
+
+    def own_tokens(self, pool: PoolName, turn: Turn, tokens: int) -> int:
+        return max(0, tokens - self._shared.tokens(pool, turn.prefix))
+
+    def forecast(self, turn: Turn, entry: Entry | None, worker: Worker) -> Forecast:
+        uncached = self._uncached(turn, entry, worker)
+        return Forecast(uncached, self._workload.first_token(worker, uncached))
+
+    def bid(self, turn: Turn, entry: Entry | None, ready: Sequence[Worker]) -> Worker:
+        compared = self._candidates(turn, entry, ready)
+        bids = [(self._cost_now(turn, entry, worker), worker) for worker in compared]
+        return cheapest(bids, None if entry is None else entry.holder, self._settings.move_gain)
+
+    def soonest(self, turn: Turn, entry: Entry | None, ready: Sequence[Worker]) -> Seconds:
+        return min(self.forecast(turn, entry, worker).first_token for worker in ready)
+
+    def _candidates(self, turn: Turn, entry: Entry | None, ready: Sequence[Worker]) -> Sequence[Worker]:
+        if entry is not None:
+            return ready
+        if len(turn.prefix) > 1:
+            return self.prefix_candidates(turn, ready)
+        return self._context.random.sample(list(ready), min(self._settings.candidates, len(ready)))
+
+    def prefix_candidates(self, turn: Turn, ready: Sequence[Worker]) -> Sequence[Worker]:
+        """The first few in the prefix's rendezvous order: as many as its demand fills, and then one below the bound."""
+        pool = ready[0].pool
+        order = self._orders.order(pool, turn.prefix[:-1], ready)
+        now = self._context.clock.monotonic()
+        routers = max(1, len(self._membership.routers()))
+        slots = sum(worker.slots for worker in ready) / len(ready)
+        turn_seconds = self._workload.figures(order[0]).turn
+        side_by_side = self._shared.demand(pool, turn.prefix, now) * routers * turn_seconds
+        count = min(len(order), max(2, math.ceil(side_by_side / (self._settings.prefix_slots * slots))))
+        fullness = [self._workload.load(worker) / worker.slots for worker in order]
+        bound = max(self._settings.bounded_load * sum(fullness) / len(fullness), 1.0 / slots)
+        while count < len(order) and all(full > bound for full in fullness[:count]):
+            count += 1
+        return order[:count]
+
+    def _cost_now(self, turn: Turn, entry: Entry | None, worker: Worker) -> float:
+        mean_wait = self._workload.mean_wait(worker, self._workload.load(worker))
+        return self._cost(turn, entry, worker, self._workload.wait(worker) + self._settings.crowd_cost * mean_wait)
+
+    def bid_ahead(self, turn: Turn, entry: Entry, ready: Sequence[Worker]) -> Worker:
+        """The holder against a few drawn others, so that routers do not all move to one."""
+        others = [worker for worker in ready if worker.instance != entry.holder]
+        compared = self._context.random.sample(others, min(self._settings.candidates, len(others)))
+        compared.extend(worker for worker in ready if worker.instance == entry.holder)
+        turning = self._workload.turning(ready)
+        bids = []
+        for worker in compared:
+            mean_wait = self._workload.mean_wait(worker, self._workload.load_ahead(worker, turning))
+            bids.append((self._cost(turn, entry, worker, self._settings.ahead_cost * mean_wait), worker))
+        return cheapest(bids, entry.holder, self._settings.move_gain)
+
+    def sent(self, turn: Turn, worker: Worker, key: int, forecast: Forecast) -> None:
+        now = self._context.clock.monotonic()
+        self._shared.sent(worker.pool, turn.prefix, key, turn.prompt_tokens, worker.instance, now)
+
+    def ended(
+        self, turn: Turn, worker: Worker, uncached: int, waited: float, first_token: Seconds | None, whole: Seconds
+    ) -> None:
+        self._workload.learn(worker, uncached, waited, first_token, whole)
+
+    def left(self, request: RequestId, worker: Worker, first_token: Seconds | None) -> None:
+        pass
+
+    def forget(self, instance: WorkerInstance) -> None:
+        self._shared.forget(instance)
+
+    def kept_since(self, pool: PoolName) -> Instant:
+        return self._evictions.kept_since(pool)
+
+    def _uncached(self, turn: Turn, entry: Entry | None, worker: Worker) -> int:
+        return max(0, turn.prompt_tokens - self.kept_tokens(turn, entry, worker))
+
+    def _cost(self, turn: Turn, entry: Entry | None, worker: Worker, wait: float) -> float:
+        prefill = self._uncached(turn, entry, worker) * self._workload.figures(worker).per_token
+        return wait * self._pressure.of(worker.pool, turn.weight) + prefill
--- a/wingwood/placement/plain_policies.py
+++ b/wingwood/placement/plain_policies.py
@@ -11,6 +11,7 @@
 from ..membership.rendezvous import ranked
 from ..registry.protocols import EngagementExchange, Registry, Worker
 from .award_placement import Outcome
+from .pool_choice import pool_order
 from .protocols import Choice, NoWorker, Turn
 from .worker_estimates import Workload
 
@@ -29,7 +30,19 @@
         raise NotImplementedError
 
     async def choose(self, turn: Turn, excluded: Sequence[WorkerInstance]) -> Result[Choice, NoWorker]:
-        ready = [worker for worker in self._registry.ready(turn.service.pool) if worker.instance not in excluded]
+        refusal: Result[Choice, NoWorker] = Failure(NoWorker("none-ready", Seconds(1.0)))
+        for pool in pool_order(turn, len(excluded)):
+            chosen = await self._choose_in(pool, turn, excluded)
+            if isinstance(chosen, Success):
+                return chosen
+            if chosen.failure().reason == "all-full":
+                refusal = chosen
+        return refusal
+
+    async def _choose_in(
+        self, pool: PoolName, turn: Turn, excluded: Sequence[WorkerInstance]
+    ) -> Result[Choice, NoWorker]:
+        ready = [worker for worker in self._registry.ready(pool) if worker.instance not in excluded]
         open_workers = [worker for worker in ready if not self._workload.is_full(worker)]
         for worker in self._order(turn, self._workload.willing(open_workers)) if open_workers else ():
             if await self._registry.confirm(worker):
@@ -44,6 +57,9 @@
             return Failure(NoWorker("all-full", min(self._workload.room_after(worker) for worker in ready)))
         return Failure(NoWorker("none-ready", Seconds(1.0)))
 
+    def begun(self, turn: Turn, choice: Choice, first_token_after: Seconds) -> None:
+        pass
+
     def finished(
         self,
         turn: Turn,
@@ -70,10 +86,11 @@
         self._turns: dict[PoolName, int] = {}
 
     def _order(self, turn: Turn, ready: Sequence[Worker]) -> Sequence[Worker]:
-        start = self._turns.get(turn.service.pool)
+        pool = ready[0].pool
+        start = self._turns.get(pool)
         if start is None:
             start = self._context.random.randrange(len(ready))
-        self._turns[turn.service.pool] = start + 1
+        self._turns[pool] = start + 1
         return [ready[(start + step) % len(ready)] for step in range(len(ready))]
 
 
--- a/wingwood/placement/policies.py
+++ b/wingwood/placement/policies.py
@@ -30,6 +30,6 @@
             return StickyByHash(context, registry, registry)
         case "award":
             session_map = KeeperMap(context, messenger, membership)
-            placement = AwardPlacement(context, membership, registry, registry, session_map)
+            placement = AwardPlacement(context, membership, registry, registry, session_map, zone=settings.zone)
             session_map.on_keep = placement.kept_here
             return placement
--- a/wingwood/placement/protocols.py
+++ b/wingwood/placement/protocols.py
@@ -65,6 +65,10 @@
         """The worker for this turn; it is counted as running there until ``finished``."""
         ...
 
+    def begun(self, turn: Turn, choice: Choice, first_token_after: Seconds) -> None:
+        """The first piece of the turn's answer came, so long after it was sent; its prompt waits no more."""
+        ...
+
     def finished(
         self,
         turn: Turn,
--- a/wingwood/placement/session_map.py
+++ b/wingwood/placement/session_map.py
@@ -23,7 +23,8 @@
 CHANGED_ONE_BY_ONE = 16
 POINTS_EACH = 64
 """A router's points on the ring; its share of the sessions varies by about an eighth."""
-LOOK_UP_TIMEOUT = Seconds(0.03)
+LOOK_UP_TIMEOUT = Seconds(0.015)
+"""For each of the two that are asked: a turn waits for its map entry at most twice as long."""
 PASSED_OVER_FOR = Seconds(1.0)
 """How long a keeper that let a question time out is passed over."""
 NEWCOMER_FOR = Seconds(3.0)
@@ -60,6 +61,14 @@
 
     def record(self, key: int, entry: Entry) -> None: ...
 
+    def recall(self, key: int) -> Entry | None:
+        """What this router recorded itself; asks nobody."""
+        ...
+
+    def remember(self, key: int, entry: Entry) -> None:
+        """Records for this router alone."""
+        ...
+
     def keeps(self, key: int) -> bool:
         """Whether this router is the one that counts the session."""
         ...
@@ -102,6 +111,12 @@
         self._entries.put(key, entry)
         self.on_keep(key, entry)
 
+    def recall(self, key: int) -> Entry | None:
+        return self._entries.get(key)
+
+    def remember(self, key: int, entry: Entry) -> None:
+        self._entries.put(key, entry)
+
     def keeps(self, key: int) -> bool:
         return True
 
@@ -230,6 +245,12 @@
             else:
                 self._messenger.post(keeper.internal, KeepNotes((self._note(key, entry),)))
 
+    def recall(self, key: int) -> Entry | None:
+        return self._recent.get(key)
+
+    def remember(self, key: int, entry: Entry) -> None:
+        self._recent.put(key, entry)
+
     def keeps(self, key: int) -> bool:
         pair = self._pair(key)
         return bool(pair) and pair[0].incarnation == self._messenger.identity.incarnation
--- a/wingwood/placement/tests/test_award_placement.py
+++ b/wingwood/placement/tests/test_award_placement.py
@@ -12,10 +12,11 @@
 from simulation.world import World
 from wingwood.bundle.model import Service
 from wingwood.identifiers import PoolName, RequestId, Seconds, ServiceName, SessionId, TenantName, WorkerInstance
-from wingwood.placement.award_placement import AwardPlacement, AwardSettings
+from wingwood.placement.award_placement import AwardPlacement
 from wingwood.placement.messages import KeepNotes, SessionNote
 from wingwood.placement.protocols import Choice, NoWorker, Turn
 from wingwood.placement.session_map import Entry, KeeperMap, session_key
+from wingwood.placement.settings import AwardSettings
 from wingwood.registry.protocols import Engagement
 from wingwood.registry.tests.fleet import POOL, Fleet
 
@@ -285,6 +286,20 @@
         self.assertEqual({choice.how for choice in chosen if isinstance(choice, Choice)}, {"hash"})
         self.assertEqual(len({choice.worker.instance for choice in chosen if isinstance(choice, Choice)}), 1)
 
+    def test_two_frozen_keepers_cost_a_turn_their_time_outs_once(self) -> None:
+        fleet = self.fleet()
+        pair = fleet.keepers("fresh")
+        for name in pair:
+            fleet.world.freeze(name)
+        asker = fleet.others_than(*pair)[0]
+        times = []
+        for _ in range(2):
+            before = fleet.world.now
+            fleet.choose(asker, turn_of("fresh"))
+            times.append(fleet.world.now - before)
+        self.assertLess(times[0], 0.041)
+        self.assertLess(times[1], 0.011, "who let a question time out is passed over")
+
     def test_awards_outlive_the_loss_of_keeper_and_then_stand_in(self) -> None:
         fleet = self.fleet()
         winners = {f"s{number}": fleet.take(f"r{number % 6}", f"s{number}").worker.instance for number in range(12)}
@@ -350,7 +365,7 @@
             ready = fleet.routers["r0"].registry.ready(POOL)
 
             async def candidates() -> list[object]:
-                return list(placement._prefix_candidates(turn_of("lease/new"), ready))  # noqa: B023
+                return list(placement._guessed.prefix_candidates(turn_of("lease/new"), ready))  # noqa: B023
 
             sizes.append(len(fleet.inside("r0", candidates)))
         self.assertEqual(sizes, [2, 4])
--- /dev/null
+++ b/wingwood/placement/told_bids.py
@@ -0,0 +1,191 @@
+"""Bids where callers tell the sizes of their prompt's parts (docs/DESIGN.md sections 11.3 to 11.5)."""
+
+from __future__ import annotations
+
+import math
+from collections.abc import Sequence
+
+from ..context.protocols import Context
+from ..identifiers import PoolName, RequestId, Seconds, WorkerInstance, Zone
+from ..membership.protocols import Membership
+from ..registry.protocols import Worker
+from .bids import Forecast, Pressure, cheapest
+from .prefill_estimates import PrefillQueues
+from .prefix_order import PrefixOrders
+from .protocols import PromptPart, Turn
+from .recurrence import Recurrence
+from .session_map import Entry
+from .settings import AwardSettings
+from .told_parts import KnownChains, ToldParts
+from .worker_estimates import Workload
+
+AFFINITY_LEAST = Seconds(0.002)
+"""A prefix whose prefill takes less than this is worth no detour."""
+
+
+class ToldBids:
+    """A ``Bidder``."""
+
+    def __init__(
+        self,
+        context: Context,
+        membership: Membership,
+        workload: Workload,
+        queues: PrefillQueues,
+        recurrence: Recurrence,
+        pressure: Pressure,
+        orders: PrefixOrders,
+        zone: Zone | None,
+        settings: AwardSettings,
+    ) -> None:
+        self._context = context
+        self._membership = membership
+        self._workload = workload
+        self._queues = queues
+        self._recurrence = recurrence
+        self._pressure = pressure
+        self._orders = orders
+        self._zone = zone
+        self._settings = settings
+        self._parts = ToldParts()
+        self._workers: dict[PoolName, int] = {}
+
+    # --- what is kept -------------------------------------------------------------------------
+
+    def kept_tokens(self, turn: Turn, entry: Entry | None, worker: Worker) -> int:
+        return self._kept(turn, entry, worker, self._known(worker.pool, turn))
+
+    def _known(self, pool: PoolName, turn: Turn) -> KnownChains:
+        return self._parts.known(pool, self._reused(turn), self._context.clock.monotonic())
+
+    def _kept(self, turn: Turn, entry: Entry | None, worker: Worker, known: KnownChains) -> int:
+        kept_for = self._queues.kept_for(worker)
+        routers = len(self._membership.routers())
+        kept = known.kept(worker.instance, kept_for, (routers - 1) / self._workers.get(worker.pool, 1))
+        if entry is not None and entry.holder == worker.instance and known.now - entry.touched_at <= kept_for:
+            kept = max(kept, min(entry.tokens, _told(turn.parts)))
+        return min(turn.prompt_tokens, int(kept))
+
+    def _likely_kept(self, turn: Turn, known: KnownChains) -> float:
+        """At the worker to which all lean.
+
+        The chains in use come to be kept at every worker, so that reading them there once is no reason to
+        put the next prompt elsewhere; the others may have sent the rest of the prompt before.
+        """
+        in_use = known.tokens()
+        return in_use + self._settings.home_trust * max(0, _told(self._reused(turn)) - in_use)
+
+    def session_tokens(self, turn: Turn, tokens: int) -> int:
+        """What no part tells of is never asked for again."""
+        return min(tokens, _told(turn.parts))
+
+    def own_tokens(self, pool: PoolName, turn: Turn, tokens: int) -> int:
+        return turn.parts[-1].tokens
+
+    def _reused(self, turn: Turn) -> tuple[PromptPart, ...]:
+        """The parts that may come again: without the last one where it is each request's own."""
+        return turn.parts if self._recurrence.comes_back(turn.service.name) else turn.parts[:-1]
+
+    # --- bids ---------------------------------------------------------------------------------
+
+    def forecast(self, turn: Turn, entry: Entry | None, worker: Worker) -> Forecast:
+        uncached = turn.prompt_tokens - self.kept_tokens(turn, entry, worker)
+        first_token = self._workload.wait(worker) + self._queues.first_token(worker, uncached)
+        return Forecast(uncached, Seconds(first_token))
+
+    def bid(self, turn: Turn, entry: Entry | None, ready: Sequence[Worker]) -> Worker:
+        """The holder, the prefix's own workers and one more of its order, and a few drawn ones."""
+        homes = self._prefix_workers(turn, ready, 1)
+        drawn = self._settings.drawn_beside if homes else self._settings.told_candidates
+        known = self._known(ready[0].pool, turn)
+        # Where nobody is known to keep the prefix, all routers lean to the same worker.
+        leant_to = homes[0] if homes and entry is None else None
+        bids = []
+        for worker in self._compared(entry, homes, drawn, ready):
+            load = self._workload.load(worker)
+            kept = float(self._kept(turn, entry, worker, known))
+            if worker is leant_to:
+                kept = max(kept, self._likely_kept(turn, known))
+            uncached = turn.prompt_tokens - kept
+            wait = self._workload.wait_at(worker, load) + self._queues.wait(worker)
+            bids.append((self._cost(turn, worker, uncached, wait, load), worker))
+        return cheapest(bids, None if entry is None else entry.holder, self._settings.told_move_gain)
+
+    def soonest(self, turn: Turn, entry: Entry | None, ready: Sequence[Worker]) -> Seconds:
+        homes = self._prefix_workers(turn, ready, 1)
+        compared = self._compared(entry, homes, self._settings.told_candidates, ready)
+        return min(self.forecast(turn, entry, worker).first_token for worker in compared)
+
+    def bid_ahead(self, turn: Turn, entry: Entry, ready: Sequence[Worker]) -> Worker:
+        """By the flows of prompts, since the queues of this moment are gone when the turn comes.
+
+        A prefix in such demand that it has several workers of its own takes turns among them.
+        """
+        homes = self._prefix_workers(turn, ready, 0)
+        drawn = 0 if len(homes) > 1 else self._settings.drawn_beside
+        compared = self._compared(entry, homes, drawn, ready)
+        stays = entry.holder if drawn else None
+        if not drawn:
+            compared = self._context.random.sample(compared, 2)
+        known = self._known(ready[0].pool, turn)
+        bids = []
+        for worker in compared:
+            load = self._workload.load(worker)
+            uncached = turn.prompt_tokens - self._kept(turn, entry, worker, known)
+            wait = self._workload.mean_wait(worker, load) + self._queues.mean_wait(worker)
+            bids.append((self._cost(turn, worker, uncached, wait, load), worker))
+        return cheapest(bids, stays, self._settings.told_move_gain)
+
+    def _compared(
+        self, entry: Entry | None, homes: Sequence[Worker], drawn: int, ready: Sequence[Worker]
+    ) -> list[Worker]:
+        """Each once: the holder, the given ones and some drawn."""
+        found = list(homes)
+        if entry is not None:
+            found.extend(worker for worker in ready if worker.instance == entry.holder)
+        found.extend(self._context.random.sample(list(ready), min(drawn, len(ready))))
+        return list({worker.instance: worker for worker in found}.values())
+
+    def _cost(self, turn: Turn, worker: Worker, uncached: float, wait: float, load: float) -> float:
+        """Seconds: the wait, the prefill not spared, the streams that it holds up, and the way."""
+        prefill = self._queues.prefill(worker, uncached)
+        harm = self._settings.harm * prefill * load
+        way = 0.0 if self._zone is None or worker.zone == self._zone else self._settings.other_zone
+        return wait * self._pressure.of(worker.pool, turn.weight) + prefill + harm + way
+
+    def _prefix_workers(self, turn: Turn, ready: Sequence[Worker], more: int) -> list[Worker]:
+        """The first in the rendezvous order of the parts that may come again: as many as their demand fills."""
+        pool = ready[0].pool
+        self._workers[pool] = len(ready)
+        parts = self._reused(turn)
+        if not parts or self._queues.prefill(ready[0], _told(parts)) < AFFINITY_LEAST:
+            return []
+        order = self._orders.order(pool, tuple(part.part for part in parts), ready)
+        now = self._context.clock.monotonic()
+        demand = self._parts.demand(pool, parts, now) * max(1, len(self._membership.routers()))
+        use = demand * self._queues.prefill(order[0], max(0, turn.prompt_tokens - _told(parts)))
+        return order[: max(1, math.ceil(use / self._settings.prefix_use)) + more]
+
+    # --- what happened ------------------------------------------------------------------------
+
+    def sent(self, turn: Turn, worker: Worker, key: int, forecast: Forecast) -> None:
+        part_tokens = max(0, forecast.uncached - max(0, turn.prompt_tokens - _told(turn.parts)))
+        held = turn.prompt_tokens + turn.generate_tokens
+        self._queues.sent(turn.request, worker, forecast, part_tokens, held)
+        self._parts.sent(worker.pool, self._reused(turn), worker.instance, self._context.clock.monotonic())
+
+    def ended(
+        self, turn: Turn, worker: Worker, uncached: int, waited: float, first_token: Seconds | None, whole: Seconds
+    ) -> None:
+        self._workload.learn_turn(worker, whole)
+
+    def left(self, request: RequestId, worker: Worker, first_token: Seconds | None) -> None:
+        self._queues.ended(request, worker, first_token)
+
+    def forget(self, instance: WorkerInstance) -> None:
+        self._parts.forget(instance)
+        self._queues.forget(instance)
+
+
+def _told(parts: Sequence[PromptPart]) -> int:
+    return sum(part.tokens for part in parts)
--- /dev/null
+++ b/wingwood/placement/urgency.py
@@ -0,0 +1,32 @@
+"""Places kept for the most urgent turns of a pool (docs/DESIGN.md section 11.9)."""
+
+from __future__ import annotations
+
+import msgspec
+
+from ..identifiers import Instant, PoolName, Seconds
+
+REMEMBERED_FOR = Seconds(20.0)
+
+
+class _MostUrgent(msgspec.Struct):
+    urgency: int
+    at: Instant
+
+
+class UrgentPlaces:
+    """Turns less urgent than the most urgent of late see fewer places, so that they are refused first."""
+
+    def __init__(self, less_urgent_places: float) -> None:
+        self._less_urgent_places = less_urgent_places
+        self._most_urgent: dict[PoolName, _MostUrgent] = {}
+
+    def seen(self, pool: PoolName, urgency: int, now: Instant) -> None:
+        most = self._most_urgent.get(pool)
+        if most is None or urgency <= most.urgency or now - most.at > REMEMBERED_FOR:
+            self._most_urgent[pool] = _MostUrgent(urgency, now)
+
+    def share(self, pool: PoolName, urgency: int) -> float:
+        """Share of a pool's places that are open to a turn."""
+        most = self._most_urgent.get(pool)
+        return 1.0 if most is None or urgency <= most.urgency else self._less_urgent_places
--- a/wingwood/placement/worker_estimates.py
+++ b/wingwood/placement/worker_estimates.py
@@ -4,7 +4,7 @@
 
 import math
 from collections import Counter, OrderedDict
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 
 import msgspec
 
@@ -63,6 +63,8 @@
         self._turning: dict[PoolName, tuple[Instant, float]] = {}
         self._figures: dict[WorkerInstance, WorkerFigures] = {}
         self._of_pool: dict[PoolName, WorkerFigures] = {}
+        self.prefill_flow: Callable[[WorkerInstance], float] = lambda instance: 0.0
+        """Own uncached prompt tokens a second that go to a worker, where they are counted."""
         exchange.count_with(self._count)
 
     # --- counting -----------------------------------------------------------------------------
@@ -108,7 +110,8 @@
 
     def own(self, instance: WorkerInstance) -> Engagement:
         self._drop_old()
-        return Engagement(float(self._running[instance]), float(self._expected_at[instance]))
+        running, expected = self._running[instance], self._expected_at[instance]
+        return Engagement(float(running), float(expected), self.prefill_flow(instance))
 
     def _count(self, pool: PoolName) -> dict[WorkerInstance, Engagement]:
         return {
@@ -144,8 +147,13 @@
         self._turning[pool] = (now, share)
         return share
 
-    def is_full(self, worker: Worker) -> bool:
-        return self.load(worker) >= FULL_AT * worker.slots
+    def is_full(self, worker: Worker, places: float = 1.0) -> bool:
+        """``places``: the share of its places that count for the turn."""
+        return self.load(worker) >= places * FULL_AT * worker.slots
+
+    def is_busy(self, workers: Sequence[Worker]) -> bool:
+        """Whether at least half of their slots are taken; callers are told to come again only then."""
+        return sum(self.load(worker) for worker in workers) >= 0.5 * sum(worker.slots for worker in workers)
 
     # --- predicting ---------------------------------------------------------------------------
 
@@ -154,9 +162,15 @@
 
     def wait(self, worker: Worker) -> float:
         """Seconds until a slot is free, from what is there now."""
-        over = self.load(worker) - worker.slots + 1
+        return self.wait_at(worker, self.load(worker))
+
+    def wait_at(self, worker: Worker, load: float) -> float:
+        """The same at a load that is known already."""
+        over = load - worker.slots + 1
+        if over <= 0.0:
+            return 0.0
         figures = self.figures(worker)
-        return max(0.0, over) * figures.turn / worker.slots * figures.correction()
+        return over * figures.turn / worker.slots * figures.correction()
 
     def mean_wait(self, worker: Worker, load: float) -> float:
         """Seconds that turns wait on average at a worker whose mean load is ``load``.
@@ -204,5 +218,13 @@
                 sample = min(most, max(1e-6, (first_token - figures.base) / uncached))
                 figures.per_token += FOLD * (sample - figures.per_token)
 
+    def learn_turn(self, worker: Worker, turn: float) -> None:
+        """How long a turn took, where first tokens are forecast elsewhere."""
+        for figures in (
+            self._figures.setdefault(worker.instance, msgspec.structs.replace(self.figures(worker))),
+            self._of_pool.setdefault(worker.pool, WorkerFigures()),
+        ):
+            figures.turn += FOLD * (turn - figures.turn)
+
     def forget(self, instance: WorkerInstance) -> None:
         self._figures.pop(instance, None)
--- a/wingwood/registry/engagement.py
+++ b/wingwood/registry/engagement.py
@@ -55,8 +55,7 @@
             return summed.fleet
         others = dict(summed.fleet)
         for instance, own in part.items():
-            total = others[instance]
-            others[instance] = Engagement(total.running - own.running, total.expected - own.expected)
+            others[instance] = others[instance].minus(own)
         return others
 
     def _summed(self, pool: PoolName, now: Instant) -> _Sum:
@@ -85,23 +84,22 @@
 
 def _add(totals: Engaged, more: Mapping[WorkerInstance, Engagement]) -> None:
     for instance, part in more.items():
-        total = totals.get(instance, Engagement())
-        totals[instance] = Engagement(total.running + part.running, total.expected + part.expected)
+        totals[instance] = totals.get(instance, Engagement()).plus(part)
 
 
 def by_number(engaged: Mapping[WorkerInstance, Engagement], numbers: Mapping[WorkerInstance, int]) -> Counts:
     """Rounded; workers with nothing left out."""
     rounded = {
-        numbers[instance]: (round(part.running), round(part.expected))
+        numbers[instance]: (round(part.running), round(part.expected), round(part.prefill))
         for instance, part in engaged.items()
         if instance in numbers
     }
-    return {number: counts for number, counts in rounded.items() if counts != (0, 0)}
+    return {number: counts for number, counts in rounded.items() if counts != (0, 0, 0)}
 
 
 def by_instance(counts: Counts, instances: Mapping[int, WorkerInstance]) -> Engaged:
     return {
-        instances[number]: Engagement(float(running), float(expected))
-        for number, (running, expected) in counts.items()
+        instances[number]: Engagement(float(running), float(expected), float(prefill))
+        for number, (running, expected, prefill) in counts.items()
         if number in instances
     }
--- a/wingwood/registry/protocols.py
+++ b/wingwood/registry/protocols.py
@@ -101,6 +101,14 @@
     """Turns running or waiting there now."""
     expected: float = 0.0
     """Sessions whose next turn is awarded there and whose last one is not long ago."""
+    prefill: float = 0.0
+    """Prompt tokens a second that it has to prefill."""
+
+    def plus(self, other: Engagement) -> Engagement:
+        return Engagement(self.running + other.running, self.expected + other.expected, self.prefill + other.prefill)
+
+    def minus(self, other: Engagement) -> Engagement:
+        return Engagement(self.running - other.running, self.expected - other.expected, self.prefill - other.prefill)
 
 
 class EngagementExchange(Protocol):
--- a/wingwood/registry/tests/test_worker_registry.py
+++ b/wingwood/registry/tests/test_worker_registry.py
@@ -397,7 +397,7 @@
         instance = WorkerInstance(self.worker.instance)
 
         def engaged(turns: float, pool: PoolName) -> dict[WorkerInstance, Engagement]:
-            return {instance: Engagement(turns, 2 * turns)}
+            return {instance: Engagement(turns, 2 * turns, 1000 * turns)}
 
         for number, name in enumerate(sorted(self.fleet.routers)):
             count = partial(engaged, 1.0 + number)
@@ -408,7 +408,7 @@
         for number, name in enumerate(sorted(self.fleet.routers)):
             registry = self.fleet.routers[name].registry
             others = 21.0 - (1.0 + number)
-            self.assertEqual(registry.elsewhere(instance), Engagement(others, 2 * others))
+            self.assertEqual(registry.elsewhere(instance), Engagement(others, 2 * others, 1000 * others))
             load = registry.ready(POOL)[0].load
             self.assertEqual(load and (load.running, load.waiting), (5, 2))
 
