--- a/wingwood/daemons/dialect.py
+++ b/wingwood/daemons/dialect.py
@@ -7,6 +7,8 @@
 
 import msgspec
 
+from ..forward.formats import Formats
+from ..forward.request_path import OWN_FORMATS
 from ..operator_api.protocols import OperatorRoutes
 from ..registry.announcements import AnnouncementFormat
 from ..registry.worker_announcements import OwnAnnouncements
@@ -20,6 +22,8 @@
     """Formats and further routes of a router."""
 
     add_routes: Callable[[RouterDaemon, OperatorRoutes], None] = lambda daemon, routes: None
+    formats: Formats = OWN_FORMATS
+    """How callers call, and how workers are called."""
 
 
 class ControlDialect(msgspec.Struct, frozen=True, kw_only=True):
--- a/wingwood/daemons/process.py
+++ b/wingwood/daemons/process.py
@@ -17,6 +17,7 @@
 from ..context.curl_client import CurlHttpClient
 from ..context.logs import EliotLog
 from ..context.no_disk import NoDisk
+from ..context.pooled_client import PooledHttpClient
 from ..context.protocols import Context, Disk
 from ..context.real import RealClock, RealDisk, RealNetwork, RealTasks
 from ..identifiers import Seconds
@@ -61,14 +62,15 @@
 def real_context(settings: DaemonSettings, stop: Callable[[str], None]) -> Context:
     log = EliotLog(settings.name)
     disk: Disk = NoDisk() if settings.data_folder is None else RealDisk(Path(settings.data_folder))
+    clock, network, tasks = RealClock(), RealNetwork(), RealTasks(log, stop)
     return Context(
-        clock=RealClock(),
-        network=RealNetwork(),
+        clock=clock,
+        network=network,
         disk=disk,
-        http=CurlHttpClient(),
+        http=PooledHttpClient(network, clock, tasks) if settings.keep_connections else CurlHttpClient(),
         random=random.Random(random.SystemRandom().getrandbits(128)),
         log=log,
-        tasks=RealTasks(log, stop),
+        tasks=tasks,
     )
 
 
--- a/wingwood/daemons/router.py
+++ b/wingwood/daemons/router.py
@@ -13,14 +13,16 @@
 from ..context.protocols import Context
 from ..control.client import ControlClient
 from ..distribution.follower import BundleFollower
+from ..forward.limits import path_limits
 from ..forward.metrics import RequestMetrics
 from ..forward.recording import DayRecorder
 from ..forward.request_path import RequestPath
 from ..identifiers import Address, Incarnation, Instant, PoolName, Seconds, TenantName
 from ..ledger.client import RouterLedger
 from ..limits.admission import PatienceAdmission
-from ..limits.retry_budget import ServiceRetryBudget
+from ..limits.retry_budget import RetryBounds, ServiceRetryBudget
 from ..limits.shares import FleetShares
+from ..limits.tolerance import QuotaTolerance
 from ..membership.client import MembershipClient
 from ..operator_api.orders import OrderRoutes
 from ..operator_api.reading import HealthReport, ReadRoutes
@@ -68,7 +70,16 @@
         self.control = ControlClient(context, self.messenger, self._control_addresses)
         self.registry = WorkerRegistry(context, self.messenger, self.membership, settings)
         self.placement = placement_of(context, self.messenger, self.membership, self.registry, settings)
-        self.shares = FleetShares(context, self.messenger, self.membership, self._tenant)
+        self.shares = FleetShares(
+            context,
+            self.messenger,
+            self.membership,
+            self._tenant,
+            tolerance=QuotaTolerance(
+                window=settings.quota_window, over=settings.quota_over, slack=settings.quota_slack
+            ),
+        )
+        retries = RetryBounds(ratio=settings.retry_ratio, slack=settings.retry_slack, window=settings.retry_window)
         self.ledger = RouterLedger(context, self._identity.incarnation, self.control)
         self.metrics = CollectorRegistry()
         self._day_file = None if settings.record_file is None else DayFile(context, settings.record_file)
@@ -77,13 +88,17 @@
             settings,
             self.follower,
             self.shares,
-            ServiceRetryBudget(context.clock, lambda: len(self.membership.routers())),
+            ServiceRetryBudget(context.clock, self._router_count, retries),
             self.ledger,
             self.placement,
             self.registry,
             PatienceAdmission(),
             RequestMetrics(self.metrics),
+            limits=path_limits(settings),
             recorder=None if self._day_file is None else DayRecorder(context.clock, self._day_file.write),
+            formats=dialect.formats,
+            outcomes=self.registry,
+            router_count=self._router_count,
         )
         self.operator_server = OperatorServer(context)
         self.registry.add_routes(self.operator_server)
@@ -224,6 +239,9 @@
         known = self.membership.known_controls()
         return known if primary is None else list(dict.fromkeys([primary, *known]))
 
+    def _router_count(self) -> int:
+        return max(1, len(self.membership.routers()))
+
     def _placed(self) -> Mapping[str, int]:
         return self.placement.counts if isinstance(self.placement, AwardPlacement) else {}
 
--- a/wingwood/forward/limits.py
+++ b/wingwood/forward/limits.py
@@ -5,6 +5,7 @@
 import msgspec
 
 from ..identifiers import Seconds
+from ..settings.model import DaemonSettings
 
 
 class PathLimits(msgspec.Struct, frozen=True, kw_only=True):
@@ -69,3 +70,24 @@
     body_bytes: int
     head_time: Seconds
     idle: Seconds
+
+
+def path_limits(settings: DaemonSettings) -> PathLimits:
+    """The bounds of a router with these settings."""
+    limits = PathLimits(
+        body_bytes=settings.body_bytes,
+        accept_while_draining=settings.drain_notice,
+        reuse=settings.keep_connections,
+    )
+    if settings.call_bounds == "service":
+        return limits
+    return msgspec.structs.replace(
+        limits,
+        answer_margin=Seconds(0.0),
+        patience_ends_calls=False,
+        listen_while_draining=Seconds(0.6),
+        retry_after=Seconds(0.1),
+        held_answer=64 * 1024,
+        tries=6,
+        connect_timeout=Seconds(0.25),
+    )
--- a/wingwood/settings/load.py
+++ b/wingwood/settings/load.py
@@ -58,6 +58,15 @@
     return check
 
 
+def _number(low: float, high: float) -> Callable[[Any], float]:
+    def check(value: Any) -> float:
+        if type(value) not in (int, float) or not low <= value <= high:
+            raise _Expected(f"expected a number from {low:g} to {high:g}")
+        return float(value)
+
+    return check
+
+
 def _text(pattern: str, expected: str) -> Callable[[Any], str]:
     compiled = re.compile(pattern)
 
@@ -152,6 +161,15 @@
     "worker_unrenewed_after": _seconds(1.0, 600.0),
     "record_file": _PATH,
     "log_calls": _yes_or_no,
+    "quota_window": _seconds(1.0, 3600.0),
+    "quota_over": _number(0.0, 1.0),
+    "quota_slack": _number(0.0, 1e12),
+    "retry_window": _seconds(1.0, 3600.0),
+    "retry_ratio": _number(0.0, 1.0),
+    "retry_slack": _number(0.0, 1e6),
+    "call_bounds": _one_of(*_literals["call_bounds"]),
+    "keep_connections": _yes_or_no,
+    "drain_notice": _seconds(0.0, 600.0),
     "stop_within": _seconds(0.0, 600.0),
     "ledger_retention": _seconds(60.0, 7 * 86400.0),
     "outcome_retention": _whole(1_000, 10_000_000),
--- a/wingwood/settings/model.py
+++ b/wingwood/settings/model.py
@@ -44,6 +44,24 @@
     """Where a router records its day for the replay tool; a path below the data folder."""
     log_calls: bool = True
     """Whether a router writes a line for each call; lines cost processor time."""
+    quota_window: Seconds = Seconds(8.0)
+    """Over any window of this length the tolerance of tenants' shares is meant (docs/DESIGN.md section 14.1)."""
+    quota_over: float = 0.0
+    """Part by which a tenant may pass its share in a window."""
+    quota_slack: float = 0.0
+    """What it may pass it by beside that, in the tenant's unit."""
+    retry_window: Seconds = Seconds(10.0)
+    """Over any window of this length the fleet's tries beyond the first are bounded (section 14.2)."""
+    retry_ratio: float = 0.19
+    """Tries beyond the first, as a part of the window's calls."""
+    retry_slack: float | None = None
+    """Tries beyond that which the fleet may make in a window; None: each router earns all of them."""
+    call_bounds: Literal["service", "caller"] = "service"
+    """Whether callers' patience is the service's, or is told with each call and ends it (section 12.5)."""
+    keep_connections: bool = False
+    """Whether routers keep connections to workers for later calls."""
+    drain_notice: Seconds = Seconds(1.0)
+    """How long a router that goes down still takes calls, until it is no longer sent any."""
     stop_within: Seconds = Seconds(20.0)
     """Longest time from SIGTERM to exit, for streams to finish."""
     ledger_retention: Seconds = Seconds(1800.0)
