Long streams fill few workers, and long prompts leave these alone

Ruled out: a larger weight of 'harm' in the bid, which scatters streams over all workers first and then finds none without. Taken: streams in an order that all routers agree on, first worker with room; counts of long streams travel with the loads. First pieces are now told to placement (Placement.begun), which the request path never did: the forecast took prompts for waiting until their last token. Placement tests 91 passed, forward 96 passed.

--- a/wingwood/forward/policies/forwarding.py
+++ b/wingwood/forward/policies/forwarding.py
@@ -372,6 +372,7 @@
             call.first_token_after = Seconds(now - call.arrived)
         if call.try_first_token_after is None:
             call.try_first_token_after = Seconds(now - self._started)
+            call.on_first_piece(call.try_first_token_after)
         if not self._caller.begun:
             await self._start(head)
         call.pieces += 1
--- a/wingwood/forward/policies/placement.py
+++ b/wingwood/forward/policies/placement.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from functools import partial
+
 from returns.result import Failure
 
 from ...identifiers import RequestId, TenantName
@@ -45,6 +47,7 @@
         call.choice = choice
         call.worker_outcome = "cancelled"
         call.try_first_token_after = None
+        call.on_first_piece = partial(self._placement.begun, turn, choice)
         tokens_before = call.generated_tokens
         try:
             return await self._on(call, choice, proceed)
--- a/wingwood/forward/protocols.py
+++ b/wingwood/forward/protocols.py
@@ -108,6 +108,8 @@
     choice: Choice | None = None
     worker_outcome: Literal["whole", "refused", "broken", "cancelled"] = "cancelled"
     """Of the try under way, for placement."""
+    on_first_piece: Callable[[Seconds], None] = lambda after: None
+    """Called once for each try, with the time from its start to its first piece."""
     try_first_token_after: Seconds | None = None
     """From the start of the try under way to its first piece."""
     attempting: bool = False
--- a/wingwood/placement/award_placement.py
+++ b/wingwood/placement/award_placement.py
@@ -16,6 +16,7 @@
 from ..registry.protocols import EngagementExchange, Registry, Worker
 from .bids import Bidder, Forecast, Pressure
 from .guessed_bids import GuessedBids
+from .long_streams import LongStreams
 from .pool_choice import pool_order
 from .prefill_estimates import PrefillQueues
 from .prefix_order import PrefixOrders
@@ -72,6 +73,8 @@
         self._pressure = Pressure(self._settings.pressure_most)
         self._urgent = UrgentPlaces(self._settings.less_urgent_places)
         orders = PrefixOrders()
+        self._long_streams = LongStreams(context.clock, exchange, orders, self._queues)
+        self._workload.long_streams = self._long_streams.own
         self._guessed = GuessedBids(context, membership, self._workload, self._pressure, orders, self._settings)
         self._told = ToldBids(
             context,
@@ -120,7 +123,8 @@
                 return Failure(NoWorker("none-ready", NONE_READY_RETRY))
             if all(self._workload.is_full(worker, places) for worker in ready):
                 return Failure(self._all_full(ready))
-            worker, how = self._pick(turn, key, entry, self._workload.willing(ready))
+            candidates = self._long_streams.candidates(turn, self._workload.willing(ready))
+            worker, how = self._pick(turn, key, entry, candidates)
             choice = self._choice(turn, entry, worker, how)
             if self._too_late(turn, choice, ready):
                 return Failure(self._all_full(ready))
@@ -208,6 +212,7 @@
             if claimed:
                 tokens = bidder.session_tokens(turn, turn.prompt_tokens)
                 self._record(turn, key, self._entry(turn, worker, tokens, now))
+            self._long_streams.begun(turn, worker)
         self._workload.begin(worker.instance)
 
     def _is_claim(self, turn: Turn, known: Entry | None, choice: Choice) -> bool:
@@ -237,6 +242,7 @@
         worker = choice.worker
         bidder = self._bidder(turn)
         self._workload.end(worker.instance)
+        self._long_streams.ended(turn.request)
         bidder.left(turn.request, worker, first_token_after)
         if outcome == "refused":
             self._workload.refused(worker.instance)
@@ -267,7 +273,8 @@
         next_turn = turn if turn.parts else msgspec.structs.replace(turn, prompt_tokens=tokens)
         ready = self._registry.ready(holder.pool)
         if ready:
-            winner = self._bidder(turn).bid_ahead(next_turn, entry, ready)
+            candidates = self._long_streams.candidates(next_turn, ready)
+            winner = self._bidder(turn).bid_ahead(next_turn, entry, candidates)
             entry.winner = winner.instance
             entry.award_until = Instant(now + self._settings.award_for)
             self.counts["awards"] += 1
--- a/wingwood/placement/worker_estimates.py
+++ b/wingwood/placement/worker_estimates.py
@@ -64,6 +64,7 @@
         self._figures: dict[WorkerInstance, WorkerFigures] = {}
         self._of_pool: dict[PoolName, WorkerFigures] = {}
         self.prefill_flow: Callable[[WorkerInstance], float] = lambda instance: 0.0
+        self.long_streams: Callable[[WorkerInstance], int] = lambda instance: 0
         """Own uncached prompt tokens a second that go to a worker, where they are counted."""
         exchange.count_with(self._count)
 
@@ -111,7 +112,9 @@
     def own(self, instance: WorkerInstance) -> Engagement:
         self._drop_old()
         running, expected = self._running[instance], self._expected_at[instance]
-        return Engagement(float(running), float(expected), self.prefill_flow(instance))
+        return Engagement(
+            float(running), float(expected), self.prefill_flow(instance), float(self.long_streams(instance))
+        )
 
     def _count(self, pool: PoolName) -> dict[WorkerInstance, Engagement]:
         return {
--- a/wingwood/registry/engagement.py
+++ b/wingwood/registry/engagement.py
@@ -90,16 +90,16 @@
 def by_number(engaged: Mapping[WorkerInstance, Engagement], numbers: Mapping[WorkerInstance, int]) -> Counts:
     """Rounded; workers with nothing left out."""
     rounded = {
-        numbers[instance]: (round(part.running), round(part.expected), round(part.prefill))
+        numbers[instance]: (round(part.running), round(part.expected), round(part.prefill), round(part.streams))
         for instance, part in engaged.items()
         if instance in numbers
     }
-    return {number: counts for number, counts in rounded.items() if counts != (0, 0, 0)}
+    return {number: counts for number, counts in rounded.items() if counts != (0, 0, 0, 0)}
 
 
 def by_instance(counts: Counts, instances: Mapping[int, WorkerInstance]) -> Engaged:
     return {
-        instances[number]: Engagement(float(running), float(expected), float(prefill))
-        for number, (running, expected, prefill) in counts.items()
+        instances[number]: Engagement(float(running), float(expected), float(prefill), float(streams))
+        for number, (running, expected, prefill, streams) in counts.items()
         if number in instances
     }
--- a/wingwood/registry/messages.py
+++ b/wingwood/registry/messages.py
@@ -9,8 +9,8 @@
 
 LoadFigures = tuple[int, int, int]
 """Running, waiting, and tokens used in the KV cache."""
-Counts = dict[int, tuple[int, int, int]]
-"""Running turns, expected ones and prompt tokens a second (``Engagement``), by the home's number of the worker."""
+Counts = dict[int, tuple[int, int, int, int]]
+"""Running turns, expected ones, prompt tokens a second and long streams (``Engagement``), by the home's number."""
 CallCounts = dict[int, tuple[int, int]]
 """Calls that succeeded and calls that failed, by the home's number of the worker."""
 
--- a/wingwood/registry/protocols.py
+++ b/wingwood/registry/protocols.py
@@ -104,11 +104,24 @@
     prefill: float = 0.0
     """Prompt tokens a second that it has to prefill."""
 
+    streams: float = 0.0
+    """Long streams running there."""
+
     def plus(self, other: Engagement) -> Engagement:
-        return Engagement(self.running + other.running, self.expected + other.expected, self.prefill + other.prefill)
+        return Engagement(
+            self.running + other.running,
+            self.expected + other.expected,
+            self.prefill + other.prefill,
+            self.streams + other.streams,
+        )
 
     def minus(self, other: Engagement) -> Engagement:
-        return Engagement(self.running - other.running, self.expected - other.expected, self.prefill - other.prefill)
+        return Engagement(
+            self.running - other.running,
+            self.expected - other.expected,
+            self.prefill - other.prefill,
+            self.streams - other.streams,
+        )
 
 
 class EngagementExchange(Protocol):
