--- /dev/null
+++ b/wingwood/placement/tests/test_long_streams.py
@@ -0,0 +1,101 @@
+"""Long streams and long prompts are kept apart; several routers on manual clocks."""
+
+from __future__ import annotations
+
+import unittest
+from collections import Counter
+
+from wingwood.identifiers import Seconds, WorkerInstance
+from wingwood.placement.long_streams import APART_MOST, FILLED_TO, KEPT_APART_FOR
+from wingwood.placement.protocols import Choice, Turn
+from wingwood.registry.protocols import Engagement
+
+from .one_router import OneRouter, told_turn
+
+SLOTS = 32
+
+
+def chat(number: int) -> Turn:
+    return told_turn(f"chat:47 thread{number}:30", 140, generate_tokens=3000)
+
+
+def summary(number: int) -> Turn:
+    return told_turn(f"kind{number % 4}:2500 subject{number}:3800")
+
+
+class LongStreamsTest(unittest.TestCase):
+    def setUp(self) -> None:
+        self.router = OneRouter()
+        self.router.teach()
+
+    def start(self, count: int) -> list[tuple[Turn, Choice]]:
+        """Chats that go on streaming."""
+        begun = []
+        for number in range(count):
+            turn = chat(number)
+            begun.append((turn, self.router.choose(turn)))
+            self.router.placement.begun(*begun[-1], Seconds(0.02))
+        return begun
+
+    def test_long_streams_fill_one_worker_before_the_next(self) -> None:
+        room = int(FILLED_TO * SLOTS)
+        workers = Counter(choice.worker.instance for _, choice in self.start(room + 3))
+        self.assertEqual(sorted(workers.values()), [3, room])
+
+    def test_all_routers_fill_the_same_worker_first(self) -> None:
+        chosen = {OneRouter(seed=seed).choose(chat(1)).worker.instance for seed in range(8)}
+        self.assertEqual(len(chosen), 1)
+
+    def test_long_prompts_leave_the_workers_of_long_streams_alone(self) -> None:
+        streaming = {choice.worker.instance for _, choice in self.start(int(FILLED_TO * SLOTS) + 3)}
+        for worker in self.router.workers:
+            if worker.instance not in streaming:
+                self.router.engage(worker.instance, 26.0)  # As full, so that not the load keeps prompts away.
+        taken = {self.router.take(summary(number)).worker.instance for number in range(120)}
+        self.assertEqual(taken & streaming, set())
+        self.assertEqual(len(taken), 9 - len(streaming))
+
+    def test_streams_that_other_routers_told_of_count_as_well(self) -> None:
+        first = self.router.choose(chat(1)).worker.instance
+        self.router.told[first] = Engagement(24.0, 0.0, 0.0, 24.0)
+        self.assertNotEqual(self.router.choose(chat(2)).worker.instance, first)
+
+    def test_long_prompts_come_back_some_time_after_the_last_long_stream(self) -> None:
+        (turn, choice), *_ = self.start(1)
+        self.router.end(turn, choice)
+        self.router.clock.now += KEPT_APART_FOR + 1.0
+        taken = {self.router.take(summary(number)).worker.instance for number in range(120)}
+        self.assertIn(choice.worker.instance, taken)
+
+    def test_overload_everywhere_else_opens_the_workers_of_long_streams(self) -> None:
+        streaming = self.start(3)[0][1].worker.instance
+        for worker in self.router.workers:
+            if worker.instance != streaming:
+                self.router.engage(worker.instance, 30.0, 400_000.0)
+        chosen = Counter(self.router.choose(summary(number)).worker.instance for number in range(60))
+        self.assertGreater(chosen[streaming], 10)
+
+    def test_most_workers_stay_open_to_other_turns(self) -> None:
+        for worker in self.router.workers:
+            self.router.told[worker.instance] = Engagement(2.0, 0.0, 0.0, 2.0)
+        self.start(1)
+        taken = {self.router.take(summary(number)).worker.instance for number in range(200)}
+        self.assertGreaterEqual(len(taken), 9 - int(APART_MOST * 9))
+
+    def test_worker_that_is_behind_with_its_prompts_gets_no_long_stream(self) -> None:
+        first = self.router.choose(chat(1)).worker.instance
+        self.router.engage(first, 8.0, 350_000.0)
+        self.assertNotEqual(self.router.choose(chat(2)).worker.instance, first)
+
+    def test_excluded_and_missing_workers_are_passed_over_in_the_same_order(self) -> None:
+        first = self.router.choose(chat(1)).worker.instance
+        second = self.router.choose(chat(1), [first]).worker.instance
+        self.router.workers = [worker for worker in self.router.workers if worker.instance != first]
+        self.assertEqual(self.router.choose(chat(3)).worker.instance, second)
+
+    def test_counts_are_told_and_end_with_the_stream(self) -> None:
+        (turn, choice), *_ = self.start(1)
+        told: dict[WorkerInstance, Engagement] = self.router.count(choice.worker.pool)
+        self.assertEqual(told[choice.worker.instance].streams, 1.0)
+        self.router.placement.finished(turn, choice, "broken", 0, None)
+        self.assertEqual(self.router.count(choice.worker.pool).get(choice.worker.instance, Engagement()).streams, 0.0)
