--- a/wingwood/command_line/daemons.py
+++ b/wingwood/command_line/daemons.py
@@ -47,6 +47,7 @@
     "history_versions": "How many past versions' slices control keeps",
     "body_bytes": "Largest body of a call",
     "bundle_bytes": "Largest bundle",
+    "losses_borne": "How many control daemons with a disk may be lost at once (1 or 2)",
     "begin_empty_when_damaged": "For one start: put a damaged journal aside and be filled by the peers",
 }
 
--- a/wingwood/command_line/tests/stand_in.py
+++ b/wingwood/command_line/tests/stand_in.py
@@ -147,7 +147,7 @@
             epoch=Epoch(3),
             own_role="primary" if number == 0 else "backup",
             primary=None,
-            backup=None,
+            backups=(),
             members=(),
             accepts_orders=number == 0,
             complete=number == 0,
--- a/wingwood/control/core.py
+++ b/wingwood/control/core.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Callable, Coroutine, Sequence
+from collections.abc import Callable, Coroutine, Mapping, Sequence
 from typing import Any, Literal, TypeVar
 
 import msgspec
@@ -71,23 +71,31 @@
     def __init__(self, view: View, now: Instant) -> None:
         self.view = view
         self.since = now
-        self.accepting = False
+        self.in_sync = False
+        """The view has the wanted backups, and none of them failed since."""
         self.settled = False
-        """What is committed is known exactly, not only from below (after a take-over: once a backup is there)."""
+        """What is committed is known exactly, not only from below (after a take-over: once the backups are there)."""
         self.confirmed = now
-        """When the newest call began that some other member answered under our epoch."""
+        """By when a majority, counting us, had answered under our epoch to calls begun after it."""
+        self.accepted: dict[Incarnation, Instant] = {}
+        """When the newest call to a member began that it answered under our epoch."""
+        self.current: dict[Incarnation, Epoch] = {}
+        """Under which view a member last answered that knew it to be chosen."""
+        self.synced: dict[Incarnation, int] = {}
+        """Newest batch that a backup is known to have on its disk, all taken from us."""
         self.answered: dict[Incarnation, Instant] = {}
         """When the newest answered call to a healthy member began."""
         self.failed: dict[Incarnation, Instant] = {}
         """When a member last failed as backup."""
-        self.backup_failed = False
+        self.failing: set[Incarnation] = set()
+        """Backups of this view that left a batch undone."""
         self.outbid = False
         """A member promised a higher epoch, so it follows again only under a newer one."""
         self.gone: set[Incarnation] = set()
         """Members whose address is used by another incarnation now."""
         self.spares: dict[Incarnation, tuple[Seat, Instant]] = {}
         self.pending: list[tuple[_Command, msgspec.Struct]] = []
-        """A batch that is journaled here but not at a backup."""
+        """A batch that is journaled here but not at all backups."""
         self.batch = asyncio.Lock()
         """Held while a batch runs or the view changes."""
         self.changing = False
@@ -95,6 +103,14 @@
         """Members with a heartbeat under way."""
         self.next_call: dict[Incarnation, Instant] = {}
 
+    def note_accepted(self, member: Incarnation, begun: Instant) -> None:
+        """A member answered under our epoch to a call that began then."""
+        self.accepted[member] = max(begun, self.accepted.get(member, begun))
+        needed = len(self.view.members) // 2
+        times = sorted((at for who, at in self.accepted.items() if self.view.seat(who) is not None), reverse=True)
+        if needed and len(times) >= needed:
+            self.confirmed = max(self.confirmed, times[needed - 1])
+
 
 class ReplicatedCore:
     """Primary, backup or witness, as the views have it; a ``ControlCore``.
@@ -102,7 +118,8 @@
     ``store`` and ``contents`` come from ``open_store``; the messenger's identity must carry
     ``store.incarnation``. ``knows_of_history`` says whether any daemon known here has seen a bundle or
     an epoch. ``other_controls`` gives further internal addresses of control daemons. When the data folder is
-    emptied under the process, ``on_data_lost`` is called, or the process is stopped.
+    emptied under the process, ``on_data_lost`` is called, or the process is stopped. ``losses_borne``: how many
+    members may be lost at once; so many backups and twice as many members and one are wanted (section 7.1).
     """
 
     def __init__(
@@ -117,6 +134,7 @@
         other_controls: Callable[[], Sequence[Address]] = lambda: (),
         limits: ControlLimits | None = None,
         on_data_lost: Callable[[], None] | None = None,
+        losses_borne: int = 1,
     ) -> None:
         if messenger.identity.incarnation != store.incarnation:
             raise ValueError("the messenger's identity must carry the store's incarnation")
@@ -130,6 +148,8 @@
         self._other_controls = other_controls
         self._limits = limits or ControlLimits()
         self._on_data_lost = on_data_lost
+        self._backups_wanted = losses_borne
+        self._members_wanted = 2 * losses_borne + 1
         self._command_types: dict[str, Any] = {
             applier.kind: getattr(applier, "command_type", SubmitOrder) for applier in appliers
         }
@@ -149,6 +169,8 @@
         self._last_received: tuple[Epoch, int] | None = None
         """(epoch, before) of the newest batch journaled as backup."""
         self._pieces: tuple[tuple[Incarnation, Epoch, int], dict[int, bytes]] | None = None
+        self._taken = (Incarnation(""), Epoch(0), 0)
+        """Sender, epoch and number of the newest state taken; an older one may arrive late."""
         self._transfers = 0
         self._candidate = False
         self._stopped = False
@@ -202,17 +224,19 @@
         elif self._candidate:
             role = "candidate"
         else:
-            role = "backup" if view.backup == self._me else "witness"
-        accepts = lead is not None and lead.accepting and self.leads()
-        complete = lead is not None and accepts and all(self._live(lead, other) for other in self._others(lead.view))
+            role = "backup" if self._me in view.backups else "witness"
+        accepts = lead is not None and self._accepts(lead) and self.leads()
+        complete = lead is not None and accepts and all(self._follows(lead, seat) for seat in self._others(lead.view))
         detail = f"disk: {self._sick}" if self._sick is not None else ""
         if lead is not None and not complete:
-            missing = [str(s.name) for s in lead.view.members if s != self._seat and not self._live(lead, s)]
+            missing = [str(seat.name) for seat in self._others(lead.view) if not self._live(lead, seat)]
+            short = self._members_wanted - len(lead.view.members)
             detail = "; ".join(
                 part
                 for part in (
                     detail,
-                    "no backup in sync" if not lead.accepting else "",
+                    "too few backups in sync" if not lead.in_sync else "",
+                    f"{short} more members with a disk are wanted" if short > 0 else "",
                     f"not answering: {', '.join(missing)}" if missing else "",
                 )
                 if part
@@ -221,7 +245,7 @@
             epoch=self.epoch(),
             own_role=role,
             primary=view.primary if view is not None else None,
-            backup=view.backup if view is not None else None,
+            backups=view.backups if view is not None else (),
             members=view.incarnations() if view is not None else (),
             accepts_orders=accepts,
             complete=complete,
@@ -303,7 +327,7 @@
         if view is None:
             return
         self._highest_epoch = max(self._highest_epoch, view.epoch)
-        if self._known is None or view.epoch > self._known.epoch:
+        if view.supersedes(self._known):
             self._known = view
             self._changed()
 
@@ -318,6 +342,13 @@
         answered = lead.answered.get(seat.incarnation)
         return answered is not None and self._now() - answered < self._limits.member_silent
 
+    def _follows(self, lead: _Lead, seat: Seat) -> bool:
+        """It is live and knows our view to be chosen, so it can go on without us and without former members."""
+        return self._live(lead, seat) and lead.current.get(seat.incarnation) == lead.view.epoch
+
+    def _accepts(self, lead: _Lead) -> bool:
+        return lead.in_sync and len(lead.view.members) >= self._members_wanted
+
     async def _ask(
         self, seat: Seat, message: msgspec.Struct, reply_type: type[Reply], timeout: Seconds | None = None
     ) -> Reply | None:
@@ -468,7 +499,7 @@
             return ControlAccepted(self._me, False, self._store.promise.epoch)
         async with self._lock:
             accepted = await self._accept(message.view)
-            return ControlAccepted(self._me, accepted, self._store.promise.epoch)
+            return ControlAccepted(self._me, accepted, self._store.promise.epoch, self._store.sequence)
 
     async def _accept(self, view: View) -> bool:
         store = self._store
@@ -477,15 +508,17 @@
         held = store.promise
         if view.epoch < held.epoch or (view.epoch == held.epoch and view.primary != held.candidate):
             return False
-        if store.view != view:
+        if view.supersedes(store.view):
             if self._lead is not None:
                 self._step_down(f"accepted epoch {view.epoch} of another")
+            known = store.view
             match await store.accepted(view):
                 case Failure(fault):
                     self._fail_store(fault)
                     return False
-            self._last_received = None
-            self._log("view-accepted", epoch=view.epoch, primary=view.primary, backup=view.backup)
+            if known is None or known.epoch != view.epoch:
+                self._last_received = None
+            self._log("view-accepted", epoch=view.epoch, primary=view.primary, backups=",".join(view.backups))
         self._heard = self._now()
         self._note_view(view)
         return True
@@ -499,11 +532,14 @@
             self._heard = self._now()
         if accepted:
             self._take_commit(message.epoch, message.committed)
-        return ControlHeartbeatAnswer(self._me, accepted, store.promise.epoch, self._sick is None)
+        settled = view is not None and not view.former
+        return ControlHeartbeatAnswer(self._me, accepted, store.promise.epoch, self._sick is None, settled)
 
     def _take_commit(self, epoch: Epoch, committed: int) -> None:
         view = self._store.view
-        if view is None or view.epoch != epoch or view.backup != self._me or self._sick is not None or self._stale:
+        if view is None or view.epoch != epoch or self._me not in view.backups:
+            return
+        if self._sick is not None or self._stale:
             return
         if committed <= self._store.sequence:
             self._replica.commit(committed)
@@ -529,8 +565,8 @@
             return f"sick: {self._sick}"
         if message.epoch < store.promise.epoch:
             return "promised a higher epoch"
-        if view is None or view.epoch != message.epoch or view.backup != self._me:
-            return "not the backup under this epoch"
+        if view is None or view.epoch != message.epoch or self._me not in view.backups:
+            return "not a backup under this epoch"
         if message.entry and self._last_received == (message.epoch, message.before):
             return None
         if message.before != store.sequence:
@@ -552,6 +588,8 @@
 
     async def _take_piece(self, message: ControlStatePiece) -> str | None:
         mark = (message.sender, message.epoch, message.transfer)
+        if self._taken[:2] == mark[:2] and message.transfer < self._taken[2]:
+            return "a newer state was taken"
         if self._pieces is None or self._pieces[0] != mark:
             self._pieces = (mark, {})
         pieces = self._pieces[1]
@@ -564,6 +602,8 @@
             store = self._store
             if self._sick is not None:
                 return f"sick: {self._sick}"
+            if self._taken[:2] == mark[:2] and message.transfer < self._taken[2]:
+                return "a newer state was taken"
             held = store.promise
             if message.epoch < held.epoch or (message.epoch == held.epoch and message.sender != held.candidate):
                 return "promised another epoch"
@@ -575,6 +615,7 @@
                 case Failure(fault):
                     self._fail_store(fault)
                     return f"sick: {fault.kind}"
+            self._taken = mark
             self._replica.load(contents)
             self._stale = False
             self._last_received = None
@@ -678,13 +719,14 @@
             lead.spares.clear()
 
     def _silence_borne(self, view: View) -> float:
-        """The backup tries first, then other holders; a witness only looks for newer views."""
+        """The backups try first, one after another, then other holders; a witness only looks for newer views."""
+        rank = view.backups.index(self._me) if self._me in view.backups else None
         if self._gave_way == view.epoch:
-            return 0.0 if view.backup == self._me else 0.3 * self._limits.silence
-        if view.backup == self._me:
-            return self._limits.silence
+            return (0.3 if rank is None else min(0.15 * rank, 0.3)) * self._limits.silence
+        if rank is not None:
+            return min(1.0 + 0.15 * rank, 1.4) * self._limits.silence
         if view.primary == self._me:
-            return 1.2 * self._limits.silence
+            return 1.2 * self._limits.silence if len(view.backups) < 2 else 1.3 * self._limits.silence
         return 1.4 * self._limits.silence
 
     async def _canvass(self, addresses: Sequence[Address]) -> list[ControlStanding]:
@@ -773,14 +815,9 @@
         )
         if sum(grant.granted and grant.empty for grant in grants) != 2:
             return
-        view = View(
-            epoch,
-            self._me,
-            members[1].incarnation,
-            tuple(members),
-            (self._me, members[1].incarnation),
-        )
-        if not await self._accept_round(view, None, everyone=True):
+        backups = tuple(seat.incarnation for seat in members[1 : 1 + self._backups_wanted])
+        view = View(epoch, self._me, backups, tuple(members), (self._me, *backups))
+        if not await self._accept_round(view, everyone=True):
             return
         self._log("fleet-formed", epoch=epoch, members=",".join(seat.name for seat in members))
         self._begin_lead(view)
@@ -802,24 +839,24 @@
         grants: dict[Incarnation, ControlGrant] = {}
         asked = {self._me}
         while True:
-            seats = [seat for seat in newest.members if seat.incarnation not in asked]
+            seats = [seat for seat in newest.voters() if seat.incarnation not in asked]
             if not seats:
                 break
             asked.update(seat.incarnation for seat in seats)
 
             def enough(answers: list[ControlGrant], view: View = newest) -> bool:
                 who = {self._me, *grants, *(answer.by for answer in answers if answer.granted)}
-                return view.majority(who)
+                return view.quorum(who)
 
             work = [self._ask(seat, ControlPromise(seat.incarnation, self._me, epoch), ControlGrant) for seat in seats]
             for grant in await self._gather(work, enough, self._limits.call, linger=Seconds(0.1)):
                 self._highest_epoch = max(self._highest_epoch, grant.promised)
                 if grant.granted:
                     grants[grant.by] = grant
-                    if grant.view is not None and grant.view.epoch > newest.epoch:
+                    if grant.view is not None and grant.view.supersedes(newest):
                         newest = grant.view
         self._note_view(newest)
-        if not newest.majority({self._me, *grants}):
+        if not newest.quorum({self._me, *grants}):
             self._log("candidacy-lost", epoch=epoch, granted=len(grants), highest=self._highest_epoch)
             return None
         if self._me not in newest.holders:
@@ -833,21 +870,34 @@
                 self._log("candidacy-given-up", epoch=epoch, newest=newest.epoch, reason="another holder has more")
                 self._not_before = Instant(self._now() + 1.0)
                 return None
-        holders = newest.holders
-        backup: Incarnation | None = None
-        members = newest.members
+        view = View(epoch, self._me, (), newest.members, newest.holders, newest.former)
         if plan is not None and newest in plan.bases:
-            backup, members = plan.backup, plan.members
-            holders = (self._me, backup)
-        view = View(epoch, self._me, backup, members, holders)
+            view = View(epoch, self._me, plan.backups, plan.members, (self._me, *plan.backups), plan.former)
         if plan is not None:
             plan.bases.append(view)
-        if not await self._accept_round(view, newest, everyone=False):
+        if not await self._accept_round(view, everyone=False):
             self._log("candidacy-lost", epoch=epoch, reason="not accepted by a majority")
             return None
-        return view
+        return await self._settle(view)
+
+    def _in_sync(self, view: View, sequences: Mapping[Incarnation, int]) -> bool:
+        """Each backup has what we have, or it is none: whatever became of what we sent it."""
+        return all(sequences.get(backup) == self._store.sequence for backup in view.backups)
 
-    async def _accept_round(self, view: View, old: View | None, everyone: bool) -> bool:
+    async def _settle(self, view: View) -> View | None:
+        """The view is chosen, so its former members count no longer; the others hear so with the heartbeats."""
+        if not view.former:
+            return view
+        async with self._lock:
+            if self._sick is not None or self._store.promise != Promise(view.epoch, self._me):
+                return None
+            match await self._store.accepted(view.settled()):
+                case Failure(fault):
+                    self._fail_store(fault)
+                    return None
+        return view.settled()
+
+    async def _accept_round(self, view: View, everyone: bool) -> bool:
         async with self._lock:
             if self._sick is not None or self._store.promise != Promise(view.epoch, self._me):
                 return False
@@ -855,19 +905,17 @@
                 case Failure(fault):
                     self._fail_store(fault)
                     return False
-        seats = {seat.incarnation: seat for seat in (*view.members, *(old.members if old is not None else ()))}
-        del seats[self._me]
+        others = [seat for seat in view.voters() if seat.incarnation != self._me]
 
         def chosen(answers: list[ControlAccepted]) -> bool:
-            who = {self._me, *(answer.by for answer in answers if answer.accepted)}
+            accepted = {answer.by: answer.sequence for answer in answers if answer.accepted}
+            who = {self._me, *accepted}
             if everyone:
                 return len(who) == len(view.members)
-            if view.backup is not None and view.backup not in who:
-                return False
-            return view.majority(who) and (old is None or old.majority(who))
+            return self._in_sync(view, accepted) and view.quorum(who)
 
         answers = await self._gather(
-            [self._ask(seat, ControlAccept(seat.incarnation, view), ControlAccepted) for seat in seats.values()],
+            [self._ask(seat, ControlAccept(seat.incarnation, view), ControlAccepted) for seat in others],
             chosen,
             self._limits.call,
         )
@@ -890,25 +938,27 @@
         """The view is chosen and we are its primary."""
         lead.view = view
         lead.confirmed = self._now()
-        lead.backup_failed = False
+        lead.failing.clear()
         lead.outbid = False
         self._gave_way = None
         self._note_view(view)
         self._log(
             "leading",
             epoch=view.epoch,
-            backup=view.backup,
+            backups=",".join(view.backups),
             members=",".join(str(seat.name) for seat in view.members),
             sequence=self._store.sequence,
         )
-        if view.backup is not None:
-            lead.answered[view.backup] = self._now()
-            lead.accepting = True
+        if len(view.backups) >= self._backups_wanted:
+            lead.answered.update(dict.fromkeys(view.backups, self._now()))
+            lead.synced = dict.fromkeys(view.backups, self._store.sequence)
+            lead.in_sync = True
             lead.settled = True
             self._replica.commit(self._store.sequence)
             pending, lead.pending = lead.pending, []
             self._deliver(pending)
             self._tell_commit(lead)
+        lead.next_call.clear()
         for seat in self._others(view):
             self._heartbeat(lead, seat)
         self._changed()
@@ -960,7 +1010,9 @@
         answer = outcome.unwrap()
         if not answer.accepted and answer.promised <= view.epoch and lead.view is view and not lead.changing:
             # It missed the view, or it is another incarnation and learns from it whom to ask for a seat.
-            await self._ask(seat, ControlAccept(seat.incarnation, view), ControlAccepted)
+            told = await self._ask(seat, ControlAccept(seat.incarnation, view), ControlAccepted)
+            if told is not None and not told.accepted and told.promised >= view.epoch and answer.healthy:
+                lead.outbid = True  # It promised the same epoch to another (to itself, when it stood meanwhile).
         if answer.by != seat.incarnation or self._lead is not lead:
             return
         self._highest_epoch = max(self._highest_epoch, answer.promised)
@@ -969,45 +1021,74 @@
         if answer.healthy:
             lead.answered[seat.incarnation] = max(begun, lead.answered.get(seat.incarnation, begun))
         if answer.accepted:
-            lead.confirmed = max(lead.confirmed, begun)
+            lead.note_accepted(seat.incarnation, begun)
+            await self._note_settled(lead, seat, view, answer.settled)
         elif lead.view is view and answer.promised > view.epoch and not lead.changing:
             lead.outbid = True
 
+    async def _note_settled(self, lead: _Lead, seat: Seat, view: View, settled: bool) -> None:
+        if not settled:
+            told = await self._ask(seat, ControlAccept(seat.incarnation, view), ControlAccepted)
+            settled = told is not None and told.accepted
+        if settled:
+            lead.current[seat.incarnation] = view.epoch
+
     def _wanted(self, lead: _Lead) -> _Plan | None:
         """The view that this primary wants next; None when the one it has is as wanted (section 7.4)."""
+        view = lead.view
+        members = self._wanted_members(lead)
+        backups = self._wanted_backups(lead, members)
+        as_wanted = members == view.members and {seat.incarnation for seat in backups} == set(view.backups)
+        if as_wanted and lead.in_sync and not lead.outbid:
+            return None
+        paused = Instant(self._now() - self._limits.recruit_pause)
+        if len(backups) < self._backups_wanted or any(
+            lead.failed.get(seat.incarnation, paused) > paused for seat in backups
+        ):
+            return None
+        return _Plan(backups, members, view)
+
+    def _wanted_members(self, lead: _Lead) -> tuple[Seat, ...]:
+        """The members as they are, with spares in the seats of those that are gone and in empty ones."""
         now, view = self._now(), lead.view
-        members = list(view.members)
-        spares = sorted(
-            (heard, seat)
-            for seat, heard in lead.spares.values()
-            if now - heard < self._limits.spare_silent and seat != view.seat(seat.incarnation)
-        )
-        moved = {seat.incarnation: seat for seat in (self._seat, *(seat for _, seat in spares))}
-        members = [moved.get(seat.incarnation, seat) for seat in members]
-        newcomers = [seat for _, seat in spares if view.seat(seat.incarnation) is None]
-        gone = [
+        heard = sorted(lead.spares.values(), key=lambda spare: (-spare[1], spare[0]))
+        spares = [seat for seat, at in heard if now - at < self._limits.spare_silent]
+        moved = {seat.incarnation: seat for seat in (self._seat, *spares)}
+        members = [moved.get(seat.incarnation, seat) for seat in view.members]
+        newcomers = [seat for seat in spares if view.seat(seat.incarnation) is None]
+        for seat in [seat for seat in members if self._is_gone(lead, seat)][: len(newcomers)]:
+            members[members.index(seat)] = newcomers.pop(0)
+        missing = max(0, self._members_wanted - len(members))
+        return (*members, *newcomers[:missing])
+
+    def _is_gone(self, lead: _Lead, seat: Seat) -> bool:
+        if seat.incarnation == self._me:
+            return False
+        answered = max(lead.since, lead.answered.get(seat.incarnation, lead.since))
+        return seat.incarnation in lead.gone or self._now() - answered > self._limits.member_gone
+
+    def _wanted_backups(self, lead: _Lead, members: Sequence[Seat]) -> tuple[Seat, ...]:
+        """The backups that are well, and the likeliest of the other live members in place of the rest."""
+        view = lead.view
+        well = [
             seat
-            for seat in self._others(view)
-            if seat.incarnation in lead.gone
-            or now - max(lead.since, lead.answered.get(seat.incarnation, lead.since)) > self._limits.member_gone
+            for seat in members
+            if seat.incarnation in view.backups and seat.incarnation not in lead.failing and self._live(lead, seat)
         ]
-        newcomer = newcomers[0] if newcomers and gone and tuple(members) == view.members else None
-        if newcomer is not None:
-            members[members.index(gone[0])] = newcomer
-        backup = view.seat(view.backup)
-        backup_well = backup is not None and lead.accepting and not lead.backup_failed and self._live(lead, backup)
-        if backup_well and not lead.outbid and tuple(members) == view.members:
-            return None
-        if backup_well and backup in members:
-            chosen: Seat | None = backup
-        else:
-            live = [seat for seat in members if seat != self._seat and (seat == newcomer or self._live(lead, seat))]
-            recently = now - 5.0
-            live.sort(key=lambda seat: (lead.failed.get(seat.incarnation, Instant(0.0)) > recently, seat == newcomer))
-            chosen = live[0] if live else None
-        if chosen is None or now - lead.failed.get(chosen.incarnation, Instant(now - 9.0)) < 0.3:
-            return None
-        return _Plan(chosen, tuple(members), [view])
+        recently = self._now() - 5.0
+
+        def unlikely(seat: Seat) -> tuple[bool, bool, float]:
+            failed = lead.failed.get(seat.incarnation, Instant(0.0)) > recently
+            return failed, view.seat(seat.incarnation) is None, -lead.answered.get(seat.incarnation, 0.0)
+
+        others = [
+            seat
+            for seat in members
+            if seat not in well
+            and seat.incarnation != self._me
+            and (view.seat(seat.incarnation) is None or self._live(lead, seat))
+        ]
+        return (*well, *sorted(others, key=unlikely))[: self._backups_wanted]
 
     async def _change_view(self, lead: _Lead, plan: _Plan) -> None:
         """Rule 4 of section 7.2: stop deciding, send the state, then the two rounds."""
@@ -1016,10 +1097,8 @@
             async with lead.batch:
                 if self._lead is not lead:
                     return
-                lead.accepting = False
-                if not await self._send_state(lead, plan.seat):
-                    lead.failed[plan.backup] = self._now()
-                    self._log("recruit-failed", backup=plan.seat.name)
+                lead.in_sync = False
+                if not await self._recruit(lead, plan.seats):
                     return
                 for _ in range(3):
                     if self._lead is not lead:
@@ -1035,6 +1114,19 @@
         finally:
             lead.changing = False
 
+    async def _recruit(self, lead: _Lead, seats: Sequence[Seat]) -> bool:
+        """All of them have our whole state on their disks; who already has it is sent nothing."""
+        behind = [seat for seat in seats if lead.synced.get(seat.incarnation) != self._store.sequence]
+        sent = await asyncio.gather(*(self._send_state(lead, seat) for seat in behind))
+        for seat, synced in zip(behind, sent, strict=True):
+            if synced:
+                lead.synced[seat.incarnation] = self._store.sequence
+            else:
+                lead.synced.pop(seat.incarnation, None)
+                lead.failed[seat.incarnation] = self._now()
+                self._log("recruit-failed", backup=seat.name)
+        return all(sent)
+
     async def _send_state(self, lead: _Lead, seat: Seat) -> bool:
         if self._replica.applied != self._store.sequence:
             raise AssertionError(f"applied {self._replica.applied}, journaled {self._store.sequence}")
@@ -1090,15 +1182,15 @@
                     for command in batch:
                         self._answer(command, Failure(NotDecided("not-leading", self._other_primary())))
                     break
-                if lead.accepting and self.leads():
+                if self._accepts(lead) and self.leads():
                     async with lead.batch:
-                        if lead.accepting and self._lead is lead:
+                        if self._accepts(lead) and self._lead is lead:
                             await self._run_batch(lead, batch)
                             break
                 now = self._now()
                 for command in batch:
                     if now > command.deadline:
-                        self._answer(command, self._undecided(command, "no backup in time"))
+                        self._answer(command, self._undecided(command, "too few backups in time"))
                 batch = [command for command in batch if not command.answer.done()]
                 if batch:
                     # A primary that hears nobody decides nothing, also when it has just woken up.
@@ -1140,8 +1232,7 @@
                 self._answer(command, Failure(NotDecided("unknown", detail="stopped leading meanwhile")))
             return
         if not replicated:
-            lead.accepting = False
-            lead.backup_failed = True
+            lead.in_sync = False
             lead.pending = replies
             return
         if self._store.promise.epoch != epoch:
@@ -1163,8 +1254,18 @@
             return True
 
     async def _replicate(self, lead: _Lead, epoch: Epoch, before: int, entry: bytes) -> bool:
-        seat = lead.view.seat(lead.view.backup)
-        assert seat is not None
+        """To all backups of the view; whether each has synced it."""
+        seats = [seat for seat in lead.view.members if seat.incarnation in lead.view.backups]
+        done = await asyncio.gather(*(self._replicate_to(lead, seat, epoch, before, entry) for seat in seats))
+        for seat, synced in zip(seats, done, strict=True):
+            if synced:
+                lead.synced[seat.incarnation] = before + bool(entry)
+            else:
+                lead.synced.pop(seat.incarnation, None)
+                lead.failing.add(seat.incarnation)
+        return all(done)
+
+    async def _replicate_to(self, lead: _Lead, seat: Seat, epoch: Epoch, before: int, entry: bytes) -> bool:
         message = ControlReplicate(seat.incarnation, epoch, before, self._replica.committed, entry)
         begun = self._now()
         bound = self._limits.replicate + 2 * len(entry) / self._limits.rewrite_rate
@@ -1186,10 +1287,10 @@
             await self._context.clock.sleep(Seconds(0.05))
 
     def _tell_commit(self, lead: _Lead) -> None:
-        seat = lead.view.seat(lead.view.backup)
-        if seat is not None:
-            message = ControlCommitted(seat.incarnation, lead.view.epoch, self._replica.committed)
-            self._messenger.post(seat.address, message)
+        for seat in self._others(lead.view):
+            if seat.incarnation in lead.view.backups:
+                message = ControlCommitted(seat.incarnation, lead.view.epoch, self._replica.committed)
+                self._messenger.post(seat.address, message)
 
     # -- rewriting the journal
 
@@ -1248,7 +1349,7 @@
             return False
 
         def confirmed(answers: list[ControlConfirmed]) -> bool:
-            return any(answer.holds for answer in answers)
+            return view.majority({self._me, *(answer.by for answer in answers if answer.holds)})
 
         answers = await self._gather(
             [
@@ -1264,11 +1365,16 @@
 class _Plan:
     """The view that a primary wants next, and the views on which it may be built."""
 
-    def __init__(self, seat: Seat, members: tuple[Seat, ...], bases: list[View]) -> None:
-        self.seat = seat
+    def __init__(self, seats: tuple[Seat, ...], members: tuple[Seat, ...], base: View) -> None:
+        self.seats = seats
+        """The backups."""
         self.members = members
-        self.bases = bases
+        changed = {seat.incarnation for seat in members} != set(base.incarnations())
+        self.former = base.members if changed else ()
+        """``base`` is chosen, so its own former members need not be asked again."""
+        self.bases = [base]
+        """``base``, then the planned views that were not accepted by enough."""
 
     @property
-    def backup(self) -> Incarnation:
-        return self.seat.incarnation
+    def backups(self) -> tuple[Incarnation, ...]:
+        return tuple(seat.incarnation for seat in self.seats)
--- a/wingwood/control/limits.py
+++ b/wingwood/control/limits.py
@@ -22,6 +22,8 @@
     """A backup silent for this long is passed over for another."""
     member_gone: Seconds = Seconds(2.2)
     """A member silent or sick for this long gives its seat to a live spare."""
+    recruit_pause: Seconds = Seconds(0.3)
+    """Before a member that failed as backup is tried again."""
     spare_silent: Seconds = Seconds(1.5)
     lead_unconfirmed: Seconds = Seconds(1.2)
     """Without an answer from any member begun within this, a primary says that it does not lead."""
--- a/wingwood/control/messages.py
+++ b/wingwood/control/messages.py
@@ -21,10 +21,13 @@
 
     epoch: Epoch
     primary: Incarnation
-    backup: Incarnation | None
+    backups: tuple[Incarnation, ...]
+    """All of them sync a record before it is acknowledged; none after a take-over."""
     members: tuple[Seat, ...]
     holders: tuple[Incarnation, ...]
     """Whose disks hold everything that was ever acknowledged."""
+    former: tuple[Seat, ...] = ()
+    """Members of the view before, when they were others and this view is not known to be chosen."""
 
     def seat(self, incarnation: Incarnation | None) -> Seat | None:
         return next((seat for seat in self.members if seat.incarnation == incarnation), None)
@@ -33,7 +36,29 @@
         return tuple(seat.incarnation for seat in self.members)
 
     def majority(self, who: set[Incarnation]) -> bool:
-        return 2 * sum(seat.incarnation in who for seat in self.members) > len(self.members)
+        return _majority(self.members, who)
+
+    def quorum(self, who: set[Incarnation]) -> bool:
+        """Enough to choose this view, or to build on it: a majority of the members and of the former ones."""
+        return self.majority(who) and (not self.former or _majority(self.former, who))
+
+    def voters(self) -> tuple[Seat, ...]:
+        """Members and former members, each once."""
+        return tuple({seat.incarnation: seat for seat in (*self.former, *self.members)}.values())
+
+    def settled(self) -> View:
+        """The same view, known to be chosen: the former members are no longer asked."""
+        return msgspec.structs.replace(self, former=()) if self.former else self
+
+    def supersedes(self, other: View | None) -> bool:
+        """Newer, or the same one with more known of it."""
+        if other is None or self.epoch != other.epoch:
+            return other is None or self.epoch > other.epoch
+        return bool(other.former) and not self.former
+
+
+def _majority(seats: tuple[Seat, ...], who: set[Incarnation]) -> bool:
+    return 2 * sum(seat.incarnation in who for seat in seats) > len(seats)
 
 
 class Promise(msgspec.Struct, frozen=True, array_like=True):
@@ -133,6 +158,8 @@
     by: Incarnation
     accepted: bool
     promised: Epoch
+    sequence: int = 0
+    """Newest batch that it has journaled; a backup counts only with as many as the primary."""
 
 
 class ControlHeartbeat(msgspec.Struct, frozen=True, array_like=True):
@@ -151,6 +178,8 @@
     promised: Epoch
     healthy: bool
     """Its journal takes writes."""
+    settled: bool = True
+    """It knows that the view is chosen, and would no longer ask former members."""
 
 
 class ControlReplicate(msgspec.Struct, frozen=True):
--- a/wingwood/control/protocols.py
+++ b/wingwood/control/protocols.py
@@ -55,16 +55,16 @@
 
 
 class ViewReport(msgspec.Struct, frozen=True, kw_only=True):
-    """For health: who leads, who backs up, whether a second loss could be borne now."""
+    """For health: who leads, who backs up, whether the wanted losses could be borne now."""
 
     epoch: Epoch
     own_role: Literal["primary", "backup", "witness", "spare", "candidate"]
     primary: Incarnation | None
-    backup: Incarnation | None
+    backups: tuple[Incarnation, ...]
     members: tuple[Incarnation, ...]
     accepts_orders: bool
     complete: bool
-    """Primary, in-sync backup and witness all live: any one may be lost."""
+    """All members live, as many as wanted, with the wanted backups in sync: the wanted losses may be borne."""
     detail: str = ""
 
 
--- a/wingwood/control/tests/control_world.py
+++ b/wingwood/control/tests/control_world.py
@@ -82,15 +82,27 @@
 MakeCore = Callable[[Context, TcpMessenger, ControlStore, Contents, Register, Sequence[Address]], ReplicatedCore]
 
 
-def make_core(
-    context: Context,
-    messenger: TcpMessenger,
-    store: ControlStore,
-    contents: Contents,
-    register: Register,
-    seeds: Sequence[Address],
-) -> ReplicatedCore:
-    return ReplicatedCore(context, messenger, store, contents, [register], seeds, limits=WALK_LIMITS)
+def core_maker(
+    core_type: type[ReplicatedCore] = ReplicatedCore, limits: ControlLimits = WALK_LIMITS, losses_borne: int = 1
+) -> MakeCore:
+    def make(
+        context: Context,
+        messenger: TcpMessenger,
+        store: ControlStore,
+        contents: Contents,
+        register: Register,
+        seeds: Sequence[Address],
+    ) -> ReplicatedCore:
+        return core_type(
+            context, messenger, store, contents, [register], seeds, limits=limits, losses_borne=losses_borne
+        )
+
+    return make
+
+
+make_core = core_maker()
+make_core_for_two_losses = core_maker(losses_borne=2)
+SIX = ("c1", "c2", "c3", "c4", "c5", "c6")
 
 
 class Observer:
@@ -145,7 +157,9 @@
         for name in start:
             self.start(name)
 
-    def start(self, name: str) -> Process:
+    def start(self, name: str, seeds: Sequence[str] = ()) -> Process:
+        """``seeds``: the machines that its settings name, when not the first three."""
+        addresses = tuple(address_of(self.world.machine(seed), PORT) for seed in seeds) or self.seeds
         address = address_of(self.world.machine(name, "a"), PORT)
 
         async def main(context: Context) -> None:
@@ -159,7 +173,7 @@
             identity = Identity(DaemonName(name), store.incarnation, "control", Zone("a"), address)
             messenger = TcpMessenger(context, identity, KEY)
             register = Register()
-            core = self.make(context, messenger, store, contents, register, self.seeds)
+            core = self.make(context, messenger, store, contents, register, addresses)
             core.start()
             assert isinstance(messenger.start(), Success)
             self.cores[name], self.registers[name], self.stores[name] = core, register, store
--- a/wingwood/control/tests/mutants.py
+++ b/wingwood/control/tests/mutants.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Sequence
+from collections.abc import Mapping, Sequence
 
 import msgspec
 
@@ -12,10 +12,9 @@
 from ...transport.frames import Identity
 from ...transport.messenger import TcpMessenger
 from ..core import ReplicatedCore, _Lead, _Plan
-from ..limits import ControlLimits
-from ..messages import ControlGrant, ControlPromise, ControlReplicate, Seat, View
+from ..messages import ControlConfirm, ControlConfirmed, ControlGrant, ControlPromise, ControlReplicate, Seat, View
 from ..store import Contents, ControlStore, decode_batch
-from .control_world import WALK_LIMITS, MakeCore, Register
+from .control_world import SIX, MakeCore, Register, core_maker
 
 
 class AcknowledgesBeforeBackup(ReplicatedCore):
@@ -25,7 +24,7 @@
 
     async def _late(self, lead: _Lead, epoch: Epoch, before: int, entry: bytes) -> None:
         if not await super()._replicate(lead, epoch, before, entry):
-            lead.backup_failed = True
+            lead.in_sync = False
 
 
 class BackupIgnoresPromise(ReplicatedCore):
@@ -49,6 +48,9 @@
         if self._lead is lead and self._replica.applied == self._store.sequence:
             await super()._send_state(lead, seat)
 
+    def _in_sync(self, view: View, sequences: Mapping[Incarnation, int]) -> bool:
+        return True
+
 
 class AnyGranteeMayWin(ReplicatedCore):
     """Witnesses stand too, and nobody asks whether the winner holds the state."""
@@ -56,7 +58,7 @@
     async def _may_stand(self, view: View) -> bool:
         newest = self._store.view
         if newest is not None:
-            self._store.view = View(newest.epoch, newest.primary, newest.backup, newest.members, newest.incarnations())
+            self._store.view = View(newest.epoch, newest.primary, newest.backups, newest.members, newest.incarnations())
         return await super()._may_stand(view)
 
     async def _stand(self, plan: _Plan | None) -> View | None:
@@ -68,7 +70,7 @@
             reply = await ask(seat, message, reply_type, timeout)
             if isinstance(reply, ControlGrant) and isinstance(message, ControlPromise) and reply.view is not None:
                 view = reply.view
-                everyone = View(view.epoch, view.primary, view.backup, view.members, view.incarnations())
+                everyone = View(view.epoch, view.primary, view.backups, view.members, view.incarnations())
                 return ControlGrant(reply.by, reply.granted, reply.promised, everyone, 0, reply.empty)
             return reply
 
@@ -104,18 +106,7 @@
         return self._lead is lead
 
 
-def with_core(core_type: type[ReplicatedCore], limits: ControlLimits = WALK_LIMITS) -> MakeCore:
-    def make(
-        context: Context,
-        messenger: TcpMessenger,
-        store: ControlStore,
-        contents: Contents,
-        register: Register,
-        seeds: Sequence[Address],
-    ) -> ReplicatedCore:
-        return core_type(context, messenger, store, contents, [register], seeds, limits=limits)
-
-    return make
+with_core = core_maker
 
 
 def identity_survives_wipe(
@@ -133,15 +124,86 @@
     return with_core(ReplicatedCore)(context, messenger, store, contents, register, seeds)
 
 
-MUTANTS: dict[str, tuple[MakeCore, tuple[str, ...]]] = {
-    "acknowledges before backup": (
+class ForgetsFormerMembers(ReplicatedCore):
+    """A second try for a view with other members asks those only."""
+
+    async def _change_view(self, lead: _Lead, plan: _Plan) -> None:
+        plan.former = ()
+        await super()._change_view(lead, plan)
+
+
+class OneBackupIsEnough(ReplicatedCore):
+    async def _replicate(self, lead: _Lead, epoch: Epoch, before: int, entry: bytes) -> bool:
+        seats = [seat for seat in lead.view.members if seat.incarnation in lead.view.backups]
+        replicating = {
+            asyncio.get_running_loop().create_task(self._replicate_to(lead, seat, epoch, before, entry))
+            for seat in seats
+        }
+        while replicating:
+            done, replicating = await asyncio.wait(replicating, return_when=asyncio.FIRST_COMPLETED)
+            if any(task.result() for task in done):
+                return True
+        return False
+
+
+class TakesBackupsForInSync(ReplicatedCore):
+    """Sends the state to newcomers only, and doesn't look what the others have."""
+
+    async def _recruit(self, lead: _Lead, seats: Sequence[Seat]) -> bool:
+        newcomers = [seat for seat in seats if lead.view.seat(seat.incarnation) is None]
+        return await super()._recruit(lead, newcomers)
+
+    def _in_sync(self, view: View, sequences: Mapping[Incarnation, int]) -> bool:
+        return True
+
+
+class ProvesWithOneMember(ReplicatedCore):
+    async def _proof_round(self, lead: _Lead) -> bool:
+        view = lead.view
+        answers = await self._gather(
+            [
+                self._ask(seat, ControlConfirm(seat.incarnation, view.epoch), ControlConfirmed)
+                for seat in self._others(view)
+            ],
+            lambda found: any(answer.holds for answer in found),
+            self._limits.call,
+        )
+        return any(answer.holds for answer in answers) and self._lead is lead and lead.settled
+
+
+class Mutant(msgspec.Struct, frozen=True):
+    """A broken core, and the faults and the fleet of the walks that catch it."""
+
+    make: MakeCore
+    faults: tuple[str, ...]
+    names: tuple[str, ...] = ("c1", "c2", "c3")
+    losses_borne: int = 1
+
+
+def _for_two(core_type: type[ReplicatedCore], *faults: str) -> Mutant:
+    return Mutant(core_maker(core_type, losses_borne=2), faults, SIX, 2)
+
+
+MUTANTS: dict[str, Mutant] = {
+    "acknowledges before backup": Mutant(
         with_core(AcknowledgesBeforeBackup),
         ("slow_wire", "slow_wire", "kill_primary", "heal_cuts"),
     ),
-    "identity survives wipe": (identity_survives_wipe, ("lose_then_kill", "nothing")),
-    "view before transfer": (with_core(ViewBeforeTransfer), ("second_loss", "hush", "nothing")),
-    "any grantee may win": (with_core(AnyGranteeMayWin), ("cut_off", "cut", "freeze_primary", "heal_cuts")),
-    "proves without asking": (with_core(ProvesWithoutAsking), ("cut_off", "heal_cuts", "freeze_primary", "nothing")),
-    "answers when cut off": (with_core(AnswersWhenCutOff), ("cut_off", "heal_cuts", "nothing")),
+    "identity survives wipe": Mutant(identity_survives_wipe, ("lose_then_kill", "nothing")),
+    "view before transfer": Mutant(with_core(ViewBeforeTransfer), ("second_loss", "hush", "nothing")),
+    "any grantee may win": Mutant(with_core(AnyGranteeMayWin), ("cut_off", "cut", "freeze_primary", "heal_cuts")),
+    "proves without asking": Mutant(
+        with_core(ProvesWithoutAsking), ("cut_off", "heal_cuts", "freeze_primary", "nothing")
+    ),
+    "answers when cut off": Mutant(with_core(AnswersWhenCutOff), ("cut_off", "heal_cuts", "nothing")),
+    "forgets former members": Mutant(
+        with_core(ForgetsFormerMembers), ("cut_in_replacement", "heal_cuts", "nothing"), ("c1", "c2", "c3", "c4")
+    ),
+    "acknowledges before backups, two losses": _for_two(AcknowledgesBeforeBackup, "lose_behind_slow_wire", "nothing"),
+    "one backup is enough, two losses": _for_two(OneBackupIsEnough, "lose_behind_slow_wire", "nothing"),
+    "view before transfer, two losses": _for_two(ViewBeforeTransfer, "second_loss", "hush", "nothing"),
+    "takes backups for in sync, two losses": _for_two(TakesBackupsForInSync, "second_loss", "lose", "kill", "hush"),
+    "any grantee may win, two losses": _for_two(AnyGranteeMayWin, "split", "freeze_primary", "heal_cuts"),
+    "proves with one member, two losses": _for_two(ProvesWithOneMember, "cut_minority", "heal_cuts", "nothing"),
 }
-"""The core, and the faults of the walks that catch it. (A backup that ignores its promise: see test_core.)"""
+"""(A backup that ignores its promise: see test_core.)"""
--- a/wingwood/control/tests/test_member_rules.py
+++ b/wingwood/control/tests/test_member_rules.py
@@ -86,7 +86,7 @@
         return self.ask(name, message, ControlReplicated).synced
 
     def new_view(self, epoch: int, primary: Incarnation) -> View:
-        return View(Epoch(epoch), primary, None, self.view.members, self.view.holders)
+        return View(Epoch(epoch), primary, (), self.view.members, self.view.holders)
 
 
 class MemberRules(MemberCase):
@@ -238,6 +238,8 @@
         self.grants: dict[Incarnation, View | None] = {}
         """Who grants, and the view that it tells."""
         self.acceptors: set[Incarnation] = set()
+        self.sequences: dict[Incarnation, int] = {}
+        """How many batches an acceptor has, where that isn't the 3 of the candidate."""
         self.asked: list[tuple[str, Incarnation]] = []
         self.core._ask = self.answer  # type: ignore[method-assign, assignment]
 
@@ -247,7 +249,7 @@
             case ControlPromise(epoch=epoch) if seat.incarnation in self.grants:
                 return ControlGrant(seat.incarnation, True, epoch, self.grants[seat.incarnation])
             case ControlAccept(view=view) if seat.incarnation in self.acceptors:
-                return ControlAccepted(seat.incarnation, True, view.epoch)
+                return ControlAccepted(seat.incarnation, True, view.epoch, self.sequences.get(seat.incarnation, 3))
             case ControlStatePiece(epoch=epoch):
                 return ControlReplicated(seat.incarnation, True, epoch)
         return None
@@ -269,18 +271,18 @@
         self.acceptors = {self.three.incarnation}
         view = self.stand()
         assert view is not None
-        self.assertEqual((view.primary, view.backup, view.holders), (self.two.incarnation, None, self.view.holders))
+        self.assertEqual((view.primary, view.backups, view.holders), (self.two.incarnation, (), self.view.holders))
 
     def test_who_holds_nothing_of_the_newest_granted_view_gives_up(self) -> None:
         self.acceptors = {self.three.incarnation}
-        newer = View(Epoch(7), self.one.incarnation, self.three.incarnation, self.view.members, (X, Y))
+        newer = View(Epoch(7), self.one.incarnation, (self.three.incarnation,), self.view.members, (X, Y))
         self.grants = {self.three.incarnation: newer}
         self.assertIsNone(self.stand())
         self.assertNotIn("ControlAccept", [name for name, _ in self.asked])
 
     def test_members_of_a_newer_view_are_asked_too(self) -> None:
         new, newer = Seat(X, DaemonName("x"), self.one.address), Seat(Y, DaemonName("y"), self.one.address)
-        view = View(Epoch(7), self.two.incarnation, None, (self.two, new, newer), self.view.holders)
+        view = View(Epoch(7), self.two.incarnation, (), (self.two, new, newer), self.view.holders)
         self.grants = {self.three.incarnation: view}
         self.acceptors = {self.three.incarnation, X}
         self.assertIsNone(self.stand())
@@ -303,17 +305,43 @@
                 current = self.view_of("c2")
                 self.grants = {self.three.incarnation: None}
                 self.acceptors = set(acceptors)
-                view = self.stand(_Plan(backup, members, [current, self.view]))
+                view = self.stand(_Plan((backup,), members, current))
                 self.assertEqual(view is not None, won)
                 self.setUp()
 
+    def test_a_planned_backup_must_have_as_many_batches_as_the_primary(self) -> None:
+        self.grants = {self.three.incarnation: None}
+        self.acceptors = {self.three.incarnation}
+        self.sequences = {self.three.incarnation: 2}
+        self.assertIsNone(self.stand(_Plan((self.three,), self.view.members, self.view)))
+        self.sequences = {}
+        self.assertIsNotNone(self.stand(_Plan((self.three,), self.view.members, self.view_of("c2"))))
+
+    def test_a_view_with_other_members_that_too_few_accepted_still_needs_the_former_ones(self) -> None:
+        """Else the first try's newcomer and its primary could lead beside the two former members."""
+        newcomer = Seat(X, DaemonName("x"), self.one.address)
+        plan = _Plan((newcomer,), (self.two, newcomer, self.three), self.view)
+        self.grants = {self.three.incarnation: self.view}
+        self.acceptors = {X}
+        self.assertIsNone(self.stand(plan))
+        self.assertEqual(self.view_of("c2").former, self.view.members)
+        self.grants = {X: self.view_of("c2")}
+        self.acceptors = {X}
+        self.assertIsNone(self.stand(plan))
+        self.assertIsNone(self.stand())
+        self.grants = {X: self.view_of("c2"), self.three.incarnation: self.view}
+        self.acceptors = {X, self.three.incarnation}
+        won = self.stand(plan)
+        assert won is not None
+        self.assertEqual((won.former, self.view_of("c2")), ((), won))
+
     def test_a_plan_is_dropped_when_another_view_was_accepted_meanwhile(self) -> None:
-        other = View(Epoch(7), self.one.incarnation, None, self.view.members, self.view.holders)
+        other = View(Epoch(7), self.one.incarnation, (), self.view.members, self.view.holders)
         self.grants = {self.three.incarnation: other}
         self.acceptors = {self.three.incarnation}
-        view = self.stand(_Plan(self.three, self.view.members, [self.view]))
+        view = self.stand(_Plan((self.three,), self.view.members, self.view))
         assert view is not None
-        self.assertEqual((view.backup, view.holders), (None, self.view.holders))
+        self.assertEqual((view.backups, view.holders), ((), self.view.holders))
 
     def test_another_holder_with_more_goes_first(self) -> None:
         answer = self.core._ask
--- a/wingwood/control/tests/test_walks.py
+++ b/wingwood/control/tests/test_walks.py
@@ -4,37 +4,61 @@
 
 import unittest
 
-from .mutants import MUTANTS
+from .control_world import SIX, MakeCore, core_maker
+from .mutants import MUTANTS, Mutant
 from .walk import Walk
 
 SEEDS = range(10)
 STEPS = 30
 MOST_WALKS = 40
+RUN_EACH_ALONE = True
+"""For the runner of tests: these are long."""
+
+
+def walk(seed: int, mutant: Mutant, make: MakeCore) -> Walk:
+    return Walk(seed, make, mutant.faults, names=mutant.names, losses_borne=mutant.losses_borne)
 
 
 class WalkTests(unittest.TestCase):
     def test_nothing_acknowledged_is_lost_or_contradicted_and_service_comes_back(self) -> None:
+        self.hold(Mutant(core_maker(), ()), least_losses=5)
+
+    def test_the_same_with_two_losses_at_once(self) -> None:
+        self.hold(Mutant(core_maker(losses_borne=2), (), SIX, 2), least_losses=10)
+
+    def test_the_same_with_a_spare(self) -> None:
+        self.hold(Mutant(core_maker(), (), SIX[:4], 1), least_losses=5)
+
+    def hold(self, fleet: Mutant, least_losses: int) -> None:
         acknowledged = losses = proofs = 0
         for seed in SEEDS:
-            walk = Walk(seed)
-            self.assertEqual(walk.run(STEPS), [], "\n".join([f"seed {seed}", *walk.steps]))
-            acknowledged += walk.control.observer.acknowledged
-            losses += walk.losses
-            proofs += walk.control.observer.proofs
+            one = walk(seed, fleet, fleet.make)
+            self.assertEqual(one.run(STEPS), [], "\n".join([f"seed {seed}", *one.steps]))
+            acknowledged += one.control.observer.acknowledged
+            losses += one.losses
+            proofs += one.control.observer.proofs
         self.assertGreater(acknowledged, 1000)
-        self.assertGreater(losses, 5)
+        self.assertGreater(losses, least_losses)
         self.assertGreater(proofs, 20)
 
     def test_walks_catch_each_broken_variant(self) -> None:
-        for name, (make, faults) in MUTANTS.items():
-            with self.subTest(mutant=name):
-                self.assertTrue(any(Walk(seed, make, faults).run(STEPS) for seed in range(MOST_WALKS)))
+        self.catch(losses_borne=1)
+
+    def test_walks_catch_each_broken_variant_with_two_losses(self) -> None:
+        self.catch(losses_borne=2)
+
+    def catch(self, losses_borne: int) -> None:
+        for name, mutant in MUTANTS.items():
+            if mutant.losses_borne == losses_borne:
+                with self.subTest(mutant=name):
+                    self.assertTrue(any(walk(seed, mutant, mutant.make).run(STEPS) for seed in range(MOST_WALKS)))
 
     def test_the_unbroken_core_holds_in_the_same_walks(self) -> None:
-        for name, (_, faults) in MUTANTS.items():
+        for name, mutant in MUTANTS.items():
             with self.subTest(mutant=name):
                 for seed in range(2):
-                    self.assertEqual(Walk(seed, only=faults).run(STEPS), [])
+                    make = core_maker(losses_borne=mutant.losses_borne)
+                    self.assertEqual(walk(seed, mutant, make).run(STEPS), [])
 
 
 if __name__ == "__main__":
--- a/wingwood/control/tests/walk.py
+++ b/wingwood/control/tests/walk.py
@@ -29,8 +29,11 @@
         make: MakeCore = make_core,
         only: Sequence[str] = (),
         operators: Sequence[str] = ("oa", "ob", "oc"),
+        names: Sequence[str] = ("c1", "c2", "c3"),
+        losses_borne: int = 1,
     ) -> None:
-        self.control = ControlWorld(seed, make)
+        self.control = ControlWorld(seed, make, names)
+        self.losses_borne = losses_borne
         self.world = self.control.world
         self.random = self.world.random
         self.cuts: list[Cut] = []
@@ -43,7 +46,7 @@
         self.only = only
         """Names of the faults that happen; empty: all."""
         self.steps: list[str] = []
-        self.names = ["c1", "c2", "c3"]
+        self.names = list(names)
         self.operators = operators
         for number, name in enumerate(operators):
             self.control.operator(name, "abc"[number])
@@ -109,6 +112,10 @@
             self.kill_all,
             self.hush,
             self.slow_wire,
+            self.split,
+            self.cut_minority,
+            self.cut_in_replacement,
+            self.lose_behind_slow_wire,
             self.nothing,
         ]
 
@@ -146,13 +153,13 @@
             self.kill(leader)
 
     def kill_all(self) -> None:
-        lost = self.random.choice(self.names) if self.loss_can_be_borne() and self.random.random() < 0.6 else None
+        lost = self.some_of(self.names) if self.loss_can_be_borne() and self.random.random() < 0.6 else []
         self.did(f"kill all, wipe {lost}")
         for name in self.up():
             self.kill(name)
-        if lost is not None:
+        for name in lost:
             self.losses += 1
-            self.world.wipe(lost)
+            self.world.wipe(name)
 
     def freeze(self, name: str | None = None) -> None:
         up = [one for one in self.up() if one not in self.frozen]
@@ -189,6 +196,64 @@
         self.did(f"slow wire from {one} to {other}")
         self.world.network.slowness[(one, other)] = self.random.choice((0.01, 0.1, 0.4))
 
+    def split(self) -> None:
+        """All of them fall into two groups that don't reach each other."""
+        everyone = [*self.names, *self.operators]
+        self.random.shuffle(everyone)
+        size = self.random.randrange(2, len(everyone) - 1)
+        self.cut_apart(everyone[:size])
+
+    def cut_apart(self, group: Sequence[str]) -> None:
+        self.did(f"cut {' '.join(group)} from the others")
+        others = [name for name in (*self.names, *self.operators) if name not in group]
+        pairs = [(one, other) for one in group for other in others]
+        self.cuts.append(self.world.network.cut([*pairs, *((other, one) for one, other in pairs)]))
+
+    def cut_minority(self) -> None:
+        """The primary stays with as many members as may be lost, one too few; it is asked for proofs meanwhile."""
+        leader = self.control.leader()
+        view = self.control.stores[leader].view if leader is not None else None
+        if leader is None or view is None:
+            return
+        members = [name for name in self.names if self.incarnation_on_disk(name) in view.incarnations()]
+        friends = self.random.sample([name for name in members if name != leader], self.losses_borne - 1)
+        self.cut_apart([leader, *friends, self.operators[0]])
+        for _ in range(10):
+            self.world.run(0.3)
+            self.ask_for_proof(leader)
+
+    def cut_in_replacement(self) -> None:
+        """Members are frozen until spares get their seats; between the two rounds for that the new and old part."""
+        leader = self.control.leader()
+        view = self.control.stores[leader].view if leader is not None and self.loss_can_be_borne() else None
+        if leader is None or view is None:
+            return
+        members = [name for name in self.names if self.incarnation_on_disk(name) in view.incarnations()]
+        spares = [name for name in self.up() if name not in members and name not in self.frozen]
+        out = self.random.sample([name for name in members if name != leader], min(len(spares), self.losses_borne))
+        if not out or any(name not in self.up() or name in self.frozen for name in out):
+            return
+        self.did(f"freeze {out}, {spares} are spares")
+        for name in out:
+            self.world.freeze(name)
+            self.frozen[name] = self.world.now + 5.0
+        store = self.control.stores[leader]
+
+        def between_the_rounds() -> bool:
+            """Its own backups may be changed first; wait for the view with other members."""
+            now = self.control.stores[leader].view
+            return now is not None and now.incarnations() == view.incarnations() and store.promise.epoch > now.epoch
+
+        self.world.wait_for(lambda: self.world.now > self.frozen[out[0]] - 3.0, 2.5, every=0.05)
+        if self.world.wait_for(between_the_rounds, 2.0, every=0.0005):
+            self.world.run(self.random.uniform(0.0, 0.004))
+        loyal = [name for name in members if name not in (*out, leader)]
+        self.cut_apart([leader, *spares, *loyal[: self.losses_borne - 1], self.operators[0]])
+        for name in out:
+            self.frozen.pop(name)
+            self.world.wake(name)
+        self.world.run(self.random.uniform(3.0, 7.0))
+
     def heal_cuts(self) -> None:
         self.did("heal cuts")
         self.world.network.slowness.clear()
@@ -222,53 +287,90 @@
                 return store.incarnation if store is not None and store.incarnation.startswith("at ") else incarnation
         return None
 
+    def some_of(self, names: Sequence[str], first: str | None = None) -> list[str]:
+        """As many as may be lost at once, or fewer; ``first`` is one of them."""
+        most = self.random.randint(1, self.losses_borne)
+        firsts = [first] if first is not None else []
+        others = [name for name in names if name != first]
+        return [*firsts, *self.random.sample(others, most - len(firsts))]
+
+    def holders(self) -> list[str]:
+        """Whose disks hold everything that was acknowledged, by the newest view."""
+        leader = self.control.leader()
+        view = self.control.stores[leader].view if leader is not None else None
+        holders = view.holders if view is not None else ()
+        return [name for name in self.names if self.incarnation_on_disk(name) in holders]
+
     def lose(self) -> None:
-        """A machine's disk is wiped; often that of the primary or backup, often under the running process."""
+        """Machines' disks are wiped; often those of primary and backups, often under the running process."""
         if not self.loss_can_be_borne():
             return
+        leader = self.control.leader() if self.random.random() < 0.4 else None
+        among = self.holders() if self.losses_borne > 1 and self.random.random() < 0.5 else self.names
+        names = self.some_of(among, leader)
+        self.losses += len(names)
+        self.did(f"wipe {names}")
+        for name in names:
+            if self.random.random() < 0.7 and self.world.processes[name].alive:
+                self.kill(name)
+            self.world.wipe(name)
+
+    def lose_behind_slow_wire(self) -> None:
+        """The wire to one backup gets slow, and right then as many other holders as may be are lost."""
+        holders = self.holders()
         leader = self.control.leader()
-        name = leader if leader is not None and self.random.random() < 0.4 else self.random.choice(self.names)
-        self.losses += 1
-        self.did(f"wipe {name}")
-        if self.random.random() < 0.7 and self.world.processes[name].alive:
-            self.kill(name)
-        self.world.wipe(name)
+        if not self.loss_can_be_borne() or leader is None or len(holders) < 2:
+            return
+        late = self.random.choice([name for name in holders if name != leader])
+        self.did(f"slow wire from {leader} to {late}")
+        self.world.network.slowness[(leader, late)] = 0.4
+        self.world.run(self.random.uniform(0.02, 0.4))
+        for name in [name for name in holders if name != late][: self.losses_borne]:
+            self.did(f"wipe {name}")
+            self.losses += 1
+            if self.world.processes[name].alive:
+                self.kill(name)
+            self.world.wipe(name)
+        self.world.network.slowness.clear()
 
     def lose_then_kill(self) -> None:
         """A disk is lost, its machine is back at once, and right then the primary goes down for a while."""
         if not self.loss_can_be_borne():
             return
         leader = self.control.leader()
-        name = self.random.choice([name for name in self.names if name != leader])
+        names = self.some_of([name for name in self.names if name != leader])
         self.hush()
-        self.losses += 1
-        self.did(f"wipe {name}, then kill {leader}")
-        self.world.kill(name)
-        self.world.wipe(name)
-        self.start(name)
+        self.losses += len(names)
+        self.did(f"wipe {names}, then kill {leader}")
+        for name in names:
+            self.world.kill(name)
+            self.world.wipe(name)
+            self.start(name)
         self.world.run(self.random.uniform(0.0, 1.5))
         if leader is not None and self.world.processes[leader].alive:
             self.world.kill(leader)
             self.down[leader] = self.world.now + 4.0
 
     def second_loss(self) -> None:
-        """A disk is lost and repaired, and in the moment that health calls it whole the primary's is lost."""
+        """Disks are lost and repaired, and in the moment that health calls it whole the primary's (and more) are."""
         if not self.loss_can_be_borne():
             return
         leader = self.control.leader()
-        name = self.random.choice([name for name in self.names if name != leader])
-        self.losses += 1
-        self.did(f"wipe {name}, then the primary")
-        self.world.kill(name)
-        self.world.wipe(name)
-        self.start(name)
+        names = self.some_of([name for name in self.names if name != leader])
+        self.losses += len(names)
+        self.did(f"wipe {names}, then the primary")
+        for name in names:
+            self.world.kill(name)
+            self.world.wipe(name)
+            self.start(name)
         if self.world.wait_for(self.loss_can_be_borne, 3.0, every=0.001):
-            primary = self.control.leader()
-            assert primary is not None
-            self.losses += 1
-            self.world.power_off(primary)
-            self.world.wipe(primary)
-            self.down[primary] = self.world.now + 1.0
+            others = [name for name in self.holders() if name not in names]
+            for name in self.some_of(others if len(others) > 1 else self.names, self.control.leader()):
+                self.did(f"wipe {name}")
+                self.losses += 1
+                self.world.power_off(name)
+                self.world.wipe(name)
+                self.down[name] = self.world.now + 1.0
 
     def damage(self) -> None:
         """A byte before the last frame of a journal flips; its operator has the daemon begin empty.
@@ -277,11 +379,11 @@
         """
         if not self.loss_can_be_borne():
             return
-        name = self.random.choice(self.names)
+        name = self.random.choice([name for name in self.names if self.incarnation_on_disk(name) is not None])
+        disk = self.world.machines[name].disk
         self.losses += 1
         self.did(f"damage {name}")
         self.kill(name)
-        disk = self.world.machines[name].disk
         data = bytearray(disk.visible["control.journal"])
         match scan(bytes(data)):
             case Success(found):
@@ -293,9 +395,14 @@
         self.control.begin_empty.add(name)
 
     def replace(self) -> None:
-        """A machine is gone for good; an empty one starts at a new address, with the old seeds in its settings."""
-        if not self.loss_can_be_borne() or len(self.retired) >= 4:
+        """Machines are gone for good; empty ones start at new addresses, with the old seeds in their settings."""
+        if not self.loss_can_be_borne():
             return
+        for _ in range(self.random.randint(1, self.losses_borne)):
+            if len(self.retired) < 4 * self.losses_borne:
+                self.replace_one()
+
+    def replace_one(self) -> None:
         seeds = [name for name in self.names if name.startswith("c")]
         # A new machine finds the others through the seeds of its settings: one of them must live.
         name = self.random.choice([name for name in self.names if len(seeds) > 1 or name not in seeds])
--- a/wingwood/daemons/control.py
+++ b/wingwood/daemons/control.py
@@ -112,6 +112,7 @@
             settings.seeds,
             self.keeper.knows_of_history,
             self.keeper.known_controls,
+            losses_borne=settings.losses_borne,
         )
         self.source = CommittedBundles(self.core, self.state)
         self.publisher = BundlePublisher(context, self.messenger, self.core, self.source, self.keeper)
--- a/wingwood/settings/load.py
+++ b/wingwood/settings/load.py
@@ -175,6 +175,7 @@
     "outcome_retention": _whole(1_000, 10_000_000),
     "history_versions": _whole(10, 100_000),
     "body_bytes": _whole(1024, 64 * 1024 * 1024),
+    "losses_borne": _whole(1, 2),
     "begin_empty_when_damaged": _yes_or_no,
     "bundle_bytes": _whole(64 * 1024, 64 * 1024 * 1024),
 }
--- a/wingwood/settings/model.py
+++ b/wingwood/settings/model.py
@@ -72,6 +72,8 @@
     body_bytes: int = 4 * 1024 * 1024
     """Largest request body taken."""
     bundle_bytes: int = 16 * 1024 * 1024
+    losses_borne: int = 1
+    """How many control daemons with a disk may be lost at once: the control core wants twice as many and one more."""
     begin_empty_when_damaged: bool = False
     """Control, for one start only: a damaged journal is put aside and this machine is filled anew by its peers."""
 
