Control daemons without a data folder are relays: they pass calls on and keep nothing

Cause: the same deploy file starts two control daemons in each zone, and on small sites the second has no disk. It now takes workers' and operators' calls, passes commands on, keeps sessions (soft state, sound without a disk: section 7.12) and never has a seat, a file or an answer of its own.

--- a/wingwood/control/bundle_source.py
+++ b/wingwood/control/bundle_source.py
@@ -8,12 +8,13 @@
 from ..bundle.state import BundleState
 from ..identifiers import BundleVersion
 from .core import ReplicatedCore
+from .relay import RelayCore
 
 
 class CommittedBundles:
     """A ``BundleSource`` over the bundle applier: shows only what is durable on primary and backup."""
 
-    def __init__(self, core: ReplicatedCore, state: BundleState) -> None:
+    def __init__(self, core: ReplicatedCore | RelayCore, state: BundleState) -> None:
         self._state = state
         self._manifest: Manifest | None = None
         self._on_committed: list[Callable[[Manifest], None]] = []
--- a/wingwood/control/core.py
+++ b/wingwood/control/core.py
@@ -45,6 +45,7 @@
     View,
 )
 from .protocols import Applier, NotDecided, PreparingApplier, SubmitOrder, ViewReport
+from .relay import pass_on
 from .replica import Replica
 from .store import Contents, ControlStore, decode_batch, encode_batch
 
@@ -650,14 +651,7 @@
     async def _on_command(self, _: Identity, message: ControlCommand) -> ControlDecision:
         primary = self._other_primary()
         if self._lead is None and message.hops > 0 and primary is not None:
-            passed = msgspec.structs.replace(message, hops=message.hops - 1)
-            match await self._messenger.call(primary, passed, ControlDecision, message.budget):
-                case Success(found):
-                    decision: ControlDecision = found
-                    return decision
-                case Failure(fault):
-                    kind: Literal["unknown", "not-leading"] = "unknown" if fault.sent else "not-leading"
-                    return ControlDecision(fault=NotDecided(kind, primary, f"{fault.kind} {fault.detail}"))
+            return await pass_on(self._messenger, primary, message)
         command_type = self._command_types.get(message.kind)
         if command_type is None:
             return ControlDecision(fault=NotDecided("not-leading", detail=f"no state of kind {message.kind!r} here"))
--- a/wingwood/control/protocols.py
+++ b/wingwood/control/protocols.py
@@ -58,7 +58,7 @@
     """For health: who leads, who backs up, whether the wanted losses could be borne now."""
 
     epoch: Epoch
-    own_role: Literal["primary", "backup", "witness", "spare", "candidate"]
+    own_role: Literal["primary", "backup", "witness", "spare", "candidate", "relay"]
     primary: Incarnation | None
     backups: tuple[Incarnation, ...]
     members: tuple[Incarnation, ...]
--- /dev/null
+++ b/wingwood/control/relay.py
@@ -0,0 +1,171 @@
+"""A control daemon without a disk: passes calls on to the control core, of which it is no part (section 7.12)."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Sequence
+from typing import Literal
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from ..context.protocols import Context, Task
+from ..identifiers import Address, Epoch, Seconds
+from ..transport.frames import Identity
+from ..transport.messenger import Messenger
+from .messages import (
+    ControlCanvass,
+    ControlCommand,
+    ControlDecision,
+    ControlJoin,
+    ControlJoined,
+    ControlLeader,
+    ControlStanding,
+    ControlWhoLeads,
+    View,
+)
+from .protocols import NotDecided, ViewReport
+
+
+class RelayLimits(msgspec.Struct, frozen=True, kw_only=True):
+    """Durations in seconds."""
+
+    look: Seconds = Seconds(0.5)
+    """Between two questions to the presumed primary."""
+    call: Seconds = Seconds(0.6)
+
+
+class RelayCore:
+    """A ``ControlCore`` that never leads, has no seat, keeps nothing and decides nothing.
+
+    It asks the presumed primary for its view, and everyone that it knows when that one no longer leads.
+    ``other_controls`` gives further internal addresses of control daemons.
+    """
+
+    def __init__(
+        self,
+        context: Context,
+        messenger: Messenger,
+        seeds: Sequence[Address],
+        other_controls: Callable[[], Sequence[Address]] = lambda: (),
+        limits: RelayLimits | None = None,
+    ) -> None:
+        self._context = context
+        self._messenger = messenger
+        self._seeds = tuple(sorted(seeds))
+        self._other_controls = other_controls
+        self._limits = limits or RelayLimits()
+        self._view: View | None = None
+        self._on_change: list[Callable[[], None]] = []
+        self._task: Task | None = None
+
+    # -- what the other slices see
+
+    def leads(self) -> bool:
+        return False
+
+    def epoch(self) -> Epoch:
+        return self._view.epoch if self._view is not None else Epoch(0)
+
+    def primary_address(self) -> Address | None:
+        seat = self._view.seat(self._view.primary) if self._view is not None else None
+        return seat.address if seat is not None else None
+
+    def control_addresses(self) -> Sequence[Address]:
+        """Of all control daemons known here, the presumed primary first."""
+        members = self._view.members if self._view is not None else ()
+        addresses = [self.primary_address(), *(seat.address for seat in members)]
+        addresses += [*self._seeds, *self._other_controls()]
+        own = self._messenger.identity.internal
+        return tuple(dict.fromkeys(address for address in addresses if address not in (None, own)))
+
+    def on_change(self, callback: Callable[[], None]) -> None:
+        self._on_change.append(callback)
+
+    def on_commit(self, callback: Callable[[], None]) -> None:
+        """Never called: nothing is committed here."""
+
+    def report(self) -> ViewReport:
+        view = self._view
+        return ViewReport(
+            epoch=self.epoch(),
+            own_role="relay",
+            primary=view.primary if view is not None else None,
+            backups=view.backups if view is not None else (),
+            members=view.incarnations() if view is not None else (),
+            accepts_orders=False,
+            complete=False,
+        )
+
+    async def decide(
+        self, kind: str, command: msgspec.Struct, patience: Seconds | None = None
+    ) -> Result[msgspec.Struct, NotDecided]:
+        return Failure(NotDecided("not-leading", self.primary_address()))
+
+    async def prove_lead(self) -> bool:
+        return False
+
+    # -- life
+
+    def start(self) -> None:
+        self._messenger.on_call(ControlJoin, self._on_join)
+        self._messenger.on_call(ControlCommand, self._on_command)
+        self._messenger.on_call(ControlWhoLeads, self._on_who_leads)
+        self._task = self._context.tasks.spawn("control relay", self._look_forever())
+
+    def give_way(self) -> None:
+        """It has nothing to give away."""
+
+    # -- whom to pass on to
+
+    async def _look_forever(self) -> None:
+        while True:
+            primary = self.primary_address()
+            standing = await self._canvass(primary) if primary is not None else None
+            if standing is None or not self._confirms(standing):
+                await asyncio.gather(*(self._canvass(address) for address in self.control_addresses()))
+            await self._context.clock.sleep(self._limits.look)
+
+    def _confirms(self, standing: ControlStanding) -> bool:
+        return standing.hears_primary and self._view is not None and standing.by == self._view.primary
+
+    async def _canvass(self, address: Address) -> ControlStanding | None:
+        match await self._messenger.call(address, ControlCanvass(), ControlStanding, self._limits.call):
+            case Success(found):
+                standing: ControlStanding = found
+                self._note(standing.view)
+                return standing
+        return None
+
+    def _note(self, view: View | None) -> None:
+        if view is not None and view.supersedes(self._view):
+            self._view = view
+            for callback in self._on_change:
+                callback()
+
+    # -- answers
+
+    async def _on_join(self, _: Identity, __: ControlJoin) -> ControlJoined:
+        return ControlJoined(self._view)
+
+    async def _on_who_leads(self, _: Identity, __: ControlWhoLeads) -> ControlLeader:
+        return ControlLeader(self.primary_address(), tuple(self.control_addresses()), self.epoch())
+
+    async def _on_command(self, _: Identity, message: ControlCommand) -> ControlDecision:
+        primary = self.primary_address()
+        if primary is None or message.hops <= 0:
+            return ControlDecision(fault=NotDecided("not-leading", primary))
+        return await pass_on(self._messenger, primary, message)
+
+
+async def pass_on(messenger: Messenger, primary: Address, message: ControlCommand) -> ControlDecision:
+    """The primary's answer to a command that came here; ``unknown`` when it may have arrived there."""
+    passed = msgspec.structs.replace(message, hops=message.hops - 1)
+    match await messenger.call(primary, passed, ControlDecision, message.budget):
+        case Success(found):
+            decision: ControlDecision = found
+            return decision
+        case Failure(fault):
+            kind: Literal["unknown", "not-leading"] = "unknown" if fault.sent else "not-leading"
+            return ControlDecision(fault=NotDecided(kind, primary, f"{fault.kind} {fault.detail}"))
+    raise AssertionError("a result is a success or a failure")
--- a/wingwood/daemons/control.py
+++ b/wingwood/daemons/control.py
@@ -16,6 +16,7 @@
 from ..control.client import ControlClient
 from ..control.core import ReplicatedCore
 from ..control.protocols import NotDecided, SubmitOrder
+from ..control.relay import RelayCore
 from ..control.store import Contents, ControlStore, open_store
 from ..distribution.publisher import BundlePublisher
 from ..identifiers import Address, BundleVersion, Incarnation, Seconds
@@ -49,9 +50,12 @@
         self._parts: ControlParts | None = None
 
     async def start(self) -> Result[None, NotStarted]:
+        if self._settings.data_folder is None:
+            self._parts = ControlParts(self._context, self._settings, None, self._dialect)
+            return self._parts.start()
         match await open_store(self._context, self._settings.begin_empty_when_damaged, retry_pause=DISK_RETRY):
-            case Success((store, contents)):
-                self._parts = ControlParts(self._context, self._settings, store, contents, self._dialect)
+            case Success(opened):
+                self._parts = ControlParts(self._context, self._settings, opened, self._dialect)
                 return self._parts.start()
             case Failure(fault):
                 return Failure(NotStarted(fault.detail))
@@ -72,21 +76,20 @@
 
 
 class ControlParts:
-    """The slices of one control daemon, over its opened data folder."""
+    """The slices of one control daemon, over its opened data folder; without one it is a relay (section 7.12)."""
 
     def __init__(
         self,
         context: Context,
         settings: DaemonSettings,
-        store: ControlStore,
-        contents: Contents,
+        opened: tuple[ControlStore, Contents] | None,
         dialect: ControlDialect,
     ) -> None:
         self._context = context
         self._settings = settings
         self._identity = Identity(
             name=settings.name,
-            incarnation=Incarnation(store.incarnation),
+            incarnation=opened[0].incarnation if opened is not None else _new_incarnation(context),
             role="control",
             zone=settings.zone,
             internal=settings.internal,
@@ -103,17 +106,7 @@
             context.clock.wall,
         )
         self.ledger = LedgerState(context.clock, settings.ledger_retention, self.keeper.is_member)
-        self.core = ReplicatedCore(
-            context,
-            self.messenger,
-            store,
-            contents,
-            (self.state, self.ledger),
-            settings.seeds,
-            self.keeper.knows_of_history,
-            self.keeper.known_controls,
-            losses_borne=settings.losses_borne,
-        )
+        self.core = self._make_core(opened)
         self.source = CommittedBundles(self.core, self.state)
         self.publisher = BundlePublisher(context, self.messenger, self.core, self.source, self.keeper)
         self.keeper.tell(self.publisher.news)
@@ -140,6 +133,23 @@
         ).add_to(self.operator_server)
         dialect.add_routes(self, self.operator_server)
 
+    def _make_core(self, opened: tuple[ControlStore, Contents] | None) -> ReplicatedCore | RelayCore:
+        context, seeds = self._context, self._settings.seeds
+        if opened is None:
+            return RelayCore(context, self.messenger, seeds, self.keeper.known_controls)
+        store, contents = opened
+        return ReplicatedCore(
+            context,
+            self.messenger,
+            store,
+            contents,
+            (self.state, self.ledger),
+            seeds,
+            self.keeper.knows_of_history,
+            self.keeper.known_controls,
+            losses_borne=self._settings.losses_borne,
+        )
+
     def start(self) -> Result[None, NotStarted]:
         if isinstance(listening := self.messenger.start(), Failure):
             return Failure(NotStarted(f"internal address: {listening.failure().detail}"))
@@ -178,11 +188,13 @@
         report = self.core.report()
         session = self.keeper.session_proven_at()
         news = self.publisher.news()
-        seated = report.own_role in ("primary", "backup", "witness") and report.primary is not None
+        seated = report.own_role in ("primary", "backup", "witness", "relay") and report.primary is not None
         led = news.proof_age is not None and news.proof_age <= LED_WITHIN
         reasons = [report.detail] if report.detail else []
         if not seated:
-            reasons.append("no seat in the view yet: waits for the fleet to form, or as a spare")
+            relay = report.own_role == "relay"
+            waits = "knows no view yet" if relay else "no seat in the view yet"
+            reasons.append(f"{waits}: waits for the fleet to form" + ("" if relay else ", or as a spare"))
         elif not led:
             reasons.append("no primary has proven its lead to this daemon of late")
         return HealthReport(
@@ -227,6 +239,10 @@
         version.set_function(lambda: float(self.source.version))
 
 
+def _new_incarnation(context: Context) -> Incarnation:
+    return Incarnation(f"{context.random.getrandbits(64):016x}")
+
+
 def build(context: Context, settings: DaemonSettings) -> ControlDaemon:
     return ControlDaemon(context, settings)
 
--- a/wingwood/settings/load.py
+++ b/wingwood/settings/load.py
@@ -260,8 +260,6 @@
         return problem("caller", "", "missing; a router needs the address for its callers, such as 10.0.0.7:8000")
     if settings.role == "control" and settings.caller is not None:
         return problem("caller", settings.caller, "a control daemon takes no callers; leave it out")
-    if settings.role == "control" and settings.data_folder is None:
-        return problem("data_folder", "", "missing; a control daemon needs a folder on its disk")
     if settings.record_file is not None and settings.data_folder is None:
         return problem("record_file", settings.record_file, "needs data_folder, since it lies below it")
     own = [each for each in (settings.internal, settings.operator, settings.caller) if each is not None]
--- a/wingwood/settings/model.py
+++ b/wingwood/settings/model.py
@@ -26,7 +26,7 @@
     seeds: tuple[Address, ...]
     """Internal addresses of three other daemons; control daemons found the fleet only from these."""
     data_folder: str | None = None
-    """Control daemons need one; routers keep nothing on disk."""
+    """A control daemon without one is a relay (section 7.12); routers keep nothing on disk."""
     fleet_key: bytes
     """Shared secret of the daemons."""
     operator_keys: tuple[str, ...]
