--- /dev/null
+++ b/bench/control_losses.py
@@ -0,0 +1,139 @@
+"""Gaps between acknowledgements of the control core when members are lost, in virtual time.
+
+``python -m bench.control_losses [SEEDS [LOSSES_BORNE]]``: for each fault the median and longest time from the fault
+to the next acknowledged order as its sender saw it, and until health calls the view complete again (section 7.4).
+"""
+
+from __future__ import annotations
+
+import statistics
+import sys
+from collections.abc import Callable
+
+from wingwood.control.tests.control_world import SIX, ControlWorld, core_maker
+
+THREE = SIX[:3]
+FILLER = b"x" * 65_536
+"""Sixteen of them make a state of 1 MB."""
+PATIENCE = 30.0
+
+Fault = Callable[[ControlWorld, str], None]
+
+
+def _power_off_and_wipe(control: ControlWorld, name: str) -> None:
+    control.world.power_off(name)
+    control.world.wipe(name)
+
+
+def _wipe_and_restart(control: ControlWorld, name: str) -> None:
+    _power_off_and_wipe(control, name)
+    control.world.at(control.world.now + 0.2, lambda: control.world.power_on(name))
+
+
+def _disk(mode: str, seconds: float) -> Fault:
+    def fault(control: ControlWorld, name: str) -> None:
+        disk = control.world.machines[name].disk
+        disk.slow_factor = 30.0
+        disk.set_mode(mode)  # type: ignore[arg-type]
+        control.world.at(control.world.now + seconds, lambda: disk.set_mode("well"))
+
+    return fault
+
+
+def _freeze(control: ControlWorld, name: str) -> None:
+    control.world.freeze(name)
+    control.world.at(control.world.now + 5.0, lambda: control.world.wake(name))
+
+
+def _kill_and_restart(control: ControlWorld, name: str) -> None:
+    control.world.kill(name)
+    control.world.at(control.world.now + 0.2, lambda: control.world.restart(name))
+
+
+def _cut_off(control: ControlWorld, name: str) -> None:
+    cut = control.world.cut_off(name)
+    control.world.at(control.world.now + 5.0, lambda: control.world.heal(cut))
+
+
+def _wipe_running(control: ControlWorld, name: str) -> None:
+    """The supervisor starts the process again 0.2 s after it stopped."""
+    control.world.wipe(name)
+
+    def look() -> None:
+        if control.world.processes[name].alive:
+            control.world.at(control.world.now + 0.1, look)
+        else:
+            control.world.at(control.world.now + 0.2, lambda: control.world.restart(name))
+
+    look()
+
+
+FAULTS: dict[str, Fault] = {
+    "killed, back after 0.2 s": _kill_and_restart,
+    "frozen 5 s": _freeze,
+    "cut off 5 s": _cut_off,
+    "wiped, back after 0.2 s": _wipe_and_restart,
+    "wiped while running": _wipe_running,
+    "disk 30 times slower for 5 s": _disk("slow", 5.0),
+    "disk full for 5 s": _disk("full", 5.0),
+    "disk stalled for 5 s": _disk("stalled", 5.0),
+}
+
+
+def measure(seed: int, losses: int, roles: tuple[str, ...], fault: Fault) -> tuple[float, float]:
+    """Seconds until the next acknowledgement and until complete."""
+    control = ControlWorld(seed, core_maker(losses_borne=losses), SIX if losses == 2 else THREE)
+    world = control.world
+    try:
+        control.operator()
+        if not world.wait_for(control.complete, 10.0):
+            raise TimeoutError("not formed")
+        for _ in range(16):
+            control.send(filler=FILLER)
+        world.run(0.3 + 0.25 * world.random.random())
+        leader = control.leader()
+        assert leader is not None
+        view = control.stores[leader].view
+        assert view is not None
+        rank = {view.primary: 0} | dict.fromkeys(view.backups, 1)
+        members = [str(seat.name) for seat in sorted(view.members, key=lambda seat: rank.get(seat.incarnation, 2))]
+        places = {"primary": 0, "backup": 1, "second backup": 2, "witness": len(members) - 1}
+        begun = world.now
+        for role in roles:
+            fault(control, members[places[role]])
+        while control.send(timeout=10.0) is None and world.now - begun < PATIENCE:
+            pass
+        gap = world.now - begun
+        world.run(max(0.0, begun + 0.3 - world.now))
+        world.wait_for(control.complete, PATIENCE, every=0.02)
+        if control.observer.faults or world.broken_invariants:
+            raise AssertionError([*control.observer.faults, *world.broken_invariants])
+        return gap, world.now - begun
+    finally:
+        control.close()
+
+
+def main(seeds: int, only: int | None) -> None:
+    print(f"{seeds} seeds, state 1 MB; seconds: median and longest gap, median and longest until complete")
+    cases: list[tuple[int, tuple[str, ...]]] = [
+        (1, ("primary",)),
+        (1, ("backup",)),
+        (1, ("witness",)),
+        (2, ("primary", "backup")),
+        (2, ("backup", "second backup")),
+        (2, ("primary", "witness")),
+    ]
+    for losses, roles in [case for case in cases if only in (None, case[0])]:
+        for name, fault in FAULTS.items():
+            found = [measure(seed, losses, roles, fault) for seed in range(seeds)]
+            gaps, wholes = [gap for gap, _ in found], [whole for _, whole in found]
+            print(
+                f"f={losses} {' and '.join(roles):26} {name:30} gap {statistics.median(gaps):5.2f} {max(gaps):5.2f}"
+                f"  complete {statistics.median(wholes):5.2f} {max(wholes):5.2f}",
+                flush=True,
+            )
+
+
+if __name__ == "__main__":
+    given = [int(argument) for argument in sys.argv[1:]]
+    main(given[0] if given else 10, given[1] if len(given) > 1 else None)
