Workers' KV caches are known from their pool's engine; split pools are followed

Routers now describe each pool's workers from the bundle; pools that only share a service's calls are followed from the start too.

--- a/wingwood/daemons/router.py
+++ b/wingwood/daemons/router.py
@@ -3,12 +3,12 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Mapping, Sequence
+from collections.abc import Collection, Mapping, Sequence
 
 from prometheus_client import CollectorRegistry
 from returns.result import Failure, Result, Success
 
-from ..bundle.model import Bundle, Tenant
+from ..bundle.model import Bundle, Service, Tenant
 from ..bundle.reading import RemoteBundleReader
 from ..context.protocols import Context
 from ..control.client import ControlClient
@@ -190,8 +190,11 @@
         """Follows the workers of all pools from the start, not from a pool's first call on."""
         if self._bundle_since is None:
             self._bundle_since = self._context.clock.monotonic()
-        for pool in _pools(bundle):
+        for pool in pools_of(bundle.services.values()):
             self.registry.watch(pool)
+            declared = bundle.pools.get(pool)
+            if declared is not None and declared.engine is not None:
+                self.registry.describe(pool, declared.engine.cache_tokens)
 
     def _has_heard_of_workers(self) -> bool:
         """Whether a home has told the workers of every pool since the start, or that was waited for long enough."""
@@ -199,7 +202,7 @@
         if not self._workers_heard and bundle is not None and self._bundle_since is not None:
             waited = self._context.clock.monotonic() - self._bundle_since
             self._workers_heard = waited > WORKERS_WITHIN or all(
-                self.registry.feed_age(pool) < float("inf") for pool in _pools(bundle)
+                self.registry.feed_age(pool) < float("inf") for pool in pools_of(bundle.services.values())
             )
         return self._workers_heard
 
@@ -216,7 +219,7 @@
 
     def _ready_workers(self) -> list[Worker]:
         bundle = self.follower.current()
-        pools = () if bundle is None else _pools(bundle)
+        pools = () if bundle is None else pools_of(bundle.services.values())
         ready = [worker for pool in pools for worker in self.registry.ready(pool)]
         return [worker for worker in ready if not self.registry.is_suspected(worker.instance)]
 
@@ -249,9 +252,10 @@
         return self.registry.all_workers()
 
 
-def _pools(bundle: Bundle) -> list[PoolName]:
-    """Of all its services, sorted."""
-    return sorted({service.pool for service in bundle.services.values()})
+def pools_of(services: Collection[Service]) -> list[PoolName]:
+    """Of all services, those that share a service's calls included, sorted."""
+    shared = {share.pool for service in services for share in service.split}
+    return sorted({service.pool for service in services} | shared)
 
 
 def build(context: Context, settings: DaemonSettings) -> RouterDaemon:
--- a/wingwood/registry/pool_table.py
+++ b/wingwood/registry/pool_table.py
@@ -43,22 +43,36 @@
         self._next_number = 0
         self.records: dict[WorkerInstance, WorkerRecord] = {}
         self._ready: tuple[Worker, ...] | None = None
+        self._cache_tokens = 0
         self._standing: tuple[Worker, ...] | None = None
 
     def ready(self) -> tuple[Worker, ...]:
         if self._ready is None:
             self._ready = tuple(
-                record.worker
+                self._described(record.worker)
                 for _, record in sorted(self.records.items())
                 if record.renewed and record.worker.state == "ready"
             )
         return self._ready
 
+    def describe(self, cache_tokens: int) -> None:
+        """What is known of all workers of the pool, for those that don't tell it themselves."""
+        if cache_tokens != self._cache_tokens:
+            self._cache_tokens = cache_tokens
+            self._ready = self._standing = None
+
+    def _described(self, worker: Worker) -> Worker:
+        if worker.cache_tokens or not self._cache_tokens:
+            return worker
+        return msgspec.structs.replace(worker, cache_tokens=self._cache_tokens)
+
     def standing(self) -> tuple[Worker, ...]:
         """Those that have not said that they leave, renewed or not, sorted by instance."""
         if self._standing is None:
             self._standing = tuple(
-                record.worker for _, record in sorted(self.records.items()) if record.worker.state == "ready"
+                self._described(record.worker)
+                for _, record in sorted(self.records.items())
+                if record.worker.state == "ready"
             )
         return self._standing
 
--- /dev/null
+++ b/wingwood/registry/tests/test_pool_facts.py
@@ -0,0 +1,53 @@
+"""What a bundle tells of a pool's workers, for those that don't announce it themselves."""
+
+from __future__ import annotations
+
+import unittest
+
+from ...bundle.model import PoolShare, Service
+from ...daemons.router import pools_of
+from ...identifiers import Address, Instant, PoolName, ServiceName, WorkerInstance, Zone
+from ..pool_table import PoolTable
+from ..protocols import Worker
+
+POOL = PoolName("model")
+
+
+def worker(name: str, cache_tokens: int = 0) -> Worker:
+    return Worker(
+        instance=WorkerInstance(name),
+        address=Address("10.0.0.1", 8000 + len(name)),
+        pool=POOL,
+        zone=Zone("a"),
+        slots=12,
+        cache_tokens=cache_tokens,
+    )
+
+
+class PoolFacts(unittest.TestCase):
+    def setUp(self) -> None:
+        self.table = PoolTable(POOL)
+        self.table.announced(worker("w"), Instant(1.0))
+        self.table.announced(worker("told", 5_000), Instant(1.0))
+
+    def caches(self) -> dict[str, int]:
+        return {str(each.instance): each.cache_tokens for each in self.table.ready()}
+
+    def test_caches_come_from_the_pool_unless_the_worker_tells_its_own(self) -> None:
+        self.assertEqual(self.caches(), {"told": 5_000, "w": 0})
+        self.table.describe(232_000)
+        self.assertEqual(self.caches(), {"told": 5_000, "w": 232_000})
+        self.assertEqual({each.cache_tokens for each in self.table.standing()}, {5_000, 232_000})
+
+    def test_a_later_bundle_changes_them(self) -> None:
+        self.table.describe(232_000)
+        self.table.describe(872_000)
+        self.assertEqual(self.caches()["w"], 872_000)
+
+    def test_pools_that_share_a_services_calls_are_followed_too(self) -> None:
+        split = (PoolShare(POOL, 9), PoolShare(PoolName("canary"), 1))
+        services = [
+            Service(name=ServiceName("chat"), pool=POOL, split=split),
+            Service(name=ServiceName("card"), pool=PoolName("cards")),
+        ]
+        self.assertEqual(pools_of(services), ["canary", "cards", "model"])
--- a/wingwood/registry/worker_registry.py
+++ b/wingwood/registry/worker_registry.py
@@ -237,6 +237,10 @@
         """Follow this pool from now on, also before a turn asks for it."""
         self._table(pool)
 
+    def describe(self, pool: PoolName, cache_tokens: int) -> None:
+        """The KV cache of each of the pool's workers, for those that don't announce it."""
+        self._table(pool).describe(cache_tokens)
+
     def feed_age(self, pool: PoolName) -> float:
         """Seconds since this daemon's knowledge of the pool was last proven; infinite when never."""
         now = self._now()
