Retry budgets by service again where no slack is given; a broken fleet breaks all three looks

(1) tries_beyond_the_first: 7 tries of 'chat' within 10 s for 21 calls, since accounts were by pool and chat spent what summaries had earned; accounts are now by service and pool, by pool alone only where the fleet's slack is given per pool. (2) The fleet that trusts drained workers was no longer caught: the request path now asks the registry a third time, right before sending, and the variant broke two looks only; it breaks all three now, so the check is as strict as before.

--- a/simulation/broken.py
+++ b/simulation/broken.py
@@ -254,6 +254,7 @@
 
     router.registry.ready = all_known
     router.registry.confirm = confirmed
+    router.registry.begin = lambda _: True
 
 
 def _tells_all_orders_accepted(client: Any) -> None:
--- a/wingwood/limits/retry_budget.py
+++ b/wingwood/limits/retry_budget.py
@@ -40,7 +40,8 @@
 
 
 class ServiceRetryBudget:
-    """A ``RetryBudget`` that each router keeps for itself, by pool, without a message.
+    """A ``RetryBudget`` that each router keeps for itself without a message: by pool where a slack is given, which
+    is the pool's, else by service and pool, so that no service spends what another one earned.
 
     A call earns its service's ``retry_share`` of a try (at most ``RetryBounds.ratio``). Of the slack
     each router has an equal part, which it saves up from nothing, so that a start brings no new one.
@@ -53,28 +54,31 @@
         self._began = clock.monotonic()
         self._most_routers = 1
         """The most ever known: those cut off go on with the part they had."""
-        self._saved: dict[PoolName, _Saved] = {}
+        self._saved: dict[str, _Saved] = {}
 
     def earned(self, service: Service, pool: PoolName | None = None) -> None:
         """See ``RetryBudget``."""
         share = min(self._bounds.ratio, max(0.0, service.retry_share))
         for name, part in _parts(service, pool):
-            saved = self._filled(name)
+            saved = self._filled(self._account(service, name))
             saved.tries = min(self._most_saved(), saved.tries + share * part)
 
     def take(self, service: Service, pool: PoolName | None = None) -> bool:
         """See ``RetryBudget``."""
-        saved = self._filled(pool or service.pool)
+        saved = self._filled(self._account(service, pool or service.pool))
         if saved.tries < 1.0:
             return False
         saved.tries -= 1.0
         return True
 
-    def _filled(self, pool: PoolName) -> _Saved:
-        """The pool's account with what time has earned until now."""
+    def _account(self, service: Service, pool: PoolName) -> str:
+        return pool if self._bounds.slack is not None else f"{service.name}/{pool}"
+
+    def _filled(self, account: str) -> _Saved:
+        """The account with what time has earned until now."""
         now = self._clock.monotonic()
         self._most_routers = max(self._most_routers, self._routers())
-        saved = self._saved.setdefault(pool, _Saved(0.0, self._began))
+        saved = self._saved.setdefault(account, _Saved(0.0, self._began))
         if self._bounds.slack is not None:
             rate = EARNED_PART * self._bounds.slack / self._most_routers / self._bounds.window
             saved.tries = min(self._most_saved(), saved.tries + rate * max(0.0, now - saved.at))
