--- a/bench/limits_bench.py
+++ b/bench/limits_bench.py
@@ -225,7 +225,7 @@
         moved = sum(messenger.bytes_in + messenger.bytes_out for messenger in messengers) - before
         click.echo(f"{name:44} {spent / count * 1e6:8.1f} µs  {moved / count:7.1f} bytes counted by the messengers")
 
-    await timed("call from a lease", 10 * asks, lambda _: shares[0].take(far))
+    await timed("call (with its part of the asks)", 10 * asks, lambda _: shares[0].take(far))
     keeper = identities[1]
     ask = LeaseAsk(far.name, far.paid_rate, far.burst, far.unit, 1 << 40, (1,))
 
--- /dev/null
+++ b/wingwood/forward/tests/test_paid_share.py
@@ -0,0 +1,57 @@
+"""What a call is charged, and which calls are charged nothing (docs/DESIGN.md section 14)."""
+
+from __future__ import annotations
+
+import asyncio
+import unittest
+from typing import Any
+
+from ...bundle.model import Service, Tenant
+from ...identifiers import ClassName, PoolName, Seconds, ServiceName, TenantName
+from ...limits.protocols import ShareRefused
+from ..policies.limits import PaidSharePolicy
+from ..protocols import Answer, Forwarded, IncomingCall, Refused
+from .stand_ins import StandInLimits, StandInShares
+
+SERVICE = Service(name=ServiceName("chat"), pool=PoolName("model"))
+TENANT = Tenant(name=TenantName("estate"), priority_class=ClassName("gold"), paid_rate=1.0, unit="tokens")
+
+
+class PaidShareTest(unittest.TestCase):
+    def apply(self, limits: StandInLimits, **fields: Any) -> Answer:
+        call = IncomingCall(
+            request="r1",  # type: ignore[arg-type]
+            method="POST",
+            path="/chat",
+            headers=(),
+            body=b"",
+            peer=None,  # type: ignore[arg-type]
+            arrived=0.0,  # type: ignore[arg-type]
+            caller=None,  # type: ignore[arg-type]
+            service=SERVICE,
+            **fields,
+        )
+
+        async def proceed(_: IncomingCall) -> Answer:
+            return Forwarded(200)
+
+        return asyncio.run(PaidSharePolicy(StandInShares(limits), limits).apply(call, proceed))
+
+    def test_a_call_is_charged_what_it_costs(self) -> None:
+        limits = StandInLimits()
+        self.assertEqual(self.apply(limits, tenant=TENANT, quota_cost=9_258), Forwarded(200))
+        self.assertEqual((limits.costs, limits.earned_by), ([9_258], ["chat"]))
+
+    def test_a_call_without_a_tenant_is_charged_nothing(self) -> None:
+        limits = StandInLimits()
+        limits.share_refused = ShareRefused(Seconds(1.0))
+        self.assertEqual(self.apply(limits), Forwarded(200))
+        self.assertEqual((limits.shares_taken, limits.earned_by), (0, ["chat"]))
+
+    def test_a_refused_call_is_told_when_to_come_back_and_counts_as_a_call(self) -> None:
+        limits = StandInLimits()
+        limits.share_refused = ShareRefused(Seconds(0.3))
+        answer = self.apply(limits, tenant=TENANT, quota_cost=40_000)
+        assert isinstance(answer, Refused)
+        self.assertEqual((answer.status, answer.run, answer.retry_after), (429, "not-run", 0.3))
+        self.assertEqual(limits.earned_by, ["chat"])
--- a/wingwood/limits/keepers.py
+++ b/wingwood/limits/keepers.py
@@ -59,6 +59,11 @@
         self._catch_up()
         return [self._routers[key] for key in sorted(self._routers)]
 
+    def count(self) -> int:
+        """How many routers are known."""
+        self._catch_up()
+        return len(self._routers)
+
     def gone(self, within: Seconds) -> list[Identity]:
         """Routers that were members so short a time ago and have not come back (in another life)."""
         self._catch_up()
--- a/wingwood/limits/kept_share.py
+++ b/wingwood/limits/kept_share.py
@@ -1,4 +1,4 @@
-"""What the keeper of a tenant's share knows, and the deputy's smaller account (docs/DESIGN.md section 14.1)."""
+"""What the keeper of a tenant's share knows (docs/DESIGN.md section 14.1)."""
 
 from __future__ import annotations
 
@@ -10,19 +10,22 @@
 from ..identifiers import DaemonName, Incarnation, Instant, Seconds
 from ..transport.frames import Identity
 from .bucket import RecentCount, TokenBucket
-from .messages import LeaseAsk, UseAnswer
+from .messages import KeeperView, LeaseAsk, UseAnswer
+from .takeover import STEP, Inheritance, inherit
 from .tolerance import QuotaPlan
 
 ACCRUE = Seconds(0.3)
 """A router that reaches its keeper saves up so much of what it may use by itself."""
 AUTONOMY = Seconds(10.0)
 """So long after its keeper's last answer a router may use by itself what it was allowed."""
+UNEVEN = 3.0
+"""So many times an equal part of the calls may come to the missing routers."""
+UNNOTICED = Seconds(2.5)
+"""So long a router may be missing before another keeper begins."""
 CONTACT = Seconds(1.0)
 """A router that reaches its keeper tells within this what it used."""
 LAG = Seconds(0.05)
 """Longest that an ask is on its way in calm times; the router goes on by itself meanwhile."""
-STEP = Seconds(0.5)
-"""Of the reports of past use."""
 LARGEST_CALL = 0.8
 """A call that costs more than this part of the bucket is granted when that much is there."""
 GUARD_PAUSE = Seconds(0.25)
@@ -85,6 +88,7 @@
         self.granted_while_gathering = 0.0
         self.askers: dict[Incarnation, _Asker] = {}
         self._missing: _Missing | None = None
+        self._known_since = now
 
     def change(self, plan: QuotaPlan, now: Instant) -> None:
         """A lower limit counts from now on, so what was used under the higher one is forgotten."""
@@ -165,6 +169,8 @@
         longest = Seconds(1e9) if limited else AUTONOMY
         near = far = 0.0
         for asker in self.askers.values():
+            if not (asker.allowed or asker.before or asker.saved):
+                continue
             near += asker.may_have_used(now, self.window, ACCRUE)
             far += asker.may_have_used(now, self.window, longest)
         near += LAG * sum(asker.allowed for asker in self.askers.values() if now - asker.heard <= ACCRUE)
@@ -182,117 +188,48 @@
         ]:
             del self.askers[incarnation]
 
+    def view(self, in_bucket: float, now: Instant) -> KeeperView | None:
+        """For the next keeper; None while this one doesn't know it."""
+        if self.gathering is not None:
+            return None
+        known = Seconds(now - self._known_since)
+        return KeeperView(float(self.used.count(now)), self.promised(now), known, in_bucket)
+
     def begin(
-        self,
-        answers: Sequence[tuple[Identity, UseAnswer | None]],
-        someone_missing: bool,
-        keeper_missing: bool,
-        now: Instant,
+        self, answers: Sequence[tuple[Identity, UseAnswer | None]], missing: int, keeper_missing: bool, now: Instant
     ) -> None:
         """Takes over from the keeper before, by what the routers report.
 
-        A keeper that is missing but may be running can have granted its whole bucket since anybody heard of it.
+        ``missing`` routers may be running although nothing is heard of them. If the keeper before is one of
+        them, it can have granted a part of its bucket since anybody heard of it.
         """
         told = [(router, answer) for router, answer in answers if answer is not None]
-        steps = _sum_steps([answer.used for _, answer in told])
-        handed = [answer.level for _, answer in told if answer.level is not None]
-        known = min((answer.known for _, answer in told), default=Seconds(0.0))
+        inherited = inherit([answer for _, answer in told], self.window)
         meanwhile = self.granted_while_gathering
-        self._rebuild(steps, known, now)
-        if handed:
-            self.bucket.level = min(self.plan.bucket, *handed)
-        else:
-            self.bucket.level = max(self.bucket.level, self.plan.reserve - sum(steps))
-        self.bucket.level -= meanwhile
-        self.used.add(now, round(meanwhile))
-        if not handed:
-            self.used.add(now, round(_used_by_missing(told, steps, self.window)))
+        level = max(inherited.level(self.plan.rate, self.plan.bucket), self.plan.reserve - sum(inherited.steps))
+        self.bucket = TokenBucket(self.plan.rate, self.plan.bucket, level - meanwhile, now)
+        self.used.clear()
+        for age in range(len(inherited.steps) - 1, -1, -1):
+            self.used.add(Instant(now - age * STEP), inherited.steps[age])
+        self.used.add(now, round(meanwhile + inherited.unreported))
+        self._known_since = Instant(now - inherited.span)
         for router, answer in told:
             self._note(router, answer, now)
-        if someone_missing:
-            burst = self.plan.bucket if keeper_missing else 0.0
-            self._missing = _Missing(now, burst, _allowed_to_missing(told, self.plan.rate))
-
-    def _rebuild(self, steps: Sequence[int], known: Seconds, now: Instant) -> None:
-        """A bucket that began anywhere above zero holds at least this."""
-        self.used.clear()
-        span = min(known, self.window)
-        level, at = 0.0, now - span
-        for age in range(len(steps) - 1, -1, -1):
-            end = now - age * STEP
-            if end <= at:
-                continue
-            level = min(self.plan.bucket, level + (end - at) * self.plan.rate) - steps[age]
-            at = end
-            self.used.add(Instant(end), steps[age])
-        level = max(0.0, min(self.plan.bucket, level + max(0.0, now - at) * self.plan.rate))
-        self.bucket = TokenBucket(self.plan.rate, self.plan.bucket, level, now)
+        if missing:
+            self._missing = self._note_missing(inherited, len(told), missing, keeper_missing, now)
+
+    def _note_missing(
+        self, inherited: Inheritance, present: int, missing: int, keeper_missing: bool, now: Instant
+    ) -> _Missing:
+        # Most of the routers may agree on another keeper, which then grants as well.
+        promised = self.plan.rate if missing >= present else min(self.plan.rate, inherited.promised)
+        allowed = max(0.0, promised - inherited.reported_allowance)
+        burst = self.plan.bucket * min(1.0, UNEVEN * missing / (missing + present)) if keeper_missing else 0.0
+        return _Missing(now, burst + allowed * UNNOTICED, allowed)
 
     def _note(self, router: Identity, answer: UseAnswer, now: Instant) -> None:
         found = self.askers.get(router.incarnation)
-        if found is not None and found.newest > answer.number:
-            return
-        self.askers[router.incarnation] = _Asker(
-            router.name, answer.number, now, allowed=answer.allowed, saved=answer.saved
-        )
-
-
-def _sum_steps(reports: Sequence[tuple[int, ...]]) -> list[int]:
-    steps = [0] * max((len(report) for report in reports), default=0)
-    for report in reports:
-        for age, used in enumerate(report):
-            steps[age] += used
-    return steps
-
-
-def _used_by_missing(told: Sequence[tuple[Identity, UseAnswer]], steps: Sequence[int], window: Seconds) -> float:
-    """Part of the use that the last keeper told of which no report holds."""
-    latest = min((answer for _, answer in told), key=lambda answer: answer.told_ago, default=None)
-    if latest is None or latest.told_ago >= window:
-        return 0.0
-    older = sum(steps[int(latest.told_ago / STEP) :])
-    return max(0.0, latest.told_used * (1.0 - latest.told_ago / window) - older)
-
-
-def _allowed_to_missing(told: Sequence[tuple[Identity, UseAnswer]], rate: float) -> float:
-    """Per second: part of what the last keeper allowed that no report holds."""
-    latest = min((answer for _, answer in told), key=lambda answer: answer.told_ago, default=None)
-    if latest is None or latest.told_ago >= AUTONOMY:
-        return 0.0
-    known = sum(answer.allowed for _, answer in told)
-    return max(0.0, min(rate, latest.told_promised) - known)
-
-
-class StandIn:
-    """A deputy's account while the keeper is silent: the reserve, and what its askers pour in.
-
-    What is poured in the keeper has already allowed them, so both together never grant more than
-    the keeper's own limit and the reserve.
-    """
-
-    FORGET = Seconds(2.0)
-    """Without an ask for this long, what was poured in is void."""
-    AT_ONCE = 0.8
-    """Part of the reserve that is granted at once; the rest comes over one window."""
-
-    def __init__(self, plan: QuotaPlan, window: Seconds, now: Instant) -> None:
-        refill = (1.0 - self.AT_ONCE) * plan.reserve / window
-        self._reserve = TokenBucket(refill, self.AT_ONCE * plan.reserve, plan.reserve, now)
-        self._poured = 0.0
-        self._asked_at = now
-
-    def grant(self, costs: Sequence[int], poured: float, now: Instant) -> tuple[bool, ...]:
-        self._reserve.fill(now)
-        if now - self._asked_at > self.FORGET:
-            self._poured = 0.0
-        self._asked_at = now
-        self._poured += max(0.0, poured)
-        granted: list[bool] = []
-        for cost in costs:
-            fits = self._poured + self._reserve.level >= cost - 1e-6
-            granted.append(fits)
-            if fits:
-                own = min(self._poured, cost)
-                self._poured -= own
-                self._reserve.level -= cost - own
-        return tuple(granted)
+        if found is None or found.newest <= answer.number:
+            self.askers[router.incarnation] = _Asker(
+                router.name, answer.number, now, allowed=answer.allowed, saved=answer.saved
+            )
--- a/wingwood/limits/messages.py
+++ b/wingwood/limits/messages.py
@@ -35,6 +35,19 @@
     """For a deputy's account: unused part of what the keeper let the router use by itself."""
 
 
+class KeeperView(msgspec.Struct, frozen=True, array_like=True):
+    """What a keeper knows of a tenant, for the next one."""
+
+    used: float
+    """By all routers in the last window."""
+    promised: float
+    """Per second: what all routers together may use by themselves."""
+    known: Seconds
+    """How far back this reaches."""
+    level: float
+    """Of its bucket, less what the routers may have used since it heard of them."""
+
+
 class LeaseGrant(msgspec.Struct, frozen=True, array_like=True):
     keeper: bool
     """False: this router neither keeps the tenant's share nor stands in for who does."""
@@ -48,10 +61,8 @@
     """Per second: what the router may use by itself from now on, for ``RouterShare.AUTONOMY``."""
     plenty: bool = False
     """The bucket holds enough for credit."""
-    used: float | None = 0.0
-    """By all routers in the last window, as the keeper knows; None: it does not know yet."""
-    promised: float = 0.0
-    """Per second: what all routers together may use by themselves."""
+    view: KeeperView | None = None
+    """None: the keeper has just begun."""
 
 
 class UseQuestion(msgspec.Struct, frozen=True, array_like=True):
@@ -74,10 +85,9 @@
     allowed: float = 0.0
     saved: float = 0.0
     """What it may go on using by itself; see LeaseGrant and LeaseAsk."""
-    told_used: float = 0.0
-    told_promised: float = 0.0
-    told_ago: Seconds = Seconds(1e9)
-    """``LeaseGrant.used`` and ``promised`` of the last keeper, and how long ago they were told."""
+    view: KeeperView | None = None
+    """The last that a keeper told, and how long ago."""
+    view_ago: Seconds = Seconds(0.0)
 
 
 class MemberQuestion(msgspec.Struct, frozen=True, array_like=True):
--- a/wingwood/limits/router_share.py
+++ b/wingwood/limits/router_share.py
@@ -5,12 +5,15 @@
 import asyncio
 from collections import deque
 
+import msgspec
+
 from ..bundle.model import Tenant
 from ..identifiers import Incarnation, Instant, Seconds
 from .bucket import RecentCount, TokenBucket
-from .kept_share import ACCRUE, AUTONOMY, STEP
-from .messages import RECENT, LeaseAsk, LeaseGrant, UseAnswer
+from .kept_share import ACCRUE, AUTONOMY
+from .messages import RECENT, KeeperView, LeaseAsk, LeaseGrant, UseAnswer
 from .protocols import ShareRefused
+from .takeover import STEP
 from .tolerance import QuotaPlan, QuotaTolerance, plan_of_tenant
 
 LEAST_CALLS = 2
@@ -27,6 +30,17 @@
 """... and another one after this long, while the keeper is out of reach."""
 
 
+SPARE = Seconds(1.0)
+"""A grant whose call did not wait for it may be used so long by another call."""
+
+
+class _Spare(msgspec.Struct):
+    until: Instant
+    left: int
+    stands_in: bool
+    """It came from a deputy, so the keeper has to be told when it is used."""
+
+
 class Waiter:
     """A call that waits for its keeper."""
 
@@ -55,8 +69,10 @@
         self.own = TokenBucket(0.0, 0.0, 0.0, now)
         """What the keeper allows this router to use by itself."""
         self.credit = TokenBucket(0.0, 0.0, 0.0, now)
-        self._fit_credit(routers, now)
+        self._routers = routers
+        self._fit_credit(now)
         self.credit.level = self.credit.most
+        self._spare: list[_Spare] = []
         self.unsettled = 0
         """Used without a grant of the keeper, and not yet told to it."""
         self.reports = 0
@@ -65,9 +81,9 @@
         """When the last ask that the keeper answered was sent."""
         self.plenty = False
         """The keeper's bucket holds enough for credit, as far as this router was told."""
-        self.told_used = 0.0
-        self.told_promised = 0.0
-        self.told_at: Instant | None = None
+        self.told: KeeperView | None = None
+        """The last that a keeper told of the whole."""
+        self.told_at = now
         self.waiters: deque[Waiter] = deque()
         self.asking = False
         self.settling = False
@@ -83,14 +99,15 @@
         """The keeper does not answer, whether or not its deputy does."""
 
     def update(self, tenant: Tenant, routers: int, now: Instant) -> None:
-        if tenant is not self.tenant:
-            self.tenant = tenant
-            self.plan = plan_of_tenant(tenant, self._tolerance)
-        self._fit_credit(routers, now)
+        if tenant is self.tenant and routers == self._routers:
+            return
+        self.tenant, self._routers = tenant, routers
+        self.plan = plan_of_tenant(tenant, self._tolerance)
+        self._fit_credit(now)
 
-    def _fit_credit(self, routers: int, now: Instant) -> None:
+    def _fit_credit(self, now: Instant) -> None:
         """Half of an equal part, which comes again once per window, makes the whole part at most."""
-        most = 0.5 * self.plan.credit / max(1, routers)
+        most = 0.5 * self.plan.credit / max(1, self._routers)
         rate = most / self._tolerance.window
         if self.tenant.unit == "calls":
             most, rate = max(most, CREDIT_CALLS), max(rate, CREDIT_CALLS / CREDIT_EVERY)
@@ -100,10 +117,12 @@
 
     def take(self, cost: int, now: Instant) -> bool:
         """Without asking: what the keeper allowed before, and where it does no harm on credit."""
+        if self._take_spare(cost, now):
+            return True
         self._expire(now)
         self.own.fill(now)
         self.credit.fill(now)
-        on_credit = self.plenty if self.told_at is not None else self.lost
+        on_credit = self.plenty if self.contact is not None else self.lost
         on_credit = on_credit and now - self._started >= YOUNG and (self.lost or self.plan.credit > 0.0)
         own = max(0.0, self.own.level)
         if cost > own + (self.credit.level if on_credit else 0.0) + 1e-6:
@@ -114,6 +133,21 @@
         self.count(cost, now)
         return True
 
+    def keep_spare(self, cost: int, stands_in: bool, now: Instant) -> None:
+        self._spare.append(_Spare(Instant(now + SPARE), cost, stands_in))
+
+    def _take_spare(self, cost: int, now: Instant) -> bool:
+        if not self._spare:
+            return False
+        self._spare = [spare for spare in self._spare if spare.until > now and spare.left > 0]
+        fitting = next((spare for spare in self._spare if spare.left >= cost), None)
+        if fitting is None:
+            return False
+        fitting.left -= cost
+        self.unsettled += cost if fitting.stands_in else 0
+        self.count(cost, now)
+        return True
+
     def count(self, cost: int, now: Instant) -> None:
         self.accepted.add(now, cost)
         self._calls.add(now)
@@ -173,8 +207,8 @@
         self._allow(grant.allowed, now)
         self.credit.give(credit_back, now)
         self.plenty = grant.plenty
-        if grant.used is not None:
-            self.told_used, self.told_promised, self.told_at = grant.used, grant.promised, now
+        if grant.view is not None:
+            self.told, self.told_at = grant.view, now
 
     def note_lost(self, now: Instant) -> None:
         if not self.lost:
@@ -197,7 +231,7 @@
         self.unsettled = 0
         self.reports += 1
         steps = self.accepted.by_age(now, step)[: int(window / step) + 1]
-        told_ago = Seconds(1e9 if self.told_at is None else now - self.told_at)
+        ago = Seconds(now - self.told_at)
         return UseAnswer(
             steps,
             known,
@@ -205,7 +239,6 @@
             number,
             self.own.rate,
             max(0.0, self.own.level),
-            self.told_used,
-            self.told_promised,
-            told_ago,
+            self.told,
+            ago,
         )
--- a/wingwood/limits/shares.py
+++ b/wingwood/limits/shares.py
@@ -16,10 +16,12 @@
 from ..transport.frames import Identity
 from ..transport.messenger import Messenger, TransportFault
 from .keepers import ShareKeepers
-from .kept_share import AUTONOMY, STEP, KeptShare, StandIn
+from .kept_share import AUTONOMY, KeptShare
 from .messages import LeaseAsk, LeaseGrant, MemberAnswer, MemberQuestion, UseAnswer, UseQuestion
 from .protocols import ShareRefused
 from .router_share import SETTLE, RouterShare, Waiter
+from .stand_in import StandIn
+from .takeover import STEP
 from .tolerance import QuotaPlan, QuotaTolerance, plan_of, plan_of_tenant
 
 ENDLESS = Seconds(60.0)
@@ -29,7 +31,7 @@
 class ShareBounds(msgspec.Struct, frozen=True):
     wait: Seconds = Seconds(0.1)
     """Longest wait of a call for its keeper and the keeper's deputy."""
-    hedge: Seconds = Seconds(0.05)
+    hedge: Seconds = Seconds(0.04)
     """After this without an answer of the keeper its deputy is asked."""
     ask: Seconds = Seconds(0.25)
     """How long an ask itself may take; a grant that comes late is still noted."""
@@ -45,8 +47,10 @@
     """How long their agreement counts."""
     most_confirming: int = 24
     """Routers asked for it; more than half must agree and none deny."""
-    ping: Seconds = Seconds(0.15)
-    """How long a deputy waits for the keeper's sign of life; what it finds counts for twice as long."""
+    ping: Seconds = Seconds(0.05)
+    """How long a deputy waits for the keeper's sign of life."""
+    ping_counts: Seconds = Seconds(0.3)
+    """How long what it finds counts without another question; that it was silent, until the answer to that."""
     gap: Seconds = Seconds(0.75)
     """A keeper that did not run for this long was frozen and may have been replaced."""
     rest: Seconds = Seconds(0.25)
@@ -139,7 +143,7 @@
         return self._refused(share, cost, now)
 
     def _share_of(self, tenant: Tenant, now: Instant) -> RouterShare:
-        routers = len(self._keepers.routers())
+        routers = self._keepers.count()
         share = self._shares.get(tenant.name)
         if share is None:
             share = RouterShare(tenant, self._tolerance, routers, self._started, now)
@@ -242,7 +246,7 @@
         return bool(share.waiters)
 
     def _hand_out(self, sent: _Sent, grant: LeaseGrant, now: Instant) -> None:
-        """Tells the calls that were asked for; one that has gone on meanwhile does not use its grant."""
+        """Tells the calls that were asked for; the grant of one that did not wait is kept for the next."""
         share, refused = sent.share, False
         if not all(grant.granted) and not grant.stands_in:
             share.plenty = False
@@ -250,6 +254,8 @@
             if waiter in share.waiters:
                 share.waiters.remove(waiter)
             if waiter.outcome.done():
+                if granted:
+                    share.keep_spare(waiter.cost, grant.stands_in, now)
                 continue
             if granted:
                 share.count(waiter.cost, now)
@@ -380,10 +386,9 @@
             more, wait = kept.grant(refused, now, limited=not proven)
             later = iter(more)
             granted = tuple(fits or next(later) for fits in granted)
-        in_bucket, in_window = kept.room(now, limited=not proven)
-        plenty = min(in_bucket, in_window) >= max(2.0 * plan.credit, 0.25 * plan.bucket)
-        used = None if kept.gathering is not None else float(kept.used.count(now))
-        return LeaseGrant(True, False, granted, wait, allowed, plenty, used, kept.promised(now))
+        room = kept.room(now, limited=not proven)
+        plenty = min(room) >= max(2.0 * plan.credit, 0.25 * plan.bucket)
+        return LeaseGrant(True, False, granted, wait, allowed, plenty, kept.view(room[0], now))
 
     def _plan(self, ask: LeaseAsk) -> QuotaPlan:
         in_force = self._tenant_in_force(ask.tenant)
@@ -393,7 +398,7 @@
 
     def _begin_keeping(self, tenant: TenantName, plan: QuotaPlan, now: Instant) -> KeptShare:
         kept = self._kept[tenant] = KeptShare(plan, self._tolerance.window, plan.reserve, now)
-        if len(self._keepers.routers()) <= self._bounds.most_gathered:
+        if self._keepers.count() <= self._bounds.most_gathered:
             kept.gathered = True
             kept.gathering = asyncio.get_running_loop().create_future()
             self._context.tasks.spawn("share gather", self._gather(tenant, kept, kept.gathering))
@@ -423,12 +428,12 @@
         if keeper is None or deputy is None or deputy.incarnation != own:
             return False
         found, now = self._pings.get(keeper.incarnation), self._context.clock.monotonic()
-        if found is None or now - found[0] > 2 * self._bounds.ping:
+        if found is None or now - found[0] > self._bounds.ping_counts:
             pinging = self._pinging.get(keeper.incarnation)
             if pinging is None:
                 pinging = self._pinging[keeper.incarnation] = asyncio.get_running_loop().create_task(self._ping(keeper))
             if not self._is_down(keeper, now):  # Else what was found counts until the new answer.
-                await asyncio.wait((pinging,), timeout=2 * self._bounds.ping)
+                await asyncio.wait((pinging,), timeout=self._bounds.ping)
         return self._is_down(keeper, self._context.clock.monotonic())
 
     def _is_down(self, keeper: Identity, now: Instant) -> bool:
@@ -469,20 +474,22 @@
 
     async def _gather(self, tenant: TenantName, kept: KeptShare, done: asyncio.Future[None]) -> None:
         """A new keeper asks the routers what the tenant used and may go on using."""
-        routers = [router for router in self._keepers.routers() if router.incarnation not in self._ended]
-        question = UseQuestion(tenant, kept.window, STEP)
-        answers = await asyncio.gather(*(self._ask_use(router, question) for router in routers))
-        now = self._context.clock.monotonic()
-        if self._kept.get(tenant) is kept:
-            reports = list(zip(routers, answers, strict=True))
-            missing = self._missing() + [
-                router for router, answer in reports if answer is None and router.incarnation not in self._ended
-            ]
-            previous = self._keepers.keeper_before(tenant, missing)
-            kept.begin(reports, bool(missing), previous, now)
+        try:
+            routers = [router for router in self._keepers.routers() if router.incarnation not in self._ended]
+            question = UseQuestion(tenant, kept.window, STEP)
+            answers = await asyncio.gather(*(self._ask_use(router, question) for router in routers))
+            if self._kept.get(tenant) is kept:
+                self._begin(tenant, kept, list(zip(routers, answers, strict=True)))
+        finally:
             kept.gathering = None
-            self._context.log.event("share-keeper-began", tenant=tenant, level=kept.bucket.level)
-        done.set_result(None)
+            done.set_result(None)
+
+    def _begin(self, tenant: TenantName, kept: KeptShare, reports: list[tuple[Identity, UseAnswer | None]]) -> None:
+        silent = [router for router, answer in reports if answer is None and router.incarnation not in self._ended]
+        missing = self._missing() + silent
+        keeper_missing = self._keepers.keeper_before(tenant, missing)
+        kept.begin(reports, len(missing), keeper_missing, self._context.clock.monotonic())
+        self._context.log.event("share-keeper-began", tenant=tenant, level=kept.bucket.level)
 
     async def _ask_use(self, router: Identity, question: UseQuestion) -> UseAnswer | None:
         if router.incarnation == self._messenger.identity.incarnation:
--- a/wingwood/limits/tests/test_shares.py
+++ b/wingwood/limits/tests/test_shares.py
@@ -11,9 +11,9 @@
 from simulation import World
 
 from ...identifiers import Instant
-from ..kept_share import StandIn
 from ..messages import UseAnswer, UseQuestion
 from ..shares import FleetShares, ShareBounds
+from ..stand_in import StandIn
 from .share_fleet import Load, ShareFleet, tenant
 
 ROUTERS = 11
@@ -184,4 +184,4 @@
 
 
 def _nothing_used(shares: FleetShares, question: UseQuestion) -> UseAnswer:
-    return msgspec.structs.replace(_use_of(shares, question), used=(), told_used=0.0)
+    return msgspec.structs.replace(_use_of(shares, question), used=(), view=None)
--- /dev/null
+++ b/wingwood/limits/tests/test_token_quota.py
@@ -0,0 +1,138 @@
+"""Token quotas of a fleet stay within the users' bound under faults (docs/DESIGN.md section 14.1)."""
+
+from __future__ import annotations
+
+import unittest
+from typing import Any
+from unittest import mock
+
+import msgspec
+
+from ..kept_share import KeptShare, _Asker, _Missing
+from ..takeover import Inheritance
+from .token_quota import Case, Outcome, run_case
+
+RUN_EACH_ALONE = True
+
+FLOOD = 6.5
+CALM = Case()
+FLOODED = Case(rate=430_000.0, flood=FLOOD, flood_from=16.0)
+"""The flood begins together with the fault, when the bucket is full."""
+
+
+def faulted(fault: str, case: Case = FLOODED, **changes: Any) -> Case:
+    return msgspec.structs.replace(case, fault=fault, **changes)
+
+
+class CalmTest(unittest.TestCase):
+    def test_calls_below_the_limit_are_let_in_wherever_they_land(self) -> None:
+        for rate in (30_000.0, 430_000.0):
+            for landing in ("even", "uneven", "one"):
+                outcome = run_case(msgspec.structs.replace(CALM, rate=rate, landing=landing), 11)
+                self.assertEqual(outcome.refused_owed, 0.0, (rate, landing))
+                self.assertLess(outcome.longest_wait, 0.02)
+                self.assertLess(outcome.of_bound, 0.85)
+
+    def test_a_flooding_tenant_uses_its_whole_limit_and_no_more(self) -> None:
+        for rate in (30_000.0, 430_000.0):
+            for landing in ("even", "one"):
+                outcome = run_case(Case(rate=rate, flood=FLOOD, landing=landing), 12)
+                self.assertGreater(outcome.flood_used, 0.97, (rate, landing))
+                self.assertLess(outcome.of_bound, 1.0)
+                self.assertEqual(outcome.refused_owed, 0.0)
+
+    def test_everything_killed_at_once_comes_back_within_the_limit(self) -> None:
+        calm = run_case(faulted("all killed", CALM), 13)
+        self.assertEqual(calm.refused_owed, 0.0)
+        self.assertLess(run_case(faulted("all killed", flood_from=12.0), 13).of_bound, 1.0)
+
+    def test_a_lower_limit_counts_from_now_on_and_refuses_nothing_below_it(self) -> None:
+        outcome = run_case(Case(rate=150_000.0, part=0.5, fault="limit lowered"), 14)
+        self.assertLess(outcome.refused, 0.01)
+
+
+class LostKeeperTest(unittest.TestCase):
+    """What is refused below the limit; the bound is looked at in ``BoundTest``."""
+
+    def refused(self, fault: str, rate: float) -> float:
+        return run_case(faulted(fault, CALM, rate=rate), 21).refused
+
+    def test_a_keeper_that_ends_is_hardly_noticed(self) -> None:
+        for rate in (30_000.0, 430_000.0):
+            self.assertLess(self.refused("keeper killed", rate), 0.01)
+            self.assertLess(self.refused("deputy killed", rate), 0.01)
+
+    def test_a_silent_keeper_costs_little(self) -> None:
+        for fault in ("keeper frozen", "keeper without power", "keeper cut off"):
+            self.assertLess(self.refused(fault, 430_000.0), 0.03, fault)
+
+
+class BoundTest(unittest.TestCase):
+    def check(self, fault: str, rate: float = 430_000.0, seed: int = 31) -> Outcome:
+        outcome = run_case(faulted(fault, rate=rate), seed)
+        self.assertLess(outcome.of_bound, 1.0, (fault, rate))
+        self.assertLessEqual(outcome.longest_wait, 0.101)
+        return outcome
+
+    def test_keeper_cut_off(self) -> None:
+        self.check("keeper cut off")
+        self.check("keeper and another cut off for long")
+
+    def test_others_cut_off(self) -> None:
+        self.check("two others cut off")
+
+    def test_keeper_cut_from_some(self) -> None:
+        self.check("keeper cut from some")
+        self.check("keeper cut from some", 30_000.0)
+
+    def test_split_fleet(self) -> None:
+        self.check("split 4 to 7")
+
+    def test_split_fleet_whose_smaller_part_has_control(self) -> None:
+        self.check("split 8 to 3, the fewer with control")
+        self.check("split 8 to 3, the fewer with control", 30_000.0)
+
+    def test_frozen_and_killed(self) -> None:
+        for fault in ("keeper and deputy frozen", "keeper frozen briefly", "keeper without power"):
+            self.check(fault)
+
+    def test_restarts(self) -> None:
+        self.check("restarts in turn")
+        self.check("all killed")
+
+    def test_no_control(self) -> None:
+        self.check("control down")
+
+
+class BrokenTest(unittest.TestCase):
+    """Each leaves out one part of the arithmetic, and the checker of windows has to notice."""
+
+    def test_a_keeper_that_counts_nothing_for_silent_routers(self) -> None:
+        def nothing(asker: _Asker, now: float, window: float, longest: float) -> float:
+            return 0.0
+
+        case = faulted("keeper cut from some", flood_from=12.0)
+        with mock.patch.object(_Asker, "may_have_used", nothing):
+            self.assertGreater(run_case(case, 41).of_bound, 1.0)
+        self.assertLess(run_case(case, 41).of_bound, 1.0)
+
+    def test_a_new_keeper_that_counts_nothing_for_missing_ones(self) -> None:
+        case = faulted("split 8 to 3, the fewer with control")
+        with mock.patch.object(_Missing, "may_have_used", lambda *_: 0.0):
+            self.assertGreater(run_case(case, 42).of_bound, 1.0)
+        self.assertLess(run_case(case, 42).of_bound, 1.0)
+
+    def test_a_new_keeper_that_begins_with_a_full_bucket_and_no_past(self) -> None:
+        begin = KeptShare.begin
+
+        def forgetful(kept: KeptShare, *given: Any) -> None:
+            begin(kept, *given)
+            kept.used.clear()
+
+        case = faulted("restarts in turn")
+        with (
+            mock.patch.object(Inheritance, "level", lambda inherited, rate, most: most),
+            mock.patch.object(KeptShare, "begin", forgetful),
+        ):
+            self.assertGreater(run_case(case, 43).of_bound, 1.0)
+        self.assertLess(run_case(case, 43).of_bound, 1.0)
--- a/wingwood/limits/tests/token_quota.py
+++ b/wingwood/limits/tests/token_quota.py
@@ -227,6 +227,11 @@
     world.at(world.now + 6.0, up)
 
 
+def lower_limit(world: World, fleet: ShareFleet) -> None:
+    """To seven tenths; a tenant that used half of the old limit stays below the new one."""
+    fleet.change(token_tenant(0.7 * fleet.tenant.paid_rate))
+
+
 def _named(fleet: ShareFleet, name: str) -> str:
     return {"keeper": fleet.keeper, "deputy": fleet.deputy}[name]() if name in ("keeper", "deputy") else name
 
@@ -258,4 +263,5 @@
     "all killed": kill_all,
     "restarts in turn": restart_in_turn,
     "control down": control_down,
+    "limit lowered": lower_limit,
 }
--- a/wingwood/limits/tolerance.py
+++ b/wingwood/limits/tolerance.py
@@ -13,7 +13,11 @@
 CREDIT_PART = 0.1
 """Part of the tolerance that the routers together may use before their keeper knows of it."""
 RESERVE_PART = 0.35
-"""Part of the tolerance for keepers that know nothing yet and for deputies; the rest enlarges the bucket."""
+"""Part of the tolerance at least for keepers that know nothing yet and for deputies; the rest enlarges the bucket."""
+USEFUL_BUCKET = Seconds(1.0)
+"""Worth of the paid rate by which the bucket is enlarged at most ..."""
+LARGE_CALL = 45_000.0
+"""... or this much, if that is more (tokens of one large call); what is left over goes to the reserve."""
 LEAST_RESERVE = Seconds(0.05)
 """Worth of the paid rate that such a keeper may always grant."""
 SMALL_BUCKET_CALLS = 5.0
@@ -53,10 +57,12 @@
 def plan_of(paid_rate: float, burst: Seconds, unit: str, tolerance: QuotaTolerance) -> QuotaPlan:
     saved = paid_rate * burst
     over = tolerance.over * (paid_rate * tolerance.window + saved) + tolerance.slack
-    credit, reserve = CREDIT_PART * over, RESERVE_PART * over
+    credit = CREDIT_PART * over
+    enlarged = min(over - credit - RESERVE_PART * over, max(paid_rate * USEFUL_BUCKET, LARGE_CALL))
+    reserve = over - credit - enlarged
     smallest = min(SMALL_BUCKET_CALLS, paid_rate * SMALL_BUCKET) if unit == "calls" else 0.0
     least_reserve = max(1.0, LEAST_RESERVE * paid_rate, smallest)
-    bucket = max(1.0, saved + over - credit - reserve, smallest)
+    bucket = max(1.0, saved + enlarged, smallest)
     return QuotaPlan(
         rate=paid_rate,
         bucket=bucket,
