--- a/wingwood/command_line/daemons.py
+++ b/wingwood/command_line/daemons.py
@@ -32,6 +32,8 @@
     "balancing": "How a worker is chosen for a turn",
     "record_file": "Where a router records its day, below the data folder",
     "log_calls": "Whether a router writes a line for each call",
+    "worker_check": "How doubtful workers are found to work: health checks, or real calls one at a time",
+    "worker_unrenewed_after": "Silence after which a worker is avoided",
     "quota_window": "Window over which the tolerance of tenants' shares is meant",
     "quota_over": "Part by which a tenant may pass its share in a window",
     "quota_slack": "What it may pass its share by beside that, in its unit",
