--- a/wingwood/limits/tolerance.py
+++ b/wingwood/limits/tolerance.py
@@ -14,6 +14,8 @@
 """Part of the tolerance that the routers together may use before their keeper knows of it."""
 RESERVE_PART = 0.35
 """Part of the tolerance at least for keepers that know nothing yet and for deputies; the rest enlarges the bucket."""
+LAG_PART = 0.15
+"""Part that is kept free: in a window that fills, routers go on by themselves until their next ask is answered."""
 USEFUL_BUCKET = Seconds(1.0)
 """Worth of the paid rate by which the bucket is enlarged at most ..."""
 LARGE_CALL = 45_000.0
@@ -57,9 +59,9 @@
 def plan_of(paid_rate: float, burst: Seconds, unit: str, tolerance: QuotaTolerance) -> QuotaPlan:
     saved = paid_rate * burst
     over = tolerance.over * (paid_rate * tolerance.window + saved) + tolerance.slack
-    credit = CREDIT_PART * over
-    enlarged = min(over - credit - RESERVE_PART * over, max(paid_rate * USEFUL_BUCKET, LARGE_CALL))
-    reserve = over - credit - enlarged
+    credit, lag = CREDIT_PART * over, LAG_PART * over
+    enlarged = min(over - credit - lag - RESERVE_PART * over, max(paid_rate * USEFUL_BUCKET, LARGE_CALL))
+    reserve = over - credit - lag - enlarged
     smallest = min(SMALL_BUCKET_CALLS, paid_rate * SMALL_BUCKET) if unit == "calls" else 0.0
     least_reserve = max(1.0, LEAST_RESERVE * paid_rate, smallest)
     bucket = max(1.0, saved + enlarged, smallest)
