Settings: one check of numbers serves seconds too

Cause: _number, added with the quotas' settings, wrote _seconds again with other words (9 lines). Messages and bounds are as before.

--- a/wingwood/settings/load.py
+++ b/wingwood/settings/load.py
@@ -49,22 +49,17 @@
     return check
 
 
-def _seconds(low: float, high: float) -> Callable[[Any], float]:
+def _number(low: float, high: float, what: str = "a number") -> Callable[[Any], float]:
     def check(value: Any) -> float:
         if type(value) not in (int, float) or not low <= value <= high:
-            raise _Expected(f"expected seconds as a number from {low:g} to {high:g}")
+            raise _Expected(f"expected {what} from {low:g} to {high:g}")
         return float(value)
 
     return check
 
 
-def _number(low: float, high: float) -> Callable[[Any], float]:
-    def check(value: Any) -> float:
-        if type(value) not in (int, float) or not low <= value <= high:
-            raise _Expected(f"expected a number from {low:g} to {high:g}")
-        return float(value)
-
-    return check
+def _seconds(low: float, high: float) -> Callable[[Any], float]:
+    return _number(low, high, "seconds as a number")
 
 
 def _text(pattern: str, expected: str) -> Callable[[Any], str]:
