Placement: shared prompt parts order the workers, and reading them again costs

Cause: until a router had seen 300 turns of a service, the order of a prefix's workers went by all parts of the prompt, also the last one, which is each turn's own. Now: the untried last part is left out unless the rest is a single first part or in more demand than one worker serves; reread_cost 8 bounded by half the objective, risk_cost 8 beyond half the objective, home_trust 0.8; one rendezvous order serves subsets of the ready workers.

--- a/wingwood/placement/prefill_estimates.py
+++ b/wingwood/placement/prefill_estimates.py
@@ -145,6 +145,10 @@
         """Seconds to prefill so many tokens there, without a wait."""
         return tokens * self._pool(worker.pool).per_token * self._slowness(worker)
 
+    def base(self, worker: Worker) -> float:
+        """Seconds to the first token of a prompt that neither waits nor has anything to prefill."""
+        return self._pool(worker.pool).base
+
     def wait(self, worker: Worker) -> float:
         """Seconds until the prompts that are there are prefilled."""
         pool = self._pool(worker.pool)
--- a/wingwood/placement/prefix_order.py
+++ b/wingwood/placement/prefix_order.py
@@ -10,6 +10,8 @@
 from ..registry.protocols import Worker
 
 ORDERS_MOST = 4_000
+KEPT_ORDER_MOST = 2
+"""An order over more workers serves a part of them too, as long as it isn't so many times longer."""
 
 
 class PrefixOrders:
@@ -24,10 +26,10 @@
         name = (pool, *prefix)
         by_instance = {worker.instance: worker for worker in ready}
         order = self._orders.get(name)
-        if order is None or len(order) != len(by_instance) or not by_instance.keys() >= set(order):
+        if order is None or len(order) > KEPT_ORDER_MOST * len(by_instance) or not by_instance.keys() <= set(order):
             order = tuple(ranked("\n".join(name), sorted(by_instance), str))
             self._orders[name] = order
             if len(self._orders) > self._most:
                 self._orders.popitem(last=False)
         self._orders.move_to_end(name)
-        return [by_instance[instance] for instance in order]
+        return [by_instance[instance] for instance in order if instance in by_instance]
--- a/wingwood/placement/recurrence.py
+++ b/wingwood/placement/recurrence.py
@@ -33,8 +33,12 @@
 
     def comes_back(self, service: ServiceName) -> bool:
         """Whether its sessions have a next turn often enough; so it is taken to be until tried."""
+        return not self.tried(service) or self._services[service].known >= LEAST_SHARE
+
+    def tried(self, service: ServiceName) -> bool:
+        """Whether enough turns were seen to say so."""
         seen = self._services.get(service)
-        return seen is None or seen.turns < TRIED_FIRST or seen.known >= LEAST_SHARE
+        return seen is not None and seen.turns >= TRIED_FIRST
 
     def followed(self, service: ServiceName, key: int) -> bool:
         """Whether to ask and tell the other routers of this session."""
--- a/wingwood/placement/settings.py
+++ b/wingwood/placement/settings.py
@@ -34,8 +34,12 @@
     """Share of a worker's slots that one shared prefix may take before it spreads to one more worker."""
     prefix_use: float = 0.15
     """Share of a worker's prefill time that one told prefix may take before it spreads to one more worker."""
-    home_trust: float = 0.3
+    home_trust: float = 0.8
     """How probable it is that the first worker in a prefix's rendezvous order keeps what nobody is known to keep."""
+    reread_cost: float = 8.0
+    """Weight of prefilling shared parts again that another worker probably keeps, beyond the time that it takes."""
+    risk_cost: float = 8.0
+    """Weight of the time by which a first token is forecast beyond ``objective_risked``."""
     harm: float = 0.2
     """Weight of the time by which a prefill holds up each stream that runs beside it."""
     other_zone: Seconds = Seconds(0.003)
--- a/wingwood/placement/tests/test_told_turns.py
+++ b/wingwood/placement/tests/test_told_turns.py
@@ -18,6 +18,9 @@
 PREFILL_OF_A_MOMENT = 250_000.0
 """Tokens a second that keep an engine of ``OneRouter.teach`` busy for five sixths of the time."""
 
+SHORT_QUEUE = 120_000.0
+"""Tokens a second that keep such an engine busy for two fifths of the time."""
+
 
 class CountingMap(LocalMap):
     def __init__(self) -> None:
@@ -178,6 +181,26 @@
             router.take(told_turn(f"kind:2500 again{number % 40}:2900", 0))
         self.assertTrue(router.placement._recurrence.comes_back(SUMMARY.name))
 
+    def test_turns_that_share_all_but_their_own_part_go_to_one_worker_before_anything_is_learnt(self) -> None:
+        for subject in ("s1", "s2", "s3", "s4"):
+            chosen = set()
+            for seed in range(6):
+                router = OneRouter(seed=seed)
+                router.teach()
+                choice = router.choose(told_turn(f"kind:2500 {subject}:3800 own{seed}:2900", 0))
+                chosen.add(choice.worker.instance)
+            self.assertEqual(len(chosen), 1)
+
+    def test_shared_part_is_not_read_again_elsewhere_for_a_short_wait(self) -> None:
+        readers = set()
+        for seed in range(6):
+            router = OneRouter(seed=seed)
+            router.teach()
+            home = router.choose(told_turn("kind:2500 subject:3800 own:2900", 0)).worker
+            router.engage(home.instance, 2.0, SHORT_QUEUE)
+            readers.add(router.choose(told_turn("kind:2500 subject:3800 other:2900", 0)).worker.instance)
+        self.assertEqual(len(readers), 1)
+
     def test_parts_of_one_request_alone_do_not_count_as_kept(self) -> None:
         router = OneRouter()
         for number in range(TRIED_FIRST + 100):
--- a/wingwood/placement/told_bids.py
+++ b/wingwood/placement/told_bids.py
@@ -66,14 +66,14 @@
             kept = max(kept, min(entry.tokens, _told(turn.parts)))
         return min(turn.prompt_tokens, int(kept))
 
-    def _likely_kept(self, turn: Turn, known: KnownChains) -> float:
-        """At the worker to which all lean.
+    def _likely_kept(self, shared: Sequence[PromptPart], known: KnownChains) -> float:
+        """At the workers to which all lean.
 
         The chains in use come to be kept at every worker, so that reading them there once is no reason to
         put the next prompt elsewhere; the others may have sent the rest of the prompt before.
         """
         in_use = known.tokens()
-        return in_use + self._settings.home_trust * max(0, _told(self._reused(turn)) - in_use)
+        return in_use + self._settings.home_trust * max(0, _told(shared) - in_use)
 
     def session_tokens(self, turn: Turn, tokens: int) -> int:
         """What no part tells of is never asked for again."""
@@ -86,6 +86,19 @@
         """The parts that may come again: without the last one where it is each request's own."""
         return turn.parts if self._recurrence.comes_back(turn.service.name) else turn.parts[:-1]
 
+    def _shared(self, turn: Turn, worker: Worker) -> tuple[PromptPart, ...]:
+        """The parts by which all routers agree on the workers of a prompt that nobody is known to keep.
+
+        While it isn't known whether the last part comes back it is left out, or turns that share all others would
+        go to as many workers as there are turns. It counts where the parts before it are those of very many turns:
+        a single first part, or more demand than one worker serves.
+        """
+        if self._recurrence.tried(turn.service.name):
+            return self._reused(turn)
+        before = turn.parts[:-1]
+        is_common = len(before) < 2 or self._use(turn, before, worker) > self._settings.prefix_use
+        return turn.parts if is_common else before
+
     # --- bids ---------------------------------------------------------------------------------
 
     def forecast(self, turn: Turn, entry: Entry | None, worker: Worker) -> Forecast:
@@ -95,24 +108,26 @@
 
     def bid(self, turn: Turn, entry: Entry | None, ready: Sequence[Worker]) -> Worker:
         """The holder, the prefix's own workers and one more of its order, and a few drawn ones."""
-        homes = self._prefix_workers(turn, ready, 1)
+        shared = self._shared(turn, ready[0]) if entry is None else self._reused(turn)
+        homes = self._prefix_workers(turn, shared, ready, 1)
         drawn = self._settings.drawn_beside if homes else self._settings.told_candidates
         known = self._known(ready[0].pool, turn)
-        # Where nobody is known to keep the prefix, all routers lean to the same worker.
-        leant_to = homes[0] if homes and entry is None else None
+        # Where nobody is known to keep the prefix, all routers lean to the same workers.
+        leant_to = homes[: max(1, len(homes) - 1)] if entry is None else []
         bids = []
         for worker in self._compared(entry, homes, drawn, ready):
             load = self._workload.load(worker)
             kept = float(self._kept(turn, entry, worker, known))
-            if worker is leant_to:
-                kept = max(kept, self._likely_kept(turn, known))
+            if worker in leant_to:
+                kept = max(kept, self._likely_kept(shared, known))
             uncached = turn.prompt_tokens - kept
             wait = self._workload.wait_at(worker, load) + self._queues.wait(worker)
-            bids.append((self._cost(turn, worker, uncached, wait, load), worker))
+            again = self._reread_cost(turn, worker, _told(shared) - kept)
+            bids.append((self._cost(turn, worker, uncached, wait, load) + again, worker))
         return cheapest(bids, None if entry is None else entry.holder, self._settings.told_move_gain)
 
     def soonest(self, turn: Turn, entry: Entry | None, ready: Sequence[Worker]) -> Seconds:
-        homes = self._prefix_workers(turn, ready, 1)
+        homes = self._prefix_workers(turn, self._reused(turn), ready, 1)
         compared = self._compared(entry, homes, self._settings.told_candidates, ready)
         return min(self.forecast(turn, entry, worker).first_token for worker in compared)
 
@@ -121,7 +136,7 @@
 
         A prefix in such demand that it has several workers of its own takes turns among them.
         """
-        homes = self._prefix_workers(turn, ready, 0)
+        homes = self._prefix_workers(turn, self._reused(turn), ready, 0)
         drawn = 0 if len(homes) > 1 else self._settings.drawn_beside
         compared = self._compared(entry, homes, drawn, ready)
         stays = entry.holder if drawn else None
@@ -151,20 +166,40 @@
         prefill = self._queues.prefill(worker, uncached)
         harm = self._settings.harm * prefill * load
         way = 0.0 if self._zone is None or worker.zone == self._zone else self._settings.other_zone
-        return wait * self._pressure.of(worker.pool, turn.weight) + prefill + harm + way
+        risk = self._settings.risk_cost * self._risked(turn, wait + self._queues.base(worker) + prefill)
+        return wait * self._pressure.of(worker.pool, turn.weight) + prefill + harm + way + risk
+
+    def _risked(self, turn: Turn, first_token: float) -> float:
+        """Seconds by which a forecast first token is too near to the latency objective to count on it."""
+        objective = turn.service.latency_objective
+        return 0.0 if objective is None else max(0.0, first_token - objective * self._settings.objective_risked)
 
-    def _prefix_workers(self, turn: Turn, ready: Sequence[Worker], more: int) -> list[Worker]:
-        """The first in the rendezvous order of the parts that may come again: as many as their demand fills."""
+    def _reread_cost(self, turn: Turn, worker: Worker, tokens: float) -> float:
+        """Seconds: what prefilling shared parts once more is worth avoiding, beyond the time that it takes here.
+
+        Other turns wait behind it, and the part takes the place of another part in this worker's cache. It isn't
+        worth the latency objective.
+        """
+        cost = self._settings.reread_cost * self._queues.prefill(worker, max(0.0, tokens))
+        objective = turn.service.latency_objective
+        return cost if objective is None else min(cost, objective * self._settings.objective_risked)
+
+    def _prefix_workers(
+        self, turn: Turn, parts: tuple[PromptPart, ...], ready: Sequence[Worker], more: int
+    ) -> list[Worker]:
+        """The first in the rendezvous order of these parts of the prompt: as many as their demand fills."""
         pool = ready[0].pool
         self._workers[pool] = len(ready)
-        parts = self._reused(turn)
         if not parts or self._queues.prefill(ready[0], _told(parts)) < AFFINITY_LEAST:
             return []
         order = self._orders.order(pool, tuple(part.part for part in parts), ready)
-        now = self._context.clock.monotonic()
-        demand = self._parts.demand(pool, parts, now) * max(1, len(self._membership.routers()))
-        use = demand * self._queues.prefill(order[0], max(0, turn.prompt_tokens - _told(parts)))
-        return order[: max(1, math.ceil(use / self._settings.prefix_use)) + more]
+        return order[: max(1, math.ceil(self._use(turn, parts, order[0]) / self._settings.prefix_use)) + more]
+
+    def _use(self, turn: Turn, parts: tuple[PromptPart, ...], worker: Worker) -> float:
+        """The share of this worker's prefill time that all routers' turns with these parts would take."""
+        demand = self._parts.demand(worker.pool, parts, self._context.clock.monotonic())
+        rest = max(0, turn.prompt_tokens - _told(parts))
+        return demand * max(1, len(self._membership.routers())) * self._queues.prefill(worker, rest)
 
     # --- what happened ------------------------------------------------------------------------
 
