Control core: ReplicatedCore split into modules with one job each

Cause: wingwood/control/core.py had 1,374 lines and methods of up to 60 lines. Now: member (state, views, calls), store_guard (sick disks), backup, voter, replicator, command_intake, lead_proofs, candidate (the two rounds), primary, follower, and core (150 lines) on top; beside them, without inheritance, commands, lead, planning (which view is wanted next), state_transfer and journal_rewriting. The longest module has 227 lines. Why classes on top of each other and not parts held by the core: the broken variants in tests/mutants.py override single methods of ReplicatedCore and must go on working unchanged. Each class names as its bases what it uses. Tests: changed in their imports only (mutants.py, test_member_rules.py: Lead as _Lead, ViewPlan as _Plan).

--- /dev/null
+++ b/wingwood/control/backup.py
@@ -0,0 +1,147 @@
+"""A backup: journals the primary's batches and takes over its whole state (docs/DESIGN.md section 7.2)."""
+
+from __future__ import annotations
+
+import msgspec
+from returns.result import Failure
+
+from ..identifiers import Epoch
+from ..transport.frames import Identity
+from .member import MemberSetup
+from .messages import (
+    ControlCommitted,
+    ControlReplicate,
+    ControlReplicated,
+    ControlStatePiece,
+    Promise,
+    SnapshotEntry,
+)
+from .state_transfer import StateReceiver, Transfer, transfer_of
+from .store import Contents, decode_batch
+from .store_guard import StoreGuard
+
+ANOTHER_INCARNATION = "another incarnation"
+NEWER_STATE_TAKEN = "a newer state was taken"
+REWRITE_FACTOR = 1.5
+"""A backup rewrites its journal at this many times the length at which the primary does."""
+
+
+class ReceivedBatch(msgspec.Struct, frozen=True):
+    """Which batch a backup journaled: the epoch it came under, and the sequence before it."""
+
+    epoch: Epoch
+    before: int
+
+
+class Backup(StoreGuard):
+    """Answers of a member to the primary that replicates to it. A refusal is a string, None means done."""
+
+    def __init__(self, setup: MemberSetup) -> None:
+        super().__init__(setup)
+        self._last_received: ReceivedBatch | None = None
+        """The newest batch journaled as backup."""
+        self._state_receiver = StateReceiver()
+
+    def _replicated(self, refusal: str | None) -> ControlReplicated:
+        return ControlReplicated(self._me, refusal is None, self._store.promise.epoch, refusal or "")
+
+    # -- batches
+
+    async def _on_replicate(self, _: Identity, message: ControlReplicate) -> ControlReplicated:
+        if message.to != self._me:
+            return self._replicated(ANOTHER_INCARNATION)
+        async with self._lock:
+            refusal = await self._replicate_here(message)
+            if refusal is None:
+                self._heard = self._now()
+                self._take_commit(message.epoch, message.committed)
+                self._rewriter.rewrite_if_long(REWRITE_FACTOR)
+            return self._replicated(refusal)
+
+    async def _replicate_here(self, message: ControlReplicate) -> str | None:
+        refusal = self._refuses_from(message.epoch)
+        if refusal is not None:
+            return refusal
+        received = ReceivedBatch(message.epoch, message.before)
+        if message.entry and self._last_received == received:
+            return None
+        if message.before != self._store.sequence:
+            return f"has batch {self._store.sequence}"
+        if message.entry:
+            match await self._store.append_batch(message.entry, message.before + 1):
+                case Failure(fault):
+                    self._fail_store(fault)
+                    return f"sick: {fault.kind}"
+            self._last_received = received
+            self._replica.receive(decode_batch(message.entry))
+        return None
+
+    def _refuses_from(self, epoch: Epoch) -> str | None:
+        """Why no batch is taken under that epoch."""
+        view = self._store.view
+        if self._sick is not None or self._stale:
+            return f"sick: {self._sick}"
+        if epoch < self._store.promise.epoch:
+            return "promised a higher epoch"
+        if view is None or view.epoch != epoch or self._me not in view.backups:
+            return "not a backup under this epoch"
+        return None
+
+    def _on_committed(self, _: Identity, message: ControlCommitted) -> None:
+        if message.to == self._me:
+            self._take_commit(message.epoch, message.committed)
+
+    def _take_commit(self, epoch: Epoch, committed: int) -> None:
+        view = self._store.view
+        if view is None or view.epoch != epoch or self._me not in view.backups:
+            return
+        if self._sick is not None or self._stale:
+            return
+        if committed <= self._store.sequence:
+            self._replica.commit(committed)
+
+    # -- the whole state
+
+    async def _on_state_piece(self, _: Identity, message: ControlStatePiece) -> ControlReplicated:
+        if message.to != self._me:
+            return self._replicated(ANOTHER_INCARNATION)
+        return self._replicated(await self._take_piece(message))
+
+    async def _take_piece(self, piece: ControlStatePiece) -> str | None:
+        transfer = transfer_of(piece)
+        if self._state_receiver.is_outdated(transfer):
+            return NEWER_STATE_TAKEN
+        data = self._state_receiver.add(piece)
+        if data is None:
+            return None
+        async with self._lock:
+            return self._refuses_state(transfer) or await self._take_state(transfer, data)
+
+    def _refuses_state(self, transfer: Transfer) -> str | None:
+        """Why this state is not taken."""
+        held = self._store.promise
+        if self._sick is not None:
+            return f"sick: {self._sick}"
+        if self._state_receiver.is_outdated(transfer):
+            return NEWER_STATE_TAKEN
+        if transfer.epoch < held.epoch or (transfer.epoch == held.epoch and transfer.sender != held.candidate):
+            return "promised another epoch"
+        return None
+
+    async def _take_state(self, transfer: Transfer, data: bytes) -> str | None:
+        """Journals it in place of all that is here."""
+        if self._lead is not None:
+            self._step_down(f"takes the state of epoch {transfer.epoch}")
+        contents = Contents(msgspec.msgpack.decode(data, type=SnapshotEntry), [])
+        promise = Promise(transfer.epoch, transfer.sender)
+        match await self._store.rewrite(lambda: contents, self._limits.rewriting(len(data)), promise):
+            case Failure(fault):
+                self._fail_store(fault)
+                return f"sick: {fault.kind}"
+        self._state_receiver.note_taken(transfer)
+        self._replica.load(contents)
+        self._stale = False
+        self._last_received = None
+        self._heard = self._now()
+        self._log("state-taken", epoch=transfer.epoch, sequence=self._store.sequence, bytes=len(data))
+        return None
--- /dev/null
+++ b/wingwood/control/command_intake.py
@@ -0,0 +1,185 @@
+"""Commands to the primary: the queue, the batches and the answers (docs/DESIGN.md sections 7.2.5 and 7.7)."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+from typing import Any
+
+import msgspec
+from returns.result import Failure, Success
+from tornado.queues import Queue
+
+from ..identifiers import Epoch, Instant, Seconds
+from ..transport.frames import Identity
+from .commands import Answer, DecidedCommand, PendingCommand, deliver_all, fail_all
+from .lead import Lead
+from .member import MemberSetup
+from .messages import ControlCommand, ControlDecision, StateRecord
+from .protocols import NotDecided, PreparingApplier, SubmitOrder
+from .relay import pass_on
+from .replicator import Replicator
+from .store import encode_batch
+
+REWRITE_FACTOR = 1.0
+"""A primary rewrites its journal at once when it is long; see ``backup.REWRITE_FACTOR``."""
+SHORTEST_WAIT = 0.01
+
+
+class CommandIntake(Replicator):
+    """Takes commands, decides them in batches, and answers when a batch is durable."""
+
+    def __init__(self, setup: MemberSetup) -> None:
+        super().__init__(setup)
+        self._commands: Queue[PendingCommand] = Queue(self._limits.waiting)
+        self._command_types: dict[str, Any] = {
+            applier.kind: getattr(applier, "command_type", SubmitOrder) for applier in setup.appliers
+        }
+
+    # -- taking commands
+
+    async def decide(self, kind: str, command: msgspec.Struct, patience: Seconds | None = None) -> Answer:
+        """As in the protocol; ``patience`` may shorten the bound of the wait."""
+        if not self.leads():
+            return Failure(NotDecided("not-leading", self._other_primary()))
+        bound = self._limits.decide if patience is None else min(patience, self._limits.decide)
+        waiting = PendingCommand(kind, command, Instant(self._now() + bound))
+        if self._commands.full():
+            return Failure(NotDecided("busy", detail="too many commands wait"))
+        self._commands.put_nowait(waiting)
+        try:
+            async with asyncio.timeout(bound):
+                answer = await waiting.answer
+        except TimeoutError:
+            answer = waiting.undecided("no answer in time")
+        if isinstance(answer, Success) and self._now() > waiting.deadline:
+            return Failure(NotDecided("unknown", detail="decided too late"))
+        return answer
+
+    async def _on_command(self, _: Identity, message: ControlCommand) -> ControlDecision:
+        primary = self._other_primary()
+        if self._lead is None and message.hops > 0 and primary is not None:
+            return await pass_on(self._messenger, primary, message)
+        command_type = self._command_types.get(message.kind)
+        if command_type is None:
+            return ControlDecision(fault=NotDecided("not-leading", detail=f"no state of kind {message.kind!r} here"))
+        try:
+            command = msgspec.msgpack.decode(message.command, type=command_type)
+        except msgspec.MsgspecError as malformed:
+            return ControlDecision(fault=NotDecided("not-leading", detail=f"malformed command: {malformed}"))
+        return await self._decide_decoded(message, command)
+
+    async def _decide_decoded(self, message: ControlCommand, command: msgspec.Struct) -> ControlDecision:
+        applier = self._replica.appliers[message.kind]
+        if isinstance(applier, PreparingApplier) and self.leads():
+            await applier.prepare(command)
+        match await self.decide(message.kind, command, message.budget):
+            case Success(reply):
+                return ControlDecision(reply=msgspec.msgpack.encode(reply), primary=self._seat.address)
+            case Failure(fault):
+                return ControlDecision(fault=fault)
+        raise AssertionError("a result is a success or a failure")
+
+    # -- the runner
+
+    async def _run_commands(self) -> None:
+        """The one runner: takes what waits, decides it as a batch, answers when it is durable."""
+        while True:
+            await self._decide_waiting([await self._commands.get()])
+
+    async def _decide_waiting(self, batch: list[PendingCommand]) -> None:
+        """Until all of the batch, and what came to it meanwhile, are decided or their time is over."""
+        while batch:
+            while len(batch) < self._limits.batch and self._commands.qsize():
+                batch.append(self._commands.get_nowait())
+            lead = self._lead
+            if lead is None:
+                for command in batch:
+                    command.resolve(Failure(NotDecided("not-leading", self._other_primary())))
+                return
+            if await self._try_batch(lead, batch):
+                return
+            now = self._now()
+            batch = self._without_expired(batch, now)
+            if batch:
+                # A primary that hears nobody decides nothing, also when it has just woken up.
+                await self._wait_for_turn(min(command.deadline for command in batch) - now)
+
+    async def _try_batch(self, lead: Lead, batch: Sequence[PendingCommand]) -> bool:
+        """Runs it, unless this primary accepts nothing at present."""
+        if not self._accepts(lead) or not self.leads():
+            return False
+        async with lead.batch:
+            if not self._accepts(lead) or self._lead is not lead:
+                return False
+            await self._run_batch(lead, batch)
+            return True
+
+    def _without_expired(self, batch: Sequence[PendingCommand], now: Instant) -> list[PendingCommand]:
+        for command in batch:
+            if now > command.deadline:
+                command.resolve(command.undecided("too few backups in time"))
+        return [command for command in batch if not command.answer.done()]
+
+    async def _wait_for_turn(self, patience: float) -> None:
+        self._turn.clear()
+        try:
+            async with asyncio.timeout(max(patience, SHORTEST_WAIT)):
+                await self._turn.wait()
+        except TimeoutError:
+            pass
+
+    # -- one batch
+
+    async def _run_batch(self, lead: Lead, batch: Sequence[PendingCommand]) -> None:
+        epoch, before = lead.view.epoch, self._store.sequence
+        decided, records = self._decide_batch(batch)
+        if not decided:
+            return
+        entry = encode_batch(before + 1, epoch, records) if records else b""
+        if records:
+            self._replica.applied = before + 1
+        replicating = asyncio.get_running_loop().create_task(self._replicate(lead, epoch, before, entry))
+        written = not entry or await self._write_batch(lead, entry, before + 1)
+        replicated = await replicating
+        if self._lead is not lead or not written:
+            fail_all(decided, "stopped leading meanwhile")
+        elif not replicated:
+            lead.in_sync = False
+            lead.pending = decided
+        else:
+            self._acknowledge(lead, epoch, decided, wrote=bool(entry))
+
+    def _decide_batch(self, batch: Sequence[PendingCommand]) -> tuple[list[DecidedCommand], list[StateRecord]]:
+        """Decides and applies one command after the other; also gives the records to journal."""
+        now = self._now()
+        decided: list[DecidedCommand] = []
+        records: list[StateRecord] = []
+        for command in batch:
+            if command.answer.done() or now > command.deadline:
+                command.resolve(command.undecided("its time was over before its turn"))
+                continue
+            applier = self._replica.appliers[command.kind]
+            command.taken = True
+            record, reply = applier.decide(command.command)
+            if record is not None:
+                applier.apply(record)
+                records.append(StateRecord(command.kind, record))
+            decided.append(DecidedCommand(command, reply))
+        return decided, records
+
+    async def _write_batch(self, lead: Lead, entry: bytes, sequence: int) -> bool:
+        async with self._lock:
+            if self._lead is not lead:
+                return False
+            return self._written(await self._store.append_batch(entry, sequence))
+
+    def _acknowledge(self, lead: Lead, epoch: Epoch, decided: Sequence[DecidedCommand], wrote: bool) -> None:
+        """The batch is on all disks of the view."""
+        if self._store.promise.epoch != epoch:
+            raise AssertionError("a primary promised a higher epoch without stepping down")
+        self._replica.commit(self._store.sequence)
+        deliver_all(decided, self._now())
+        if wrote:
+            self._tell_commit(lead)
+            self._rewriter.rewrite_if_long(REWRITE_FACTOR)
--- /dev/null
+++ b/wingwood/control/commands.py
@@ -0,0 +1,68 @@
+"""Commands on their way through the primary: waiting, decided, answered (docs/DESIGN.md section 7.7)."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Sequence
+
+import msgspec
+from returns.result import Failure, Result, Success
+
+from ..identifiers import Instant
+from .protocols import NotDecided
+
+Answer = Result[msgspec.Struct, NotDecided]
+"""The applier's reply, or why there is none."""
+
+EXPIRED = Instant(float("-inf"))
+
+
+class PendingCommand:
+    """A command that waits in the queue, then for its batch."""
+
+    __slots__ = ("answer", "command", "deadline", "kind", "taken")
+
+    def __init__(self, kind: str, command: msgspec.Struct, deadline: Instant) -> None:
+        self.kind = kind
+        self.command = command
+        self.deadline = deadline
+        self.taken = False
+        """An applier has decided it, so it may become durable."""
+        self.answer: asyncio.Future[Answer] = asyncio.get_running_loop().create_future()
+
+    def resolve(self, answer: Answer) -> None:
+        """Answers it, unless it has been answered (or its asker has given up) already."""
+        if not self.answer.done():
+            self.answer.set_result(answer)
+
+    def undecided(self, detail: str) -> Answer:
+        """The answer to a command whose time is over. One that was not taken yet never runs after this."""
+        if self.taken:
+            return Failure(NotDecided("unknown", detail=detail))
+        self.deadline = EXPIRED
+        return Failure(NotDecided("busy", detail=detail))
+
+
+class DecidedCommand(msgspec.Struct, frozen=True):
+    """A command with its applier's reply, which may be given once its batch is durable."""
+
+    command: PendingCommand
+    reply: msgspec.Struct
+
+    def deliver(self, now: Instant) -> None:
+        """Its batch is durable: gives the reply if that is still in time."""
+        if now <= self.command.deadline:
+            self.command.resolve(Success(self.reply))
+        else:
+            self.command.resolve(Failure(NotDecided("unknown", detail="decided too late")))
+
+
+def deliver_all(decided: Sequence[DecidedCommand], now: Instant) -> None:
+    for one in decided:
+        one.deliver(now)
+
+
+def fail_all(decided: Sequence[DecidedCommand], detail: str) -> None:
+    """Their batch may or may not become durable."""
+    for one in decided:
+        one.command.resolve(Failure(NotDecided("unknown", detail=detail)))
--- /dev/null
+++ b/wingwood/control/journal_rewriting.py
@@ -0,0 +1,66 @@
+"""Keeps the control journal short (docs/DESIGN.md section 7.5)."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Coroutine
+from typing import Any
+
+from returns.result import Failure, Result, Success
+
+from ..context.protocols import Context
+from ..identifiers import Instant
+from ..journal import JournalFault
+from .limits import ControlLimits
+from .replica import Replica
+from .store import ControlStore
+
+PAUSE_AFTER_FAILURE = 10.0
+"""Seconds until a rewrite that failed is tried again."""
+
+
+class JournalRewriter:
+    """Rewrites the journal in the background when it has grown; one rewrite at a time.
+
+    ``on_fault`` is told of a failure after which the store may not be used.
+    """
+
+    def __init__(
+        self,
+        context: Context,
+        store: ControlStore,
+        replica: Replica,
+        limits: ControlLimits,
+        on_fault: Callable[[JournalFault], None],
+    ) -> None:
+        self._context = context
+        self._store = store
+        self._replica = replica
+        self._limits = limits
+        self._on_fault = on_fault
+        self._rewriting = False
+        self._not_before = context.clock.monotonic()
+
+    def rewrite_if_long(self, factor: float) -> None:
+        """Call between batches. On the backup with a higher factor, so that both don't do it at once."""
+        if self._is_long(factor) and not self._rewriting and self._context.clock.monotonic() >= self._not_before:
+            self._rewriting = True
+            compaction = self._store.compact(self._replica.contents())
+            self._context.tasks.spawn("journal rewrite", self._rewrite(compaction))
+
+    def _is_long(self, factor: float) -> bool:
+        store = self._store
+        return store.journal.length > factor * max(self._limits.rewrite_bytes, 2 * store.rewritten_bytes)
+
+    async def _rewrite(self, compaction: Coroutine[Any, Any, Result[None, JournalFault]]) -> None:
+        clock, log, journal = self._context.clock, self._context.log, self._store.journal
+        begun, before = clock.monotonic(), journal.length
+        match await compaction:
+            case Success(_):
+                took = clock.monotonic() - begun
+                log.event("journal-rewritten", bytes_before=before, bytes_after=journal.length, took=took)
+            case Failure(fault):
+                log.event("journal-not-rewritten", kind=fault.kind, detail=fault.detail)
+                self._not_before = Instant(clock.monotonic() + PAUSE_AFTER_FAILURE)
+                if fault.kind == "slow" or (fault.kind != "sick" and journal.sick is not None):
+                    self._on_fault(fault)
+        self._rewriting = False
--- /dev/null
+++ b/wingwood/control/member.py
@@ -0,0 +1,227 @@
+"""What every part of a member of the control core stands on: its state, its knowledge of views, its calls.
+
+``Member`` and the classes on top of it (``StoreGuard``, ``Backup``, ``Voter``, ``Replicator``, ``CommandIntake``,
+``LeadProofs``, ``Candidate``, ``Primary``, ``Follower``) are the parts of one ``ReplicatedCore``; each names the
+parts that it uses as its bases (docs/DESIGN.md section 7).
+"""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Coroutine, Sequence
+from typing import Any, TypeVar
+
+import msgspec
+from returns.result import Success
+
+from ..context.protocols import Context
+from ..identifiers import Address, Epoch, Instant, Seconds
+from ..transport.messenger import Messenger
+from .commands import fail_all
+from .lead import Lead
+from .limits import ControlLimits
+from .messages import ControlGiveWay, Seat, View
+from .protocols import Applier
+from .replica import Replica
+from .store import Contents, ControlStore
+
+Reply = TypeVar("Reply", bound=msgspec.Struct)
+
+HEARD_AT_START = 0.4
+"""A member counts its primary as heard this part of the borne silence before it started."""
+PAUSE_AFTER_STEPPING_DOWN = (0.8, 1.2)
+PAUSE_BEFORE_CANDIDACY = (0.4, 0.7)
+"""Seconds, drawn at random between these, so that members seldom stand at once."""
+
+
+class MemberSetup(msgspec.Struct, frozen=True, kw_only=True):
+    """What a member is made of; see ``ReplicatedCore``."""
+
+    context: Context
+    messenger: Messenger
+    store: ControlStore
+    contents: Contents
+    appliers: Sequence[Applier]
+    seeds: Sequence[Address]
+    knows_of_history: Callable[[], bool]
+    other_controls: Callable[[], Sequence[Address]]
+    limits: ControlLimits
+    on_data_lost: Callable[[], None] | None
+    losses_borne: int
+
+
+class Member:
+    """The shared state of all parts, and what they all need."""
+
+    def __init__(self, setup: MemberSetup) -> None:
+        context, store, identity = setup.context, setup.store, setup.messenger.identity
+        self._context = context
+        self._messenger = setup.messenger
+        self._limits = setup.limits
+        self._seeds = tuple(sorted(setup.seeds))
+        """In the same order everywhere, whatever the order in the settings."""
+        self._other_controls = setup.other_controls
+        self._backups_wanted = setup.losses_borne
+        self._members_wanted = 2 * setup.losses_borne + 1
+        self._seat = Seat(store.incarnation, identity.name, identity.internal)
+        self._me = store.incarnation
+        self._store = store
+        self._lock = asyncio.Lock()
+        """Held for each use of the store."""
+        self._sick: str | None = None
+        """Why the store may not be used; ends with a reload."""
+        self._replica = Replica(setup.appliers, setup.contents)
+        self._stale = False
+        """The replica must be loaded from the journal before it may be used."""
+        self._lead: Lead | None = None
+        self._known = store.view
+        self._highest_epoch = store.promise.epoch
+        self._gave_way: Epoch | None = None
+        """The epoch whose primary asked the others to take over."""
+        now = context.clock.monotonic()
+        self._heard = Instant(now - HEARD_AT_START * self._limits.silence)
+        """When the primary was last heard."""
+        self._not_before = now
+        """No candidacy before this."""
+        self._stopped = False
+        self._turn = asyncio.Event()
+        """Something changed for the runner of commands."""
+        self._on_change: list[Callable[[], None]] = []
+
+    # -- public
+
+    def leads(self) -> bool:
+        lead = self._lead
+        return lead is not None and self._now() - lead.confirmed < self._limits.lead_unconfirmed
+
+    def epoch(self) -> Epoch:
+        return self._known.epoch if self._known is not None else Epoch(0)
+
+    def primary_address(self) -> Address | None:
+        seat = self._known.seat(self._known.primary) if self._known is not None else None
+        return seat.address if seat is not None else None
+
+    def control_addresses(self) -> Sequence[Address]:
+        """Of all control daemons known here, the presumed primary first."""
+        addresses = [self.primary_address()]
+        addresses += [seat.address for seat in (self._known.members if self._known is not None else ())]
+        addresses += [*self._seeds, *self._other_controls()]
+        return tuple(dict.fromkeys(address for address in addresses if address is not None))
+
+    def on_change(self, callback: Callable[[], None]) -> None:
+        self._on_change.append(callback)
+
+    def on_commit(self, callback: Callable[[], None]) -> None:
+        """Called on primary and backup when the appliers hold exactly the committed state, after each advance."""
+        self._replica.on_commit(callback)
+
+    # -- time, log and events
+
+    def _now(self) -> Instant:
+        return self._context.clock.monotonic()
+
+    def _log(self, name: str, **fields: object) -> None:
+        self._context.log.event(name, **fields)
+
+    def _changed(self) -> None:
+        self._turn.set()
+        for callback in self._on_change:
+            callback()
+
+    # -- views and epochs
+
+    def _note_epoch(self, epoch: Epoch) -> None:
+        """Somebody has promised this epoch; a candidate goes above it."""
+        self._highest_epoch = max(self._highest_epoch, epoch)
+
+    def _note_view(self, view: View | None) -> None:
+        if view is None:
+            return
+        self._note_epoch(view.epoch)
+        if view.supersedes(self._known):
+            self._known = view
+            self._changed()
+
+    def _other_primary(self) -> Address | None:
+        address = self.primary_address()
+        return None if address == self._seat.address else address
+
+    def _others(self, view: View) -> list[Seat]:
+        return [seat for seat in view.members if seat.incarnation != self._me]
+
+    # -- the lead
+
+    def _live(self, lead: Lead, seat: Seat) -> bool:
+        return lead.is_live(seat.incarnation, self._now(), self._limits.member_silent)
+
+    def _follows(self, lead: Lead, seat: Seat) -> bool:
+        """It is live and knows our view to be chosen, so it can go on without us and without former members."""
+        return self._live(lead, seat) and lead.current.get(seat.incarnation) == lead.view.epoch
+
+    def _accepts(self, lead: Lead) -> bool:
+        return lead.in_sync and len(lead.view.members) >= self._members_wanted
+
+    def _step_down(self, reason: str) -> None:
+        """Stops leading: what waits is answered, and the others are asked to take over."""
+        lead, self._lead = self._lead, None
+        assert lead is not None
+        self._log("stepped-down", epoch=lead.view.epoch, reason=reason)
+        self._stale = True
+        self._heard = self._now()
+        self._put_off_candidacy(PAUSE_AFTER_STEPPING_DOWN)
+        fail_all(lead.take_pending(), f"stopped leading: {reason}")
+        for seat in self._others(lead.view):
+            self._messenger.post(seat.address, ControlGiveWay(lead.view.epoch, self._me))
+        self._changed()
+
+    def _put_off_candidacy(self, pause: tuple[float, float] = PAUSE_BEFORE_CANDIDACY) -> None:
+        self._not_before = Instant(self._now() + self._context.random.uniform(*pause))
+
+    # -- calls
+
+    async def _ask(
+        self, seat: Seat, message: msgspec.Struct, reply_type: type[Reply], timeout: Seconds | None = None
+    ) -> Reply | None:
+        """The answer of exactly that incarnation, or None."""
+        outcome = await self._messenger.call(seat.address, message, reply_type, timeout or self._limits.call)
+        match outcome:
+            case Success(found) if getattr(found, "by", None) == seat.incarnation:
+                reply: Reply = found
+                return reply
+        return None
+
+    async def _ask_address(self, address: Address, message: msgspec.Struct, reply_type: type[Reply]) -> Reply | None:
+        """The answer of whoever is at that address, or None."""
+        match await self._messenger.call(address, message, reply_type, self._limits.call):
+            case Success(found):
+                reply: Reply = found
+                return reply
+        return None
+
+    async def _gather(
+        self,
+        work: Sequence[Coroutine[Any, Any, Reply | None]],
+        enough: Callable[[list[Reply]], bool],
+        patience: Seconds,
+        linger: Seconds = Seconds(0.0),  # noqa: B008
+    ) -> list[Reply]:
+        """Answers in the order of coming, until there are enough (then ``linger`` longer) or all are in."""
+        answers: list[Reply] = []
+        loop = asyncio.get_running_loop()
+        left = [loop.create_task(one) for one in work]
+        end = self._now() + patience
+        satisfied = False
+        while left:
+            wait = end - self._now()
+            if wait <= 0:
+                break
+            done, _ = await asyncio.wait(left, timeout=wait, return_when=asyncio.FIRST_COMPLETED)
+            for task in [task for task in left if task in done]:
+                left.remove(task)
+                answer = task.result()
+                if answer is not None:
+                    answers.append(answer)
+            if not satisfied and enough(answers):
+                satisfied = True
+                end = min(end, self._now() + linger)
+        return answers
--- /dev/null
+++ b/wingwood/control/store_guard.py
@@ -0,0 +1,90 @@
+"""A member's disk: faults, and the way back from them (docs/DESIGN.md section 7.6)."""
+
+from __future__ import annotations
+
+from returns.result import Failure, Result, Success
+
+from ..identifiers import Seconds
+from ..journal import JournalFault
+from .journal_rewriting import JournalRewriter
+from .member import Member, MemberSetup
+
+RELOAD_PATIENCE = Seconds(5.0)
+
+
+class StoreGuard(Member):
+    """Keeps a sick store from being used, and heals it."""
+
+    def __init__(self, setup: MemberSetup) -> None:
+        super().__init__(setup)
+        self._on_data_lost = setup.on_data_lost
+        self._rewriter = JournalRewriter(self._context, self._store, self._replica, self._limits, self._fail_store)
+
+    def _fail_store(self, fault: JournalFault) -> None:
+        """Nothing is promised, accepted or acknowledged until the journal was read back."""
+        if self._sick is None:
+            self._log("control-disk-sick", kind=fault.kind, detail=fault.detail)
+        self._sick = f"{fault.kind} {fault.detail}"
+        self._stale = True
+        if self._lead is not None:
+            self._step_down(f"own disk: {fault.kind}")
+        self._changed()
+
+    def _written(self, outcome: Result[None, JournalFault]) -> bool:
+        """Whether a write succeeded; after a failed one the store counts as sick."""
+        match outcome:
+            case Failure(fault):
+                self._fail_store(fault)
+                return False
+        return True
+
+    async def _heal(self) -> bool:
+        """Under the lock. Reads the journal back, and shows with a probe that it takes writes."""
+        if self._sick is None and not self._stale:
+            return True
+        match await self._store.reload(RELOAD_PATIENCE):
+            case Failure(fault):
+                self._unreadable(fault)
+                return False
+            case Success(contents):
+                pass
+        if self._sick is not None:
+            match await self._store.probe():
+                case Failure(fault):
+                    self._sick = f"{fault.kind} {fault.detail}"
+                    return False
+            self._log("control-disk-healed", sequence=self._store.sequence)
+        self._replica.load(contents)
+        self._sick, self._stale = None, False
+        self._changed()
+        return True
+
+    def _unreadable(self, fault: JournalFault) -> None:
+        self._sick = f"{fault.kind} {fault.detail}"
+        if fault.kind == "missing":
+            self._data_lost()
+        elif fault.kind == "damaged":
+            self._log("journal-damaged", offset=fault.offset, detail=fault.detail)
+            self._context.tasks.stop_process(f"the control journal is damaged at byte {fault.offset}")
+
+    def _data_lost(self) -> None:
+        detail = "the data folder was emptied under this process"
+        self._log("control-data-lost", detail=detail)
+        if self._on_data_lost is not None:
+            self._on_data_lost()
+        else:
+            self._context.tasks.stop_process(detail)
+
+    async def _check_disk(self) -> None:
+        while not self._stopped:
+            await self._context.clock.sleep(self._limits.check)
+            async with self._lock:
+                if self._sick is None:
+                    await self._check_journal()
+
+    async def _check_journal(self) -> None:
+        match await self._store.journal.check():
+            case Failure(fault):
+                self._fail_store(fault)
+                if fault.kind == "missing":
+                    self._unreadable(fault)
--- a/wingwood/control/tests/mutants.py
+++ b/wingwood/control/tests/mutants.py
@@ -11,8 +11,10 @@
 from ...identifiers import Address, Epoch, Incarnation, Seconds
 from ...transport.frames import Identity
 from ...transport.messenger import TcpMessenger
-from ..core import ReplicatedCore, _Lead, _Plan
+from ..core import ReplicatedCore
+from ..lead import Lead as _Lead
 from ..messages import ControlConfirm, ControlConfirmed, ControlGrant, ControlPromise, ControlReplicate, Seat, View
+from ..planning import ViewPlan as _Plan
 from ..store import Contents, ControlStore, decode_batch
 from .control_world import SIX, MakeCore, Register, core_maker
 
--- a/wingwood/control/tests/test_member_rules.py
+++ b/wingwood/control/tests/test_member_rules.py
@@ -9,7 +9,7 @@
 from returns.result import Result, Success
 
 from ...identifiers import DaemonName, Epoch, Incarnation, Seconds
-from ..core import _Lead, _Plan
+from ..lead import Lead as _Lead
 from ..messages import (
     ControlAccept,
     ControlAccepted,
@@ -27,6 +27,7 @@
     StateRecord,
     View,
 )
+from ..planning import ViewPlan as _Plan
 from ..protocols import NotDecided
 from ..store import encode_batch
 from .control_world import ControlWorld, Put
