Worker registry: one module for each of homes, directory, duties, feeds and ejections

Now: zone_homes (which router is home), worker_directory (tables, listeners), home_duties (states and renewals as a home), home_follower (questions and answers), feed_answers, ejections, feed_limits (times); WorkerRegistry holds them and keeps its public interface (new: pools(), for bench/capacity in place of a private attribute). _home_age and _push stay on WorkerRegistry because tests replace them there. Tests: one import changed (ASK_EVERY).

--- a/bench/capacity/workers.py
+++ b/bench/capacity/workers.py
@@ -104,11 +104,7 @@
         await answer_parent(
             lambda: (
                 own_report([messenger for messenger, _ in made])
-                | {
-                    "ready": min(
-                        sum(len(registry.ready(pool)) for pool in sorted(registry._tables)) for _, registry in made
-                    )
-                }
+                | {"ready": min(sum(len(registry.ready(pool)) for pool in registry.pools()) for _, registry in made)}
             )
         )
 
--- /dev/null
+++ b/wingwood/registry/feed_answers.py
@@ -0,0 +1,93 @@
+"""A daemon's answers to those who follow it as a home (docs/DESIGN.md sections 10.3 and 10.4)."""
+
+from __future__ import annotations
+
+from ..context.protocols import Context
+from ..identifiers import Instant, Seconds, Zone
+from ..membership.protocols import Membership
+from ..transport.frames import Identity
+from ..transport.messenger import Messenger
+from .ejections import Ejections
+from .engagement import EngagementSums, Told, by_instance, by_number
+from .home_duties import HomeAge, HomeDuties
+from .messages import Counts, FeedAnswer, FeedQuestion, PoolAnswer, PoolQuestion
+from .outliers import Outcomes
+from .pool_table import PoolTable
+from .worker_directory import WorkerDirectory
+
+
+class FeedAnswers:
+    """Tells what changed since the asker's last question, and takes the counts that come with a question."""
+
+    def __init__(
+        self,
+        context: Context,
+        messenger: Messenger,
+        membership: Membership,
+        zone: Zone,
+        directory: WorkerDirectory,
+        duties: HomeDuties,
+        sums: EngagementSums,
+        ejections: Ejections,
+        home_age: HomeAge,
+    ) -> None:
+        self._context = context
+        self._messenger = messenger
+        self._membership = membership
+        self._zone = zone
+        self._directory = directory
+        self._duties = duties
+        self._sums = sums
+        self._ejections = ejections
+        self._home_age = home_age
+
+    async def answer(self, peer: Identity, message: FeedQuestion) -> FeedAnswer:
+        now = self._now()
+        proven = self._membership.session_proven_at()
+        answers = tuple(self._answer_pool(peer, question, now) for question in message.pools)
+        known = () if message.pools else tuple(self._directory.pools())
+        age = Seconds(float("inf") if proven is None else now - proven)
+        return FeedAnswer(self._messenger.identity.incarnation, age, answers, known)
+
+    def _answer_pool(self, peer: Identity, question: PoolQuestion, now: Instant) -> PoolAnswer:
+        table = self._directory.table(question.pool)
+        for entry in question.offered:
+            self._duties.take_handed_over(entry)
+        follows = question.home == self._messenger.identity.incarnation
+        if follows:
+            self._take_counts(peer, table, question, now)
+        load_sequence = question.load_sequence
+        return PoolAnswer(
+            question.pool,
+            self._duties.is_settled(question.pool),
+            self._home_age(question.pool),
+            table.sequence,
+            table.changed_since(question.sequence if follows else -1, now),
+            table.load_sequence,
+            table.loads_since(load_sequence) if follows and load_sequence is not None else {},
+            self._counts_for(peer, table) if load_sequence is not None else None,
+            self._ejections.numbers(table) if peer.zone == self._zone else (),
+        )
+
+    def _take_counts(self, peer: Identity, table: PoolTable, question: PoolQuestion, now: Instant) -> None:
+        if question.engaged is not None:
+            told = Told(now, by_instance(question.engaged, table.numbers))
+            if peer.zone == self._zone:
+                self._sums.router_told(table.pool, peer.incarnation, told)
+            elif peer.role == "router":
+                self._sums.zone_told(table.pool, peer.zone, told)
+        for number, (succeeded, failed) in (question.outcomes or {}).items():
+            if number in table.numbers:
+                self._ejections.record(table.pool, {table.numbers[number]: Outcomes(succeeded, failed)})
+
+    def _counts_for(self, peer: Identity, table: PoolTable) -> Counts:
+        now = self._now()
+        engaged = (
+            self._sums.by_others(table.pool, peer.incarnation, now)
+            if peer.zone == self._zone
+            else self._sums.in_zone(table.pool, now)
+        )
+        return by_number(engaged, {instance: record.number for instance, record in table.records.items()})
+
+    def _now(self) -> Instant:
+        return self._context.clock.monotonic()
--- a/wingwood/registry/tests/test_worker_registry.py
+++ b/wingwood/registry/tests/test_worker_registry.py
@@ -8,10 +8,10 @@
 
 from simulation.world import World
 from wingwood.identifiers import PoolName, WorkerInstance
+from wingwood.registry.feed_limits import ASK_EVERY
 from wingwood.registry.messages import StateSeen, TakeState
 from wingwood.registry.protocols import Engagement
 from wingwood.registry.worker_announcements import read_announcement
-from wingwood.registry.worker_registry import ASK_EVERY
 
 from .fleet import POOL, Fleet, Roster
 
--- /dev/null
+++ b/wingwood/registry/worker_directory.py
@@ -0,0 +1,114 @@
+"""All workers that one daemon knows, by pool, and who is told of their changes (docs/DESIGN.md section 10.2)."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Sequence
+
+from ..context.protocols import Context
+from ..identifiers import Instant, PoolName, Seconds, WorkerInstance
+from .feed_limits import engaged_trusted, loads_every
+from .messages import WorkerEntry
+from .pool_table import PoolTable, WorkerRecord
+from .protocols import Worker
+
+
+class WorkerDirectory:
+    """The tables of all pools. ``on_new_pool`` is called when a pool is asked for the first time."""
+
+    def __init__(self, context: Context, on_new_pool: Callable[[PoolName], None]) -> None:
+        self._context = context
+        self._on_new_pool = on_new_pool
+        self._tables: dict[PoolName, PoolTable] = {}
+        self._pool_of: dict[WorkerInstance, PoolName] = {}
+        self._listeners: list[Callable[[Worker], None]] = []
+
+    # --- pools --------------------------------------------------------------------------------
+
+    def pools(self) -> list[PoolName]:
+        return sorted(self._tables)
+
+    def tables(self) -> list[PoolTable]:
+        return [table for _, table in sorted(self._tables.items())]
+
+    def table(self, pool: PoolName) -> PoolTable:
+        table = self._tables.get(pool)
+        if table is None:
+            table = self._tables[pool] = PoolTable(pool)
+            self._on_new_pool(pool)
+        return table
+
+    def loads_every(self, pool: PoolName) -> float:
+        return loads_every(len(self._tables[pool].records))
+
+    def engaged_trusted(self, pool: PoolName) -> float:
+        return engaged_trusted(len(self._tables[pool].records))
+
+    # --- workers ------------------------------------------------------------------------------
+
+    def records(self) -> list[WorkerRecord]:
+        """Of every worker, by pool and instance."""
+        return [record for table in self.tables() for _, record in sorted(table.records.items())]
+
+    def pool_of(self, instance: WorkerInstance) -> PoolName | None:
+        return self._pool_of.get(instance)
+
+    def record(self, instance: WorkerInstance) -> WorkerRecord | None:
+        pool = self._pool_of.get(instance)
+        return None if pool is None else self._tables[pool].records.get(instance)
+
+    def find(self, instance: WorkerInstance) -> Worker | None:
+        record = self.record(instance)
+        return None if record is None else record.worker
+
+    def cold_left(self, instance: WorkerInstance) -> Seconds:
+        pool = self._pool_of.get(instance)
+        return Seconds(0.0) if pool is None else self._tables[pool].cold_left(instance, self._now())
+
+    def merge(self, entry: WorkerEntry, judge_renewal: bool) -> bool:
+        """Takes what another knows, as ``PoolTable.merge``; a change is told."""
+        worker = entry.worker
+        table = self.table(worker.pool)
+        if not table.merge(entry, self._now(), judge_renewal):
+            return False
+        self.changed([table.records[worker.instance].worker])
+        return True
+
+    def forget_old(self) -> list[WorkerInstance]:
+        """Workers that left memory now."""
+        now = self._now()
+        for table in self.tables():
+            table.forget_old(now)
+        forgotten = [
+            instance for instance, pool in sorted(self._pool_of.items()) if instance not in self._tables[pool].records
+        ]
+        for instance in forgotten:
+            del self._pool_of[instance]
+        return forgotten
+
+    # --- changes ------------------------------------------------------------------------------
+
+    def on_change(self, callback: Callable[[Worker], None]) -> None:
+        self._listeners.append(callback)
+
+    def notify(self, workers: Sequence[Worker]) -> None:
+        for worker in workers:
+            for listener in self._listeners:
+                listener(worker)
+
+    def changed(self, workers: Sequence[Worker]) -> None:
+        """To the log and to the listeners."""
+        for worker in workers:
+            record = self._tables[worker.pool].records[worker.instance]
+            if record.renewed or worker.instance not in self._pool_of:
+                self._pool_of[worker.instance] = worker.pool
+            self._context.log.event(
+                "worker-state",
+                worker=worker.instance,
+                address=worker.address,
+                pool=worker.pool,
+                state=worker.state if record.renewed else f"{worker.state}-unrenewed",
+            )
+        self.notify(workers)
+
+    def _now(self) -> Instant:
+        return self._context.clock.monotonic()
