--- a/wingwood/limits/tests/share_fleet.py
+++ b/wingwood/limits/tests/share_fleet.py
@@ -9,7 +9,8 @@
 from wingwood.bundle.model import Tenant
 from wingwood.context.protocols import Context
 from wingwood.identifiers import ClassName, DaemonName, Incarnation, Instant, Seconds, TenantName, Zone
-from wingwood.limits.shares import FleetShares, ShareBounds
+from wingwood.limits.share_bounds import ShareBounds
+from wingwood.limits.shares import FleetShares
 from wingwood.limits.tolerance import QuotaTolerance
 from wingwood.transport.frames import Identity
 from wingwood.transport.messenger import TcpMessenger
--- a/wingwood/limits/tests/test_shares.py
+++ b/wingwood/limits/tests/test_shares.py
@@ -12,7 +12,8 @@
 
 from ...identifiers import Instant
 from ..messages import UseAnswer, UseQuestion
-from ..shares import FleetShares, ShareBounds
+from ..share_bounds import ShareBounds
+from ..shares import FleetShares
 from ..stand_in import StandIn
 from .share_fleet import Load, ShareFleet, tenant
 
