Caller edge: connection, time bounds, reading and answering in modules of their own

Cause: wingwood/forward/caller_edge.py had 545 lines and four classes that knew each other's fields. Now: caller_edge (listens; 90 lines), edge_state (what connections share, with hold/release for bodies), caller_connection (tornado's stream), timed_connection (bounds of phases), caller_request, caller_answer.

--- /dev/null
+++ b/wingwood/forward/caller_connection.py
@@ -0,0 +1,211 @@
+"""One caller's connection, as tornado's HTTP/1.x connection wants its stream (docs/DESIGN.md section 12.3).
+
+What tornado can't do: refusals that say why, bounds on the time of each phase, and input that is read all the time, so
+that a caller's leaving is seen at once even when it sent bytes beyond its request.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import re
+import socket
+import struct
+from collections.abc import Callable
+from typing import Final, cast
+
+from tornado.ioloop import IOLoop
+from tornado.iostream import BaseIOStream, StreamClosedError
+
+from ..identifiers import Address, RequestId
+from .edge_state import EdgeState, reason_phrase
+from .protocols import Refused
+from .timed_connection import TimedConnection
+
+READ_BYTES: Final = 64 * 1024
+NO_BOUND: Final = 1 << 62
+"""For tornado: the edge bounds heads and bodies itself, so that it can say so."""
+
+_TORNADO_BAD_REQUEST: Final = b"HTTP/1.1 400 Bad Request\r\n\r\n"
+_MALFORMED: Final = Refused(status=400, code="malformed-request", reason="this is not a well-formed HTTP/1.1 request")
+_FIRST_LINE_BYTES: Final = 8 * 1024 + 64
+_HEAD_END = re.compile(rb"\r?\n\r?\n")
+
+
+class CallerConnection(TimedConnection):
+    """One caller's connection, and what HTTP1Connection takes for its stream."""
+
+    def __init__(self, edge: EdgeState, stream: BaseIOStream, peer: Address) -> None:
+        super().__init__()
+        self.io_loop = IOLoop.current()
+        self.max_buffer_size = NO_BOUND
+        self.edge = edge
+        self.peer = peer
+        self.reading_call = False
+        self.gone = asyncio.Event()
+        self.on_gone: Callable[[], None] | None = None
+        self.written: asyncio.Future[None] | None = None
+        """Of the last write: done when the kernel has taken it."""
+        self._stream = stream
+        self._input = bytearray()
+        self._reading = False
+        self._more: asyncio.Future[None] | None = None
+        self._close_callback: Callable[[], None] | None = None
+        stream.set_close_callback(self._closed)
+        self._read_on()
+
+    def await_call(self) -> None:
+        """Rests until the next call comes in, or reads it on if it has begun to."""
+        self.idle = not self._input
+        self.reading_call = not self.idle
+        if self.idle:
+            self.bound_time(self.edge.bounds().idle, None)
+        else:
+            self.bound_time(self.edge.bounds().head_time, "headers")
+
+    # What HTTP1Connection wants of a stream.
+
+    async def read_until_regex(self, regex: bytes, max_bytes: int) -> bytes:
+        """The head of a call. Its first line does not count among the headers' bytes."""
+        bound = self.edge.bounds().head_bytes
+        searched = 0
+        while (found := _HEAD_END.search(self._input, max(0, searched - 3))) is None:
+            searched = len(self._input)
+            if searched > bound + self._first_line():
+                break
+            await self._input_more()
+            if self.idle:
+                self.idle, self.reading_call = False, True
+                self.bound_time(self.edge.bounds().head_time, "headers")
+        if found is None or found.end() > bound + self._first_line():
+            self.refuse(Refused(status=431, code="headers-too-large", reason=f"headers above {bound} bytes"))
+            raise StreamClosedError
+        return self._take(found.end())
+
+    def _first_line(self) -> int:
+        return min(_FIRST_LINE_BYTES, self._input.find(b"\n") + 1)
+
+    async def read_until(self, delimiter: bytes, max_bytes: int) -> bytes:
+        while (found := self._input.find(delimiter, 0, max_bytes)) < 0:
+            if len(self._input) >= max_bytes:
+                self.refuse(_MALFORMED)
+                raise StreamClosedError
+            await self._input_more()
+        return self._take(found + len(delimiter))
+
+    async def read_bytes(self, count: int, partial: bool = False) -> bytes:
+        while len(self._input) < (1 if partial else count):
+            await self._input_more()
+        return self._take(min(count, len(self._input)))
+
+    def write(self, data: bytes) -> asyncio.Future[None]:
+        if self.shut:
+            raise StreamClosedError
+        if data == _TORNADO_BAD_REQUEST:
+            self.refuse(_MALFORMED)
+            raise StreamClosedError
+        self.written = self._stream.write(data)
+        return self.written
+
+    def close(self) -> None:
+        self.shut = True
+        self.end_time_bound()
+        self._stream.close()
+
+    def closed(self) -> bool:
+        return self.shut or self._stream.closed()
+
+    def set_close_callback(self, callback: Callable[[], None] | None) -> None:
+        self._close_callback = callback
+
+    def set_nodelay(self, value: bool) -> None:
+        """Pieces leave at once, on later calls of the connection too: tornado would turn Nagle's algorithm on."""
+
+    # Input.
+
+    def _read_on(self) -> None:
+        if self._reading or self.gone.is_set() or len(self._input) >= READ_BYTES:
+            return
+        self._reading = True
+        try:
+            future = self._stream.read_bytes(READ_BYTES, partial=True)
+        except StreamClosedError:
+            self._loop.call_soon(self._closed)
+            return
+        cast("asyncio.Future[bytes]", future).add_done_callback(self._input_came)
+
+    def _input_came(self, future: asyncio.Future[bytes]) -> None:
+        self._reading = False
+        if future.cancelled() or future.exception() is not None:
+            self._closed()
+            return
+        if not self.shut:  # Else a refused sender goes on for a moment.
+            self._input += future.result()
+            self._wake()
+        self._read_on()
+
+    def _closed(self) -> None:
+        if self.gone.is_set():
+            return
+        self.shut = True
+        self.gone.set()
+        self.end_time_bound()
+        self._wake()
+        if self.on_gone is not None:
+            self.on_gone()
+        callback, self._close_callback = self._close_callback, None
+        if callback is not None:
+            callback()
+
+    def _wake(self) -> None:
+        if self._more is not None and not self._more.done():
+            self._more.set_result(None)
+
+    async def _input_more(self) -> None:
+        if self.shut:
+            raise StreamClosedError
+        self._more = self._loop.create_future()
+        await self._more
+        if self.shut:
+            raise StreamClosedError
+
+    def _take(self, count: int) -> bytes:
+        taken = bytes(memoryview(self._input)[:count])
+        del self._input[:count]
+        self._read_on()
+        return taken
+
+    # Bounds and refusals.
+
+    def idle_bound(self) -> float:
+        return self.edge.bounds().idle
+
+    def too_slow(self, waiting_for: str) -> None:
+        self.refuse(Refused(status=408, code="too-slow", reason=f"the request's {waiting_for} took too long"))
+
+    def refuse(self, refused: Refused, request: RequestId | None = None) -> None:
+        """Answers in place of tornado, takes no more input and closes once the sender could read the answer."""
+        if self.shut:
+            return
+        self.shut = True
+        self.reading_call = False
+        self._input.clear()
+        self.end_time_bound()
+        made = self.edge.format.router_answer(refused, request or RequestId(""), False)
+        lines = [f"HTTP/1.1 {made.status} {reason_phrase(made.status)}", "Connection: close"]
+        lines += [f"{name}: {value}" for name, value in made.headers]
+        self.edge.context.log.event("request-refused", peer=self.peer, status=made.status, code=refused.code)
+        try:
+            written = self._stream.write("\r\n".join(lines).encode("latin-1") + b"\r\n\r\n" + made.body)
+            written.add_done_callback(lambda future: future.cancelled() or future.exception())
+        except StreamClosedError:
+            return
+        self.end_later(self.edge.limits.linger, self._stream.close)
+        self._wake()
+        self._read_on()
+
+    def reset(self) -> None:
+        """Closes so that the reader gets an error in place of the end of the bytes."""
+        raw = getattr(self._stream, "socket", None)
+        if isinstance(raw, socket.socket):
+            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        self.close()
