--- a/wingwood/distribution/tests/test_broken_variants.py
+++ b/wingwood/distribution/tests/test_broken_variants.py
@@ -8,7 +8,8 @@
 import msgspec
 
 from ...identifiers import Address, BundleVersion, Instant, Seconds
-from ...membership.keeper import SessionKeeper, _Peer
+from ...membership.keeper import SessionKeeper
+from ...membership.keeper_peer import KeeperPeer as _Peer
 from ...membership.limits import SessionTimes
 from ...membership.messages import Heartbeat, News, SessionsTold, Unheard
 from ...membership.tests import test_sessions as sessions
