Bundle state: records, slice history, kept bundles and the two kinds of decisions apart

The check of sizes and of order ids, which stood in two places each, stands in one. Tests: one import changed (RememberedOrder as _Remembered); broken variants still override single methods.

--- /dev/null
+++ b/wingwood/bundle/edition_decisions.py
@@ -0,0 +1,167 @@
+"""Decisions on orders by the operator's own numbers, which control signs itself (docs/DESIGN.md section 5.4)."""
+
+from __future__ import annotations
+
+import asyncio
+
+import msgspec
+from returns.result import Failure, Success
+
+from ..control.protocols import SubmitEdition
+from ..identifiers import OrderId
+from .editions import edition_fingerprint, signed_steps
+from .gradual import Steps, at_once, gradually_while
+from .kept_bundles import KeptBundles, StateOptions
+from .model import Bundle, EditionChange, EditionStanding, OrderOutcome
+from .order_decisions import refuse_order_id
+from .parse import Checked, parse_steps
+from .state_records import Decided, RememberedOrder
+
+PREPARED_ORDERS = 4
+"""Each may hold all slices of a bundle."""
+
+
+class PreparedEdition(msgspec.Struct, frozen=True):
+    """An edition that was checked, and signed if it is valid, before its turn to be decided."""
+
+    held: Bundle
+    """On which it builds."""
+    checked: Checked
+
+
+class EditionDecisions(KeptBundles):
+    """Only what is accepted is recorded: a refusal says how things stand, and the same order may come again."""
+
+    _prepared: dict[bytes, PreparedEdition]
+    """By fingerprint; the oldest first."""
+
+    def __init__(self, options: StateOptions) -> None:
+        super().__init__(options)
+        self._signing_key = options.signing_key
+        self._wall = options.wall
+        self._preparing = asyncio.Lock()
+        """One order at a time, so that those that come together cost no more memory and time than one."""
+
+    def apply(self, record: bytes) -> None:
+        before = self._version
+        super().apply(record)
+        if self._version != before:
+            self._prepared.clear()
+
+    def restore(self, snapshot: bytes | None) -> None:
+        self._prepared = {}
+        super().restore(snapshot)
+
+    def _standing(self, order: OrderId) -> EditionStanding:
+        known = self._remembered.get(order)
+        accepted = known is not None and known.outcome == "accepted"
+        return EditionStanding(
+            number=self._edition_number(),
+            version=self._version,
+            outcome=known.as_outcome() if known is not None and accepted else None,
+        )
+
+    # deciding
+
+    def _decide_edition(self, change: EditionChange) -> tuple[bytes | None, OrderOutcome]:
+        mark = edition_fingerprint(change)
+        known = self._remembered.get(change.order)
+        if known is not None and known.fingerprint == mark:
+            return None, msgspec.structs.replace(known.as_outcome(), edition=change.number)
+        current = self._edition_number()
+        if known is None and change.base != current:
+            reason = f"base is {change.base}, but edition {current} is the newest: read it and build on it"
+            return None, self._edition_refused(change, "conflict", reason)
+        refusal = self._refuse_ill_formed(change, known, current)
+        if refusal is not None:
+            return None, self._edition_refused(change, "invalid", refusal)
+        held = self._parsed_bundle()
+        match self._checked(held, change, mark):
+            case Success(bundle):
+                return self._decide_checked(held, bundle, change, mark)
+            case Failure(problem):
+                return None, self._edition_refused(change, "invalid", str(problem))
+        raise AssertionError("a result is a success or a failure")
+
+    def _decide_checked(
+        self, held: Bundle, bundle: Bundle, change: EditionChange, mark: bytes
+    ) -> tuple[bytes | None, OrderOutcome]:
+        """Of an order whose bundle is valid and signed."""
+        refusal = self._refuse_large_bundle(bundle)
+        if refusal is not None:
+            return None, self._edition_refused(change, "invalid", refusal)
+        outcome = OrderOutcome(order=change.order, outcome="accepted", version=bundle.version, edition=change.number)
+        return self._record_acceptance(held, bundle, mark), outcome
+
+    def _checked(self, held: Bundle, change: EditionChange, mark: bytes) -> Checked:
+        """As it was prepared, if it was for this very bundle."""
+        prepared = self._prepared.get(mark)
+        if prepared is not None and prepared.held is held:
+            return prepared.checked
+        return at_once(self._edition_steps(held, change))
+
+    def _edition_steps(self, held: Bundle, change: EditionChange) -> Steps[Checked]:
+        assert self._signing_key is not None, "an order without a key to sign it is refused"
+        return signed_steps(held, change, self._signing_key, self._wall)
+
+    def _refuse_ill_formed(self, change: EditionChange, known: RememberedOrder | None, current: int) -> str | None:
+        if self._signing_key is None:
+            return "this fleet takes signed orders only: control has no signing_key in its settings"
+        if known is not None:
+            return f"order {change.order} was used before with other content; make a new order id"
+        refusal = refuse_order_id(change.order)
+        if refusal is not None:
+            return refusal
+        if change.number <= current:
+            return f"number is {change.number}: it must be above {current}, the newest edition"
+        return self._refuse_large("order", sum(len(data) for data in change.changed.values()))
+
+    def _edition_refused(self, change: EditionChange, outcome: Decided, reason: str) -> OrderOutcome:
+        return OrderOutcome(
+            order=change.order,
+            outcome=outcome,
+            version=self._version,
+            reason=reason,
+            edition=self._edition_number(),
+        )
+
+    # preparing
+
+    async def prepare(self, command: msgspec.Struct) -> None:
+        """Checks and signs a large order beforehand, step by step, so that ``decide`` holds up nothing for long.
+
+        What was prepared counts only for the version that was newest meanwhile.
+        """
+        if not isinstance(command, SubmitEdition):
+            return
+        change, mark = command.change, edition_fingerprint(command.change)
+        async with self._preparing:
+            if self._is_worth_preparing(change, mark):
+                await self._prepare(change, mark)
+
+    def _is_worth_preparing(self, change: EditionChange, mark: bytes) -> bool:
+        current = self._edition_number()
+        if mark in self._prepared or change.base != current or change.order in self._remembered:
+            return False
+        return self._refuse_ill_formed(change, None, current) is None
+
+    async def _prepare(self, change: EditionChange, mark: bytes) -> None:
+        held = await self._parsed_gradually()
+        if held is None:
+            return
+        checked = await gradually_while(lambda: self._parsed is held, self._edition_steps(held, change))
+        if checked is not None and self._parsed is held:
+            while len(self._prepared) >= PREPARED_ORDERS:
+                del self._prepared[next(iter(self._prepared))]
+            self._prepared[mark] = PreparedEdition(held, checked)
+
+    async def _parsed_gradually(self) -> Bundle | None:
+        """As ``_parsed_bundle``; None when another version came meanwhile."""
+        if self._parsed is None and self._version > 0:
+            manifest = self._manifests[self._version]
+            steps = parse_steps(manifest, self._slices.newest())
+            parsed = await gradually_while(lambda: self._manifests.get(self._version) is manifest, steps)
+            if parsed is None or self._manifests.get(self._version) is not manifest:
+                return None
+            self._parsed = parsed.unwrap()
+        return self._parsed_bundle()
--- /dev/null
+++ b/wingwood/bundle/kept_bundles.py
@@ -0,0 +1,312 @@
+"""The bundles and orders that the bundle state keeps: applying records, reading as of a version (docs/DESIGN.md 5.4).
+
+``OrderDecisions`` and ``EditionDecisions`` decide on top of it; together they are ``BundleState``.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Callable, Sequence
+
+import msgspec
+from cryptography.hazmat.primitives.asymmetric.ed25519 import Ed25519PrivateKey
+
+from ..identifiers import BundleVersion, OrderId, SliceName, WallTime
+from .editions import EDITION_SLICE, number_in
+from .model import Bundle, BundleDelta, Manifest, OrderOutcome
+from .orders import difference
+from .parse import empty_bundle, parse_bundle
+from .slice_history import SliceHistory
+from .state_records import (
+    OUTCOMES,
+    AcceptedRecord,
+    HistoryEntry,
+    RefusedRecord,
+    RememberedOrder,
+    StateSnapshot,
+    record_decoder,
+)
+
+SCAN_ABOVE = 1_000
+"""A holder further behind than this is served by a look at every slice, not by the history."""
+
+
+class StateOptions(msgspec.Struct, frozen=True, kw_only=True):
+    """See ``BundleState``."""
+
+    operator_keys: frozenset[str]
+    outcome_retention: int
+    history_versions: int
+    bundle_bytes: int
+    signing_key: Ed25519PrivateKey | None
+    wall: Callable[[], WallTime]
+
+
+class KeptBundles:
+    """Everything that records and snapshots hold; the same on every control daemon."""
+
+    _version: BundleVersion
+    _parsed: Bundle | None
+    """The newest bundle, when it was decided here or has been read since."""
+    _candidate: Bundle | None
+    """The bundle of the record that ``decide`` returned last, until it is applied."""
+    _manifests: dict[BundleVersion, Manifest]
+    _slices: SliceHistory
+    _remembered: dict[OrderId, RememberedOrder]
+    _remembered_order: deque[RememberedOrder]
+    _history: dict[BundleVersion, RememberedOrder]
+    _signers: dict[str, str]
+    _names: dict[SliceName, SliceName]
+
+    def __init__(self, options: StateOptions) -> None:
+        self._outcome_retention = options.outcome_retention
+        self._history_versions = options.history_versions
+        self._bundle_bytes = options.bundle_bytes
+        self.restore(None)
+
+    @property
+    def version(self) -> BundleVersion:
+        """Newest decided version; not always durable yet."""
+        return self._version
+
+    # what decisions need
+
+    def _edition_number(self) -> int:
+        """Of the newest edition of the operator's own numbers; 0: none."""
+        return number_in(self._slices.newest_of(EDITION_SLICE))
+
+    def _parsed_bundle(self) -> Bundle:
+        """The newest bundle, read from its slices when records came without being decided here."""
+        bundle = self._parsed
+        if bundle is None:
+            bundle = empty_bundle()
+            if self._version > 0:
+                bundle = parse_bundle(self._manifests[self._version], self._slices.newest()).unwrap()
+            self._parsed = bundle
+        return bundle
+
+    def _record_acceptance(self, held: Bundle, bundle: Bundle, mark: bytes) -> bytes:
+        changed, gone = difference(held.slices, bundle.slices)
+        self._candidate = bundle
+        return msgspec.msgpack.encode(AcceptedRecord(bundle.manifest, changed, gone, mark))
+
+    def _refuse_large_bundle(self, bundle: Bundle) -> str | None:
+        return self._refuse_large("bundle", sum(map(len, bundle.slices.values())))
+
+    def _refuse_large(self, what: str, size: int) -> str | None:
+        if size <= self._bundle_bytes:
+            return None
+        return f"the {what} has {size} bytes: keep it to {self._bundle_bytes} (bundle_bytes in settings)"
+
+    # applying
+
+    def apply(self, record: bytes) -> None:
+        decoded = record_decoder.decode(record)
+        if isinstance(decoded, RefusedRecord):
+            self._apply_refusal(decoded)
+        else:
+            self._apply_acceptance(decoded)
+
+    def _apply_refusal(self, refused: RefusedRecord) -> None:
+        outcome = refused.outcome
+        self._remember(
+            RememberedOrder(
+                outcome.order,
+                refused.fingerprint,
+                "conflict" if outcome.outcome == "conflict" else "invalid",
+                outcome.version,
+                outcome.reason,
+                refused.signer,
+                refused.signed_at,
+            )
+        )
+
+    def _apply_acceptance(self, accepted: AcceptedRecord) -> None:
+        manifest = accepted.manifest
+        if manifest.version != self._version + 1:
+            raise RuntimeError(f"record of version {manifest.version} after version {self._version}")
+        candidate, self._candidate = self._candidate, None
+        self._parsed = candidate if candidate is not None and candidate.manifest == manifest else None
+        self._version = manifest.version
+        self._manifests[manifest.version] = manifest
+        changed = {self._shared_name(name): data for name, data in accepted.changed.items()}
+        removed = tuple(map(self._shared_name, accepted.removed))
+        self._slices.add(manifest.version, changed, removed)
+        self._remember(
+            RememberedOrder(
+                manifest.order,
+                accepted.fingerprint,
+                "accepted",
+                manifest.version,
+                "",
+                self._signers.setdefault(manifest.signer, manifest.signer),
+                manifest.signed_at,
+                tuple(changed),
+                removed,
+            )
+        )
+        self._forget_past()
+
+    def _shared_name(self, name: SliceName) -> SliceName:
+        """The same string for each order that names the slice."""
+        return self._names.setdefault(name, name)
+
+    def _remember(self, entry: RememberedOrder) -> None:
+        self._remembered[entry.order] = entry
+        if entry.outcome == "accepted":
+            self._history[entry.version] = entry
+        self._remembered_order.append(entry)
+        while len(self._remembered_order) > self._outcome_retention:
+            oldest = self._remembered_order.popleft()
+            self._remembered.pop(oldest.order, None)
+            if oldest.outcome == "accepted":
+                self._history.pop(oldest.version, None)
+
+    def _forget_past(self) -> None:
+        """Drops the manifest and the slices' contents that only versions before the kept ones had."""
+        oldest = BundleVersion(self._version - self._history_versions)
+        self._manifests.pop(BundleVersion(oldest - 1), None)
+        self._slices.forget(oldest)
+
+    # reading, as of a version that the caller knows to be durable
+
+    def manifest_at(self, version: BundleVersion) -> Manifest | None:
+        """None when the version is not (or no longer) kept, and for 0."""
+        return self._manifests.get(version)
+
+    def delta_since(self, since: BundleVersion, upto: BundleVersion) -> BundleDelta | None:
+        """What takes a holder of ``since`` straight to ``upto``, intermediates skipped.
+
+        ``upto`` is the newest durable version; what was decided after it does not show. ``since`` of
+        the delta is 0 when the holder has nothing, or is so far behind that removals it has not
+        seen are forgotten: the delta then is everything. None when there is nothing newer than
+        ``since``, or ``upto`` is no longer kept (more than ``history_versions`` behind).
+        """
+        manifest = self._manifests.get(upto)
+        if manifest is None or since >= upto:
+            return None
+        if since < self._slices.forgotten_removal:
+            since = BundleVersion(0)
+        changed: dict[SliceName, bytes] = {}
+        removed: list[SliceName] = []
+        for name in self._names_changed(since, upto):
+            version, data = self._slices.content_at(name, upto)
+            if data is not None:
+                changed[name] = data
+            elif since and version > since:
+                removed.append(name)
+        return BundleDelta(since=since, manifest=manifest, changed=changed, removed=tuple(removed))
+
+    def _names_changed(self, since: BundleVersion, upto: BundleVersion) -> Sequence[SliceName]:
+        entries = range(since + 1, upto + 1)
+        if since and len(entries) <= SCAN_ABOVE and BundleVersion(since + 1) in self._history:
+            names = {name for version in entries for name in self._touched(BundleVersion(version))}
+            return sorted(name for name in names if name in self._slices.past)
+        return self._slices.changed_between(since, upto)
+
+    def _touched(self, version: BundleVersion) -> tuple[SliceName, ...]:
+        entry = self._history[version]
+        return (*entry.changed, *entry.removed)
+
+    def slices_at(self, version: BundleVersion) -> dict[SliceName, bytes] | None:
+        """All slices of a version that is still kept, by sorted name; None otherwise."""
+        if version == 0:
+            return {}
+        if version not in self._manifests:
+            return None
+        if version == self._version:
+            return self._slices.newest()
+        return self._slices.at(version)
+
+    def history(self, upto: BundleVersion, most: int = 50) -> list[HistoryEntry]:
+        """Newest first, from ``upto`` back."""
+        versions = range(upto, max(0, upto - most), -1)
+        entries = (self._history.get(BundleVersion(version)) for version in versions)
+        return [
+            HistoryEntry(
+                version=entry.version,
+                order=entry.order,
+                signer=entry.signer,
+                signed_at=entry.signed_at,
+                changed=entry.changed,
+                removed=entry.removed,
+            )
+            for entry in entries
+            if entry is not None
+        ]
+
+    def outcome(self, order: OrderId) -> OrderOutcome | None:
+        """What was decided of an order; not always durable yet."""
+        known = self._remembered.get(order)
+        return None if known is None else known.as_outcome()
+
+    # whole state
+
+    def snapshot(self) -> bytes:
+        signers: dict[str, int] = {}
+        names: dict[SliceName, int] = {}
+        remembered = [
+            (
+                entry.order,
+                entry.fingerprint,
+                OUTCOMES.index(entry.outcome),
+                entry.version,
+                entry.reason,
+                signers.setdefault(entry.signer, len(signers)),
+                entry.signed_at,
+                [names.setdefault(name, len(names)) for name in entry.changed],
+                [names.setdefault(name, len(names)) for name in entry.removed],
+            )
+            for entry in self._remembered_order
+        ]
+        return msgspec.msgpack.encode(
+            StateSnapshot(
+                self._version,
+                [self._manifests[version] for version in sorted(self._manifests)],
+                self._slices.past,
+                self._slices.forgotten_removal,
+                list(signers),
+                list(names),
+                remembered,
+            )
+        )
+
+    def restore(self, snapshot: bytes | None) -> None:
+        self._clear()
+        if snapshot is not None:
+            self._read(msgspec.msgpack.decode(snapshot, type=StateSnapshot))
+
+    def _clear(self) -> None:
+        self._version = BundleVersion(0)
+        self._parsed = None
+        self._candidate = None
+        self._manifests = {}
+        self._slices = SliceHistory()
+        self._remembered = {}
+        self._remembered_order = deque()
+        self._history = {}
+        self._signers = {}
+        self._names = {}
+
+    def _read(self, read: StateSnapshot) -> None:
+        self._version = read.version
+        self._slices = SliceHistory(read.past, read.forgotten_removal)
+        self._signers = {signer: signer for signer in read.signers}
+        self._names = {name: name for name in read.names}
+        for order, mark, outcome, version, reason, signer, signed_at, changed, removed in read.remembered:
+            self._remember(
+                RememberedOrder(
+                    order,
+                    mark,
+                    OUTCOMES[outcome],
+                    version,
+                    reason,
+                    read.signers[signer],
+                    signed_at,
+                    tuple(read.names[index] for index in changed),
+                    tuple(read.names[index] for index in removed),
+                )
+            )
+        oldest = self._version - self._history_versions
+        self._manifests = {manifest.version: manifest for manifest in read.manifests if manifest.version >= oldest}
+        self._forget_past()
--- a/wingwood/bundle/reading.py
+++ b/wingwood/bundle/reading.py
@@ -12,7 +12,8 @@
 from ..transport.frames import Identity
 from ..transport.messenger import Messenger
 from .model import Bundle, Manifest
-from .state import BundleState, HistoryEntry
+from .state import BundleState
+from .state_records import HistoryEntry
 
 ASK_WITHIN = Seconds(1.0)
 
--- /dev/null
+++ b/wingwood/bundle/slice_history.py
@@ -0,0 +1,78 @@
+"""The slices' contents over the last versions (docs/DESIGN.md section 5.4)."""
+
+from __future__ import annotations
+
+from collections import deque
+from collections.abc import Iterable, Mapping, Sequence
+
+from ..identifiers import BundleVersion, SliceName
+from .state_records import SliceVersion
+
+
+class SliceHistory:
+    """Each slice's contents by the version that brought them, oldest first; ``forget`` drops what is too old."""
+
+    def __init__(
+        self,
+        past: dict[SliceName, list[SliceVersion]] | None = None,
+        forgotten_removal: BundleVersion = BundleVersion(0),  # noqa: B008
+    ) -> None:
+        self.past = past if past is not None else {}
+        self.forgotten_removal = forgotten_removal
+        """The newest removal of which no trace is kept in ``past``."""
+        self._changed_in: deque[tuple[BundleVersion, tuple[SliceName, ...]]] = deque(self._changes())
+
+    def _changes(self) -> Iterable[tuple[BundleVersion, tuple[SliceName, ...]]]:
+        changes: dict[BundleVersion, list[SliceName]] = {}
+        for name, past in sorted(self.past.items()):
+            for version, _ in past:
+                changes.setdefault(version, []).append(name)
+        return [(version, tuple(changes[version])) for version in sorted(changes)]
+
+    def add(self, version: BundleVersion, changed: Mapping[SliceName, bytes], removed: Sequence[SliceName]) -> None:
+        for name, data in changed.items():
+            self.past.setdefault(name, []).append((version, data))
+        for name in removed:
+            self.past.setdefault(name, []).append((version, None))
+        self._changed_in.append((version, (*changed, *removed)))
+
+    def forget(self, oldest: BundleVersion) -> None:
+        """Drops the contents that only versions before ``oldest`` had."""
+        while self._changed_in and self._changed_in[0][0] <= oldest:
+            _, names = self._changed_in.popleft()
+            for name in names:
+                if name in self.past:
+                    self._forget_slice(name, oldest)
+
+    def _forget_slice(self, name: SliceName, oldest: BundleVersion) -> None:
+        past = self.past[name]
+        keep = max((index for index, (version, _) in enumerate(past) if version <= oldest), default=0)
+        del past[:keep]
+        version, data = past[0]
+        if data is None and version <= oldest:
+            self.forgotten_removal = max(self.forgotten_removal, version)
+            del past[0]
+            if not past:
+                del self.past[name]
+
+    def newest_of(self, name: SliceName) -> bytes | None:
+        past = self.past.get(name)
+        return past[-1][1] if past else None
+
+    def newest(self) -> dict[SliceName, bytes]:
+        """All slices, by sorted name."""
+        contents = {name: self.past[name][-1][1] for name in sorted(self.past)}
+        return {name: data for name, data in contents.items() if data is not None}
+
+    def at(self, version: BundleVersion) -> dict[SliceName, bytes]:
+        """All slices as of that version, by sorted name."""
+        contents = ((name, self.content_at(name, version)[1]) for name in sorted(self.past))
+        return {name: data for name, data in contents if data is not None}
+
+    def content_at(self, name: SliceName, version: BundleVersion) -> SliceVersion:
+        """When the slice last changed up to ``version``, and its bytes then; (0, None) before it was."""
+        return next((entry for entry in reversed(self.past[name]) if entry[0] <= version), (BundleVersion(0), None))
+
+    def changed_between(self, since: BundleVersion, upto: BundleVersion) -> list[SliceName]:
+        """Sorted; by a look at every slice."""
+        return sorted(name for name in self.past if self.content_at(name, upto)[0] > since)
--- a/wingwood/control/tests/test_editions.py
+++ b/wingwood/control/tests/test_editions.py
@@ -9,7 +9,8 @@
 from ...bundle.editions import EDITION_SLICE, number_in
 from ...bundle.model import EditionChange, OrderOutcome
 from ...bundle.reading import LocalBundleReader, NotReadable, RemoteBundleReader
-from ...bundle.state import BundleState, _Remembered
+from ...bundle.state import BundleState
+from ...bundle.state_records import RememberedOrder as _Remembered
 from ...bundle.tests.samples import OPERATOR_KEYS, SIGNING_KEY, edition_change, sample_slices
 from ...context.protocols import Context
 from ...identifiers import BundleVersion, OrderId, Seconds
