--- a/wingwood/forward/worker_format.py
+++ b/wingwood/forward/worker_format.py
@@ -23,6 +23,7 @@
 from .event_streams import LAST_EVENT_ID
 from .http_headers import end_to_end
 from .protocols import IncomingCall
+from .worker_requests import request_to_worker
 
 PREFIX: Final = "Prefix"
 EXPECT_INSTANCE: Final = "Expect-Instance"
@@ -46,7 +47,6 @@
         "x-tenant",
     }
 )
-_OURS_WHEN_CONTINUED: Final = _OURS_TO_WORKER | {LAST_EVENT_ID.lower()}
 _OURS_TO_CALLER: Final = frozenset(
     {"content-length", "not-run", "wingwood-answer", "wingwood-award", "wingwood-worker", "x-request-id"}
 )
@@ -62,17 +62,7 @@
         own = [(EXPECT_INSTANCE, str(worker.instance)), (REQUEST_ID, str(call.request))]
         if call.tenant is not None:
             own.append((TENANT, str(call.tenant.name)))
-        dropped = _OURS_TO_WORKER
-        if call.progress is not None and call.progress.last_event is not None:
-            own.append((LAST_EVENT_ID, str(call.progress.last_event)))
-            dropped = _OURS_WHEN_CONTINUED
-        return HttpRequest(
-            method=call.method,
-            address=worker.address,
-            path=call.path,
-            headers=(*end_to_end(call.headers, dropped), *own),
-            body=call.body,
-        )
+        return request_to_worker(call, worker, own, _OURS_TO_WORKER, LAST_EVENT_ID)
 
     def answers(self, head: HttpHead, call: IncomingCall) -> bool:
         """Each call has a connection of its own, so what comes there is its answer."""
