Request path: tests and the forwarding bench share one set of stand-ins

Cause: bench/forward_stand_ins.py and wingwood/forward/tests/stand_ins.py each had a bundle, a bundle holder, shares, limits, ledger, placement and registry as small as they can be. Now emulator/router_slices.py has them once; the tests' stand-ins build on them and add what they remember or refuse; the bench takes them as they are, so that it still keeps nothing per call. bench/forward_bundle.py: what it serves.

--- a/bench/forward_bench.py
+++ b/bench/forward_bench.py
@@ -92,6 +92,7 @@
 
     from prometheus_client import CollectorRegistry  # noqa: PLC0415
 
+    from emulator.router_slices import FreeLedger, FreeLimits, FreeShares, HeldBundle, ReadyWorkers  # noqa: PLC0415
     from wingwood.context.curl_client import CurlHttpClient  # noqa: PLC0415
     from wingwood.context.logs import EliotLog  # noqa: PLC0415
     from wingwood.context.protocols import Context  # noqa: PLC0415
@@ -101,7 +102,7 @@
     from wingwood.identifiers import Address, DaemonName, Zone  # noqa: PLC0415
     from wingwood.settings.model import DaemonSettings  # noqa: PLC0415
 
-    from .forward_stand_ins import AlwaysInForce, NoLedger, NoLimits, NoShares, OneWorker, bench_bundle  # noqa: PLC0415
+    from .forward_bundle import bench_bundle, bench_worker  # noqa: PLC0415
 
     log = EliotLog(DaemonName("bench"), open(os.devnull, "w"))  # noqa: SIM115
     context = Context(
@@ -124,14 +125,14 @@
         fleet_key=b"",
         operator_keys=(),
     )
-    one_worker, limits = OneWorker(Address("127.0.0.1", WORKER_PORT)), NoLimits()
+    one_worker, limits = ReadyWorkers([bench_worker(Address("127.0.0.1", WORKER_PORT))]), FreeLimits()
     path = RequestPath(
         context,
         settings,
-        AlwaysInForce(bench_bundle(KEY)),
-        NoShares(),
+        HeldBundle(bench_bundle(KEY)),
+        FreeShares(),
         limits,
-        NoLedger(),
+        FreeLedger(),
         one_worker,
         one_worker,
         limits,
--- a/bench/forward_stand_ins.py
+++ b/emulator/router_slices.py
@@ -1,4 +1,7 @@
-"""The other slices of a router, as small as they can be, for the bench of the request path."""
+"""The other slices of a router, as small as they can be, for tests and benches of its request path.
+
+Nothing is refused, nothing is remembered. Tests that look at what a slice was told, or make it refuse, build on these.
+"""
 
 from __future__ import annotations
 
@@ -6,84 +9,84 @@
 from collections.abc import Callable, Sequence
 from typing import Literal
 
-from returns.result import Result, Success
+from returns.result import Failure, Result, Success
 
 from wingwood.bundle.model import Bundle, Manifest, PriorityClass, Route, Service, Tenant
 from wingwood.identifiers import (
-    Address,
     BundleVersion,
-    ClassName,
     Digest,
     Instant,
     KeyDigest,
     OrderId,
     PoolName,
     Seconds,
-    ServiceName,
-    TenantName,
     WallTime,
     WorkerInstance,
-    Zone,
 )
 from wingwood.ledger.protocols import CallKey, Claimed, Known, Unreachable
 from wingwood.limits.protocols import ShareRefused
 from wingwood.placement.protocols import Choice, NoWorker, Turn
 from wingwood.registry.protocols import Worker
 
+TICKET = "ticket"
+
+
+def digest_of(key: str) -> KeyDigest:
+    return KeyDigest(hashlib.sha256(key.encode()).hexdigest())
 
-def bench_bundle(key: str) -> Bundle:
-    """Two services on one pool, one tenant with one key."""
-    digest = KeyDigest(hashlib.sha256(key.encode()).hexdigest())
-    tenant = Tenant(
-        name=TenantName("bench"), priority_class=ClassName("gold"), paid_rate=1e6, keys=(digest,), services=()
+
+def bundle_with(services: Sequence[Service], tenants: Sequence[Tenant], classes: Sequence[PriorityClass]) -> Bundle:
+    """An unsigned bundle; each service has the route ``/NAME``."""
+    manifest = Manifest(
+        version=BundleVersion(1),
+        base=BundleVersion(0),
+        root=Digest(""),
+        order=OrderId(""),
+        signed_at=WallTime(0.0),
+        signer="",
     )
-    services = [
-        Service(name=ServiceName("chat"), pool=PoolName("model")),
-        Service(name=ServiceName("plain"), pool=PoolName("model"), kind="plain", streaming=False),
+    routes = [
+        Route(name=str(service.name), path_prefix=f"/{service.name}", service=service.name) for service in services
     ]
     return Bundle(
-        manifest=Manifest(
-            version=BundleVersion(1),
-            base=BundleVersion(0),
-            root=Digest(""),
-            order=OrderId(""),
-            signed_at=WallTime(0.0),
-            signer="",
-        ),
+        manifest=manifest,
         slices={},
         services={service.name: service for service in services},
-        routes=tuple(
-            Route(name=service.name, path_prefix=f"/{service.name}", service=service.name) for service in services
-        ),
-        tenants={tenant.name: tenant},
-        classes={ClassName("gold"): PriorityClass(name=ClassName("gold"))},
-        keys={digest: tenant.name},
+        routes=tuple(sorted(routes, key=lambda route: -len(route.path_prefix))),
+        tenants={tenant.name: tenant for tenant in tenants},
+        classes={each.name: each for each in classes},
+        keys={key: tenant.name for tenant in tenants for key in tenant.keys},
     )
 
 
-class AlwaysInForce:
-    def __init__(self, bundle: Bundle) -> None:
-        self._bundle = bundle
+class HeldBundle:
+    """A bundle that is in force, while ``serving``."""
+
+    def __init__(self, bundle: Bundle | None) -> None:
+        self.bundle = bundle
+        self.serving = True
 
     def current(self) -> Bundle | None:
-        return self._bundle
+        return self.bundle
 
     def proven_newest_at(self) -> Instant | None:
         return None
 
     def may_serve(self) -> bool:
-        return True
+        return self.serving
 
     def on_change(self, callback: Callable[[Bundle], None]) -> None: ...
 
 
-class NoShares:
+class FreeShares:
+    """Every tenant may take all."""
+
     async def take(self, tenant: Tenant, cost: int = 1) -> ShareRefused | None:
         return None
 
 
-class NoLimits:
-    """Admission that refuses nothing; no retries."""
+class FreeLimits:
+    """Admission that refuses nothing, and a retry budget that is empty."""
 
     def take(self, service: Service, pool: PoolName | None = None) -> bool:
         return False
@@ -94,25 +97,28 @@
     def earned(self, service: Service, pool: PoolName | None = None) -> None: ...
 
 
-class NoLedger:
+class FreeLedger:
+    """Grants every claim."""
+
     async def claim(self, key: CallKey, timeout: Seconds) -> Claimed | Known | Unreachable:
-        return Claimed("ticket")
+        return Claimed(TICKET)
 
     async def settle(self, key: CallKey, ticket: str, state: Literal["ran", "unknown", "not-run"]) -> bool:
         return True
 
 
-class OneWorker:
-    """Placement and registry with a single worker."""
+class ReadyWorkers:
+    """Placement and registry: the first worker that is not left out."""
 
-    def __init__(self, address: Address) -> None:
-        worker = Worker(
-            instance=WorkerInstance("w-1"), address=address, pool=PoolName("model"), zone=Zone("a"), slots=1000
-        )
-        self._choice = Choice(worker=worker, how="award", first_token=Seconds(0.01))
+    def __init__(self, workers: Sequence[Worker] = ()) -> None:
+        self.workers = [*workers]
+        self.first_token = Seconds(0.01)
 
     async def choose(self, turn: Turn, excluded: Sequence[WorkerInstance]) -> Result[Choice, NoWorker]:
-        return Success(self._choice)
+        for worker in self.workers:
+            if worker.instance not in excluded:
+                return Success(Choice(worker=worker, how="award", first_token=self.first_token))
+        return Failure(NoWorker("none-ready", Seconds(2.0)))
 
     def begun(self, turn: Turn, choice: Choice, first_token_after: Seconds) -> None: ...
 
@@ -126,10 +132,10 @@
     ) -> None: ...
 
     def ready(self, pool: PoolName) -> Sequence[Worker]:
-        return [self._choice.worker]
+        return self.workers
 
     def find(self, instance: WorkerInstance) -> Worker | None:
-        return self._choice.worker
+        return None
 
     async def confirm(self, worker: Worker) -> bool:
         return True
--- a/wingwood/forward/tests/stand_ins.py
+++ b/wingwood/forward/tests/stand_ins.py
@@ -3,34 +3,37 @@
 from __future__ import annotations
 
 import asyncio
-import hashlib
 from collections.abc import Awaitable, Callable, Sequence
 from typing import Literal
 
 import msgspec
 from prometheus_client import CollectorRegistry
-from returns.result import Failure, Result, Success
+from returns.result import Result, Success
 from tornado.iostream import BaseIOStream, StreamClosedError
 
+from emulator.router_slices import (
+    TICKET,
+    FreeLedger,
+    FreeLimits,
+    FreeShares,
+    HeldBundle,
+    ReadyWorkers,
+    bundle_with,
+    digest_of,
+)
 from simulation import Process, World, address_of
 
-from ...bundle.model import Bundle, Manifest, PriorityClass, Route, Service, Tenant
+from ...bundle.model import Bundle, PriorityClass, Service, Tenant
 from ...context.http_exchange import Exchange
 from ...context.protocols import Context, HttpExchange, HttpRequest
 from ...identifiers import (
     Address,
-    BundleVersion,
     ClassName,
     DaemonName,
-    Digest,
-    Instant,
-    KeyDigest,
-    OrderId,
     PoolName,
     Seconds,
     ServiceName,
     TenantName,
-    WallTime,
     WorkerInstance,
     Zone,
 )
@@ -49,10 +52,6 @@
 OTHER_KEY = "other-key"
 
 
-def digest_of(key: str) -> KeyDigest:
-    return KeyDigest(hashlib.sha256(key.encode()).hexdigest())
-
-
 CHAT = Service(name=ServiceName("chat"), pool=PoolName("model"))
 CARDS = Service(name=ServiceName("cards"), pool=PoolName("plain"), kind="plain", repeatable=False, streaming=False)
 PLAIN = Service(name=ServiceName("plain"), pool=PoolName("plain"), kind="plain", streaming=False)
@@ -74,46 +73,15 @@
         paid_rate=1.0,
         keys=(digest_of(OTHER_KEY),),
     )
-    manifest = Manifest(
-        version=BundleVersion(1),
-        base=BundleVersion(0),
-        root=Digest(""),
-        order=OrderId(""),
-        signed_at=WallTime(0.0),
-        signer="",
-    )
-    routes = [
-        Route(name=str(service.name), path_prefix=f"/{service.name}", service=service.name) for service in services
-    ]
-    return Bundle(
-        manifest=manifest,
-        slices={},
-        services={service.name: service for service in services},
-        routes=tuple(sorted(routes, key=lambda route: -len(route.path_prefix))),
-        tenants={owner.name: owner, other.name: other},
-        classes={ClassName("gold"): PriorityClass(name=ClassName("gold"), weight=4.0)},
-        keys={**dict.fromkeys(owner.keys, owner.name), **dict.fromkeys(other.keys, other.name)},
-    )
+    return bundle_with(services, [owner, other], [PriorityClass(name=ClassName("gold"), weight=4.0)])
 
 
-class StandInBundle:
+class StandInBundle(HeldBundle):
     def __init__(self) -> None:
-        self.bundle: Bundle | None = bundle_of()
-        self.serving = True
-
-    def current(self) -> Bundle | None:
-        return self.bundle
-
-    def proven_newest_at(self) -> Instant | None:
-        return None
+        super().__init__(bundle_of())
 
-    def may_serve(self) -> bool:
-        return self.serving
 
-    def on_change(self, callback: Callable[[Bundle], None]) -> None: ...
-
-
-class StandInLimits:
+class StandInLimits(FreeLimits):
     """Shares, retry budget and admission."""
 
     def __init__(self) -> None:
@@ -143,7 +111,7 @@
         return self.too_late
 
 
-class StandInShares:
+class StandInShares(FreeShares):
     def __init__(self, limits: StandInLimits) -> None:
         self._limits = limits
 
@@ -151,7 +119,7 @@
         return await self._limits.take_share(tenant, cost)
 
 
-class StandInLedger:
+class StandInLedger(FreeLedger):
     def __init__(self) -> None:
         self.answer: Claimed | Known | Unreachable | None = None
         """In place of the table, when set."""
@@ -168,10 +136,10 @@
         if state is not None:
             return Known(state)  # type: ignore[arg-type]
         self.table[key] = "running"
-        return Claimed("ticket")
+        return Claimed(TICKET)
 
     async def settle(self, key: CallKey, ticket: str, state: Literal["ran", "unknown", "not-run"]) -> bool:
-        assert ticket == "ticket"
+        assert ticket == TICKET
         if state == "not-run":
             del self.table[key]
         else:
@@ -179,12 +147,11 @@
         return True
 
 
-class StandInPlacement:
-    """The first worker that is not left out; and the registry."""
+class StandInPlacement(ReadyWorkers):
+    """Remembers what it was asked and told."""
 
     def __init__(self) -> None:
-        self.workers: list[Worker] = []
-        self.first_token = Seconds(0.01)
+        super().__init__()
         self.finishes: list[tuple[str, str, int]] = []
         self.turns: list[Turn] = []
         self.running = 0
@@ -193,13 +160,9 @@
 
     async def choose(self, turn: Turn, excluded: Sequence[WorkerInstance]) -> Result[Choice, NoWorker]:
         self.turns.append(turn)
-        for worker in self.workers:
-            if worker.instance not in excluded:
-                self.running += 1
-                return Success(Choice(worker=worker, how="award", first_token=self.first_token))
-        return Failure(NoWorker("none-ready", Seconds(2.0)))
-
-    def begun(self, turn: Turn, choice: Choice, first_token_after: Seconds) -> None: ...
+        chosen = await super().choose(turn, excluded)
+        self.running += isinstance(chosen, Success)
+        return chosen
 
     def finished(
         self,
@@ -212,20 +175,12 @@
         self.running -= 1
         self.finishes.append((str(choice.worker.instance), outcome, generated_tokens))
 
-    def ready(self, pool: PoolName) -> Sequence[Worker]:
-        return self.workers
-
-    def find(self, instance: WorkerInstance) -> Worker | None:
-        return None
-
     async def confirm(self, worker: Worker) -> bool:
         return worker.instance not in self.not_confirmed
 
     def suspect(self, instance: WorkerInstance) -> None:
         self.suspects.append(instance)
 
-    def on_change(self, callback: Callable[[Worker], None]) -> None: ...
-
 
 class StandInOutcomes:
     """What the registry is told of turns, as ``(what, instance)``."""
