Placement: queue keepers tell every router how long a worker's prefill queue is

Ruled out: slow first tokens (p99 under 0.2 s), single slow workers (spread evenly), prefix affinity itself (a replay of the log's turns foresees 298 late with the choices made, 327 with pure affinity, 84 with exact queues and a threshold of 60 ms). Now one router per group of 16 workers keeps the queues; turns with 3 ms and more to prefill ask it in one round trip of at most 15 ms, else the router bids alone.

--- a/wingwood/placement/award_placement.py
+++ b/wingwood/placement/award_placement.py
@@ -21,6 +21,7 @@
 from .prefill_estimates import PrefillQueues
 from .prefix_order import PrefixOrders
 from .protocols import Choice, NoWorker, Turn
+from .queue_keepers import NoQueueKeepers, QueueKeepers
 from .recurrence import Recurrence
 from .session_map import Entry, SessionMap, Unreachable, session_key
 from .settings import AwardSettings
@@ -58,8 +59,12 @@
         session_map: SessionMap,
         settings: AwardSettings | None = None,
         zone: Zone | None = None,
+        queue_keepers: QueueKeepers | None = None,
     ) -> None:
-        """``zone``: the router's own, whose workers are preferred a little; None: no preference."""
+        """``zone``: the router's own, whose workers are preferred a little; None: no preference.
+
+        ``queue_keepers``: None: this router goes by what it knows itself of the prefill queues.
+        """
         self._context = context
         self._membership = membership
         self._registry = registry
@@ -86,6 +91,7 @@
             orders,
             zone,
             self._settings,
+            queue_keepers or NoQueueKeepers(),
         )
         self._placed: dict[tuple[RequestId, WorkerInstance], _Placed] = {}
         self.counts: Counter[str] = Counter()
@@ -124,14 +130,15 @@
             if all(self._workload.is_full(worker, places) for worker in ready):
                 return Failure(self._all_full(ready))
             candidates = self._long_streams.candidates(turn, self._workload.willing(ready))
-            worker, how = self._pick(turn, key, entry, candidates)
-            choice = self._choice(turn, entry, worker, how)
+            choice = await self._choose_among(turn, key, entry, candidates)
             if self._too_late(turn, choice, ready):
+                self._told.unsent(turn.request)
                 return Failure(self._all_full(ready))
-            if await self._registry.confirm(worker):
+            if await self._registry.confirm(choice.worker):
                 self._place(turn, key, entry, choice)
                 return Success(choice)
-            tried.add(worker.instance)
+            self._told.unsent(turn.request)
+            tried.add(choice.worker.instance)
 
     async def _find(self, turn: Turn, key: int) -> Entry | Unreachable | None:
         if not self._recurrence.followed(turn.service.name, key):
@@ -146,25 +153,42 @@
     def _bidder(self, turn: Turn) -> Bidder:
         return self._told if turn.parts else self._guessed
 
-    def _pick(
+    async def _choose_among(
         self, turn: Turn, key: int | None, entry: Entry | Unreachable | None, ready: Sequence[Worker]
-    ) -> tuple[Worker, How]:
+    ) -> Choice:
         if key is None or not any(worker.cache_tokens for worker in ready):
-            return self._least_loaded(ready), "policy"
+            return self._choice(turn, entry, self._least_loaded(ready), "policy")
         if isinstance(entry, Unreachable):
-            return self._agreed(key, ready), "hash"
+            return self._choice(turn, entry, self._agreed(key, ready), "hash")
+        winner = self._winner(turn, entry, ready)
+        if winner is not None:
+            choice = self._choice(turn, entry, winner, "award")
+            if turn.parts:
+                self._told.awarded(turn, winner, choice.uncached_tokens)
+            return choice
+        return await self._bid(turn, entry, ready)
+
+    def _winner(self, turn: Turn, entry: Entry | None, ready: Sequence[Worker]) -> Worker | None:
+        """The standing award's, as long as it is ready and not too crowded."""
+        if entry is None or entry.award_until <= self._context.clock.monotonic():
+            return None
+        winner = next((worker for worker in ready if worker.instance == entry.winner), None)
+        return winner if winner is not None and self._in_time(turn, entry, winner, ready) else None
+
+    async def _bid(self, turn: Turn, entry: Entry | None, ready: Sequence[Worker]) -> Choice:
+        """The session's holder counts only where it is ready and keeps something of the prompt."""
         bidder = self._bidder(turn)
-        now = self._context.clock.monotonic()
-        by_instance = {worker.instance: worker for worker in ready}
-        winner = None if entry is None or entry.award_until <= now else by_instance.get(entry.winner)
-        if winner is not None and self._in_time(turn, entry, winner, ready):
-            return winner, "award"
-        holder = None if entry is None else by_instance.get(entry.holder)
-        if entry is not None and holder is not None and bidder.kept_tokens(turn, entry, holder) > 0:
-            worker = bidder.bid(turn, entry, ready)
-            return worker, "claim" if worker is holder else "bid"
-        worker = bidder.bid(turn, None, ready)
-        return worker, "claim" if bidder.kept_tokens(turn, None, worker) > 0 else "bid"
+        holder = None if entry is None else next((one for one in ready if one.instance == entry.holder), None)
+        if holder is None or bidder.kept_tokens(turn, entry, holder) <= 0:
+            holder = entry = None
+        joined = await self._told.join(turn, entry, ready) if turn.parts else None
+        worker = bidder.bid(turn, entry, ready) if joined is None else joined.worker
+        if holder is None:
+            how: How = "claim" if bidder.kept_tokens(turn, None, worker) > 0 else "bid"
+        else:
+            how = "claim" if worker is holder else "bid"
+        forecast = bidder.forecast(turn, entry, worker) if joined is None else joined.forecast
+        return Choice(worker=worker, how=how, first_token=forecast.first_token, uncached_tokens=forecast.uncached)
 
     def _in_time(self, turn: Turn, entry: Entry | None, winner: Worker, ready: Sequence[Worker]) -> bool:
         """Whether the award's winner may keep the turn though it may be crowded.
@@ -243,11 +267,13 @@
         bidder = self._bidder(turn)
         self._workload.end(worker.instance)
         self._long_streams.ended(turn.request)
+        now = self._context.clock.monotonic()
+        unsent = outcome == "cancelled" and now - placed.since <= UNSENT_WITHIN
+        if unsent or outcome == "refused":
+            self._told.unsent(turn.request)
         bidder.left(turn.request, worker, first_token_after)
         if outcome == "refused":
             self._workload.refused(worker.instance)
-        now = self._context.clock.monotonic()
-        unsent = outcome == "cancelled" and now - placed.since <= UNSENT_WITHIN
         if placed.claimed and (unsent or outcome == "refused"):
             self._unclaim(turn, worker, placed.known)
         if outcome != "whole":
--- a/wingwood/placement/messages.py
+++ b/wingwood/placement/messages.py
@@ -1,4 +1,4 @@
-"""What routers tell each other about sessions (docs/DESIGN.md section 11.2)."""
+"""What routers tell each other about sessions and prefill queues (docs/DESIGN.md sections 11.2 and 11.12)."""
 
 from __future__ import annotations
 
@@ -45,3 +45,40 @@
     note: SessionNote | None
     newcomer: bool
     """The answerer became a keeper of the key only a moment ago; its None says little."""
+
+
+class QueueOffer(msgspec.Struct, frozen=True, array_like=True):
+    """One worker that a turn may go to."""
+
+    worker: WorkerInstance
+    prefill: Seconds
+    """How long its prompt takes there."""
+    beside: float
+    """What going there costs in seconds beside the wait in the prefill queue and the prefill."""
+
+
+class JoinQueue(msgspec.Struct, frozen=True, array_like=True):
+    """Call to the keeper of the offered workers' queues. Reply: QueueJoined."""
+
+    pool: PoolName
+    offers: tuple[QueueOffer, ...]
+    pressure: float
+    """How much a second of waiting counts."""
+    risked_from: Seconds
+    """A wait and prefill beyond this count ``risk_cost`` times more."""
+    risk_cost: float
+
+
+class QueueJoined(msgspec.Struct, frozen=True, array_like=True):
+    offer: int
+    """Which one was taken."""
+    wait: Seconds
+    """Until its prefill begins."""
+
+
+class QueueEntry(msgspec.Struct, frozen=True, array_like=True):
+    """Post to the keeper: so much more (or, negative, less) is to be prefilled at a worker."""
+
+    pool: PoolName
+    worker: WorkerInstance
+    prefill: Seconds
--- a/wingwood/placement/policies.py
+++ b/wingwood/placement/policies.py
@@ -10,6 +10,7 @@
 from .award_placement import AwardPlacement
 from .plain_policies import LeastLoaded, RoundRobin, StickyByHash
 from .protocols import Placement
+from .queue_keepers import RouterQueueKeepers
 from .session_map import KeeperMap
 
 
@@ -30,6 +31,14 @@
             return StickyByHash(context, registry, registry)
         case "award":
             session_map = KeeperMap(context, messenger, membership)
-            placement = AwardPlacement(context, membership, registry, registry, session_map, zone=settings.zone)
+            placement = AwardPlacement(
+                context,
+                membership,
+                registry,
+                registry,
+                session_map,
+                zone=settings.zone,
+                queue_keepers=RouterQueueKeepers(context, messenger, membership),
+            )
             session_map.on_keep = placement.kept_here
             return placement
--- a/wingwood/placement/prefill_estimates.py
+++ b/wingwood/placement/prefill_estimates.py
@@ -159,6 +159,11 @@
         own = prefill.pending_tokens * pool.per_token * self._slowness(worker)
         return max(own + others, self._overdue(prefill))
 
+    def overdue(self, worker: Worker) -> float:
+        """Seconds by which the oldest own prompt there is late beyond twice its forecast."""
+        prefill = self._workers.get(worker.instance)
+        return 0.0 if prefill is None or not prefill.pending else self._overdue(prefill)
+
     def mean_wait(self, worker: Worker) -> float:
         """The wait at the flow of all routers, whatever is there at the moment."""
         flow = self._exchange.elsewhere(worker.instance).prefill + self.flow(worker.instance)
--- /dev/null
+++ b/wingwood/placement/queue_keepers.py
@@ -0,0 +1,163 @@
+"""Prefill queues that all routers see alike (docs/DESIGN.md section 11.12).
+
+A router knows the prompts that it sent itself, which is a small part of what waits at a worker. So the routers
+agree on one of them, the queue keeper, for each group of workers of a pool. A turn that has much to prefill asks it:
+the keeper knows when each worker will have prefilled what was sent there, picks one of the offered workers, and
+counts the turn in. What it knows is an estimate that heals within the length of a queue; nothing is stored.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from collections import OrderedDict
+from collections.abc import Sequence
+from typing import Protocol
+
+from returns.result import Success
+
+from ..context.protocols import Clock, Context
+from ..identifiers import Incarnation, Instant, PoolName, Seconds, WorkerInstance
+from ..membership.protocols import Membership
+from ..membership.rendezvous import ranked
+from ..registry.protocols import Worker
+from ..transport.frames import Identity
+from ..transport.messenger import Messenger
+from .messages import JoinQueue, QueueEntry, QueueJoined, QueueOffer
+
+GROUP_WORKERS = 16
+"""Workers of a pool that one keeper serves, about."""
+ASK_TIMEOUT = Seconds(0.015)
+PASSED_OVER_FOR = Seconds(1.0)
+"""How long a keeper that let a question time out is passed over."""
+KEEPERS_ASKED = 2
+"""The keeper and its stand-in."""
+QUEUES_MOST = 30_000
+
+
+class QueueKeepers(Protocol):
+    def group(self, workers: Sequence[Worker], ready: int) -> Sequence[Worker]:
+        """Of workers of one pool, which has ``ready`` ones in all, those that have the first one's keeper."""
+        ...
+
+    async def join(self, question: JoinQueue) -> QueueJoined | None:
+        """None: no keeper answers."""
+        ...
+
+    def entered(self, entry: QueueEntry) -> None:
+        """A turn goes to a worker without a question; or, with negative seconds, left before its prefill."""
+        ...
+
+
+class NoQueueKeepers:
+    """Each router goes by what it knows itself."""
+
+    def group(self, workers: Sequence[Worker], ready: int) -> Sequence[Worker]:
+        return workers
+
+    async def join(self, question: JoinQueue) -> QueueJoined | None:
+        return None
+
+    def entered(self, entry: QueueEntry) -> None:
+        return None
+
+
+class PrefillQueueTimes:
+    """When each worker will have prefilled what was sent to it."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._free_at: OrderedDict[WorkerInstance, Instant] = OrderedDict()
+
+    def wait(self, worker: WorkerInstance) -> Seconds:
+        return Seconds(max(0.0, self._free_at.get(worker, Instant(0.0)) - self._clock.monotonic()))
+
+    def enter(self, entry: QueueEntry) -> None:
+        free_at = self._clock.monotonic() + self.wait(entry.worker) + entry.prefill
+        self._free_at[entry.worker] = Instant(free_at)
+        self._free_at.move_to_end(entry.worker)
+        if len(self._free_at) > QUEUES_MOST:
+            self._free_at.popitem(last=False)
+
+    def join(self, question: JoinQueue) -> QueueJoined:
+        """Takes the cheapest offer; counts the turn in there."""
+        costs = [self._cost(question, offer) for offer in question.offers]
+        chosen = min(range(len(costs)), key=costs.__getitem__)
+        offer = question.offers[chosen]
+        wait = self.wait(offer.worker)
+        self.enter(QueueEntry(question.pool, offer.worker, offer.prefill))
+        return QueueJoined(chosen, wait)
+
+    def _cost(self, question: JoinQueue, offer: QueueOffer) -> float:
+        wait = self.wait(offer.worker)
+        risked = max(0.0, wait + offer.prefill - question.risked_from)
+        return wait * question.pressure + offer.prefill + offer.beside + question.risk_cost * risked
+
+
+class RouterQueueKeepers:
+    """A ``QueueKeepers`` over the fleet's routers: asks, and answers for the groups that this router keeps."""
+
+    def __init__(self, context: Context, messenger: Messenger, membership: Membership) -> None:
+        self._clock = context.clock
+        self._messenger = messenger
+        self._membership = membership
+        self._times = PrefillQueueTimes(context.clock)
+        self._groups: dict[PoolName, int] = {}
+        """Groups of each pool, by its ready workers."""
+        self._keepers: dict[tuple[PoolName, int], tuple[Identity, ...]] = {}
+        self._passed_over: dict[Incarnation, Instant] = {}
+        messenger.on_call(JoinQueue, self._on_join)
+        messenger.on_post(QueueEntry, self._on_entry)
+        membership.on_change(self._keepers.clear)
+
+    def group(self, workers: Sequence[Worker], ready: int) -> Sequence[Worker]:
+        pool = workers[0].pool
+        self._groups[pool] = max(1, -(-ready // GROUP_WORKERS))
+        first = self._group_of(pool, workers[0].instance)
+        return [worker for worker in workers if self._group_of(pool, worker.instance) == first]
+
+    async def join(self, question: JoinQueue) -> QueueJoined | None:
+        for keeper in self._keepers_of(question.pool, question.offers[0].worker):
+            if self._is_me(keeper):
+                return self._times.join(question)
+            if self._passed_over.get(keeper.incarnation, Instant(0.0)) > self._clock.monotonic():
+                continue
+            reply = await self._messenger.call(keeper.internal, question, QueueJoined, ASK_TIMEOUT)
+            if isinstance(reply, Success):
+                joined: QueueJoined = reply.unwrap()
+                if joined.offer < len(question.offers):
+                    return joined
+            self._passed_over[keeper.incarnation] = Instant(self._clock.monotonic() + PASSED_OVER_FOR)
+        return None
+
+    def entered(self, entry: QueueEntry) -> None:
+        for keeper in self._keepers_of(entry.pool, entry.worker)[:1]:
+            if self._is_me(keeper):
+                self._times.enter(entry)
+            else:
+                self._messenger.post(keeper.internal, entry)
+
+    # --- keeping ------------------------------------------------------------------------------
+
+    async def _on_join(self, _: Identity, question: JoinQueue) -> QueueJoined:
+        return self._times.join(question)
+
+    def _on_entry(self, _: Identity, entry: QueueEntry) -> None:
+        self._times.enter(entry)
+
+    # --- who keeps ----------------------------------------------------------------------------
+
+    def _is_me(self, router: Identity) -> bool:
+        return router.incarnation == self._messenger.identity.incarnation
+
+    def _group_of(self, pool: PoolName, worker: WorkerInstance) -> int:
+        groups = self._groups.get(pool, 1)
+        digest = hashlib.blake2b(worker.encode(), digest_size=8).digest()
+        return int.from_bytes(digest, "big") % groups
+
+    def _keepers_of(self, pool: PoolName, worker: WorkerInstance) -> tuple[Identity, ...]:
+        name = (pool, self._group_of(pool, worker))
+        keepers = self._keepers.get(name)
+        if keepers is None:
+            order = ranked(f"queue {name[0]} {name[1]}", self._membership.routers(), lambda router: router.name)
+            keepers = self._keepers[name] = tuple(order[:KEEPERS_ASKED])
+        return keepers
--- a/wingwood/placement/settings.py
+++ b/wingwood/placement/settings.py
@@ -38,8 +38,10 @@
     """How probable it is that the first worker in a prefix's rendezvous order keeps what nobody is known to keep."""
     reread_cost: float = 8.0
     """Weight of prefilling shared parts again that another worker probably keeps, beyond the time that it takes."""
+    pause_risked: float = 0.35
+    """Of the longest pause on time: a prefill queue of this length risks it for the streams that run beside."""
     risk_cost: float = 8.0
-    """Weight of the time by which a first token is forecast beyond ``objective_risked``."""
+    """Weight of the time by which a wait and prefill go beyond what risks objective or pause."""
     harm: float = 0.2
     """Weight of the time by which a prefill holds up each stream that runs beside it."""
     other_zone: Seconds = Seconds(0.003)
--- a/wingwood/placement/told_bids.py
+++ b/wingwood/placement/told_bids.py
@@ -5,14 +5,18 @@
 import math
 from collections.abc import Sequence
 
+import msgspec
+
 from ..context.protocols import Context
 from ..identifiers import PoolName, RequestId, Seconds, WorkerInstance, Zone
 from ..membership.protocols import Membership
 from ..registry.protocols import Worker
 from .bids import Forecast, Pressure, cheapest
+from .messages import JoinQueue, QueueEntry, QueueOffer
 from .prefill_estimates import PrefillQueues
 from .prefix_order import PrefixOrders
 from .protocols import PromptPart, Turn
+from .queue_keepers import QueueKeepers
 from .recurrence import Recurrence
 from .session_map import Entry
 from .settings import AwardSettings
@@ -21,6 +25,31 @@
 
 AFFINITY_LEAST = Seconds(0.002)
 """A prefix whose prefill takes less than this is worth no detour."""
+QUEUED_LEAST = Seconds(0.003)
+"""A prompt whose prefill takes less than this doesn't ask the queue keeper."""
+ENTERED_MOST = 20_000
+NEVER_RISKED = 1e6
+"""Seconds."""
+
+
+class Joined(msgspec.Struct, frozen=True):
+    """The worker that the queue keeper picked."""
+
+    worker: Worker
+    forecast: Forecast
+
+
+class _Offer(msgspec.Struct, frozen=True):
+    """A worker that is compared for a turn."""
+
+    worker: Worker
+    load: float
+    uncached: float
+    """Tokens."""
+    slot_wait: float
+    """Seconds."""
+    reread_cost: float
+    """Seconds."""
 
 
 class ToldBids:
@@ -37,6 +66,7 @@
         orders: PrefixOrders,
         zone: Zone | None,
         settings: AwardSettings,
+        keepers: QueueKeepers,
     ) -> None:
         self._context = context
         self._membership = membership
@@ -47,6 +77,9 @@
         self._orders = orders
         self._zone = zone
         self._settings = settings
+        self._keepers = keepers
+        self._entered: dict[RequestId, QueueEntry] = {}
+        """Turns under way that a queue keeper counted in."""
         self._parts = ToldParts()
         self._workers: dict[PoolName, int] = {}
 
@@ -107,24 +140,64 @@
         return Forecast(uncached, Seconds(first_token))
 
     def bid(self, turn: Turn, entry: Entry | None, ready: Sequence[Worker]) -> Worker:
-        """The holder, the prefix's own workers and one more of its order, and a few drawn ones."""
+        """By what this router knows of the queues."""
+        offers = self._offers(turn, entry, ready)
+        bids = [(self._offered_cost(turn, offer), offer.worker) for offer in offers]
+        return cheapest(bids, None if entry is None else entry.holder, self._settings.told_move_gain)
+
+    async def join(self, turn: Turn, entry: Entry | None, ready: Sequence[Worker]) -> Joined | None:
+        """By what the queue keeper knows; None where there is little to prefill, or no keeper answers."""
+        if self._queues.prefill(ready[0], turn.prompt_tokens) < QUEUED_LEAST:
+            return None
+        offers = self._offers(turn, entry, ready)
+        grouped = self._keepers.group([offer.worker for offer in offers], len(ready))
+        offers = [offer for offer in offers if offer.worker in grouped]
+        pool = ready[0].pool
+        question = JoinQueue(
+            pool=pool,
+            offers=tuple(self._queue_offer(turn, offer) for offer in offers),
+            pressure=self._pressure.of(pool, turn.weight),
+            risked_from=self._risked_from(turn, ready[0]),
+            risk_cost=self._settings.risk_cost,
+        )
+        joined = await self._keepers.join(question)
+        if joined is None:
+            return None
+        offer = offers[joined.offer]
+        prefill = question.offers[joined.offer].prefill
+        self._note_entered(turn.request, QueueEntry(pool, offer.worker.instance, prefill))
+        first_token = offer.slot_wait + joined.wait + self._queues.base(offer.worker) + prefill
+        return Joined(offer.worker, Forecast(int(offer.uncached), Seconds(first_token)))
+
+    def _offers(self, turn: Turn, entry: Entry | None, ready: Sequence[Worker]) -> list[_Offer]:
+        """The prefix's own workers and one more of its order, the holder, and a few drawn ones."""
         shared = self._shared(turn, ready[0]) if entry is None else self._reused(turn)
         homes = self._prefix_workers(turn, shared, ready, 1)
         drawn = self._settings.drawn_beside if homes else self._settings.told_candidates
         known = self._known(ready[0].pool, turn)
         # Where nobody is known to keep the prefix, all routers lean to the same workers.
         leant_to = homes[: max(1, len(homes) - 1)] if entry is None else []
-        bids = []
+        offers = []
         for worker in self._compared(entry, homes, drawn, ready):
             load = self._workload.load(worker)
             kept = float(self._kept(turn, entry, worker, known))
             if worker in leant_to:
                 kept = max(kept, self._likely_kept(shared, known))
-            uncached = turn.prompt_tokens - kept
-            wait = self._workload.wait_at(worker, load) + self._queues.wait(worker)
+            slot_wait = self._workload.wait_at(worker, load)
             again = self._reread_cost(turn, worker, _told(shared) - kept)
-            bids.append((self._cost(turn, worker, uncached, wait, load) + again, worker))
-        return cheapest(bids, None if entry is None else entry.holder, self._settings.told_move_gain)
+            offers.append(_Offer(worker, load, turn.prompt_tokens - kept, slot_wait, again))
+        return offers
+
+    def _queue_offer(self, turn: Turn, offer: _Offer) -> QueueOffer:
+        worker = offer.worker
+        prefill = self._queues.prefill(worker, offer.uncached)
+        waits = offer.slot_wait + self._queues.overdue(worker)
+        beside = self._pressure.of(worker.pool, turn.weight) * waits + self._beside(worker, prefill, offer.load)
+        return QueueOffer(worker.instance, Seconds(prefill), beside + offer.reread_cost)
+
+    def _offered_cost(self, turn: Turn, offer: _Offer) -> float:
+        wait = offer.slot_wait + self._queues.wait(offer.worker)
+        return self._cost(turn, offer.worker, offer.uncached, wait, offer.load) + offer.reread_cost
 
     def soonest(self, turn: Turn, entry: Entry | None, ready: Sequence[Worker]) -> Seconds:
         homes = self._prefix_workers(turn, self._reused(turn), ready, 1)
@@ -162,17 +235,26 @@
         return list({worker.instance: worker for worker in found}.values())
 
     def _cost(self, turn: Turn, worker: Worker, uncached: float, wait: float, load: float) -> float:
-        """Seconds: the wait, the prefill not spared, the streams that it holds up, and the way."""
+        """Seconds: the wait, the prefill not spared, the streams that it holds up, the way, and what it risks."""
         prefill = self._queues.prefill(worker, uncached)
-        harm = self._settings.harm * prefill * load
-        way = 0.0 if self._zone is None or worker.zone == self._zone else self._settings.other_zone
-        risk = self._settings.risk_cost * self._risked(turn, wait + self._queues.base(worker) + prefill)
-        return wait * self._pressure.of(worker.pool, turn.weight) + prefill + harm + way + risk
+        risked = max(0.0, wait + prefill - self._risked_from(turn, worker))
+        waited = wait * self._pressure.of(worker.pool, turn.weight)
+        return waited + prefill + self._beside(worker, prefill, load) + self._settings.risk_cost * risked
 
-    def _risked(self, turn: Turn, first_token: float) -> float:
-        """Seconds by which a forecast first token is too near to the latency objective to count on it."""
-        objective = turn.service.latency_objective
-        return 0.0 if objective is None else max(0.0, first_token - objective * self._settings.objective_risked)
+    def _beside(self, worker: Worker, prefill: float, load: float) -> float:
+        """Seconds: for the streams that run beside the prefill, and for the way."""
+        way = 0.0 if self._zone is None or worker.zone == self._zone else self._settings.other_zone
+        return self._settings.harm * prefill * load + way
+
+    def _risked_from(self, turn: Turn, worker: Worker) -> Seconds:
+        """A wait and prefill beyond this risk the latency objective, or a pause of the streams that run beside."""
+        risked_from = NEVER_RISKED
+        objective, pause = turn.service.latency_objective, turn.service.longest_pause
+        if objective is not None:
+            risked_from = min(risked_from, objective * self._settings.objective_risked - self._queues.base(worker))
+        if pause is not None and turn.service.streaming:
+            risked_from = min(risked_from, pause * self._settings.pause_risked)
+        return Seconds(max(0.0, risked_from))
 
     def _reread_cost(self, turn: Turn, worker: Worker, tokens: float) -> float:
         """Seconds: what prefilling shared parts once more is worth avoiding, beyond the time that it takes here.
@@ -216,6 +298,27 @@
 
     def left(self, request: RequestId, worker: Worker, first_token: Seconds | None) -> None:
         self._queues.ended(request, worker, first_token)
+        self._entered.pop(request, None)
+
+    def unsent(self, request: RequestId) -> None:
+        """The worker never saw the turn."""
+        entry = self._entered.pop(request, None)
+        if entry is not None:
+            self._keepers.entered(QueueEntry(entry.pool, entry.worker, Seconds(-entry.prefill)))
+
+    def awarded(self, turn: Turn, worker: Worker, uncached: int) -> None:
+        """A turn goes to its award's winner without a question."""
+        prefill = self._queues.prefill(worker, uncached)
+        if prefill >= QUEUED_LEAST:
+            entry = QueueEntry(worker.pool, worker.instance, Seconds(prefill))
+            self._note_entered(turn.request, entry)
+            self._keepers.entered(entry)
+
+    def _note_entered(self, request: RequestId, entry: QueueEntry) -> None:
+        """Bounded, since a call that is cancelled while it is placed never ends."""
+        self._entered[request] = entry
+        if len(self._entered) > ENTERED_MOST:
+            del self._entered[next(iter(self._entered))]
 
     def forget(self, instance: WorkerInstance) -> None:
         self._parts.forget(instance)
