Placement benches: one table and one set of parts for both

Cause: bench/placement_bench.py and bench/told_placement_bench.py each had the loop over rows and seeds, the columns' printing, the JSON, the choice of plain policies and the life of a run; the second imported parts from the first. Now bench/placement_parts.py has them (Table, VirtualRun, plain_policy, the registry, messenger and map of a bench).

--- a/bench/placement_bench.py
+++ b/bench/placement_bench.py
@@ -11,31 +11,26 @@
 
 import asyncio
 import gc
-import json
 import statistics
 import time
 import tracemalloc
-from collections import Counter
-from collections.abc import Awaitable, Callable, Sequence
+from collections.abc import Sequence
+from functools import partial
 from pathlib import Path
 from random import Random
 from typing import Any, cast
 
 import click
 import msgspec
-from returns.result import Failure, Result, Success
+from returns.result import Result, Success
 
 from emulator.prefix_cache import PrefixCache, PromptPart
 from simulation.virtual_time import VirtualTimeLoop
 from simulation.world import World
 from wingwood.bundle.model import Service
-from wingwood.context.protocols import Context
 from wingwood.identifiers import (
     Address,
-    DaemonName,
-    Incarnation,
     Instant,
-    PoolName,
     RequestId,
     Seconds,
     ServiceName,
@@ -46,17 +41,27 @@
 )
 from wingwood.limits.admission import PatienceAdmission
 from wingwood.placement.award_placement import AwardPlacement
-from wingwood.placement.plain_policies import LeastLoaded, RoundRobin, StickyByHash
 from wingwood.placement.protocols import Choice, Placement, Turn
-from wingwood.placement.session_map import Entry, KeeperMap, LocalMap, Unreachable, session_key
+from wingwood.placement.session_map import Entry, KeeperMap, LocalMap, session_key
 from wingwood.placement.settings import AwardSettings
-from wingwood.registry.protocols import Engagement, Worker, WorkerLoad
+from wingwood.registry.protocols import Worker, WorkerLoad
 from wingwood.registry.tests.fleet import POOL as FEED_POOL
 from wingwood.registry.tests.fleet import Fleet
 from wingwood.transport.frames import Identity
-from wingwood.transport.messenger import TransportFault
 
-POOL = PoolName("model")
+from .placement_parts import (
+    POOL,
+    BenchMembership,
+    BenchMessenger,
+    BenchRegistry,
+    NoMap,
+    Table,
+    VirtualRun,
+    Wires,
+    plain_policy,
+    router_identities,
+)
+
 SERVICE = Service(name=ServiceName("text"), pool=POOL)
 
 
@@ -90,124 +95,6 @@
     settings: AwardSettings = AwardSettings()
 
 
-class BenchClock:
-    def __init__(self, loop: VirtualTimeLoop) -> None:
-        self._loop = loop
-
-    def monotonic(self) -> Instant:
-        return Instant(self._loop.now)
-
-    async def sleep(self, seconds: Seconds) -> None:
-        await asyncio.sleep(seconds)
-
-
-class BenchTasks:
-    def __init__(self, loop: VirtualTimeLoop) -> None:
-        self._loop = loop
-
-    def spawn(self, name: str, coroutine: Any) -> Any:
-        return self._loop.create_task(coroutine, name=name)
-
-
-class Wires:
-    """All routers' messengers by address."""
-
-    def __init__(self, loop: VirtualTimeLoop, delay: float) -> None:
-        self.loop = loop
-        self.delay = delay
-        self.messengers: dict[Address, BenchMessenger] = {}
-        self.dead: set[Address] = set()
-        self.messages = 0
-        self.bytes = 0
-
-
-class BenchMessenger:
-    def __init__(self, wires: Wires, identity: Identity) -> None:
-        self.identity = identity
-        self._wires = wires
-        self._calls: dict[type, Callable[[Identity, Any], Awaitable[msgspec.Struct]]] = {}
-        self._posts: dict[type, Callable[[Identity, Any], None]] = {}
-        wires.messengers[identity.internal] = self
-
-    def on_call(self, message_type: type, handler: Any) -> None:
-        self._calls[message_type] = handler
-
-    def on_post(self, message_type: type, handler: Any) -> None:
-        self._posts[message_type] = handler
-
-    def _count(self, message: msgspec.Struct) -> None:
-        self._wires.messages += 1
-        self._wires.bytes += len(msgspec.msgpack.encode(message)) + 30
-
-    async def call(self, address: Address, message: msgspec.Struct, reply_type: type, timeout: Seconds) -> Any:
-        self._count(message)
-        if address in self._wires.dead:
-            await asyncio.sleep(timeout)
-            return Failure(TransportFault("timeout", True))
-        await asyncio.sleep(self._wires.delay)
-        reply = await self._wires.messengers[address]._calls[type(message)](self.identity, message)
-        self._count(reply)
-        await asyncio.sleep(self._wires.delay)
-        return Success(reply)
-
-    def post(self, address: Address, message: msgspec.Struct) -> None:
-        self._count(message)
-        if address not in self._wires.dead:
-            handler = self._wires.messengers[address]._posts[type(message)]
-            self._wires.loop.call_later(self._wires.delay, handler, self.identity, message)
-
-
-class BenchMembership:
-    def __init__(self, routers: list[Identity]) -> None:
-        self.all = routers
-        self.callbacks: list[Callable[[], None]] = []
-
-    def routers(self) -> Sequence[Identity]:
-        return tuple(self.all)
-
-    def on_change(self, callback: Callable[[], None]) -> None:
-        self.callbacks.append(callback)
-
-
-class BenchRegistry:
-    """Every router's feed: told loads a second old, the others' running turns a third of a second old."""
-
-    def __init__(self, workers: Sequence[ModelWorker], counts: list[BenchRegistry]) -> None:
-        self._workers = workers
-        self._all = counts
-        self._count: Callable[[PoolName], dict[WorkerInstance, Engagement]] = lambda pool: {}
-        self._elsewhere: dict[WorkerInstance, Engagement] = {}
-        self._ready: tuple[Worker, ...] = ()
-        counts.append(self)
-
-    def refresh_loads(self) -> None:
-        self._ready = tuple(worker.announced() for worker in self._workers if worker.up)
-
-    def refresh_running(self) -> None:
-        totals: dict[WorkerInstance, Engagement] = {}
-        for other in self._all:
-            if other is not self:
-                for instance, part in other._count(POOL).items():
-                    total = totals.get(instance, Engagement())
-                    totals[instance] = Engagement(total.running + part.running, total.expected + part.expected)
-        self._elsewhere = totals
-
-    def ready(self, pool: PoolName) -> Sequence[Worker]:
-        return self._ready
-
-    async def confirm(self, worker: Worker) -> bool:
-        return True
-
-    def on_change(self, callback: Any) -> None:
-        pass
-
-    def count_with(self, count: Callable[[PoolName], dict[WorkerInstance, Engagement]]) -> None:
-        self._count = count
-
-    def elsewhere(self, instance: WorkerInstance) -> Engagement:
-        return self._elsewhere.get(instance, Engagement())
-
-
 class ModelWorker:
     PREFILL_PER_TOKEN = 0.00015
     DECODE_PER_TOKEN = 0.02
@@ -260,19 +147,6 @@
         await asyncio.sleep(tokens * (self.DECODE_PER_TOKEN + self.DECODE_PER_OTHER * (self.running - 1)))
 
 
-class NoMap:
-    """No map at all: every router falls back to what all agree on without asking."""
-
-    async def find(self, key: int) -> Entry | Unreachable | None:
-        return Unreachable()
-
-    def record(self, key: int, entry: Entry) -> None:
-        pass
-
-    def keeps(self, key: int) -> bool:
-        return False
-
-
 class HintLosing(AwardPlacement):
     """Does not take a share of the ends of turns as hints."""
 
@@ -292,63 +166,35 @@
     first_turn: bool
 
 
-class Run:
+class Run(VirtualRun):
     def __init__(self, shape: Shape, seed: int) -> None:
+        super().__init__(seed)
         self.shape = shape
-        self.loop = VirtualTimeLoop(Random(seed))
-        self.random = Random(seed)
         self.figures: list[TurnFigures] = []
         self.refused = 0
         self.imbalance: list[float] = []
         self.requests = 0
-        self.placements: list[Placement] = []
         self.live: list[int] = list(range(shape.routers))
-        self.error: BaseException | None = None
-        self.loop.on_unhandled = lambda _, details: self._failed(details)
-        asyncio.set_event_loop(self.loop)
         self.workers = [ModelWorker(number, shape) for number in range(shape.workers)]
         self.wires = Wires(self.loop, shape.wire_delay)
         self.registries: list[BenchRegistry] = []
-        identities = [
-            Identity(
-                name=DaemonName(f"r{number}"),
-                incarnation=Incarnation(f"r{number}.1"),
-                role="router",
-                zone=Zone("abc"[number % 3]),
-                internal=Address("127.0.0.1", 24000 + number),
-            )
-            for number in range(shape.routers)
-        ]
+        identities = router_identities(shape.routers)
         self.membership = BenchMembership(identities)
         for number, identity in enumerate(identities):
             self.placements.append(self._placement(number, identity, seed))
         self.templates = [f"template{number}" for number in range(8)]
         self.template_tokens = [self.random.randrange(2000, 6000) for _ in self.templates]
 
-    def _failed(self, details: dict[str, Any]) -> None:
-        self.error = details.get("exception") or RuntimeError(str(details))
-        self.loop.limit = 0.0
+    def _announced(self) -> tuple[Worker, ...]:
+        return tuple(worker.announced() for worker in self.workers if worker.up)
 
     def _placement(self, number: int, identity: Identity, seed: int) -> Placement:
         shape = self.shape
-        context = Context(
-            clock=cast(Any, BenchClock(self.loop)),
-            network=cast(Any, None),
-            disk=cast(Any, None),
-            http=cast(Any, None),
-            random=Random(seed * 1000 + number),
-            log=cast(Any, None),
-            tasks=cast(Any, BenchTasks(self.loop)),
-        )
-        registry = BenchRegistry(self.workers, self.registries)
-        registry.refresh_loads()
-        match shape.policy:
-            case "round-robin":
-                return RoundRobin(context, cast(Any, registry), registry)
-            case "least-loaded":
-                return LeastLoaded(context, cast(Any, registry), registry)
-            case "sticky":
-                return StickyByHash(context, cast(Any, registry), registry)
+        context = self.context(Random(seed * 1000 + number))
+        registry = BenchRegistry(self._announced, self.registries)
+        plain = plain_policy(shape.policy, context, registry)
+        if plain is not None:
+            return plain
         messenger = cast(Any, BenchMessenger(self.wires, identity))
         membership = cast(Any, self.membership)
         session_map: Any = {"local": LocalMap, "hash": NoMap}.get(shape.session_map, lambda: None)()
@@ -367,14 +213,7 @@
         self.loop.call_later(shape.seconds / 2, self._all_up)
         if shape.lost_routers:
             self.loop.call_later(shape.seconds / 2, self._lose_routers)
-        self.loop.limit = shape.seconds
-        self.loop.run_forever()
-        if self.error is not None:
-            raise self.error
-        for task in asyncio.all_tasks(self.loop):
-            task._log_destroy_pending = False  # type: ignore[attr-defined]
-        self.loop.on_unhandled = None
-        self.loop.close()
+        self.run_for(shape.seconds)
         return self._report()
 
     async def _refresh(self) -> None:
@@ -401,7 +240,7 @@
         addresses = [self.membership.all[number].internal for number in lost]
         self.wires.dead.update(addresses)
         for number in lost:
-            self.registries[number]._count = lambda pool: {}
+            self.registries[number].count = lambda pool: {}
 
         def noticed() -> None:
             self.membership.all = [identity for identity in self.membership.all if identity.internal not in addresses]
@@ -515,15 +354,14 @@
             "imbalance_p95": _quantile(sorted(self.imbalance), 0.95),
             "map_bytes_per_turn": self.wires.bytes / max(1, self.requests),
         }
-        counts: Counter[str] = Counter()
-        for placement in self.placements:
-            counts.update(getattr(placement, "counts", {}))
-        total = max(1, self.requests)
-        report["award_share"] = counts["award"] / total
-        report["moves"] = counts["moves"] / max(1, counts["awards"])
+        report |= self.award_figures(self.requests)
         return report
 
 
+def figures_of(shape: Shape, seed: int) -> dict[str, float]:
+    return Run(shape, seed).go()
+
+
 def shape_refuses(shape: Shape, choice: Choice) -> bool:
     return shape.admission and PatienceAdmission().refuse(SERVICE, choice.first_token) is not None
 
@@ -648,8 +486,7 @@
     gc.collect()
     used, _ = tracemalloc.get_traced_memory()
     tracemalloc.stop()
-    run.loop.on_unhandled = None
-    run.loop.close()
+    run.close()
     return used / sessions
 
 
@@ -748,18 +585,12 @@
         print_drains(seeds)
     if names and not (names := tuple(name for name in names if name not in {"costs", "drains"})):
         return
-    results: dict[str, dict[str, dict[str, float]]] = {}
+    table = Table((*COLUMNS, *more), seeds)
     for name in names or tuple(found):
-        columns = (*COLUMNS, *more)
-        click.echo(f"\n{name}: {seeds} seeds of {seconds:.0f} s")
-        click.echo(f"{'':<24}" + "".join(f"{column:>14}" for column in columns))
-        for row, shape in found[name].items():
-            reports = [Run(shape, seed).go() for seed in range(1, seeds + 1)]
-            mean = {key: statistics.fmean(report[key] for report in reports) for key in reports[0]}
-            results.setdefault(name, {})[row] = mean
-            click.echo(f"{row:<24}" + "".join(f"{mean[column]:>14.3f}" for column in columns))
+        rows = {row: partial(figures_of, shape) for row, shape in found[name].items()}
+        table.print(name, f"{name}: {seeds} seeds of {seconds:.0f} s", rows)
     if json_file is not None:
-        json_file.write_text(json.dumps(results, indent=1) + "\n")
+        table.write(json_file)
 
 
 if __name__ == "__main__":
--- a/bench/told_placement_bench.py
+++ b/bench/told_placement_bench.py
@@ -13,8 +13,8 @@
 import json
 import statistics
 import time
-from collections import Counter
 from collections.abc import Sequence
+from functools import partial
 from pathlib import Path
 from random import Random
 from typing import Any, cast
@@ -23,32 +23,36 @@
 import msgspec
 from returns.result import Success
 
-from simulation.virtual_time import VirtualTimeLoop
 from wingwood.bundle.model import Service
-from wingwood.context.protocols import Context
 from wingwood.identifiers import (
-    Address,
-    DaemonName,
-    Incarnation,
     Instant,
-    PoolName,
     RequestId,
     Seconds,
     ServiceName,
     TenantName,
-    Zone,
 )
 from wingwood.placement.award_placement import AwardPlacement
-from wingwood.placement.plain_policies import LeastLoaded, RoundRobin, StickyByHash
 from wingwood.placement.protocols import Choice, Placement, PromptPart, Turn
 from wingwood.placement.session_map import KeeperMap, LocalMap
 from wingwood.placement.settings import AwardSettings
+from wingwood.registry.protocols import Worker
 from wingwood.transport.frames import Identity
 
 from .engine_model import Engine, EngineWorker, Stream
-from .placement_bench import BenchClock, BenchMembership, BenchMessenger, BenchRegistry, BenchTasks, NoMap, Wires
+from .placement_parts import (
+    POOL,
+    ZONES,
+    BenchMembership,
+    BenchMessenger,
+    BenchRegistry,
+    NoMap,
+    Table,
+    VirtualRun,
+    Wires,
+    plain_policy,
+    router_identities,
+)
 
-POOL = PoolName("model")
 SUMMARY = Service(
     name=ServiceName("summary"),
     pool=POOL,
@@ -67,7 +71,6 @@
 )
 CALLER_WAY = 0.008
 """Seconds between caller and router both ways, with the work of both."""
-ZONES = ("a", "b", "c")
 ZONE_DELAY = 0.0014
 DARK_AFTER = 0.8
 """A router gives up a worker without a first token after so many seconds, and tries another once."""
@@ -171,60 +174,33 @@
     return [total := total + (rank + 1) ** -0.3 for rank in range(count)]
 
 
-class Run:
+class Run(VirtualRun):
     def __init__(self, shape: Shape, seed: int) -> None:
+        super().__init__(seed)
         self.shape = shape
-        self.loop = VirtualTimeLoop(Random(seed))
-        self.random = Random(seed)
-        self.error: BaseException | None = None
-        self.loop.on_unhandled = lambda _, details: self._failed(details)
-        asyncio.set_event_loop(self.loop)
-        self.workers = [EngineWorker(n, shape.engine, Zone(ZONES[n % 3])) for n in range(shape.workers)]
+        self.workers = [EngineWorker(n, shape.engine, ZONES[n % len(ZONES)]) for n in range(shape.workers)]
         self.prompts = Prompts(shape, Random(seed + 7))
         self.wires = Wires(self.loop, ZONE_DELAY)
         self.registries: list[BenchRegistry] = []
         self.served: list[Served] = []
         self.read_before = (0, 0)
         self.calls = 0
-        self.identities = [
-            Identity(
-                name=DaemonName(f"r{n}"),
-                incarnation=Incarnation(f"r{n}.1"),
-                role="router",
-                zone=Zone(ZONES[n % 3]),
-                internal=Address("127.0.0.1", 24000 + n),
-            )
-            for n in range(shape.routers)
-        ]
+        self.identities = router_identities(shape.routers)
         self.membership = BenchMembership(self.identities)
         self.placements = [self._placement(identity, seed) for identity in self.identities]
         self.router_weights = [1.0 + self.random.random() for _ in self.identities]
 
-    def _failed(self, details: dict[str, Any]) -> None:
-        self.error = details.get("exception") or RuntimeError(str(details))
-        self.loop.limit = 0.0
+    def _announced(self) -> tuple[Worker, ...]:
+        return tuple(worker.announced(POOL) for worker in self.workers if worker.up)
 
     def _placement(self, identity: Identity, seed: int) -> Placement:
-        context = Context(
-            clock=cast(Any, BenchClock(self.loop)),
-            network=cast(Any, None),
-            disk=cast(Any, None),
-            http=cast(Any, None),
-            random=Random(f"{seed} {identity.name}"),
-            log=cast(Any, None),
-            tasks=cast(Any, BenchTasks(self.loop)),
-        )
-        registry = cast(Any, BenchRegistry(cast(Any, _Announcers(self.workers)), self.registries))
-        registry.refresh_loads()
-        match self.shape.policy:
-            case "round-robin":
-                return RoundRobin(context, registry, registry)
-            case "oracle":
-                return Oracle(self.workers)
-            case "least-loaded":
-                return LeastLoaded(context, registry, registry)
-            case "sticky":
-                return StickyByHash(context, registry, registry)
+        context = self.context(Random(f"{seed} {identity.name}"))
+        registry = BenchRegistry(self._announced, self.registries)
+        if self.shape.policy == "oracle":
+            return Oracle(self.workers)
+        plain = plain_policy(self.shape.policy, context, registry)
+        if plain is not None:
+            return plain
         membership = cast(Any, self.membership)
         session_map: Any
         match self.shape.policy:
@@ -235,7 +211,8 @@
             case _:
                 session_map = KeeperMap(context, cast(Any, BenchMessenger(self.wires, identity)), membership)
         zone = None if self.shape.policy == "award-guessed" else identity.zone
-        placement = AwardPlacement(context, membership, registry, registry, session_map, self.shape.settings, zone)
+        workers = cast(Any, registry)
+        placement = AwardPlacement(context, membership, workers, registry, session_map, self.shape.settings, zone)
         if not isinstance(session_map, NoMap):
             session_map.on_keep = placement.kept_here
         return placement
@@ -246,14 +223,7 @@
         self.loop.create_task(self._arrivals(CHAT))
         self.loop.create_task(self._refresh())
         self.loop.call_later(shape.begins, self._trouble)
-        self.loop.limit = shape.seconds
-        self.loop.run_forever()
-        if self.error is not None:
-            raise self.error
-        for task in asyncio.all_tasks(self.loop):
-            task._log_destroy_pending = False  # type: ignore[attr-defined]
-        self.loop.on_unhandled = None
-        self.loop.close()
+        self.run_for(shape.seconds)
         return self._report()
 
     # --- troubles -----------------------------------------------------------------------------
@@ -391,31 +361,12 @@
         report["parts_read_per_s"] = (parts - self.read_before[1]) / seconds
         report["use"] = report["read_per_s"] * self.shape.engine.prefill_per_token / self.shape.workers
         report["bytes_per_call"] = self.wires.bytes / max(1, self.calls)
-        counts: Counter[str] = Counter()
-        for placement in self.placements:
-            counts.update(getattr(placement, "counts", {}))
-        report["award_share"] = counts["award"] / max(1, self.calls)
-        report["moves"] = counts["moves"] / max(1, counts["awards"])
+        report |= self.award_figures(self.calls)
         return report
 
 
-class _Announcers:
-    """The workers as BenchRegistry reads them."""
-
-    def __init__(self, workers: Sequence[EngineWorker]) -> None:
-        self._workers = workers
-
-    def __iter__(self) -> Any:
-        return iter([_Announcer(worker) for worker in self._workers])
-
-
-class _Announcer:
-    def __init__(self, worker: EngineWorker) -> None:
-        self._worker = worker
-        self.up = worker.up
-
-    def announced(self) -> Any:
-        return self._worker.announced(POOL)
+def figures_of(shape: Shape, seed: int) -> dict[str, float]:
+    return Run(shape, seed).go()
 
 
 POLICIES = ("award-guessed", "least-loaded", "sticky", "award-no-map", "award-local", "award", "oracle")
@@ -468,8 +419,7 @@
             times.append(time.process_time() - began)
 
     run.loop.run_until_complete(all_turns())
-    run.loop.on_unhandled = None
-    run.loop.close()
+    run.close()
     return sorted(times)
 
 
@@ -507,20 +457,16 @@
     found = tables()
     changed: dict[str, Any] = {name: json.loads(value) for name, value in (change.split("=") for change in changes)}
     settings = msgspec.structs.replace(AwardSettings(), **changed)
-    results: dict[str, dict[str, dict[str, float]]] = {}
+    table = Table(COLUMNS, seeds)
     for name in [name for name in names if name != "processor"] or ([] if names else list(found)):
-        click.echo(f"\n{name}: {seeds} seeds")
-        click.echo(f"{'':<16}" + "".join(f"{column:>17}" for column in COLUMNS))
-        for policy, shape in found[name].items():
-            if policies and policy not in policies:
-                continue
-            changed_shape = msgspec.structs.replace(shape, settings=settings)
-            reports = [Run(changed_shape, seed).go() for seed in range(1, seeds + 1)]
-            mean = {key: statistics.fmean(report[key] for report in reports) for key in reports[0]}
-            results.setdefault(name, {})[policy] = mean
-            click.echo(f"{policy:<16}" + "".join(f"{mean[column]:>17.3f}" for column in COLUMNS))
+        rows = {
+            policy: partial(figures_of, msgspec.structs.replace(shape, settings=settings))
+            for policy, shape in found[name].items()
+            if not policies or policy in policies
+        }
+        table.print(name, f"{name}: {seeds} seeds", rows)
     if json_file is not None:
-        json_file.write_text(json.dumps(results, indent=1) + "\n")
+        table.write(json_file)
 
 
 if __name__ == "__main__":
