--- a/bench/placement_parts.py
+++ b/bench/placement_parts.py
@@ -140,8 +140,7 @@
         for other in self._all:
             if other is not self:
                 for instance, part in other.count(POOL).items():
-                    total = totals.get(instance, Engagement())
-                    totals[instance] = Engagement(total.running + part.running, total.expected + part.expected)
+                    totals[instance] = totals.get(instance, Engagement()).plus(part)
         self._elsewhere = totals
 
     def ready(self, pool: PoolName) -> Sequence[Worker]:
--- /dev/null
+++ b/bench/tests/test_placement_parts.py
@@ -0,0 +1,28 @@
+"""The stand-ins that placement is measured with."""
+
+from __future__ import annotations
+
+import unittest
+
+from wingwood.identifiers import WorkerInstance
+from wingwood.registry.protocols import Engagement
+
+from ..placement_parts import BenchRegistry
+
+WORKER = WorkerInstance("w0")
+
+
+class BenchRegistryTest(unittest.TestCase):
+    def test_every_count_of_the_other_routers_is_told(self) -> None:
+        registries: list[BenchRegistry] = []
+        for _ in range(3):
+            BenchRegistry(lambda: (), registries)
+        for number, registry in enumerate(registries):
+            part = Engagement(running=1.0, expected=2.0, prefill=3.0, streams=float(number))
+            registry.count_with(lambda pool, part=part: {WORKER: part})  # type: ignore[misc]
+        registries[0].refresh_running()
+        self.assertEqual(registries[0].elsewhere(WORKER), Engagement(2.0, 4.0, 6.0, 3.0))
+
+
+if __name__ == "__main__":
+    unittest.main()
