Bundles: two daemons below each, not four; the feed lists neighbours only when it asks one

The worker feed made a list of all routers each 0.3 s at every daemon (27 us at 86 members, growing with the fleet) and used it in one round of ten.

--- a/wingwood/distribution/homes.py
+++ b/wingwood/distribution/homes.py
@@ -11,7 +11,7 @@
 BUNDLE_SERVICE = "bundle"
 HOMES = 2
 """Daemons of a zone that are told first: the home, and a second one."""
-FAN_OUT = 4
+FAN_OUT = 2
 """Daemons that one daemon passes a change on to: on a slow link each more of them takes its time."""
 
 
--- a/wingwood/registry/worker_registry.py
+++ b/wingwood/registry/worker_registry.py
@@ -557,10 +557,11 @@
             for identity in followed:
                 targets.setdefault(identity.incarnation, (identity, []))[1].append(pool)
         self._round += 1
-        neighbours = [router for router in self._membership.routers() if router.incarnation != own]
-        if neighbours and (not self._tables or self._round % NEIGHBOUR_EVERY == 0):
-            neighbour = neighbours[self._round // NEIGHBOUR_EVERY % len(neighbours)]
-            targets.setdefault(neighbour.incarnation, (neighbour, []))
+        if not self._tables or self._round % NEIGHBOUR_EVERY == 0:
+            neighbours = [router for router in self._membership.routers() if router.incarnation != own]
+            if neighbours:
+                neighbour = neighbours[self._round // NEIGHBOUR_EVERY % len(neighbours)]
+                targets.setdefault(neighbour.incarnation, (neighbour, []))
         for incarnation in sorted(targets):
             if incarnation not in self._asking:
                 identity, pools = targets[incarnation]
