Paid shares: a keeper no longer adds up all routers three times for each ask

Cause: in a profile of 80 emulated routers under load the dearest of the fleet's own work was answering asks for paid shares, 0.63 ms each: KeptShare.room went over all routers, three times an ask, and asks grow with the fleet as well, so the keeper's cost grew with its square. Ruled out: heartbeats, worker feed, freshness (constant per daemon from 11 to 300 routers, idle).

Above 32 routers their parts are added up at most every 20 ms; in between the sums are kept as upper bounds. Below that nothing changes. Tests: never below the exact sums and hardly above (random asks of 300 routers); calls counted at 1,000.

--- a/wingwood/limits/kept_share.py
+++ b/wingwood/limits/kept_share.py
@@ -35,6 +35,10 @@
 """Part of the bucket that counts in the window of a keeper whose session is not proven."""
 KEPT_BACK = 0.5
 """Part of the bucket that a keeper whose session is not proven leaves alone."""
+SUMMED_FOR = Seconds(0.02)
+"""With many routers their parts are added up anew at most this often; in between the sum is an upper bound."""
+SUMMED_ABOVE = 32
+"""Fewer routers are added up for each ask."""
 
 
 class _Asker(msgspec.Struct):
@@ -55,6 +59,34 @@
         return (self.saved if now - self.heard <= window else 0.0) + max(self.allowed, self.before) * age
 
 
+class _Sums(msgspec.Struct):
+    """The parts of all routers added up at one instant."""
+
+    at: Instant
+    limited: bool
+    near: float = 0.0
+    """Of the bucket: what they may have saved up, and what they may use while an ask is on its way."""
+    far: float = 0.0
+    """Of the window: what they may have used since they were heard."""
+    promised: float = 0.0
+    """Per second: what they may use by themselves."""
+    rate: float = 0.0
+    """Per second: what ``near`` and ``far`` grow by at most."""
+
+    def put(self, asker: _Asker, window: Seconds, sign: float = 1.0) -> None:
+        """Adds the router's part, or takes it out."""
+        longest = Seconds(1e9) if self.limited else AUTONOMY
+        if self.at <= asker.heard + AUTONOMY:
+            self.promised += sign * asker.allowed
+        if not (asker.allowed or asker.before or asker.saved):
+            return
+        self.near += sign * asker.may_have_used(self.at, window, ACCRUE)
+        self.far += sign * asker.may_have_used(self.at, window, longest)
+        self.rate += sign * max(asker.allowed, asker.before)
+        if self.at - asker.heard <= ACCRUE:
+            self.near += sign * LAG * asker.allowed
+
+
 class _Missing(msgspec.Struct, frozen=True):
     """Routers that a new keeper cannot reach and that may be running."""
 
@@ -89,6 +121,7 @@
         self.askers: dict[Incarnation, _Asker] = {}
         self._missing: _Missing | None = None
         self._known_since = now
+        self._sums: _Sums | None = None
 
     def change(self, plan: QuotaPlan, now: Instant) -> None:
         """A lower limit counts from now on, so what was used under the higher one is forgotten."""
@@ -117,21 +150,42 @@
             for incarnation in [key for key, other in self.askers.items() if other.name == asker.name]:
                 del self.askers[incarnation]  # Its earlier life.
             found = self.askers[asker.incarnation] = _Asker(asker.name, ask.number, now)
+            self._sums = None
         if self.gathering is None:  # Else it is in the router's report.
             self.used.add(now, ask.used)
             self.bucket.give(-self._due(found, ask) if known else ask.saved, now)
-        others = self.promised(now) - (found.allowed if now <= found.heard + AUTONOMY else 0.0)
+        sums = self._summed(now, limited=not may_rise)
+        others = sums.promised - (found.allowed if sums.at <= found.heard + AUTONOMY else 0.0)
         most = max(0.0, self.plan.rate - others) if may_rise else found.allowed
+        sums.put(found, self.window, sign=-1.0)
         found.before = min(found.allowed, ask.need)
         found.newest, found.heard, found.saved = ask.number, now, ask.saved
+        sums.put(found, self.window)
         in_window = self.room(now, limited=not may_rise)[1]
         open_part = max(0.0, min(1.0, in_window / (self.plan.rate * NARROW)))
+        sums.put(found, self.window, sign=-1.0)
         found.allowed = min(ask.need, most) * open_part
+        sums.put(found, self.window)
         return found.allowed
 
     def promised(self, now: Instant) -> float:
         """Per second: what all routers may use by themselves."""
-        return sum(asker.allowed for asker in self.askers.values() if now <= asker.heard + AUTONOMY)
+        limited = False if self._sums is None else self._sums.limited
+        return self._summed(now, limited).promised
+
+    def _summed(self, now: Instant, limited: bool) -> _Sums:
+        """All routers' parts: of this instant with few routers, else of one at most ``SUMMED_FOR`` ago.
+
+        A part grows by at most its ``rate`` since then, and what was promised only runs out.
+        """
+        sums = self._sums
+        kept_for = SUMMED_FOR if len(self.askers) > SUMMED_ABOVE else 0.0
+        if sums is not None and sums.limited == limited and 0.0 <= now - sums.at <= kept_for:
+            return sums
+        sums = self._sums = _Sums(now, limited)
+        for asker in self.askers.values():
+            sums.put(asker, self.window)
+        return sums
 
     def missing_have_ended(self) -> None:
         """The processes of which nothing was known use nothing any more, and did not grant after they were asked."""
@@ -166,14 +220,9 @@
         rate counts, and routers that are not heard of may go on for good.
         """
         self.bucket.fill(now)
-        longest = Seconds(1e9) if limited else AUTONOMY
-        near = far = 0.0
-        for asker in self.askers.values():
-            if not (asker.allowed or asker.before or asker.saved):
-                continue
-            near += asker.may_have_used(now, self.window, ACCRUE)
-            far += asker.may_have_used(now, self.window, longest)
-        near += LAG * sum(asker.allowed for asker in self.askers.values() if now - asker.heard <= ACCRUE)
+        sums = self._summed(now, limited)
+        since = now - sums.at
+        near, far = sums.near + sums.rate * since, sums.far + sums.rate * since
         level, most = self.bucket.level, self.plan.most
         if limited:
             level -= KEPT_BACK * self.plan.bucket
@@ -187,6 +236,7 @@
             key for key, asker in self.askers.items() if now - asker.heard > AUTONOMY + 2 * self.window
         ]:
             del self.askers[incarnation]
+            self._sums = None
 
     def view(self, in_bucket: float, now: Instant) -> KeeperView | None:
         """For the next keeper; None while this one doesn't know it."""
@@ -215,6 +265,7 @@
         self._known_since = Instant(now - inherited.span)
         for router, answer in told:
             self._note(router, answer, now)
+        self._sums = None
         if missing:
             self._missing = self._note_missing(inherited, len(told), missing, keeper_missing, now)
 
--- a/wingwood/limits/tests/test_kept_share.py
+++ b/wingwood/limits/tests/test_kept_share.py
@@ -3,10 +3,12 @@
 from __future__ import annotations
 
 import unittest
+from random import Random
+from unittest import mock
 
 from ...identifiers import Address, DaemonName, Incarnation, Instant, Seconds, TenantName, Zone
 from ...transport.frames import Identity
-from ..kept_share import AUTONOMY, KeptShare
+from ..kept_share import AUTONOMY, LAG, SUMMED_FOR, KeptShare, _Asker
 from ..messages import KeeperView, LeaseAsk, UseAnswer
 from ..stand_in import StandIn
 from ..takeover import inherit
@@ -52,6 +54,61 @@
         self.assertEqual(plan_of(2.0, Seconds(1.0), "calls", QuotaTolerance()).bucket, 5.0)
 
 
+class ManyRoutersTest(unittest.TestCase):
+    """Above ``SUMMED_ABOVE`` routers their parts are not added up for each ask."""
+
+    ROUTERS = 300
+
+    def test_sums_are_never_below_what_the_routers_may_use_and_hardly_above(self) -> None:
+        random = Random(5)
+        kept = KeptShare(plan(), WINDOW, plan().bucket, at(0.0))
+        kept.gathered = True
+        now, numbers = 0.0, dict.fromkeys(range(self.ROUTERS), 0)
+        for step in range(2500):
+            now += random.choice((0.0, 0.001, 0.003, 0.02, 0.2 if step % 500 == 0 else 0.002))
+            number = random.randrange(self.ROUTERS)
+            numbers[number] += 1
+            may_rise = random.random() < 0.95
+            kept.settle(
+                router(number),
+                ask(
+                    numbers[number],
+                    used=random.randrange(50),
+                    need=random.choice((0.0, RATE / 100)),
+                    saved=random.choice((0.0, 30.0)),
+                ),
+                at(now),
+                may_rise,
+            )
+            kept.grant((random.randrange(100),), at(now), limited=not may_rise)
+            now += random.choice((0.0, 0.004))
+            limited = random.random() < 0.1
+            in_bucket, in_window = kept.room(at(now), limited)
+            promised = kept.promised(at(now))
+            kept._sums = None
+            exact_bucket, exact_window = kept.room(at(now), limited)
+            exact_promised = kept.promised(at(now))
+            self.assertLessEqual(in_bucket, exact_bucket + 1e-6)
+            self.assertLessEqual(in_window, exact_window + 1e-6)
+            self.assertLessEqual(exact_promised, promised + 1e-6)
+            slack = RATE * (SUMMED_FOR + LAG)
+            self.assertGreaterEqual(in_bucket, exact_bucket - slack)
+            self.assertGreaterEqual(in_window, exact_window - slack)
+
+    def test_an_ask_costs_the_same_with_a_thousand_routers(self) -> None:
+        kept = KeptShare(plan(), WINDOW, plan().bucket, at(0.0))
+        kept.gathered = True
+        for number in range(1000):
+            kept.settle(router(number), ask(1, need=100.0), at(0.0), True)
+        original = _Asker.may_have_used
+        with mock.patch.object(_Asker, "may_have_used", autospec=True, side_effect=original) as counted:
+            for number in range(100):
+                kept.settle(router(number), ask(2, 50, need=100.0), at(0.001), True)
+                kept.grant((50,), at(0.001), limited=False)
+                kept.room(at(0.001), limited=False)
+        self.assertLess(counted.call_count, 5000)
+
+
 class KeptShareTest(unittest.TestCase):
     def setUp(self) -> None:
         self.kept = KeptShare(plan(), WINDOW, plan().bucket, at(0.0))
