--- a/wingwood/distribution/follower.py
+++ b/wingwood/distribution/follower.py
@@ -69,7 +69,8 @@
         self._proofs: list[tuple[BundleVersion, Instant]] = []
         """Proofs of versions not yet in force here."""
         self._gate = EpochGate()
-        self._ranked: tuple[Sequence[Identity], Sequence[Identity]] | None = None
+        self._ranked: tuple[Sequence[Identity], Sequence[Identity], Identity | None] | None = None
+        """The routers, those of the own zone in rank, and who stands above this daemon among them."""
         self._subscribers: dict[Address, _Subscriber] = {}
         self._wake = asyncio.Event()
         self._tasks: list[Task] = []
@@ -294,15 +295,21 @@
             asked = FetchBundle(since, chunk.to, total, unpacks=True)
 
     def _ranking(self) -> Sequence[Identity]:
-        """The own zone's routers, the home first; worked out anew only when the members have changed."""
-        routers = self._membership.routers()
-        if self._ranked is None or self._ranked[0] is not routers:
-            self._ranked = routers, ranked_of(BUNDLE_SERVICE, self._messenger.identity.zone, routers)
-        return self._ranked[1]
+        """The own zone's routers, the home first."""
+        return self._standing()[1]
 
     def _upstream(self) -> Identity | None:
         """Who passes changes on to this daemon; None while this is its zone's home, or knows no router."""
-        return upstream_in(self._ranking(), self._messenger.identity.incarnation)
+        return self._standing()[2]
+
+    def _standing(self) -> tuple[Sequence[Identity], Sequence[Identity], Identity | None]:
+        """Worked out anew only when the members have changed."""
+        routers = self._membership.routers()
+        if self._ranked is None or self._ranked[0] is not routers:
+            own = self._messenger.identity
+            ranking = ranked_of(BUNDLE_SERVICE, own.zone, routers)
+            self._ranked = routers, ranking, upstream_in(ranking, own.incarnation)
+        return self._ranked
 
     # -- as home: passing on
 
--- a/wingwood/limits/shares.py
+++ b/wingwood/limits/shares.py
@@ -320,8 +320,9 @@
             for tenant, kept in list(self._kept.items()):
                 self._keeps(tenant, now)
                 kept.forget_silent(now)
-            members = {router.incarnation for router in self._keepers.routers()}
-            self._pings = {keeper: found for keeper, found in self._pings.items() if keeper in members}
+            if self._pings:
+                members = {router.incarnation for router in self._keepers.routers()}
+                self._pings = {keeper: found for keeper, found in self._pings.items() if keeper in members}
             self._sweep_ended(now)
             for tenant in [tenant for tenant, until in self._closed_until.items() if until <= now]:
                 del self._closed_until[tenant]
