--- a/wingwood/limits/router_probes.py
+++ b/wingwood/limits/router_probes.py
@@ -93,8 +93,9 @@
     # Upkeep
 
     def forget_old(self, now: Instant) -> None:
-        members = {router.incarnation for router in self._keepers.routers()}
-        self._pings = {router: ping for router, ping in self._pings.items() if router in members}
+        if self._pings:
+            members = {router.incarnation for router in self._keepers.routers()}
+            self._pings = {router: ping for router, ping in self._pings.items() if router in members}
         for incarnation in [key for key, found in self._ended.items() if now - found > ENDED_COUNTS]:
             del self._ended[incarnation]
 
--- a/wingwood/registry/home_follower.py
+++ b/wingwood/registry/home_follower.py
@@ -154,8 +154,10 @@
     def _neighbour(self) -> Identity | None:
         """Any other router, in some rounds."""
         own = self._messenger.identity.incarnation
+        if self._directory.pools() and self._round % NEIGHBOUR_EVERY:
+            return None
         neighbours = [router for router in self._membership.routers() if router.incarnation != own]
-        if not neighbours or (self._directory.pools() and self._round % NEIGHBOUR_EVERY):
+        if not neighbours:
             return None
         return neighbours[self._round // NEIGHBOUR_EVERY % len(neighbours)]
 
