--- a/simulation/broken.py
+++ b/simulation/broken.py
@@ -9,7 +9,7 @@
 import asyncio
 import importlib
 import re
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Any
 
 import msgspec
@@ -125,6 +125,34 @@
         return Success(b"\n\ndata: [DONE]\n\n")
 
 
+class _IgnoresLeaving(WrappedExchange):
+    """Calls go on at their workers when nobody wants them any more."""
+
+    def cancel(self) -> None:
+        return None
+
+
+class _SentLate(WrappedExchange):
+    """Sends each call a second late, and doesn't look whether its caller is still there."""
+
+    def __init__(self, client: HttpClient, request: HttpRequest) -> None:
+        self._ready: asyncio.Future[HttpExchange] = asyncio.get_running_loop().create_future()
+        unchecked = msgspec.structs.replace(request, last_check=None)
+        asyncio.get_running_loop().call_later(1.0, lambda: self._ready.set_result(client.start(unchecked)))
+
+    async def head(self) -> Result[HttpHead, HttpFault]:
+        return await (await asyncio.shield(self._ready)).head()
+
+    async def next_piece(self) -> Result[bytes | None, HttpFault]:
+        return await (await asyncio.shield(self._ready)).next_piece()
+
+    def cancel(self) -> None:
+        return None
+
+    def request_sent(self) -> bool:
+        return True
+
+
 class ForgetfulDisk:
     """Says yes and writes nothing after the first records."""
 
@@ -162,6 +190,50 @@
         return Success(None)
 
 
+class UnsyncedDisk:
+    """After a while it says yes to what only lies in memory: the next life finds the files as they were."""
+
+    SYNCED_FOR = 4.5
+
+    def __init__(self, inner: Disk, context: Context) -> None:
+        self._inner = inner
+        self._context = context
+        self._started = context.clock.monotonic()
+        self._unsynced: ForgetfulDisk | None = None
+
+    async def lock(self) -> Result[None, DiskFault]:
+        return await self._inner.lock()
+
+    async def names(self) -> Result[Sequence[str], DiskFault]:
+        return await (await self._disk()).names()
+
+    async def read(self, name: str) -> Result[bytes, DiskFault]:
+        return await (await self._disk()).read(name)
+
+    async def append(self, name: str, data: bytes, at: int | None = None) -> Result[None, DiskFault]:
+        return await (await self._disk()).append(name, data, at)
+
+    async def write_new(self, name: str, data: bytes) -> Result[None, DiskFault]:
+        return await (await self._disk()).write_new(name, data)
+
+    async def rename(self, name: str, new_name: str) -> Result[None, DiskFault]:
+        return await (await self._disk()).rename(name, new_name)
+
+    async def truncate(self, name: str, length: int) -> Result[None, DiskFault]:
+        return await (await self._disk()).truncate(name, length)
+
+    async def remove(self, name: str) -> Result[None, DiskFault]:
+        return await (await self._disk()).remove(name)
+
+    async def _disk(self) -> Disk:
+        if self._unsynced is None and self._context.clock.monotonic() - self._started > self.SYNCED_FOR:
+            unsynced = ForgetfulDisk(self._inner)
+            for name in (await self._inner.names()).unwrap():
+                await unsynced.write_new(name, (await self._inner.read(name)).unwrap())
+            self._unsynced = unsynced
+        return self._unsynced or self._inner
+
+
 def _real(role: str) -> Build:
     build: Build = importlib.import_module(f"wingwood.daemons.{role}").build
     return build
@@ -185,6 +257,13 @@
     return Builds(control=build)
 
 
+def _unsynced_disks() -> Builds:
+    def build(context: Context, settings: DaemonSettings) -> Daemon:
+        return _real("control")(msgspec.structs.replace(context, disk=UnsyncedDisk(context.disk, context)), settings)
+
+    return Builds(control=build)
+
+
 def _keeps_removed_keys() -> Builds:
     def build(context: Context, settings: DaemonSettings) -> Daemon:
         return _real("router")(context, msgspec.structs.replace(settings, removed_key_bound=None))
@@ -304,6 +383,21 @@
     core.report = boast
 
 
+def _says_ready_while_it_stops(router: Any) -> None:
+    path, bundle = router.path, router.follower
+    path.ready = lambda: path._started and bundle.may_serve()
+
+
+def _never_ends_its_drain(router: Any) -> None:
+    drain = router.drain
+
+    async def endless() -> None:
+        await drain()
+        await asyncio.sleep(1e6)
+
+    router.drain = endless
+
+
 def _lets_all_in(router: Any) -> None:
     async def take(_: Any, cost: int = 1) -> None:
         return None
@@ -352,7 +446,12 @@
     "loses pieces": lambda: _wrapping(_ChangesStream),
     "names another call": lambda: _wrapping(_NamesAnotherCall),
     "ends cut streams": lambda: _wrapping(_EndsCutStreams),
+    "ignores that callers leave": lambda: _wrapping(_IgnoresLeaving),
+    "sends calls late": lambda: _with_client(_SentLate),
+    "says ready while it stops": lambda: _spoiled(router=_says_ready_while_it_stops),
+    "never ends its drain": lambda: _spoiled(router=_never_ends_its_drain),
     "forgetful disks": _forgetful_disks,
+    "unsynced disks": _unsynced_disks,
     "keeps removed keys": _keeps_removed_keys,
     "one router knows one operator": _one_router_knows_one_operator,
     "shows older versions": lambda: _spoiled(router=_shows_older_versions),
--- a/simulation/callers.py
+++ b/simulation/callers.py
@@ -66,6 +66,8 @@
         self.factor = 1.0
         """Traffic against the shape's."""
         self.stopped = False
+        self.leave_after: float | None = None
+        """They close their connection so long after sending a call, answered or not, when set."""
         self.only_door: str | None = None
         """Sends all calls to this router when set."""
         self._services = {service.name: service for service in shape.services}
@@ -226,35 +228,38 @@
         return None
 
     async def _read(self, exchange: PlainExchange, attempt: Attempt, service: ServiceShape) -> None:
-        reader = _AnswerReader(attempt, self.now)
-        patience = service.first_byte_patience + PATIENCE_MARGIN
         try:
-            async with asyncio.timeout(patience):
-                headed = await exchange.head()
-            if not isinstance(headed, Success):
-                self._failed(attempt, headed.failure())
-                return
-            head = headed.unwrap()
-            attempt.head_at, attempt.status = self.now(), head.status
-            attempt.code = "router" if head.header("Wingwood-Answer") is not None else ""
-            reader.streams = (head.header("Content-Type") or "").startswith("text/event-stream")
-            retry_after = head.header("Retry-After")
-            attempt.retry_after = float(retry_after) if retry_after else None
-            while True:
-                async with asyncio.timeout(SILENCE_PATIENCE if attempt.events or not reader.streams else patience):
-                    took = await exchange.next_piece()
-                if not isinstance(took, Success):
-                    self._failed(attempt, took.failure())
-                    return
-                piece = took.unwrap()
-                if piece is None:
-                    attempt.end = "whole"
-                    reader.finish()
-                    return
-                reader.take(piece)
+            async with asyncio.timeout(self.leave_after):
+                await self._read_patiently(exchange, attempt, service.first_byte_patience + PATIENCE_MARGIN)
         except TimeoutError:
             attempt.end = "gave-up"
 
+    async def _read_patiently(self, exchange: PlainExchange, attempt: Attempt, patience: float) -> None:
+        reader = _AnswerReader(attempt, self.now)
+        async with asyncio.timeout(patience):
+            headed = await exchange.head()
+        if not isinstance(headed, Success):
+            self._failed(attempt, headed.failure())
+            return
+        head = headed.unwrap()
+        attempt.head_at, attempt.status = self.now(), head.status
+        attempt.code = "router" if head.header("Wingwood-Answer") is not None else ""
+        reader.streams = (head.header("Content-Type") or "").startswith("text/event-stream")
+        retry_after = head.header("Retry-After")
+        attempt.retry_after = float(retry_after) if retry_after else None
+        while True:
+            async with asyncio.timeout(SILENCE_PATIENCE if attempt.events or not reader.streams else patience):
+                took = await exchange.next_piece()
+            if not isinstance(took, Success):
+                self._failed(attempt, took.failure())
+                return
+            piece = took.unwrap()
+            if piece is None:
+                attempt.end = "whole"
+                reader.finish()
+                return
+            reader.take(piece)
+
     def _failed(self, attempt: Attempt, fault: HttpFault) -> None:
         if fault.kind == "connect":
             attempt.end = "no-connection"
--- a/simulation/fleet.py
+++ b/simulation/fleet.py
@@ -36,7 +36,7 @@
 from wingwood.settings.model import DaemonSettings
 
 from .callers import CallerPlan, Callers, Door
-from .history import Fault, History, PaidShare, SeenLead, SeenVersion
+from .history import Fault, History, PaidShare, SeenLead, SeenReady, SeenStop, SeenVersion
 from .network import Cut, NetworkShape
 from .operators import Desk, Operator, Slices, ask, digest_of_key
 from .workers import ObservedWorker
@@ -279,8 +279,10 @@
             await asyncio.sleep(READY_EVERY)
 
     async def _ask_ready(self, context: Context, name: str) -> None:
+        asked_at = self.world.now
         answer = await ask(context, "GET", self.settings[name].operator, "/ready", b"", READY_EVERY * 0.9)
         ready = answer is not None and answer[0] == 200
+        self.history.ready.append(SeenReady(asked_at, name, ready))
         if ready != self.ready_doors.get(name, False):
             context.log.event("door-ready" if ready else "door-not-ready", router=name)
         self.ready_doors[name] = ready
@@ -600,17 +602,29 @@
         for process in self.processes_named(name):
             fault = self.fault("terminate", process.name)
             self.world.note("world", "terminate", process=process.name)
+            stop = self._note_stop(process)
 
-            async def leave(process: Process = process, fault: Fault = fault) -> None:
+            async def leave(process: Process = process, fault: Fault = fault, stop: SeenStop = stop) -> None:
                 daemon = self.daemons[process.name]
                 await daemon.drain()
                 daemon.stop()
+                stop.ended_at = self.world.now
                 self.world.kill(process)
                 self.world.at(self.world.now + down_for, lambda: self.start_again(process.name, fault))
 
             if process.alive:
                 self.world.spawn(process, leave(), "terminate")
 
+    def _note_stop(self, process: Process) -> SeenStop:
+        """A second SIGTERM to the same life changes nothing."""
+        for stop in self.history.stops:
+            if stop.daemon == process.name and stop.life == process.lives and process.alive:
+                return stop
+        stop = SeenStop(daemon=process.name, life=process.lives, asked_at=self.world.now)
+        if process.alive:
+            self.history.stops.append(stop)
+        return stop
+
     def supervise(self) -> None:
         """Starts again what stopped by itself."""
         if not self.supervised:
--- a/simulation/history.py
+++ b/simulation/history.py
@@ -163,6 +163,23 @@
     version: int
 
 
+class SeenReady(msgspec.Struct, frozen=True):
+    """A router's answer to the platform's question whether it is ready; no answer counts as not ready."""
+
+    asked_at: float
+    router: str
+    ready: bool
+
+
+class SeenStop(msgspec.Struct, kw_only=True):
+    """A daemon was sent SIGTERM; ``ended_at`` is when its process ended by itself."""
+
+    daemon: str
+    life: int
+    asked_at: float
+    ended_at: float | None = None
+
+
 class SeenLead(msgspec.Struct, frozen=True):
     """A control daemon said of itself that it takes orders as primary."""
 
@@ -199,6 +216,8 @@
     orders: list[SeenOrder] = []
     versions: list[SeenVersion] = []
     leads: list[SeenLead] = []
+    ready: list[SeenReady] = []
+    stops: list[SeenStop] = []
     faults: list[Fault] = []
     final_versions: dict[str, int] = {}
     """Read back from each daemon at the end."""
@@ -211,5 +230,8 @@
     def attempts(self) -> list[Attempt]:
         return [attempt for call in self.calls for attempt in call.attempts]
 
-    def disturbed(self, names: frozenset[str], start: float, end: float, after: float = 0.0) -> bool:
-        return any(fault.touches(names, start, end, after) for fault in self.faults)
+    def disturbed(
+        self, names: frozenset[str], start: float, end: float, after: float = 0.0, but: tuple[str, ...] = ()
+    ) -> bool:
+        """``but``: kinds of faults that don't count."""
+        return any(fault.touches(names, start, end, after) for fault in self.faults if fault.kind not in but)
--- a/simulation/observer.py
+++ b/simulation/observer.py
@@ -27,6 +27,12 @@
     removed_key: float | None = 5.0 + 0.3
     """None: a deployment whose cut-off routers go on serving."""
     drained: float = 2.0 + 0.1
+    left: float = 0.5 + 0.02
+    """How long after its caller left a worker may still work on a call."""
+    unready: float = 0.1
+    """How long after SIGTERM a router may still say that it is ready."""
+    stop: float = 20.0 + 2.0 + 0.1
+    """From SIGTERM to the end of the process: the settings' ``stop_within``, and what it allows beside that."""
     leads_alone: float = 20.0
     retry_share: float = 0.2
     retry_window: float = 10.0
@@ -49,6 +55,8 @@
     """Of each process."""
     controls: frozenset[str]
     """Control processes and their machines, replaced ones too."""
+    routers: frozenset[str] = frozenset()
+    """Those that are there at the end."""
 
 
 class Violation(msgspec.Struct, frozen=True, order=True):
@@ -226,6 +234,99 @@
     return found
 
 
+def _works_for_a_caller_that_left(seen: Seen) -> list[Violation]:
+    """What was sent for a caller that left, or is worked on for it; calls that may not be repeated excepted."""
+    found = []
+    for call in seen.history.calls:
+        for attempt in call.attempts if call.repeatable else ():
+            if attempt.end != "gave-up" or attempt.ended_at is None:
+                continue
+            for at, worker, text in _work_after(seen, attempt, attempt.ended_at + seen.bounds.left):
+                names = seen.with_machines(attempt.router, worker, attempt.caller_machine)
+                if seen.history.disturbed(names, attempt.sent_at, at, after=seen.bounds.back_after):
+                    continue
+                found.append(_at(attempt, "works-for-a-caller-that-left", f"{worker} {text}"))
+    return found
+
+
+def _work_after(seen: Seen, attempt: Attempt, limit: float) -> list[tuple[float, str, str]]:
+    """When, which worker, and what it still did; what ended in time counts as looked at."""
+    assert attempt.ended_at is not None
+    found = []
+    for arrival in seen.arrivals_by_mark.get(attempt.mark, ()):
+        seen.looked["works-for-a-caller-that-left"] += 1
+        if arrival.at > limit:
+            late = arrival.at - attempt.ended_at
+            found.append((arrival.at, arrival.worker, f"was sent the call {late:.2f} s after its caller left"))
+    for run in seen.runs_by_mark.get(attempt.mark, ()):
+        if run.finished_at is None or run.finished_at > limit:
+            until = "the end" if run.finished_at is None else f"{run.finished_at - attempt.ended_at:.2f} s later"
+            found.append((limit, run.worker, f"worked on it until {until}"))
+    return found
+
+
+SIGTERM = ("terminate",)
+
+
+def _stays_ready_when_stopped(seen: Seen) -> list[Violation]:
+    """Stricter than the users' rule, by which a quarter of the routers may count as ready for 4 s more."""
+    found = []
+    for stop in seen.history.stops:
+        until = stop.ended_at if stop.ended_at is not None else seen.end
+        names = seen.with_machines(stop.daemon)
+        for look in seen.history.ready:
+            if look.router != stop.daemon or not stop.asked_at + seen.bounds.unready <= look.asked_at < until:
+                continue
+            if seen.history.disturbed(names, stop.asked_at, look.asked_at, but=SIGTERM):
+                break
+            seen.looked["stays-ready-when-stopped"] += 1
+            if look.ready:
+                text = f"{stop.daemon} says that it is ready {look.asked_at - stop.asked_at:.2f} s after SIGTERM"
+                found.append(Violation(look.asked_at, "stays-ready-when-stopped", text))
+                break
+    return found
+
+
+def _stop_takes_too_long(seen: Seen) -> list[Violation]:
+    found = []
+    for stop in seen.history.stops:
+        limit = stop.asked_at + seen.bounds.stop
+        if limit > seen.end:
+            continue
+        if seen.history.disturbed(seen.with_machines(stop.daemon), stop.asked_at, limit, but=SIGTERM):
+            continue
+        seen.looked["stop-takes-too-long"] += 1
+        if stop.ended_at is None or stop.ended_at > limit:
+            text = f"{stop.daemon} still runs {seen.bounds.stop:.1f} s after SIGTERM"
+            found.append(Violation(limit, "stop-takes-too-long", text))
+    return found
+
+
+def _newest_not_back(seen: Seen) -> list[Violation]:
+    """Some time after the last fault every router has the newest bundle acknowledged before that."""
+    since = seen.last_fault_ended() + seen.bounds.back_after
+    due = [
+        order.accepted.version
+        for order in seen.history.orders
+        if order.accepted is not None and order.accepted.answered_at <= since - seen.bounds.in_force
+    ]
+    if not due or since + SEVERAL_LOOKS > seen.end:
+        return []
+    found = []
+    for router in sorted(seen.places.routers):
+        shown = [look.version for look in seen.history.versions if look.daemon == router and look.asked_at >= since]
+        seen.looked["newest-not-back"] += 1
+        if not shown or min(shown) < max(due):
+            what = f"shows version {min(shown)}" if shown else "answers no question"
+            text = f"{router} {what} later than {since:.1f}; {max(due)} was acknowledged"
+            found.append(Violation(since, "newest-not-back", text))
+    return found
+
+
+SEVERAL_LOOKS = 3.0
+"""Seconds in which every daemon's version is looked at more than once."""
+
+
 def _bundle_not_in_force(seen: Seen) -> list[Violation]:
     """An acknowledged version, or a newer one, stands on every connected router about two seconds later."""
     found = []
@@ -582,8 +683,12 @@
     "piece-held": _piece_held,
     "bundle-not-in-force": _bundle_not_in_force,
     "bundle-falls-back": _bundle_falls_back,
+    "newest-not-back": _newest_not_back,
     "removed-key-works": _removed_key_works,
     "drained-worker-gets-turns": _drained_worker_gets_turns,
+    "works-for-a-caller-that-left": _works_for_a_caller_that_left,
+    "stays-ready-when-stopped": _stays_ready_when_stopped,
+    "stop-takes-too-long": _stop_takes_too_long,
     "two-orders-win": _two_orders_win,
     "resent-order-refused": _resent_order_refused,
     "acknowledged-bundle-vanishes": _acknowledged_bundle_vanishes,
--- a/simulation/scenario.py
+++ b/simulation/scenario.py
@@ -438,6 +438,23 @@
     return flood, _seconds(match)
 
 
+@_line(
+    rf"callers of {NAME} leave after (?P<after>\d+(?:\.\d+)?) for {SECONDS}",
+    "callers of TENANT leave after T for S   they close their connections T seconds after sending a call",
+)
+def _leave(match: re.Match[str]) -> tuple[Callable[[Fleet], None], float]:
+    def leave(fleet: Fleet) -> None:
+        callers = fleet.callers[match["name"]]
+        callers.leave_after = float(match["after"])
+
+        def stay() -> None:
+            callers.leave_after = None
+
+        fleet.world.at(fleet.world.now + _seconds(match), stay)
+
+    return leave, _seconds(match)
+
+
 @_line(rf"crowd (?P<factor>\d+(?:\.\d+)?) for {SECONDS}", "crowd F for S              F times the scenario's traffic")
 def _crowd(match: re.Match[str]) -> tuple[Callable[[Fleet], None], float]:
     def crowd(fleet: Fleet) -> None:
@@ -575,6 +592,7 @@
     return Places(
         machine_of={process.name: process.machine.name for process in fleet.world.processes.values()},
         controls=frozenset(controls),
+        routers=frozenset(fleet.names("router")),
     )
 
 
--- a/simulation/tests/test_observer.py
+++ b/simulation/tests/test_observer.py
@@ -21,7 +21,9 @@
     SeenLead,
     SeenNewest,
     SeenOrder,
+    SeenReady,
     SeenRun,
+    SeenStop,
     SeenVersion,
 )
 from simulation.observer import CHECKS, Bounds, Places, judge
@@ -29,6 +31,7 @@
 PLACES = Places(
     machine_of={"router-1": "front-1", "control-1": "front-1", "model-1": "model-1"},
     controls=frozenset({"control-1", "front-1"}),
+    routers=frozenset({"router-1"}),
 )
 END = 100.0
 
@@ -107,8 +110,24 @@
     return [SeenVersion(at, at + 0.01, "router-1", 1, version) for at, version in versions]
 
 
+def left_call() -> Call:
+    """The first piece came, then the caller left."""
+    made = attempt(call="left-1", sent_at=5.0, head_at=5.1, ended_at=5.4, end="gave-up", done_marker=False)
+    made.events = made.events[:1]
+    return Call(
+        identifier=made.call,
+        tenant="x",
+        service="chat",
+        repeatable=True,
+        idempotency_key="",
+        begun_at=5.0,
+        ended_at=5.4,
+        attempts=[made],
+    )
+
+
 def good() -> History:
-    """Calls, orders, a drain and polls as they should be."""
+    """Calls, one of a caller that left, orders, a drain, a stop and polls as they should be."""
     history = History()
     for number in range(20):
         made = attempt(call=f"x-{number}")
@@ -126,8 +145,13 @@
         )
         history.arrivals.append(arrival_of(made.mark))
         history.runs.append(run_of(made.mark, idempotency_key=made.call))
+    history.calls.append(left_call())
+    history.arrivals.append(arrival_of("left-1/1", at=5.05))
+    history.runs.append(run_of("left-1/1", started_at=5.05, finished_at=5.5, outcome="caller-gone", event_times=[30.1]))
+    history.stops = [SeenStop(daemon="router-1", life=1, asked_at=50.0, ended_at=53.0)]
+    history.ready = [SeenReady(at, "router-1", not 50.0 < at < 56.0) for at in (49.5, 50.5, 52.5, 55.0, 56.5)]
     history.orders = [order("a", 0, (10.0, "accepted", 1)), order("b", 1, (20.0, "lost", 0), (21.0, "accepted", 2))]
-    history.versions = polls((11.0, 1), (15.0, 1), (20.1, 2), (25.0, 2))
+    history.versions = polls((11.0, 1), (15.0, 1), (20.1, 2), (25.0, 2), (60.0, 2), (90.0, 2))
     history.final_versions = {"router-1": 2, "control-1": 2}
     history.final_history = {"control-1": [HistoryEntry(2, "b"), HistoryEntry(1, "a")]}
     history.drains = [SeenDrain(worker="model-1", instance="model-1-a", begun_at=40.0, acknowledged_at=40.1)]
@@ -209,6 +233,40 @@
     history.faults[0].ended_at = 29.0
 
 
+def all_killed(history: History) -> None:
+    history.faults = [Fault(kind="kill", targets=("router-1", "control-1"), begun_at=28.0, ended_at=29.0)]
+
+
+def older_after_all(history: History) -> None:
+    all_killed(history)
+    history.versions[-1] = polls((90.0, 1))[0]
+
+
+def silent_router(history: History) -> None:
+    all_killed(history)
+    history.versions = polls((20.1, 2), (25.0, 2))
+
+
+def worked_on_for_nobody(history: History) -> None:
+    history.runs[-1].finished_at = 6.0
+
+
+def sent_for_nobody(history: History) -> None:
+    history.arrivals.append(arrival_of("left-1/1", at=6.0))
+
+
+def ready_after_sigterm(history: History) -> None:
+    history.ready[1] = SeenReady(50.5, "router-1", True)
+
+
+def stops_late(history: History) -> None:
+    history.stops[0].ended_at = 75.0
+
+
+def never_stops(history: History) -> None:
+    history.stops[0].ended_at = None
+
+
 def drained_turn(history: History) -> None:
     history.arrivals.append(arrival_of("x-1/1", at=43.0))
 
@@ -295,7 +353,14 @@
     ("removed-key-works", removed_key_through_a_frozen_router),
     ("removed-key-works", removed_key_of_a_late_call_for_a_frozen_worker),
     ("removed-key-works", removed_key_long_after_the_worker_woke),
+    ("newest-not-back", older_after_all),
+    ("newest-not-back", silent_router),
     ("drained-worker-gets-turns", drained_turn),
+    ("works-for-a-caller-that-left", worked_on_for_nobody),
+    ("works-for-a-caller-that-left", sent_for_nobody),
+    ("stays-ready-when-stopped", ready_after_sigterm),
+    ("stop-takes-too-long", stops_late),
+    ("stop-takes-too-long", never_stops),
     ("two-orders-win", both_win),
     ("resent-order-refused", resent_refused),
     ("acknowledged-bundle-vanishes", vanished),
@@ -333,6 +398,7 @@
         judge(good(), PLACES, Bounds(), END, looked)
         needs_a_fault_or_refusal = {
             "told-not-run-but-ran",
+            "newest-not-back",
             "removed-key-works",
             "cut-off-control-leads",
             "too-many-tries",
--- a/wingwood/context/stream_client.py
+++ b/wingwood/context/stream_client.py
@@ -94,6 +94,15 @@
             self._room.append(future)
             await future
 
+    def answer_ended(self) -> None:
+        """Tornado takes any end of the connection for the end of a body without a length, a reset too."""
+        error = None if self._stream is None else self._stream.error
+        framing = None if self._head is None else self._head.framing
+        if framing == "close" and error is not None:
+            self.end(HttpFault("broken", True, f"closed: {error}"))
+        else:
+            self.end(None)
+
     def _make_room(self) -> None:
         waiting, self._room = self._room, []
         for future in waiting:
@@ -133,7 +142,7 @@
         return self._exchange.wait_for_room() if self._exchange.is_full() else None
 
     def finish(self) -> None:
-        self._exchange.end(None)
+        self._exchange.answer_ended()
 
     def on_connection_close(self) -> None:
         if self._exchange.problem is None and self._exchange._head is None:
--- a/wingwood/context/tests/test_http_clients.py
+++ b/wingwood/context/tests/test_http_clients.py
@@ -5,6 +5,8 @@
 import asyncio
 import gzip
 import os
+import socket
+import struct
 import unittest
 from collections.abc import Awaitable, Callable
 from unittest import mock
@@ -80,6 +82,21 @@
     return script
 
 
+def answers_and_resets(*parts: bytes) -> Script:
+    """Sends the parts, lets them arrive, and ends the connection by RST."""
+
+    async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+        for part in parts:
+            writer.write(part)
+            await writer.drain()
+        await asyncio.sleep(0.02)
+        raw = writer.get_extra_info("socket")
+        raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        writer.transport.abort()
+
+    return script
+
+
 def answers_and_waits(*parts: bytes) -> Script:
     """Sends the parts and keeps the connection open until the client closes it."""
 
@@ -261,6 +278,16 @@
             head, body, fault = await self.outcome(b"HTTP/1.1 200 OK\r\n\r\n", b"looks whole")
             self.assertEqual((head.framing, body, fault), ("close", b"looks whole", None))
 
+        async def test_reset_is_no_end_of_an_answer_without_length(self) -> None:
+            for parts in ((b"HTTP/1.1 200 OK\r\n\r\n", b"looks whole"), (b"HTTP/1.1 200 OK\r\n\r\n",)):
+                server = await self.serve(answers_and_resets(*parts))
+                exchange = self.call(server)
+                head = await self.head_of(exchange)
+                async with asyncio.timeout(PATIENCE):
+                    _, fault = await read_all(exchange)
+                self.assertEqual(head.framing, "close")
+                self.assertEqual((fault and fault.kind, fault and fault.request_sent), ("broken", True))
+
         async def test_not_http_and_contradictions_are_malformed(self) -> None:
             for answer in (
                 b"SSH-2.0-OpenSSH_9.0\r\n\r\n",
