--- a/bench/engine_model.py
+++ b/bench/engine_model.py
@@ -26,11 +26,11 @@
     """Times in seconds, sizes in tokens."""
 
     slots: int = 32
-    cache_tokens: int = 232_000
-    step: float = 0.00068
-    step_per_stream: float = 0.0000015
-    prefill_per_token: float = 1 / 310_000
-    chunk: int = 2048
+    cache_tokens: int = 250_000
+    step: float = 0.0007
+    step_per_stream: float = 0.000002
+    prefill_per_token: float = 1 / 300_000
+    chunk: int = 2000
     tokens_per_event: int = 34
 
 
--- a/bench/told_placement_bench.py
+++ b/bench/told_placement_bench.py
@@ -33,6 +33,7 @@
 )
 from wingwood.placement.award_placement import AwardPlacement
 from wingwood.placement.protocols import Choice, Placement, PromptPart, Turn
+from wingwood.placement.queue_keepers import RouterQueueKeepers
 from wingwood.placement.session_map import KeeperMap, LocalMap
 from wingwood.placement.settings import AwardSettings
 from wingwood.registry.protocols import Worker
@@ -69,15 +70,21 @@
     first_byte_patience=Seconds(2.0),
     urgency=4,
 )
-CALLER_WAY = 0.008
+CALLER_WAY = 0.01
 """Seconds between caller and router both ways, with the work of both."""
-ZONE_DELAY = 0.0014
+ZONE_DELAY = 0.0015
 DARK_AFTER = 0.8
 """A router gives up a worker without a first token after so many seconds, and tries another once."""
 NOTICED_AFTER = 0.6
 """Seconds after which the registry has a dark worker out."""
 
 
+SMALL_CACHE = Engine(tokens_per_event=32)
+LARGE_CACHE = Engine(slots=16, cache_tokens=900_000, step=0.0006, prefill_per_token=1 / 350_000, tokens_per_event=48)
+SKEW = 0.25
+"""The n-th most frequent subject or session comes in proportion to n to the power of minus this."""
+
+
 class Shape(msgspec.Struct, frozen=True, kw_only=True):
     """One run. Times in seconds; the trouble lasts from ``begins`` to the end, and only then is measured."""
 
@@ -86,10 +93,10 @@
     begins: float = 15.0
     routers: int = 11
     workers: int = 9
-    engine: Engine = Engine()
-    summaries: float = 121.0
-    chats: float = 8.7
-    subjects: int = 2060
+    engine: Engine = SMALL_CACHE
+    summaries: float = 120.0
+    chats: float = 9.0
+    subjects: int = 2000
     burst: float = 1.0
     """Factor on the summaries during the trouble."""
     hot: float = 0.0
@@ -136,10 +143,10 @@
 
     def __init__(self, shape: Shape, random: Random) -> None:
         self._random = random
-        self._kinds = [PromptPart(f"k{n}", self._size(2500, 0.4)) for n in range(4)]
-        self._chat_kinds = [PromptPart(f"c{n}", self._size(47, 0.4)) for n in range(40)]
-        self._subjects = self._chains(shape.subjects, self._kinds, "s", 3800, 0.7)
-        self._sessions = self._chains(147, self._chat_kinds, "t", 32, 0.7)
+        self._kinds = [PromptPart(f"k{n}", self._size(2500, 0.5)) for n in range(5)]
+        self._chat_kinds = [PromptPart(f"c{n}", self._size(50, 0.5)) for n in range(50)]
+        self._subjects = self._chains(shape.subjects, self._kinds, "s", 4000, 0.75)
+        self._sessions = self._chains(150, self._chat_kinds, "t", 30, 0.75)
         self._subject_weights = _skewed(len(self._subjects))
         self._session_weights = _skewed(len(self._sessions))
 
@@ -160,18 +167,18 @@
             parts = self._subjects[-1]
         else:
             parts = self._random.choices(self._subjects, cum_weights=self._subject_weights)[0]
-        own = min(39_600, self._size(2890, 1.0))
+        own = min(40_000, self._size(3000, 1.0))
         return parts, own + sum(part.tokens for part in parts), event * self._random.choice((1, 1, 1, 2, 2, 4))
 
     def chat(self, event: int) -> tuple[tuple[PromptPart, ...], int, int]:
         parts = self._random.choices(self._sessions, cum_weights=self._session_weights)[0]
-        own = min(1000, self._size(141, 0.8))
-        return parts, own + sum(part.tokens for part in parts), event * min(211, self._size(89, 0.84))
+        own = min(1000, self._size(150, 0.75))
+        return parts, own + sum(part.tokens for part in parts), event * min(200, self._size(90, 0.75))
 
 
 def _skewed(count: int) -> list[float]:
     total = 0.0
-    return [total := total + (rank + 1) ** -0.3 for rank in range(count)]
+    return [total := total + (rank + 1) ** -SKEW for rank in range(count)]
 
 
 class Run(VirtualRun):
@@ -202,6 +209,7 @@
         if plain is not None:
             return plain
         membership = cast(Any, self.membership)
+        messenger = cast(Any, BenchMessenger(self.wires, identity))
         session_map: Any
         match self.shape.policy:
             case "award-local":
@@ -209,10 +217,18 @@
             case "award-no-map":
                 session_map = NoMap()
             case _:
-                session_map = KeeperMap(context, cast(Any, BenchMessenger(self.wires, identity)), membership)
-        zone = None if self.shape.policy == "award-guessed" else identity.zone
-        workers = cast(Any, registry)
-        placement = AwardPlacement(context, membership, workers, registry, session_map, self.shape.settings, zone)
+                session_map = KeeperMap(context, messenger, membership)
+        alone = self.shape.policy == "award-alone"
+        placement = AwardPlacement(
+            context,
+            membership,
+            cast(Any, registry),
+            registry,
+            session_map,
+            self.shape.settings,
+            None if self.shape.policy == "award-guessed" else identity.zone,
+            None if alone else RouterQueueKeepers(context, messenger, membership),
+        )
         if not isinstance(session_map, NoMap):
             session_map.on_keep = placement.kept_here
         return placement
@@ -369,8 +385,17 @@
     return Run(shape, seed).go()
 
 
-POLICIES = ("award-guessed", "least-loaded", "sticky", "award-no-map", "award-local", "award", "oracle")
-LARGE_CACHE = Engine(slots=12, cache_tokens=872_000, step=0.00057, prefill_per_token=1 / 346_000, tokens_per_event=45)
+POLICIES = (
+    "award-guessed",
+    "least-loaded",
+    "sticky",
+    "award-no-map",
+    "award-local",
+    "award-alone",
+    "award",
+    "oracle",
+)
+"""``award`` is what routers do; ``award-alone`` has no queue keepers, ``award-guessed`` is not told any parts."""
 
 
 def tables() -> dict[str, dict[str, Shape]]:
@@ -379,12 +404,12 @@
         "normal": base,
         "burst": msgspec.structs.replace(base, burst=1.5),
         "burst-2": msgspec.structs.replace(base, burst=2.0),
-        "hot": msgspec.structs.replace(base, hot=0.26),
+        "hot": msgspec.structs.replace(base, hot=0.25),
         "dark": msgspec.structs.replace(base, dark=2),
         "slow": msgspec.structs.replace(base, slow=2),
     }
     for name, shape in list(troubles.items()):
-        troubles[f"{name}-large"] = msgspec.structs.replace(shape, engine=LARGE_CACHE, chats=5.3)
+        troubles[f"{name}-large"] = msgspec.structs.replace(shape, engine=LARGE_CACHE, chats=5.0)
     return {
         name: {policy: msgspec.structs.replace(shape, policy=policy) for policy in POLICIES}
         for name, shape in troubles.items()
@@ -399,7 +424,7 @@
 
     async def all_turns() -> None:
         for number in range(turns):
-            parts, prompt, generate = run.prompts.summary(0.0, 34)
+            parts, prompt, generate = run.prompts.summary(0.0, run.shape.engine.tokens_per_event)
             turn = Turn(
                 request=RequestId(f"q{number}"),
                 service=SUMMARY,
