--- /dev/null
+++ b/bench/fleet_growth.py
@@ -0,0 +1,122 @@
+"""What one daemon of an emulated fleet spends while the fleet grows, idle and with the same traffic at each router.
+
+``python -m bench.fleet_growth --routers 11 --routers 79 --routers 300`` runs whole fleets (six control daemons, 33
+workers, the daemons' own code) on simulated time in one process. Bytes and messages are those of the daemons' own
+links. Processor time includes the simulator's wires, so it is good for slopes and not as a sum.
+"""
+
+from __future__ import annotations
+
+import time
+from typing import Any
+
+import click
+import msgspec
+
+from fleet.shape import Shape
+from simulation.fleet import Fleet, network_shape, shape_named
+from simulation.world import World
+from wingwood.transport.messenger import TcpMessenger
+
+CONTROLS = 6
+MODEL_WORKERS = 30
+PLAIN_WORKERS = 3
+USUAL_ROUTERS = 11
+FORMED_WITHIN = 30.0
+WARM_UP = 6.0
+
+
+class Spent(msgspec.Struct, frozen=True):
+    """Of one daemon of a role, each second."""
+
+    bytes_mean: float
+    bytes_most: float
+    messages_mean: float
+    messages_most: float
+
+
+class Growth(msgspec.Struct, frozen=True):
+    routers: int
+    processor_ms: float
+    """Per daemon and second, the simulator's part included."""
+    router: Spent
+    control: Spent
+
+
+def shape_of(routers: int) -> Shape:
+    shape = shape_named("despensa")
+    pools = tuple(
+        msgspec.structs.replace(pool, workers=MODEL_WORKERS if pool.kind == "model" else PLAIN_WORKERS)
+        for pool in shape.pools
+    )
+    return msgspec.structs.replace(shape, routers=routers, controls=CONTROLS, pools=pools)
+
+
+def messengers_of(fleet: Fleet, role: str) -> dict[str, TcpMessenger]:
+    found: dict[str, TcpMessenger] = {}
+    for name in fleet.names(role):
+        daemon: Any = fleet.daemons[name]
+        found[name] = daemon.messenger if role == "router" else daemon._parts.messenger
+    return found
+
+
+def counted(messengers: dict[str, TcpMessenger]) -> dict[str, tuple[int, int]]:
+    """Bytes in and out, and messages sent, so far."""
+    return {
+        name: (messenger.bytes_in + messenger.bytes_out, messenger.messages_out)
+        for name, messenger in messengers.items()
+    }
+
+
+def spent(before: dict[str, tuple[int, int]], after: dict[str, tuple[int, int]], seconds: float) -> Spent:
+    sizes = [(after[name][0] - before[name][0]) / seconds for name in before]
+    messages = [(after[name][1] - before[name][1]) / seconds for name in before]
+    return Spent(sum(sizes) / len(sizes), max(sizes), sum(messages) / len(messages), max(messages))
+
+
+def measure(routers: int, traffic: float, seconds: float, seed: int) -> Growth:
+    """``traffic``: that of the usual deployment, for each router; 0 for an idle fleet."""
+    shape = shape_of(routers)
+    with World(seed, network_shape(shape)) as world:
+        fleet = Fleet(world, shape, supervised=False)
+        fleet.start()
+        fleet.put_in_force(FORMED_WITHIN)
+        fleet.set_traffic(traffic * routers / USUAL_ROUTERS)
+        world.run(WARM_UP)
+        roles = {role: messengers_of(fleet, role) for role in ("router", "control")}
+        before = {role: counted(found) for role, found in roles.items()}
+        used = time.process_time()
+        world.run(seconds)
+        used = time.process_time() - used
+        figures = {role: spent(before[role], counted(found), seconds) for role, found in roles.items()}
+    return Growth(
+        routers=routers,
+        processor_ms=1000 * used / seconds / (routers + CONTROLS),
+        router=figures["router"],
+        control=figures["control"],
+    )
+
+
+@click.command()
+@click.option("--routers", "sizes", multiple=True, type=int, default=(11, 40, 79, 150, 300), show_default=True)
+@click.option("--traffic", "loads", multiple=True, type=float, default=(0.0, 0.5), show_default=True)
+@click.option("--seconds", default=10.0, show_default=True)
+@click.option("--seed", default=3, show_default=True)
+def main(sizes: tuple[int, ...], loads: tuple[float, ...], seconds: float, seed: int) -> None:
+    """Prints a row for each size and load; mean and busiest daemon of each role."""
+    click.echo("routers traffic | ms/s a daemon | router B/s mean, most | msg/s mean, most | control B/s | msg/s")
+    for traffic in loads:
+        for routers in sizes:
+            grown = measure(routers, traffic, seconds, seed)
+            router, control = grown.router, grown.control
+            click.echo(
+                f"{routers:>7} {traffic:>7} | {grown.processor_ms:>13.2f} "
+                f"| {router.bytes_mean:>10.0f} {router.bytes_most:>10.0f} "
+                f"| {router.messages_mean:>8.1f} {router.messages_most:>7.1f} "
+                f"| {control.bytes_mean:>6.0f} {control.bytes_most:>6.0f} "
+                f"| {control.messages_mean:>6.1f} {control.messages_most:>6.1f}"
+            )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/bench/tests/test_fleet_growth.py
@@ -0,0 +1,24 @@
+"""The growth bench counts what daemons of both roles send."""
+
+from __future__ import annotations
+
+import unittest
+
+from ..fleet_growth import measure
+
+
+class FleetGrowthTest(unittest.TestCase):
+    def test_an_idle_fleet_spends_little_and_traffic_adds_to_it(self) -> None:
+        idle = measure(routers=6, traffic=0.0, seconds=2.0, seed=1)
+        busy = measure(routers=6, traffic=0.5, seconds=2.0, seed=1)
+        for grown in (idle, busy):
+            for role in (grown.router, grown.control):
+                self.assertGreater(role.bytes_mean, 0.0)
+                self.assertLessEqual(role.bytes_mean, role.bytes_most)
+                self.assertLessEqual(role.messages_mean, role.messages_most)
+        self.assertLess(idle.router.bytes_mean, 10_000.0)
+        self.assertGreater(busy.router.bytes_mean, idle.router.bytes_mean)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- a/wingwood/transport/messenger.py
+++ b/wingwood/transport/messenger.py
@@ -210,6 +210,7 @@
             return False
         payload = frame(msgspec.msgpack.encode(envelope))
         self.messenger.bytes_out += len(payload)
+        self.messenger.messages_out += 1
         future = stream.write(payload)
         future.add_done_callback(_ignore_closed)
         return True
@@ -236,6 +237,8 @@
         self._incoming: set[BaseIOStream] = set()
         self.bytes_out = 0
         self.bytes_in = 0
+        self.messages_out = 0
+        """Calls, posts and replies."""
 
     def on_call(
         self, message_type: type[Message], handler: Callable[[Identity, Message], Awaitable[msgspec.Struct]]
@@ -369,4 +372,5 @@
         if not stream.closed():
             payload = frame(msgspec.msgpack.encode(reply))
             self.bytes_out += len(payload)
+            self.messages_out += 1
             stream.write(payload).add_done_callback(_ignore_closed)
