Transport: a large frame on a slow link is not taken for silence

Cause: a link counted as heard from only when a whole frame had come. A frame that takes longer than the silence bound (1.5 s) while other calls on the link run out of time had its link closed, and so never got through: 1.5 MB at 200 KB/s, as question and as answer, in SlowLinks (both failed before with 'closed: silent'). Bytes of an unfinished frame, and unsent bytes that get away, now count.

--- a/wingwood/transport/messenger.py
+++ b/wingwood/transport/messenger.py
@@ -91,6 +91,8 @@
         self.last_failure: Instant | None = None
         self.silent_since: Instant | None = None
         """When the oldest call was made that ran out of time with no byte coming since."""
+        self.passing: tuple[int, int] = (0, 0)
+        """Bytes of an unfinished frame that had come, and bytes sent of what had to wait, when last looked at."""
 
     async def connected(self) -> bool:
         if self.stream is not None and not self.stream.closed():
@@ -184,17 +186,34 @@
         return stream
 
     def note_silence(self, asked: Instant) -> None:
-        """A call made at ``asked`` ran out of time; closes the link when nothing has come for too long."""
+        """A call made at ``asked`` ran out of time; closes the link when nothing has come for too long.
+
+        A large frame that is still under way, in either direction, is no silence.
+        """
         if self.last_byte >= asked:
             return
+        if self.is_passing():
+            self.silent_since = None
+            return
         if self.silent_since is None:
             self.silent_since = asked
         if self.messenger.context.clock.monotonic() - self.silent_since >= self.messenger.limits.silence:
             self.drop("silent")
 
+    def is_passing(self) -> bool:
+        """Whether bytes of a large frame came, or could be sent, since this was last asked."""
+        stream = self.stream
+        if stream is None:
+            return False
+        waits = len(stream._write_buffer) > 0
+        seen = (stream._read_buffer_size, stream._total_write_done_index if waits else 0)
+        before, self.passing = self.passing, seen
+        return seen[0] > before[0] or 0 < before[1] < seen[1]
+
     def drop(self, reason: str) -> None:
         stream, self.stream = self.stream, None
         self.silent_since = None
+        self.passing = (0, 0)
         if stream is not None:
             stream.close()
         waiting, self.waiting = self.waiting, {}
--- a/wingwood/transport/tests/test_messenger.py
+++ b/wingwood/transport/tests/test_messenger.py
@@ -26,6 +26,7 @@
 
 class Answer(msgspec.Struct, frozen=True):
     number: int
+    filler: bytes = b""
 
 
 class Unknown(msgspec.Struct, frozen=True):
@@ -35,7 +36,11 @@
 class Peers:
     """Two daemons, ``near`` and ``far``; ``far`` answers questions and notes posts."""
 
-    def __init__(self, seed: int = 1, far_key: bytes = KEY, limits: TransportLimits | None = None) -> None:
+    def __init__(
+        self, seed: int = 1, far_key: bytes = KEY, limits: TransportLimits | None = None, answer_bytes: int = 0
+    ) -> None:
+        """``answer_bytes``: of the answer to question 2."""
+        self.answer_bytes = answer_bytes
         self.world = World(seed).__enter__()
         self.posts: list[int] = []
         self.answered: list[int] = []
@@ -61,7 +66,7 @@
     async def _answer(self, peer: Identity, question: Question) -> Answer:
         await asyncio.sleep(question.pause)
         self.answered.append(question.number)
-        return Answer(question.number)
+        return Answer(question.number, b"x" * self.answer_bytes if question.number == 2 else b"")
 
     def ask(
         self, question: msgspec.Struct, timeout: float = 1.0, within: float = 30.0
@@ -160,6 +165,38 @@
             peers.world.close()
 
 
+class SlowLinks(unittest.TestCase):
+    """A frame that takes longer than the silence bound, while other calls run out of time behind it."""
+
+    def outcomes(self, large: Question, answer_bytes: int) -> list[Result[Answer, TransportFault]]:
+        peers = Peers(answer_bytes=answer_bytes)
+        self.addCleanup(peers.world.close)
+        peers.ask(Question(1))
+        peers.world.network.bandwidth["near"] = 200_000.0
+        outcomes: list[Result[Answer, TransportFault]] = []
+        near = peers.world.processes["near"]
+
+        async def call_large() -> None:
+            outcomes.append(await peers.messengers["near"].call(peers.far, large, Answer, Seconds(20.0)))
+
+        async def call_small() -> None:
+            while not outcomes:
+                await peers.messengers["near"].call(peers.far, Question(3), Answer, Seconds(0.4))
+                await asyncio.sleep(0.1)
+
+        peers.world.spawn(near, call_large(), "large")
+        peers.world.spawn(near, call_small(), "small")
+        peers.world.run(20.0)
+        return outcomes
+
+    def test_large_question_is_not_taken_for_a_silent_link(self) -> None:
+        self.assertEqual(self.outcomes(Question(2, filler=b"x" * 1_500_000), 0), [Success(Answer(2))])
+
+    def test_large_answer_is_not_taken_for_a_silent_link(self) -> None:
+        outcomes = self.outcomes(Question(2), 1_500_000)
+        self.assertEqual(outcomes, [Success(Answer(2, b"x" * 1_500_000))])
+
+
 class Posts(unittest.TestCase):
     def test_posts_keep_their_order_across_the_making_of_the_link(self) -> None:
         for seed in range(20):
