Control core: its protocol under runs that hypothesis chooses, for three and for five members

A RuleBasedStateMachine over the real classes on simulated time (protocol_model.py): kills, freezes, cuts, slow wires, sick disks, disks lost within what is borne, replaced backups, all killed, raced and repeated orders. Held at each step: an acknowledged order keeps its outcome, no two orders win one version, a reader with a proof never goes back (committed versions, as distribution shows them); at the end service is back, every acknowledged order is there and is acknowledged again. Public interface and wire messages only, so that the core may be split beneath it.

--- /dev/null
+++ b/wingwood/control/tests/protocol_model.py
@@ -0,0 +1,314 @@
+"""The control core's protocol as a state machine that hypothesis drives (docs/DESIGN.md section 7.10).
+
+The machine causes faults, lets time pass, and races orders and repeats them beside those that two operators
+send all the time; daemons are the real classes on simulated time. Unlike in the random walks hypothesis
+chooses each step, so a failing run is made as short as possible and printed as the steps that lead to it.
+It uses the core through its public interface and the messages between members only.
+
+Held at every step: an acknowledged order keeps its outcome, no two orders win one version, and a reader
+with a proof never sees an older version than one acknowledged or read with a proof before it asked. At the
+end all but the lost disks is mended: service is back, and every acknowledged order is there and is
+acknowledged again when it is sent again.
+"""
+
+from __future__ import annotations
+
+import contextlib
+from collections.abc import Sequence
+from typing import ClassVar
+
+from hypothesis import strategies as st
+from hypothesis.stateful import RuleBasedStateMachine, initialize, invariant, precondition, rule
+
+from ...context.protocols import Context
+from ...identifiers import Address
+from ...transport.messenger import TcpMessenger
+from ..core import ReplicatedCore
+from ..store import Contents, ControlStore
+from .control_world import MakeCore, Put, Register, core_maker
+from .walk import Walk
+
+OPERATORS = ("oa", "ob")
+ORDER_PAUSE = 0.08
+"""Between an operator's orders, about."""
+READ_EVERY = 0.15
+ORDER_PATIENCE = 2.0
+LONGEST_START = 5.0
+
+whom = st.integers(0, 6)
+"""0 is the primary of the moment; the others are numbered."""
+a_while = st.sampled_from((0.05, 0.4, 1.3, 2.5, 6.0))
+then = st.sampled_from((0.01, 0.1, 0.4, 1.3, 2.5))
+"""How long after a fault the next step comes."""
+
+
+class Fleet:
+    """What is run: the core, its machines, and how many disks may be lost at once."""
+
+    def __init__(self, make: MakeCore, names: Sequence[str], losses_borne: int) -> None:
+        self.make = make
+        self.names = names
+        self.losses_borne = losses_borne
+
+
+class ControlProtocol(RuleBasedStateMachine):
+    """``fleet`` is set by subclasses; ``only`` names the rules that a broken variant needs (empty: all)."""
+
+    fleet: ClassVar[Fleet] = Fleet(core_maker(), ("c1", "c2", "c3", "c4"), 1)
+    only: ClassVar[frozenset[str]] = frozenset()
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.walk: Walk
+        self.failed = False
+        self.committed: dict[str, int] = {}
+        """What each daemon would show, as distribution does: committed versions only."""
+        self.newest_read = 0
+
+    @initialize(seed=st.integers(0, 15))
+    def start(self, seed: int) -> None:
+        fleet = self.fleet
+        self.walk = Walk(seed, self._make, operators=(), names=fleet.names, losses_borne=fleet.losses_borne)
+        self.control, self.world = self.walk.control, self.walk.world
+        self.walk.operators = OPERATORS
+        for name, zone in zip(OPERATORS, "ab", strict=True):
+            self.control.operator(name, zone)
+            self.control.keep_sending(name, ORDER_PAUSE)
+        self.world.wait_for(self.control.complete, LONGEST_START)
+
+    def _make(
+        self,
+        context: Context,
+        messenger: TcpMessenger,
+        store: ControlStore,
+        contents: Contents,
+        register: Register,
+        seeds: Sequence[Address],
+    ) -> ReplicatedCore:
+        core = self.fleet.make(context, messenger, store, contents, register, seeds)
+        name = str(messenger.identity.name)
+        self.committed[name] = 0
+
+        def note() -> None:
+            self.committed[name] = register.kept.version
+
+        core.on_commit(note)
+        return core
+
+    # -- orders and readers
+
+    @rule()
+    def race(self) -> None:
+        """Two orders on one version at the same time, each then sent again to whoever answers."""
+        puts = [self._new_order() for _ in OPERATORS]
+        for name, put in zip(OPERATORS, puts, strict=True):
+            self._send(name, put)
+        self._pass(0.05)
+        for name, put in zip(OPERATORS, reversed(puts), strict=True):
+            self._send(name, put)
+
+    def read(self, name: str) -> None:
+        """The version in force, from a member that proves that it leads."""
+        if not self.control.alive(name):
+            return
+        core, observer = self.control.cores[name], self.control.observer
+        least = max(observer.newest, self.newest_read)
+
+        async def ask() -> None:
+            if not await core.prove_lead():
+                return
+            version = self.committed[name]
+            observer.proofs += 1
+            self.newest_read = max(self.newest_read, version)
+            if version < least:
+                observer.faults.append(f"{self.world.now:.3f} {name} shows {version} with a proof, after {least}")
+
+        self.world.spawn(self.world.processes[name], ask(), "read")
+
+    # -- time and faults
+
+    @precondition(lambda self: self._may("kill"))
+    @rule(who=whom, seconds=a_while, then=then)
+    def kill(self, who: int, seconds: float, then: float) -> None:
+        name = self._named(who)
+        if self.world.processes[name].alive:
+            self.walk.kill(name)
+            self.walk.down[name] = self.world.now + seconds
+        self._pass(then)
+
+    @precondition(lambda self: self._may("freeze"))
+    @rule(who=whom, seconds=a_while, then=then)
+    def freeze(self, who: int, seconds: float, then: float) -> None:
+        name = self._named(who)
+        if self.world.processes[name].alive and name not in self.walk.frozen:
+            self.walk.freeze(name)
+            self.walk.frozen[name] = self.world.now + seconds
+        self._pass(then)
+
+    @precondition(lambda self: self._may("kill_all"))
+    @rule(seconds=st.sampled_from((0.05, 0.4, 1.3)), then=then)
+    def kill_all(self, seconds: float, then: float) -> None:
+        for name in self.walk.up():
+            self.walk.kill(name)
+            self.walk.down[name] = self.world.now + seconds
+        self._pass(then)
+
+    @precondition(lambda self: self._may("cut"))
+    @rule(one=whom, other=st.integers(1, 6), both=st.booleans(), then=then)
+    def cut(self, one: int, other: int, both: bool, then: float) -> None:
+        near, far = self._named(one), self._named(other)
+        if near != far:
+            self.walk.did(f"cut {near} {far} both={both}")
+            self.walk.cuts.append(self.world.cut(near, far, both))
+        self._pass(then)
+
+    @precondition(lambda self: self._may("cut_off"))
+    @rule(who=whom, friend=st.sampled_from(OPERATORS), with_member=st.sampled_from((0, 0, 1, 2, 3)), then=then)
+    def cut_off(self, who: int, friend: str, with_member: int, then: float) -> None:
+        """A member, with one operator and perhaps another member, away from all others."""
+        others = {self._named(with_member)} if with_member else set()
+        self.walk.cut_apart(sorted({self._named(who), friend} | others))
+        self._pass(then)
+
+    @precondition(lambda self: self._may("slow_wire"))
+    @rule(one=whom, other=whom, seconds=st.sampled_from((0.01, 0.1, 0.4)), then=then)
+    def slow_wire(self, one: int, other: int, seconds: float, then: float) -> None:
+        near, far = self._named(one), self._named(other)
+        if near != far:
+            self.walk.did(f"slow wire from {near} to {far}")
+            self.world.network.slowness[near, far] = seconds
+        self._pass(then)
+
+    @precondition(lambda self: self._may("heal"))
+    @rule(then=then)
+    def heal(self, then: float) -> None:
+        self.walk.heal_cuts()
+        self._pass(then)
+
+    @precondition(lambda self: self._may("sicken"))
+    @rule(who=whom, mode=st.sampled_from(("slow", "stalled", "full", "failing")), seconds=a_while, then=then)
+    def sicken(self, who: int, mode: str, seconds: float, then: float) -> None:
+        name = self._named(who)
+        self.walk.did(f"disk of {name} {mode}")
+        self.world.machines[name].disk.set_mode(mode)  # type: ignore[arg-type]
+        self.walk.sick[name] = self.world.now + seconds
+        self._pass(then)
+
+    @precondition(lambda self: self._may("lose_disks") and self.walk.loss_can_be_borne())
+    @rule(first=whom, second=whom, killed=st.booleans(), seconds=a_while, then=then)
+    def lose_disks(self, first: int, second: int, killed: bool, seconds: float, then: float) -> None:
+        """As many as may be lost at once; under the running process, or with it."""
+        chosen = list(dict.fromkeys((self._named(first), self._named(second))))
+        for name in chosen[: self.fleet.losses_borne]:
+            self.walk.did(f"wipe {name}")
+            self.walk.losses += 1
+            if killed and self.world.processes[name].alive:
+                self.walk.kill(name)
+                self.walk.down[name] = self.world.now + seconds
+            self.world.wipe(name)
+        self._pass(then)
+
+    @precondition(lambda self: self._may("lose_then_kill") and self.walk.loss_can_be_borne())
+    @rule(who=st.integers(1, 6), seconds=a_while, then=then)
+    def lose_then_kill(self, who: int, seconds: float, then: float) -> None:
+        """A machine is back at once with an empty disk, and right then the primary goes down."""
+        name, leader = self._named(who), self.control.leader()
+        if leader is None or name == leader:
+            return
+        self.control.quiet_until = self.world.now + 1.0
+        self.lose_disks(who, who, killed=True, seconds=0.05, then=0.1)
+        self.walk.kill(leader)
+        self.walk.down[leader] = self.world.now + seconds
+        self._pass(then)
+
+    @precondition(lambda self: self._may("replace_backups") and self.control.leader() is not None)
+    @rule(seconds=a_while, then=then)
+    def replace_backups(self, seconds: float, then: float) -> None:
+        """The backups are frozen until others took their place; as they wake, the primary goes down."""
+        leader = self.control.leader()
+        assert leader is not None
+        before = self.control.report(leader).backups
+        for name in [name for name in self.walk.up() if self.walk.incarnation_on_disk(name) in before]:
+            self.walk.freeze(name)
+            self.walk.frozen[name] = self.world.now + LONGEST_START
+
+        def replaced() -> bool:
+            if not self.control.alive(leader):
+                return True
+            report = self.control.report(leader)
+            return report.accepts_orders and not set(before) & set(report.backups)
+
+        self.world.wait_for(replaced, LONGEST_START, every=0.05)
+        self._pass(0.2)
+        for name in list(self.walk.frozen):
+            self.world.wake(name)
+        self.walk.frozen.clear()
+        if self.world.processes[leader].alive:
+            self.walk.kill(leader)
+            self.walk.down[leader] = self.world.now + seconds
+        self._pass(then)
+
+    @precondition(lambda self: self._may("wait_until_whole"))
+    @rule()
+    def wait_until_whole(self) -> None:
+        """A repair ends; right then the next loss must be borne."""
+        self.world.wait_for(lambda: self._recovered() and self.control.complete(), 8.0, every=0.01)
+
+    # -- what is held
+
+    @invariant()
+    def nothing_contradicts(self) -> None:
+        walk = getattr(self, "walk", None)
+        faults = [] if walk is None else [*walk.control.observer.faults, *walk.world.broken_invariants]
+        if walk is not None and faults:
+            self.failed = True
+            raise AssertionError("\n".join([*faults, *walk.steps]))
+
+    def teardown(self) -> None:
+        if getattr(self, "walk", None) is None:
+            return
+        try:
+            if not self.failed:
+                self._end()
+        finally:
+            self.control.close()
+
+    def _end(self) -> None:
+        """Everything but the lost disks is mended."""
+        self.walk.end()
+        self.nothing_contradicts()
+
+    # -- small helps
+
+    def _may(self, name: str) -> bool:
+        return not self.only or name in self.only
+
+    def _named(self, number: int) -> str:
+        leader = self.control.leader() if number == 0 else None
+        return leader or self.walk.names[(number - 1) % len(self.walk.names)]
+
+    def _new_order(self) -> Put:
+        self.control.orders += 1
+        return Put(self.control.orders, self.control.observer.newest)
+
+    def _send(self, by: str, put: Put) -> None:
+        sending = self.control.put(self.control.clients[by], put, ORDER_PATIENCE)
+        self.world.spawn(self.world.processes[by], _ignoring_the_answer(sending), "order")
+
+    def _recovered(self) -> bool:
+        self.walk.recover_due()
+        return True
+
+    def _pass(self, seconds: float) -> None:
+        """Time passes; what was down, frozen or sick comes back when it is due."""
+        until = self.world.now + seconds
+        while self.world.now < until - 1e-9:
+            self.world.run(min(READ_EVERY, until - self.world.now))
+            self.walk.recover_due()
+            for name in self.walk.names:
+                self.read(name)
+
+
+async def _ignoring_the_answer(sending: object) -> None:
+    with contextlib.suppress(TimeoutError):
+        await sending  # type: ignore[misc]
