--- a/wingwood/forward/event_streams.py
+++ b/wingwood/forward/event_streams.py
@@ -23,6 +23,9 @@
 _ID_LINE = re.compile(rb"^id: ?([0-9]{1,18})\r?$", re.MULTILINE)
 _DATA_LINE = re.compile(rb"^data(?::|\r?$)", re.MULTILINE)
 _EVENT_END = re.compile(rb"\n\r?\n")
+_FILLED_EVENT_END = re.compile(rb"[^\r\n]\r?\n\r?\n")
+_END_BYTES: Final = 5
+"""Longest match of that."""
 
 
 def event_number(value: str | None) -> int | None:
@@ -109,8 +112,8 @@
     def take(self, piece: bytes) -> bytes:
         if piece:
             seen = self._tail + piece
-            self.events += _event_ends(seen) - _event_ends(self._tail)
-            self._tail = seen[-3:]
+            self.events += len(_FILLED_EVENT_END.findall(seen)) - len(_FILLED_EVENT_END.findall(self._tail))
+            self._tail = seen[-_END_BYTES:]
         return piece
 
     def rest(self) -> bytes:
@@ -156,7 +159,7 @@
     def is_whole(self, framing: Framing) -> bool:
         if self._marker is not None:
             return self.ended
-        return framing != "close" or not self._held
+        return framing != "close" or not self._held.strip(b"\r\n")
 
     def _pass(self, data: bytes) -> bytes:
         """``data`` is one or more whole events."""
@@ -174,6 +177,7 @@
                 passed.append(event)
             if self.ended:
                 break
+        self._held = data[start:] + self._held  # A blank line more: it belongs to what follows.
         return b"".join(passed)
 
     def _rises(self, numbers: list[int]) -> bool:
--- a/wingwood/forward/tests/test_event_streams.py
+++ b/wingwood/forward/tests/test_event_streams.py
@@ -45,6 +45,13 @@
                 progress = StreamProgress(last)
                 self.assertEqual(given(ResumableStream(progress, None), LINES, size), rest, (size, last))
 
+    def test_blank_lines_between_events_pass_and_are_no_torn_event(self) -> None:
+        stream = b"data: a\n\n\nid: 2\ndata: b\n\n\n"
+        for size in SIZES:
+            reader = ResumableStream(StreamProgress(), None)
+            self.assertEqual(given(reader, stream, size) + reader.rest(), stream, size)
+            self.assertTrue(reader.is_whole("close"), size)
+
     def test_data_without_a_number_can_not_be_continued(self) -> None:
         for event in (b"data: x\n\n", b"id: x\ndata: x\n\n", b"data\n\n"):
             progress = StreamProgress()
@@ -72,6 +79,12 @@
 
 
 class Unmarked(unittest.TestCase):
+    def test_blank_lines_are_no_events_wherever_the_stream_is_split(self) -> None:
+        for size in SIZES:
+            reader = UnmarkedStream()
+            given(reader, b"data: a\n\n\n\ndata: b\r\n\r\n", size)
+            self.assertEqual(reader.events, 2, size)
+
     def test_counts_events_and_knows_their_ends(self) -> None:
         for size in SIZES:
             for cut in range(len(LINES) + 1):
--- /dev/null
+++ b/wingwood/forward/tests/test_fuzzed_requests.py
@@ -0,0 +1,149 @@
+"""Whatever a caller sends, the edge answers or closes, wherever it is split (docs/DESIGN.md section 12.3)."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import unittest
+from unittest import mock
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from tornado.iostream import StreamClosedError
+
+from simulation import World
+
+from ..caller_edge import _CallerConnection
+from ..limits import PathLimits
+from .stand_ins import KEY, PathWorld, request, says
+
+LIMITS = PathLimits(head_bytes=2048, body_bytes=10_000, bodies_held=25_000, in_flight=8, connections=20)
+LONGEST = 30.0
+"""Seconds until every connection that sends no more has been answered and closed."""
+
+first_lines = st.sampled_from(
+    [b"POST /plain HTTP/1.1"] * 6
+    + [
+        b"GET /plain HTTP/1.1",
+        b"POST /plain HTTP/1.0",
+        b"POST /plain",
+        b"POST  HTTP/1.1",
+        b"\x16\x03\x01",
+        b"HEAD / HTTP/1.1",
+    ]
+)
+header_lines = st.one_of(
+    st.sampled_from(
+        [
+            b"Content-Length: 2",
+            b"Content-Length: 2",
+            b"Content-Length: 3",
+            b"Content-Length: -1",
+            b"Content-Length: 2, 2",
+            b"Content-Length: \xc2\xb2",
+            b"Transfer-Encoding: chunked",
+            b"Transfer-Encoding: gzip, chunked",
+            b"Connection: close",
+            b"Expect: 100-continue",
+            b"Host: a",
+            b" folded",
+            b"no colon",
+            b"X Y: z",
+            b"",
+            b"X: " + b"y" * 3000,
+        ]
+    ),
+    st.binary(max_size=6),
+)
+bodies = st.one_of(
+    st.sampled_from(
+        [
+            b"{}",
+            b"",
+            b"2\r\n{}\r\n0\r\n\r\n",
+            b"2\r\n{}\r\n0\r\nX: y\r\n\r\n",
+            b"zz\r\n",
+            b"-2\r\n{}",
+            b"2\r\n{}x",
+            b"ffffffffff\r\n",
+        ]
+    ),
+    st.binary(max_size=8),
+)
+requests = st.builds(
+    lambda first, headers, body: (
+        b"\r\n".join([first, b"Authorization: Bearer " + KEY.encode(), *headers, b"", b""]) + body
+    ),
+    first_lines,
+    st.lists(header_lines, max_size=3),
+    bodies,
+)
+sent = st.lists(requests, min_size=1, max_size=2).map(b"".join)
+places = st.lists(st.integers(0, 600), max_size=5)
+
+
+def cut(data: bytes, at: list[int]) -> list[bytes]:
+    bounds = [0, *sorted(place % (len(data) + 1) for place in at), len(data)]
+    return [data[start:end] for start, end in itertools.pairwise(bounds)]
+
+
+def play(data: bytes, at: list[int]) -> tuple[list[bytes], list[bytes], list[str]]:
+    """The answers' first lines, the bodies that the worker got, and exceptions that escaped."""
+    with World(seed=31) as world:
+        path = PathWorld(world, LIMITS)
+        worker = path.worker("w1", says(b"ok"))
+
+        async def run() -> bytes:
+            caller = await path.connect()
+            received = bytearray()
+
+            async def read() -> None:
+                try:
+                    while True:
+                        received.extend(await caller.stream.read_bytes(65536, partial=True))
+                except StreamClosedError:
+                    return
+
+            reading = asyncio.ensure_future(read())
+            for piece in cut(data, at):
+                if caller.stream.closed():
+                    break
+                caller.send(piece)
+                await asyncio.sleep(0.002)
+            await asyncio.wait((reading,), timeout=LONGEST)
+            caller.stream.close()
+            await reading
+            return bytes(received)
+
+        received = world.complete(run(), within=LONGEST + 10.0)
+        lines = [line for line in received.split(b"\r\n") if line.startswith(b"HTTP/1.1 ")]
+        world.run(1.0)
+        assert path.path.in_flight() == 0
+        return lines, [request.body for request in worker.requests], world.broken_invariants
+
+
+class FuzzedRequests(unittest.TestCase):
+    @settings(max_examples=40, deadline=None, derandomize=True)
+    @given(sent, places)
+    def test_splits_make_no_difference_and_nothing_escapes(self, data: bytes, at: list[int]) -> None:
+        split, whole = play(data, at), play(data, [])
+        self.assertEqual(split[2], [])
+        self.assertEqual(split, whole)
+
+    def test_an_edge_that_seeks_the_end_of_a_head_in_new_bytes_alone_is_caught(self) -> None:
+        async def forgetful(self: _CallerConnection, regex: bytes, max_bytes: int) -> bytes:
+            seen = 0
+            while (end := self._input.find(b"\r\n\r\n", seen)) < 0:
+                seen = len(self._input)
+                await self._input_more()
+            return self._take(end + 4)
+
+        data = request("/plain")
+        splits = range(data.index(b"\r\n\r\n"), data.index(b"\r\n\r\n") + 5)
+        self.assertEqual([play(data, [at]) for at in splits], [play(data, [])] * len(splits))
+        with mock.patch.object(_CallerConnection, "read_until_regex", forgetful):
+            self.assertNotEqual([play(data, [at]) for at in splits], [play(data, [])] * len(splits))
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/wingwood/forward/tests/test_fuzzed_streams.py
@@ -0,0 +1,87 @@
+"""Readers of bodies come to the same on any bytes, wherever these are split (docs/DESIGN.md section 12.5)."""
+
+from __future__ import annotations
+
+import itertools
+import unittest
+from collections.abc import Callable
+
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ..event_streams import BodyReader, MarkedStream, ResumableStream, UnmarkedStream
+from ..protocols import StreamProgress
+
+MARKER = b"[DONE]"
+pieces_of_streams = st.one_of(
+    st.sampled_from(
+        [
+            b"data: x\n\n",
+            b"data: x\r\n\r\n",
+            b"id: 1\ndata: a\n\n",
+            b"id: 2\ndata: b\n\n",
+            b"id:3\r\ndata: c\r\n\r\n",
+            b"data: [DONE]\n\n",
+            b"data:[DONE]\r\n\r\n",
+            b"data: [DONE]",
+            b": comment\n\n",
+            b"data: " + b"y" * 70 + b"\n\n",
+            b"data\n\n",
+            b"id: 99999999999999999999\ndata: z\n\n",
+            b"event: e\n",
+            b"\n",
+            b"\r\n",
+            b"\r",
+            b"\n\n\n",
+            b"da",
+            b"ta: q\n",
+        ]
+    ),
+    st.binary(max_size=6),
+)
+streams = st.lists(pieces_of_streams, max_size=8).map(b"".join)
+places = st.lists(st.integers(0, 400), max_size=8)
+
+
+def cut(data: bytes, at: list[int]) -> list[bytes]:
+    bounds = [0, *sorted(place % (len(data) + 1) for place in at), len(data)]
+    return [data[start:end] for start, end in itertools.pairwise(bounds)]
+
+
+def read(reader: BodyReader, pieces: list[bytes]) -> tuple[object, ...]:
+    """All that a caller gets of a body that ends whole, and what is known of it."""
+    passed = b"".join(reader.take(piece) for piece in pieces if piece)
+    whole = [reader.is_whole("close"), reader.is_whole("chunked")]
+    return passed + reader.rest(), reader.events, reader.ended, whole
+
+
+class FuzzedStreams(unittest.TestCase):
+    def same(self, make: Callable[[], BodyReader], data: bytes, at: list[int]) -> tuple[object, ...]:
+        found = read(make(), cut(data, at))
+        self.assertEqual(found, read(make(), [data] if data else []))
+        self.assertEqual(found, read(make(), [data[place : place + 1] for place in range(len(data))]))
+        return found
+
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    @given(streams, places)
+    def test_streams_with_a_marker(self, data: bytes, at: list[int]) -> None:
+        passed, _, ended, _ = self.same(lambda: MarkedStream(MARKER), data, at)
+        assert isinstance(passed, bytes)
+        self.assertTrue(data.startswith(passed))
+        self.assertTrue(ended or passed == data)
+
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    @given(streams, places)
+    def test_streams_without_a_marker(self, data: bytes, at: list[int]) -> None:
+        self.assertEqual(self.same(UnmarkedStream, data, at)[0], data)
+
+    @settings(max_examples=300, deadline=None, derandomize=True)
+    @given(streams, places, st.sampled_from([None, MARKER]), st.sampled_from([None, 1, 2]))
+    def test_streams_that_can_be_continued(
+        self, data: bytes, at: list[int], marker: bytes | None, last: int | None
+    ) -> None:
+        self.same(lambda: ResumableStream(StreamProgress(last), marker), data, at)
+
+
+if __name__ == "__main__":
+    unittest.main()
--- /dev/null
+++ b/wingwood/transport/tests/test_fuzzed_frames.py
@@ -0,0 +1,147 @@
+"""Bytes of strangers, and frames of a peer that knows the key, never hurt a messenger (docs/DESIGN.md section 4)."""
+
+from __future__ import annotations
+
+import itertools
+import unittest
+from unittest import mock
+
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+from tornado.iostream import BaseIOStream
+
+from simulation import World
+from wingwood.context.protocols import Context
+from wingwood.identifiers import Address, DaemonName, Incarnation, Seconds, Zone
+from wingwood.transport.frames import (
+    PROTOCOL_VERSION,
+    Envelope,
+    Hello,
+    Identity,
+    StreamClosedError,
+    frame,
+    prove,
+    read_frame,
+)
+from wingwood.transport.messenger import TcpMessenger
+
+from .test_messenger import KEY, Answer, Peers, Question
+
+STRANGER = Identity(DaemonName("stranger"), Incarnation("1"), "router", Zone("a"), Address("10.0.0.9", 1))
+NONCE = b"n" * 16
+HELLO = msgspec.msgpack.encode(Hello(PROTOCOL_VERSION, STRANGER, NONCE, b""))
+"""In the bounds of a stranger; what follows it fails the proof."""
+
+odd_values = st.recursive(
+    st.none()
+    | st.booleans()
+    | st.integers(-(2**63), 2**64 - 1)
+    | st.floats()
+    | st.text(max_size=4)
+    | st.binary(max_size=8),
+    lambda inner: st.lists(inner, max_size=4) | st.dictionaries(st.text(max_size=4), inner, max_size=3),
+    max_leaves=8,
+)
+packed = odd_values.map(msgspec.msgpack.encode)
+questions = st.builds(Question, number=st.integers(0, 99)).map(msgspec.msgpack.encode)
+envelopes = st.builds(
+    lambda kind, number, name, body: msgspec.msgpack.encode((kind, number, name, msgspec.Raw(body))),
+    st.sampled_from(["call", "post", "reply", "fault", "none"]),
+    st.one_of(st.integers(0, 3), st.sampled_from([-1, 2**63, None])),
+    st.sampled_from(["Question", "Nothing", ""]),
+    st.one_of(questions, packed),
+)
+payloads = st.one_of(envelopes, envelopes, packed, st.binary(max_size=12))
+whole_frames = st.lists(payloads.map(frame), max_size=5).map(b"".join)
+bytes_sent = st.one_of(
+    whole_frames,
+    st.tuples(whole_frames, st.binary(max_size=12)).map(b"".join),
+    st.just((2**32 - 1).to_bytes(4, "big")),
+)
+places = st.lists(st.integers(0, 500), max_size=6)
+
+
+def cut(data: bytes, at: list[int]) -> list[bytes]:
+    bounds = [0, *sorted(place % (len(data) + 1) for place in at), len(data)]
+    return [data[start:end] for start, end in itertools.pairwise(bounds)]
+
+
+class Line:
+    """A connection to the messenger ``far``, by somebody who says what he likes."""
+
+    def __init__(self) -> None:
+        self.peers = Peers()
+        self.world: World = self.peers.world
+
+    def play(self, data: bytes, at: list[int], knows_key: bool) -> tuple[list[int], list[int], bool]:
+        """What reached the handlers, in order of posts and sorted answers, and whether the connection was closed."""
+        closed: list[bool] = []
+
+        async def run(context: Context) -> None:
+            opened = await context.network.connect(self.peers.far, Seconds(1.0))
+            stream = opened.unwrap()
+            try:
+                if knows_key:
+                    await self._greet(stream)
+                for piece in cut(data, at):
+                    await stream.write(piece)
+                    await context.clock.sleep(Seconds(0.001))
+                await stream.read_until_close()
+            except StreamClosedError:
+                pass
+            closed.append(True)
+
+        self.world.start("stranger", run)
+        self.world.run(4.0)
+        return list(self.peers.posts), sorted(self.peers.answered), bool(closed)
+
+    async def _greet(self, stream: BaseIOStream) -> None:
+        await stream.write(frame(HELLO))
+        answer = msgspec.msgpack.decode(await read_frame(stream, 4096), type=Hello)
+        proof = prove(KEY, STRANGER, NONCE, answer.nonce)
+        await stream.write(frame(msgspec.msgpack.encode(Hello(PROTOCOL_VERSION, STRANGER, NONCE, proof))))
+
+    def still_answers(self) -> bool:
+        return self.peers.ask(Question(1000)).value_or(None) == Answer(1000)
+
+
+class FuzzedFrames(unittest.TestCase):
+    def played(self, data: bytes, at: list[int], knows_key: bool) -> tuple[list[int], list[int], bool]:
+        line = Line()
+        try:
+            seen = line.play(data, at, knows_key)
+            self.assertTrue(line.still_answers())
+            self.assertEqual(line.world.broken_invariants, [])
+            return seen
+        finally:
+            line.world.close()
+
+    @settings(max_examples=60, deadline=None, derandomize=True)
+    @given(bytes_sent, places)
+    def test_frames_of_a_peer_are_taken_or_end_its_connection_wherever_they_are_split(
+        self, data: bytes, at: list[int]
+    ) -> None:
+        self.assertEqual(self.played(data, at, knows_key=True), self.played(data, [], knows_key=True))
+
+    @settings(max_examples=60, deadline=None, derandomize=True)
+    @given(
+        st.one_of(bytes_sent, st.binary(max_size=40), st.tuples(st.just(frame(HELLO)), bytes_sent).map(b"".join)),
+        places,
+    )
+    def test_strangers_reach_no_handler_and_are_dropped(self, data: bytes, at: list[int]) -> None:
+        posts, answered, closed = self.played(data, at, knows_key=False)
+        self.assertEqual((posts, answered, closed), ([], [], True))
+
+    def test_a_messenger_that_trusts_its_peers_names_is_caught(self) -> None:
+        def trusting(self: TcpMessenger, peer: Identity, envelope: Envelope) -> None:
+            self._post_handlers[envelope.name]
+
+        unknown = frame(msgspec.msgpack.encode(Envelope("post", 1, "Nothing", msgspec.Raw(b"\xc0"))))
+        self.played(unknown, [], knows_key=True)
+        with mock.patch.object(TcpMessenger, "_take_post", trusting), self.assertRaises(AssertionError):
+            self.played(unknown, [], knows_key=True)
+
+
+if __name__ == "__main__":
+    unittest.main()
