Editions: an item that stays keeps its position, so a whole order costs what differs

Cause: a whole configuration's items are numbered from 0. One route left out near the front changed the position, and so the slice, of each one behind it. Ruled out: records that hold the whole order (they hold the difference only). Control's primary now assigns positions: a longest rising choice of the items that are held keeps theirs, others follow their neighbour.

--- a/wingwood/bundle/editions.py
+++ b/wingwood/bundle/editions.py
@@ -15,6 +15,7 @@
 from .gradual import Steps
 from .model import Bundle, Edition, EditionChange, Manifest
 from .parse import Checked, change_steps, read_part
+from .positions import with_kept_positions
 from .problem import Broken, BundleProblem
 from .signing import sign_manifest
 
@@ -51,7 +52,8 @@
         )
         return Success(sign_manifest(manifest, key))
 
-    changed = {**change.changed, EDITION_SLICE: edition}
+    given = (yield from with_kept_positions(held.slices, change.changed)) if change.whole else change.changed
+    changed = {**given, EDITION_SLICE: edition}
     return (yield from change_steps(held, sign, changed, removed_by(held.slices, changed, change)))
 
 
--- /dev/null
+++ b/wingwood/bundle/tests/test_positions.py
@@ -0,0 +1,65 @@
+"""Positions of a whole edition's items (docs/DESIGN.md section 5.8)."""
+
+from __future__ import annotations
+
+import unittest
+
+import msgspec
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from ...identifiers import SliceName
+from ..canonical import canonical_json
+from ..gradual import at_once
+from ..positions import with_kept_positions
+
+Slices = dict[SliceName, bytes]
+
+
+def whole(names: list[str]) -> Slices:
+    """As a translator numbers them."""
+    return {SliceName(f"route/{name}"): item(position) for position, name in enumerate(names)}
+
+
+def item(position: int) -> bytes:
+    return canonical_json({"annotations": {"position": 7}, "position": position})
+
+
+def kept(held: Slices, names: list[str]) -> Slices:
+    return at_once(with_kept_positions(held, whole(names)))
+
+
+def in_order(slices: Slices) -> list[str]:
+    position = {name: msgspec.json.decode(data)["position"] for name, data in slices.items()}
+    return [name.removeprefix("route/") for name in sorted(position, key=position.__getitem__)]
+
+
+def differing(held: Slices, slices: Slices) -> set[str]:
+    return {name.removeprefix("route/") for name, data in slices.items() if held.get(name) != data}
+
+
+class PositionTest(unittest.TestCase):
+    def test_items_behind_one_that_is_left_out_stay_as_they_are(self) -> None:
+        held = whole(list("abcdef"))
+        slices = kept(held, list("acdefg"))
+        self.assertEqual(differing(held, slices), {"g"})
+
+    def test_a_new_item_takes_the_place_of_one_that_is_left_out(self) -> None:
+        held = whole(list("abcdef"))
+        self.assertEqual(differing(held, kept(held, list("axcdef"))), {"x"})
+
+    def test_an_item_that_moves_to_the_front_moves_alone_where_there_is_room(self) -> None:
+        held = kept(whole(list("abcdef")), list("bcdef"))
+        self.assertEqual(differing(held, kept(held, list("fbcde"))), {"f"})
+
+    def test_what_cannot_be_read_is_left_for_the_checks_that_follow(self) -> None:
+        broken = {SliceName("route/a"): b"{", SliceName("route/b"): item(4)}
+        self.assertEqual(at_once(with_kept_positions(broken, broken))[SliceName("route/a")], b"{")
+
+    @settings(max_examples=100, deadline=None, derandomize=True)
+    @given(st.lists(st.lists(st.sampled_from("abcdefgh"), unique=True), max_size=8))
+    def test_the_order_is_always_the_one_given(self, editions: list[list[str]]) -> None:
+        held: Slices = {}
+        for names in editions:
+            held = kept(held, names)
+            self.assertEqual(in_order(held), names)
