--- a/bench/told_placement_bench.py
+++ b/bench/told_placement_bench.py
@@ -13,8 +13,8 @@
 import json
 import statistics
 import time
-from collections import Counter
 from collections.abc import Sequence
+from functools import partial
 from pathlib import Path
 from random import Random
 from typing import Any, cast
@@ -23,32 +23,37 @@
 import msgspec
 from returns.result import Success
 
-from simulation.virtual_time import VirtualTimeLoop
 from wingwood.bundle.model import Service
-from wingwood.context.protocols import Context
 from wingwood.identifiers import (
-    Address,
-    DaemonName,
-    Incarnation,
     Instant,
-    PoolName,
     RequestId,
     Seconds,
     ServiceName,
     TenantName,
-    Zone,
 )
 from wingwood.placement.award_placement import AwardPlacement
-from wingwood.placement.plain_policies import LeastLoaded, RoundRobin, StickyByHash
 from wingwood.placement.protocols import Choice, Placement, PromptPart, Turn
+from wingwood.placement.queue_keepers import RouterQueueKeepers
 from wingwood.placement.session_map import KeeperMap, LocalMap
 from wingwood.placement.settings import AwardSettings
+from wingwood.registry.protocols import Worker
 from wingwood.transport.frames import Identity
 
 from .engine_model import Engine, EngineWorker, Stream
-from .placement_bench import BenchClock, BenchMembership, BenchMessenger, BenchRegistry, BenchTasks, NoMap, Wires
+from .placement_parts import (
+    POOL,
+    ZONES,
+    BenchMembership,
+    BenchMessenger,
+    BenchRegistry,
+    NoMap,
+    Table,
+    VirtualRun,
+    Wires,
+    plain_policy,
+    router_identities,
+)
 
-POOL = PoolName("model")
 SUMMARY = Service(
     name=ServiceName("summary"),
     pool=POOL,
@@ -65,16 +70,21 @@
     first_byte_patience=Seconds(2.0),
     urgency=4,
 )
-CALLER_WAY = 0.008
+CALLER_WAY = 0.01
 """Seconds between caller and router both ways, with the work of both."""
-ZONES = ("a", "b", "c")
-ZONE_DELAY = 0.0014
+ZONE_DELAY = 0.0015
 DARK_AFTER = 0.8
 """A router gives up a worker without a first token after so many seconds, and tries another once."""
 NOTICED_AFTER = 0.6
 """Seconds after which the registry has a dark worker out."""
 
 
+SMALL_CACHE = Engine(tokens_per_event=32)
+LARGE_CACHE = Engine(slots=16, cache_tokens=900_000, step=0.0006, prefill_per_token=1 / 350_000, tokens_per_event=48)
+SKEW = 0.25
+"""The n-th most frequent subject or session comes in proportion to n to the power of minus this."""
+
+
 class Shape(msgspec.Struct, frozen=True, kw_only=True):
     """One run. Times in seconds; the trouble lasts from ``begins`` to the end, and only then is measured."""
 
@@ -83,10 +93,10 @@
     begins: float = 15.0
     routers: int = 11
     workers: int = 9
-    engine: Engine = Engine()
-    summaries: float = 121.0
-    chats: float = 8.7
-    subjects: int = 2060
+    engine: Engine = SMALL_CACHE
+    summaries: float = 120.0
+    chats: float = 9.0
+    subjects: int = 2000
     burst: float = 1.0
     """Factor on the summaries during the trouble."""
     hot: float = 0.0
@@ -133,10 +143,10 @@
 
     def __init__(self, shape: Shape, random: Random) -> None:
         self._random = random
-        self._kinds = [PromptPart(f"k{n}", self._size(2500, 0.4)) for n in range(4)]
-        self._chat_kinds = [PromptPart(f"c{n}", self._size(47, 0.4)) for n in range(40)]
-        self._subjects = self._chains(shape.subjects, self._kinds, "s", 3800, 0.7)
-        self._sessions = self._chains(147, self._chat_kinds, "t", 32, 0.7)
+        self._kinds = [PromptPart(f"k{n}", self._size(2500, 0.5)) for n in range(5)]
+        self._chat_kinds = [PromptPart(f"c{n}", self._size(50, 0.5)) for n in range(50)]
+        self._subjects = self._chains(shape.subjects, self._kinds, "s", 4000, 0.75)
+        self._sessions = self._chains(150, self._chat_kinds, "t", 30, 0.75)
         self._subject_weights = _skewed(len(self._subjects))
         self._session_weights = _skewed(len(self._sessions))
 
@@ -157,75 +167,49 @@
             parts = self._subjects[-1]
         else:
             parts = self._random.choices(self._subjects, cum_weights=self._subject_weights)[0]
-        own = min(39_600, self._size(2890, 1.0))
+        own = min(40_000, self._size(3000, 1.0))
         return parts, own + sum(part.tokens for part in parts), event * self._random.choice((1, 1, 1, 2, 2, 4))
 
     def chat(self, event: int) -> tuple[tuple[PromptPart, ...], int, int]:
         parts = self._random.choices(self._sessions, cum_weights=self._session_weights)[0]
-        own = min(1000, self._size(141, 0.8))
-        return parts, own + sum(part.tokens for part in parts), event * min(211, self._size(89, 0.84))
+        own = min(1000, self._size(150, 0.75))
+        return parts, own + sum(part.tokens for part in parts), event * min(200, self._size(90, 0.75))
 
 
 def _skewed(count: int) -> list[float]:
     total = 0.0
-    return [total := total + (rank + 1) ** -0.3 for rank in range(count)]
+    return [total := total + (rank + 1) ** -SKEW for rank in range(count)]
 
 
-class Run:
+class Run(VirtualRun):
     def __init__(self, shape: Shape, seed: int) -> None:
+        super().__init__(seed)
         self.shape = shape
-        self.loop = VirtualTimeLoop(Random(seed))
-        self.random = Random(seed)
-        self.error: BaseException | None = None
-        self.loop.on_unhandled = lambda _, details: self._failed(details)
-        asyncio.set_event_loop(self.loop)
-        self.workers = [EngineWorker(n, shape.engine, Zone(ZONES[n % 3])) for n in range(shape.workers)]
+        self.workers = [EngineWorker(n, shape.engine, ZONES[n % len(ZONES)]) for n in range(shape.workers)]
         self.prompts = Prompts(shape, Random(seed + 7))
         self.wires = Wires(self.loop, ZONE_DELAY)
         self.registries: list[BenchRegistry] = []
         self.served: list[Served] = []
         self.read_before = (0, 0)
         self.calls = 0
-        self.identities = [
-            Identity(
-                name=DaemonName(f"r{n}"),
-                incarnation=Incarnation(f"r{n}.1"),
-                role="router",
-                zone=Zone(ZONES[n % 3]),
-                internal=Address("127.0.0.1", 24000 + n),
-            )
-            for n in range(shape.routers)
-        ]
+        self.identities = router_identities(shape.routers)
         self.membership = BenchMembership(self.identities)
         self.placements = [self._placement(identity, seed) for identity in self.identities]
         self.router_weights = [1.0 + self.random.random() for _ in self.identities]
 
-    def _failed(self, details: dict[str, Any]) -> None:
-        self.error = details.get("exception") or RuntimeError(str(details))
-        self.loop.limit = 0.0
+    def _announced(self) -> tuple[Worker, ...]:
+        return tuple(worker.announced(POOL) for worker in self.workers if worker.up)
 
     def _placement(self, identity: Identity, seed: int) -> Placement:
-        context = Context(
-            clock=cast(Any, BenchClock(self.loop)),
-            network=cast(Any, None),
-            disk=cast(Any, None),
-            http=cast(Any, None),
-            random=Random(f"{seed} {identity.name}"),
-            log=cast(Any, None),
-            tasks=cast(Any, BenchTasks(self.loop)),
-        )
-        registry = cast(Any, BenchRegistry(cast(Any, _Announcers(self.workers)), self.registries))
-        registry.refresh_loads()
-        match self.shape.policy:
-            case "round-robin":
-                return RoundRobin(context, registry, registry)
-            case "oracle":
-                return Oracle(self.workers)
-            case "least-loaded":
-                return LeastLoaded(context, registry, registry)
-            case "sticky":
-                return StickyByHash(context, registry, registry)
+        context = self.context(Random(f"{seed} {identity.name}"))
+        registry = BenchRegistry(self._announced, self.registries)
+        if self.shape.policy == "oracle":
+            return Oracle(self.workers)
+        plain = plain_policy(self.shape.policy, context, registry)
+        if plain is not None:
+            return plain
         membership = cast(Any, self.membership)
+        messenger = cast(Any, BenchMessenger(self.wires, identity))
         session_map: Any
         match self.shape.policy:
             case "award-local":
@@ -233,9 +217,18 @@
             case "award-no-map":
                 session_map = NoMap()
             case _:
-                session_map = KeeperMap(context, cast(Any, BenchMessenger(self.wires, identity)), membership)
-        zone = None if self.shape.policy == "award-guessed" else identity.zone
-        placement = AwardPlacement(context, membership, registry, registry, session_map, self.shape.settings, zone)
+                session_map = KeeperMap(context, messenger, membership)
+        alone = self.shape.policy == "award-alone"
+        placement = AwardPlacement(
+            context,
+            membership,
+            cast(Any, registry),
+            registry,
+            session_map,
+            self.shape.settings,
+            None if self.shape.policy == "award-guessed" else identity.zone,
+            None if alone else RouterQueueKeepers(context, messenger, membership),
+        )
         if not isinstance(session_map, NoMap):
             session_map.on_keep = placement.kept_here
         return placement
@@ -246,14 +239,7 @@
         self.loop.create_task(self._arrivals(CHAT))
         self.loop.create_task(self._refresh())
         self.loop.call_later(shape.begins, self._trouble)
-        self.loop.limit = shape.seconds
-        self.loop.run_forever()
-        if self.error is not None:
-            raise self.error
-        for task in asyncio.all_tasks(self.loop):
-            task._log_destroy_pending = False  # type: ignore[attr-defined]
-        self.loop.on_unhandled = None
-        self.loop.close()
+        self.run_for(shape.seconds)
         return self._report()
 
     # --- troubles -----------------------------------------------------------------------------
@@ -391,35 +377,25 @@
         report["parts_read_per_s"] = (parts - self.read_before[1]) / seconds
         report["use"] = report["read_per_s"] * self.shape.engine.prefill_per_token / self.shape.workers
         report["bytes_per_call"] = self.wires.bytes / max(1, self.calls)
-        counts: Counter[str] = Counter()
-        for placement in self.placements:
-            counts.update(getattr(placement, "counts", {}))
-        report["award_share"] = counts["award"] / max(1, self.calls)
-        report["moves"] = counts["moves"] / max(1, counts["awards"])
+        report |= self.award_figures(self.calls)
         return report
 
 
-class _Announcers:
-    """The workers as BenchRegistry reads them."""
-
-    def __init__(self, workers: Sequence[EngineWorker]) -> None:
-        self._workers = workers
-
-    def __iter__(self) -> Any:
-        return iter([_Announcer(worker) for worker in self._workers])
+def figures_of(shape: Shape, seed: int) -> dict[str, float]:
+    return Run(shape, seed).go()
 
 
-class _Announcer:
-    def __init__(self, worker: EngineWorker) -> None:
-        self._worker = worker
-        self.up = worker.up
-
-    def announced(self) -> Any:
-        return self._worker.announced(POOL)
-
-
-POLICIES = ("award-guessed", "least-loaded", "sticky", "award-no-map", "award-local", "award", "oracle")
-LARGE_CACHE = Engine(slots=12, cache_tokens=872_000, step=0.00057, prefill_per_token=1 / 346_000, tokens_per_event=45)
+POLICIES = (
+    "award-guessed",
+    "least-loaded",
+    "sticky",
+    "award-no-map",
+    "award-local",
+    "award-alone",
+    "award",
+    "oracle",
+)
+"""``award`` is what routers do; ``award-alone`` has no queue keepers, ``award-guessed`` is not told any parts."""
 
 
 def tables() -> dict[str, dict[str, Shape]]:
@@ -428,12 +404,12 @@
         "normal": base,
         "burst": msgspec.structs.replace(base, burst=1.5),
         "burst-2": msgspec.structs.replace(base, burst=2.0),
-        "hot": msgspec.structs.replace(base, hot=0.26),
+        "hot": msgspec.structs.replace(base, hot=0.25),
         "dark": msgspec.structs.replace(base, dark=2),
         "slow": msgspec.structs.replace(base, slow=2),
     }
     for name, shape in list(troubles.items()):
-        troubles[f"{name}-large"] = msgspec.structs.replace(shape, engine=LARGE_CACHE, chats=5.3)
+        troubles[f"{name}-large"] = msgspec.structs.replace(shape, engine=LARGE_CACHE, chats=5.0)
     return {
         name: {policy: msgspec.structs.replace(shape, policy=policy) for policy in POLICIES}
         for name, shape in troubles.items()
@@ -448,7 +424,7 @@
 
     async def all_turns() -> None:
         for number in range(turns):
-            parts, prompt, generate = run.prompts.summary(0.0, 34)
+            parts, prompt, generate = run.prompts.summary(0.0, run.shape.engine.tokens_per_event)
             turn = Turn(
                 request=RequestId(f"q{number}"),
                 service=SUMMARY,
@@ -468,8 +444,7 @@
             times.append(time.process_time() - began)
 
     run.loop.run_until_complete(all_turns())
-    run.loop.on_unhandled = None
-    run.loop.close()
+    run.close()
     return sorted(times)
 
 
@@ -507,20 +482,16 @@
     found = tables()
     changed: dict[str, Any] = {name: json.loads(value) for name, value in (change.split("=") for change in changes)}
     settings = msgspec.structs.replace(AwardSettings(), **changed)
-    results: dict[str, dict[str, dict[str, float]]] = {}
+    table = Table(COLUMNS, seeds)
     for name in [name for name in names if name != "processor"] or ([] if names else list(found)):
-        click.echo(f"\n{name}: {seeds} seeds")
-        click.echo(f"{'':<16}" + "".join(f"{column:>17}" for column in COLUMNS))
-        for policy, shape in found[name].items():
-            if policies and policy not in policies:
-                continue
-            changed_shape = msgspec.structs.replace(shape, settings=settings)
-            reports = [Run(changed_shape, seed).go() for seed in range(1, seeds + 1)]
-            mean = {key: statistics.fmean(report[key] for report in reports) for key in reports[0]}
-            results.setdefault(name, {})[policy] = mean
-            click.echo(f"{policy:<16}" + "".join(f"{mean[column]:>17.3f}" for column in COLUMNS))
+        rows = {
+            policy: partial(figures_of, msgspec.structs.replace(shape, settings=settings))
+            for policy, shape in found[name].items()
+            if not policies or policy in policies
+        }
+        table.print(name, f"{name}: {seeds} seeds", rows)
     if json_file is not None:
-        json_file.write_text(json.dumps(results, indent=1) + "\n")
+        table.write(json_file)
 
 
 if __name__ == "__main__":
