--- a/wingwood/bundle/kept_bundles.py
+++ b/wingwood/bundle/kept_bundles.py
@@ -27,6 +27,10 @@
     record_decoder,
 )
 
+HISTORY_BYTES = 8 * 1024 * 1024
+"""Of contents that later versions have replaced; beyond it the oldest versions are dropped early ..."""
+LEAST_HISTORY = 10
+"""... but for so many."""
 SCAN_ABOVE = 1_000
 """A holder further behind than this is served by a look at every slice, not by the history."""
 
@@ -163,8 +167,17 @@
                 self._history.pop(oldest.version, None)
 
     def _forget_past(self) -> None:
-        """Drops the manifest and the slices' contents that only versions before the kept ones had."""
+        """Drops the manifest and the slices' contents that only versions before the kept ones had.
+
+        Fewer versions are kept where many slices changed in each: the history has to fit into memory and journal.
+        """
         oldest = BundleVersion(self._version - self._history_versions)
+        self._forget_before(oldest)
+        while self._slices.superseded_bytes > HISTORY_BYTES and oldest < self._version - LEAST_HISTORY:
+            oldest = BundleVersion(oldest + 1)
+            self._forget_before(oldest)
+
+    def _forget_before(self, oldest: BundleVersion) -> None:
         self._manifests.pop(BundleVersion(oldest - 1), None)
         self._slices.forget(oldest)
 
--- a/wingwood/bundle/slice_history.py
+++ b/wingwood/bundle/slice_history.py
@@ -20,6 +20,8 @@
         self.past = past if past is not None else {}
         self.forgotten_removal = forgotten_removal
         """The newest removal of which no trace is kept in ``past``."""
+        self.superseded_bytes = sum(_bytes_of(entries[:-1]) for entries in self.past.values())
+        """Of contents that a later version has replaced; the newest contents don't count."""
         self._changed_in: deque[tuple[BundleVersion, tuple[SliceName, ...]]] = deque(self._changes())
 
     def _changes(self) -> Iterable[tuple[BundleVersion, tuple[SliceName, ...]]]:
@@ -31,11 +33,16 @@
 
     def add(self, version: BundleVersion, changed: Mapping[SliceName, bytes], removed: Sequence[SliceName]) -> None:
         for name, data in changed.items():
-            self.past.setdefault(name, []).append((version, data))
+            self._append(name, (version, data))
         for name in removed:
-            self.past.setdefault(name, []).append((version, None))
+            self._append(name, (version, None))
         self._changed_in.append((version, (*changed, *removed)))
 
+    def _append(self, name: SliceName, entry: SliceVersion) -> None:
+        past = self.past.setdefault(name, [])
+        self.superseded_bytes += _bytes_of(past[-1:])
+        past.append(entry)
+
     def forget(self, oldest: BundleVersion) -> None:
         """Drops the contents that only versions before ``oldest`` had."""
         while self._changed_in and self._changed_in[0][0] <= oldest:
@@ -47,6 +54,7 @@
     def _forget_slice(self, name: SliceName, oldest: BundleVersion) -> None:
         past = self.past[name]
         keep = max((index for index, (version, _) in enumerate(past) if version <= oldest), default=0)
+        self.superseded_bytes -= _bytes_of(past[:keep])
         del past[:keep]
         version, data = past[0]
         if data is None and version <= oldest:
@@ -76,3 +84,7 @@
     def changed_between(self, since: BundleVersion, upto: BundleVersion) -> list[SliceName]:
         """Sorted; by a look at every slice."""
         return sorted(name for name in self.past if self.content_at(name, upto)[0] > since)
+
+
+def _bytes_of(entries: Sequence[SliceVersion]) -> int:
+    return sum(len(data) for _, data in entries if data is not None)
--- a/wingwood/bundle/tests/test_state.py
+++ b/wingwood/bundle/tests/test_state.py
@@ -4,6 +4,7 @@
 
 import unittest
 from typing import Any
+from unittest.mock import patch
 
 import msgspec
 from hypothesis import given, settings
@@ -11,6 +12,7 @@
 
 from ...control.protocols import SubmitOrder
 from ...identifiers import BundleVersion, ClassName, OrderId, SliceName
+from ..canonical import canonical_json
 from ..model import Bundle, PriorityClass
 from ..parse import apply_delta
 from ..signing import sign_manifest
@@ -24,6 +26,12 @@
     return {**slices, **dict([slice_of(PriorityClass(name=ClassName("gold"), weight=weight))])}
 
 
+def resized(slices: Slices, number: int) -> Slices:
+    """Each tenant pays for another rate."""
+    tenants = {name: msgspec.json.decode(data) for name, data in slices.items() if name.startswith("tenant/")}
+    return {**slices, **{n: canonical_json({**each, "paid_rate": 100.0 + number}) for n, each in tenants.items()}}
+
+
 def restarted(state: BundleState, **changes: Any) -> BundleState:
     fresh = BundleState(OPERATOR_KEYS, **changes)
     fresh.restore(state.snapshot())
@@ -138,6 +146,25 @@
         self.assertIsNone(state.manifest_at(BundleVersion(3)))
         self.assertEqual([entry.version for entry in state.history(durable)], [1])
 
+    def test_a_history_of_large_changes_is_shorter(self) -> None:
+        state, slices = BundleState(OPERATOR_KEYS), sample_slices(tenants=40)
+        size = sum(map(len, slices.values()))
+        self.assertEqual(submit(state, order_between(0, {}, slices)).outcome, "accepted")
+        with patch("wingwood.bundle.kept_bundles.HISTORY_BYTES", 5 * size):
+            for version in range(1, 60):
+                after = resized(slices, version)
+                outcome = submit(state, order_between(version, slices, after, f"large-{version}"))
+                self.assertEqual(outcome.outcome, "accepted", outcome.reason)
+                slices = after
+            for each in (state, restarted(state)):
+                self.assertLess(len(each.snapshot()), 20 * size)
+                self.assertIsNone(each.slices_at(BundleVersion(20)))
+                self.assertEqual(each.slices_at(BundleVersion(55)), resized(slices, 54))
+                self.assertEqual(each.slices_at(each.version), slices)
+                delta = each.delta_since(BundleVersion(3), each.version)
+                assert delta is not None
+                self.assertEqual(delta.changed, {n: d for n, d in slices.items() if n.startswith("tenant/")})
+
     def test_a_holder_from_before_a_forgotten_removal_gets_everything_also_after_a_restart(self) -> None:
         state, slices = BundleState(OPERATOR_KEYS, history_versions=2), sample_slices()
         fewer = {name: data for name, data in slices.items() if name != "tenant/tenant-4"}
