--- a/wingwood/forward/tests/test_fuzzed_requests.py
+++ b/wingwood/forward/tests/test_fuzzed_requests.py
@@ -13,7 +13,7 @@
 
 from simulation import World
 
-from ..caller_edge import _CallerConnection
+from ..caller_connection import CallerConnection
 from ..limits import PathLimits
 from .stand_ins import KEY, PathWorld, request, says
 
@@ -131,7 +131,7 @@
         self.assertEqual(split, whole)
 
     def test_an_edge_that_seeks_the_end_of_a_head_in_new_bytes_alone_is_caught(self) -> None:
-        async def forgetful(self: _CallerConnection, regex: bytes, max_bytes: int) -> bytes:
+        async def forgetful(self: CallerConnection, regex: bytes, max_bytes: int) -> bytes:
             seen = 0
             while (end := self._input.find(b"\r\n\r\n", seen)) < 0:
                 seen = len(self._input)
@@ -141,7 +141,7 @@
         data = request("/plain")
         splits = range(data.index(b"\r\n\r\n"), data.index(b"\r\n\r\n") + 5)
         self.assertEqual([play(data, [at]) for at in splits], [play(data, [])] * len(splits))
-        with mock.patch.object(_CallerConnection, "read_until_regex", forgetful):
+        with mock.patch.object(CallerConnection, "read_until_regex", forgetful):
             self.assertNotEqual([play(data, [at]) for at in splits], [play(data, [])] * len(splits))
 
 
