Editions: positions leave room, so an item may be put in anywhere

New items share the room between their neighbours, 65,536 where it is made; where there is none, items behind move up until there is, which makes room again.

--- a/wingwood/bundle/positions.py
+++ b/wingwood/bundle/positions.py
@@ -2,6 +2,7 @@
 
 Whoever translates a whole order numbers its items from 0. If one is left out, all behind it would differ from what is
 held by nothing but their position: thousands of slices in the record, in the history and on the way to each router.
+Positions assigned here leave room, so that an item may be put in anywhere too.
 """
 
 from __future__ import annotations
@@ -19,6 +20,8 @@
 
 STEP_SLICES: Final = 100
 """Slices whose position is read, or written anew, without a pause."""
+ROOM: Final = 1 << 16
+"""Between the positions of two new items, for those that will be put in between."""
 POSITIONED_KINDS: Final = ("route", "pool", "tenant")
 
 Slices = dict[SliceName, bytes]
@@ -66,17 +69,32 @@
 
 
 def _assigned(in_order: Sequence[SliceName], before: Mapping[SliceName, int]) -> dict[SliceName, int]:
-    """Rising positions. Those of an item's former position are kept while they rise; others follow their neighbour."""
+    """Rising positions; most items of ``before`` keep theirs, and new ones share the room in between.
+
+    Where there is no room, the items behind move up until there is some again.
+    """
     staying = _longest_rising([name for name in in_order if name in before], before)
     assigned: dict[SliceName, int] = {}
-    following = 0
+    low = -1
+    new: list[SliceName] = []
     for name in in_order:
-        position = max(following, before[name]) if name in staying else following
-        assigned[name] = position
-        following = position + 1
+        if name not in staying:
+            new.append(name)
+            continue
+        high = before[name]
+        if high - low <= len(new):
+            high = low + ROOM * (len(new) + 1)
+        _spread(assigned, new, low, (high - low) // (len(new) + 1))
+        assigned[name] = low = high
+        new = []
+    _spread(assigned, new, low, ROOM)
     return assigned
 
 
+def _spread(assigned: dict[SliceName, int], names: Sequence[SliceName], low: int, step: int) -> None:
+    assigned.update({name: low + step * number for number, name in enumerate(names, 1)})
+
+
 def _longest_rising(names: Sequence[SliceName], before: Mapping[SliceName, int]) -> frozenset[SliceName]:
     """A longest choice of ``names``, in their order, whose positions rise (patience sorting)."""
     ends: list[int] = []
--- a/wingwood/bundle/tests/test_positions.py
+++ b/wingwood/bundle/tests/test_positions.py
@@ -48,6 +48,19 @@
         held = whole(list("abcdef"))
         self.assertEqual(differing(held, kept(held, list("axcdef"))), {"x"})
 
+    def test_items_put_in_anywhere_change_nothing_else(self) -> None:
+        names = [f"{number:03}" for number in range(0, 400, 4)]
+        held = kept({}, names)
+        for number in (1, 2, 3, 5, 203, 202, 399):
+            names = sorted([*names, f"{number:03}"])
+            after = kept(held, names)
+            self.assertEqual(differing(held, after), {f"{number:03}"})
+            held = after
+
+    def test_positions_without_room_are_spread_once(self) -> None:
+        held = kept(whole(list("acdef")), list("abcdef"))
+        self.assertEqual(differing(held, kept(held, list("abcxdef"))), {"x"})
+
     def test_an_item_that_moves_to_the_front_moves_alone_where_there_is_room(self) -> None:
         held = kept(whole(list("abcdef")), list("bcdef"))
         self.assertEqual(differing(held, kept(held, list("fbcde"))), {"f"})
