Placement: one cost formula, one list of routers passed over, no hash for a single group

Found on reading the change again. The queue keeper and the router's own bids each wrote the cost of wait, prefill and risk; both call bids.queued_cost now. The session map and the queue keepers each kept routers that let a question time out; both hold a PassedOver, which also drops entries that have ended (before, they stayed for good). A doc string of Workload stood under the wrong field. No choice changes; a keeper's pass-over is looked at when it is asked instead of when the look-up began, up to 15 ms later.

--- a/wingwood/placement/bids.py
+++ b/wingwood/placement/bids.py
@@ -81,6 +81,17 @@
         return min(self._most, max(1.0, self._top.get(pool, weight) / max(weight, 1e-9)))
 
 
+def queued_cost(
+    wait: float, prefill: float, beside: float, *, pressure: float, risked_from: float, risk_cost: float
+) -> float:
+    """Seconds that a turn at one worker costs, whoever knows the wait there (docs/DESIGN.md section 11.5).
+
+    ``beside``: all but wait and prefill. What these go beyond ``risked_from`` counts ``risk_cost`` times more.
+    """
+    risked = max(0.0, wait + prefill - risked_from)
+    return wait * pressure + prefill + beside + risk_cost * risked
+
+
 def cheapest(bids: Sequence[tuple[float, Worker]], holder: WorkerInstance | None, margin: Seconds) -> Worker:
     """The holder, unless another gains more than the margin."""
     best_cost, best = min(bids, key=lambda pair: (pair[0], pair[1].instance))
--- /dev/null
+++ b/wingwood/placement/passed_over.py
@@ -0,0 +1,24 @@
+"""Routers that let a question time out and are left alone for a while (docs/DESIGN.md sections 11.2 and 11.12)."""
+
+from __future__ import annotations
+
+from ..context.protocols import Clock
+from ..identifiers import Incarnation, Instant, Seconds
+
+PASSED_OVER_FOR = Seconds(1.0)
+
+
+class PassedOver:
+    """By incarnation: a router that was started again is asked at once."""
+
+    def __init__(self, clock: Clock) -> None:
+        self._clock = clock
+        self._until: dict[Incarnation, Instant] = {}
+
+    def holds(self, router: Incarnation) -> bool:
+        return self._until.get(router, Instant(0.0)) > self._clock.monotonic()
+
+    def add(self, router: Incarnation) -> None:
+        now = self._clock.monotonic()
+        self._until = {known: until for known, until in self._until.items() if until > now}
+        self._until[router] = Instant(now + PASSED_OVER_FOR)
--- a/wingwood/placement/queue_keepers.py
+++ b/wingwood/placement/queue_keepers.py
@@ -16,19 +16,19 @@
 from returns.result import Success
 
 from ..context.protocols import Clock, Context
-from ..identifiers import Incarnation, Instant, PoolName, Seconds, WorkerInstance
+from ..identifiers import Instant, PoolName, Seconds, WorkerInstance
 from ..membership.protocols import Membership
 from ..membership.rendezvous import ranked
 from ..registry.protocols import Worker
 from ..transport.frames import Identity
 from ..transport.messenger import Messenger
+from .bids import queued_cost
 from .messages import JoinQueue, QueueEntry, QueueJoined, QueueOffer
+from .passed_over import PassedOver
 
 GROUP_WORKERS = 16
 """Workers of a pool that one keeper serves, about."""
 ASK_TIMEOUT = Seconds(0.015)
-PASSED_OVER_FOR = Seconds(1.0)
-"""How long a keeper that let a question time out is passed over."""
 KEEPERS_ASKED = 2
 """The keeper and its stand-in."""
 QUEUES_MOST = 30_000
@@ -88,23 +88,27 @@
         return QueueJoined(chosen, wait)
 
     def _cost(self, question: JoinQueue, offer: QueueOffer) -> float:
-        wait = self.wait(offer.worker)
-        risked = max(0.0, wait + offer.prefill - question.risked_from)
-        return wait * question.pressure + offer.prefill + offer.beside + question.risk_cost * risked
+        return queued_cost(
+            self.wait(offer.worker),
+            offer.prefill,
+            offer.beside,
+            pressure=question.pressure,
+            risked_from=question.risked_from,
+            risk_cost=question.risk_cost,
+        )
 
 
 class RouterQueueKeepers:
     """A ``QueueKeepers`` over the fleet's routers: asks, and answers for the groups that this router keeps."""
 
     def __init__(self, context: Context, messenger: Messenger, membership: Membership) -> None:
-        self._clock = context.clock
         self._messenger = messenger
         self._membership = membership
         self._times = PrefillQueueTimes(context.clock)
         self._groups: dict[PoolName, int] = {}
         """Groups of each pool, by its ready workers."""
         self._keepers: dict[tuple[PoolName, int], tuple[Identity, ...]] = {}
-        self._passed_over: dict[Incarnation, Instant] = {}
+        self._passed_over = PassedOver(context.clock)
         messenger.on_call(JoinQueue, self._on_join)
         messenger.on_post(QueueEntry, self._on_entry)
         membership.on_change(self._keepers.clear)
@@ -119,22 +123,24 @@
         for keeper in self._keepers_of(question.pool, question.offers[0].worker):
             if self._is_me(keeper):
                 return self._times.join(question)
-            if self._passed_over.get(keeper.incarnation, Instant(0.0)) > self._clock.monotonic():
+            if self._passed_over.holds(keeper.incarnation):
                 continue
             reply = await self._messenger.call(keeper.internal, question, QueueJoined, ASK_TIMEOUT)
             if isinstance(reply, Success):
                 joined: QueueJoined = reply.unwrap()
                 if joined.offer < len(question.offers):
                     return joined
-            self._passed_over[keeper.incarnation] = Instant(self._clock.monotonic() + PASSED_OVER_FOR)
+            self._passed_over.add(keeper.incarnation)
         return None
 
     def entered(self, entry: QueueEntry) -> None:
-        for keeper in self._keepers_of(entry.pool, entry.worker)[:1]:
-            if self._is_me(keeper):
-                self._times.enter(entry)
-            else:
-                self._messenger.post(keeper.internal, entry)
+        keeper = next(iter(self._keepers_of(entry.pool, entry.worker)), None)
+        if keeper is None:
+            return
+        if self._is_me(keeper):
+            self._times.enter(entry)
+        else:
+            self._messenger.post(keeper.internal, entry)
 
     # --- keeping ------------------------------------------------------------------------------
 
@@ -151,6 +157,8 @@
 
     def _group_of(self, pool: PoolName, worker: WorkerInstance) -> int:
         groups = self._groups.get(pool, 1)
+        if groups == 1:
+            return 0
         digest = hashlib.blake2b(worker.encode(), digest_size=8).digest()
         return int.from_bytes(digest, "big") % groups
 
--- a/wingwood/placement/session_map.py
+++ b/wingwood/placement/session_map.py
@@ -14,19 +14,18 @@
 from returns.result import Success
 
 from ..context.protocols import Context
-from ..identifiers import Address, Incarnation, Instant, PoolName, Seconds, SessionId, WorkerInstance
+from ..identifiers import Address, Instant, PoolName, Seconds, SessionId, WorkerInstance
 from ..membership.protocols import Membership
 from ..transport.frames import Identity
 from ..transport.messenger import Messenger
 from .messages import KeepNotes, LookUpSession, SessionFound, SessionNote
+from .passed_over import PassedOver
 
 CHANGED_ONE_BY_ONE = 16
 POINTS_EACH = 64
 """A router's points on the ring; its share of the sessions varies by about an eighth."""
 LOOK_UP_TIMEOUT = Seconds(0.015)
 """For each of the two that are asked: a turn waits for its map entry at most twice as long."""
-PASSED_OVER_FOR = Seconds(1.0)
-"""How long a keeper that let a question time out is passed over."""
 NEWCOMER_FOR = Seconds(3.0)
 ENTRIES_MOST = 25_000
 RECENT_MOST = 10_000
@@ -197,7 +196,7 @@
         self._ring = KeeperRing()
         self._rings_before: list[tuple[Instant, KeeperRing]] = []
         """Rings of the last while, with the instant at which each ended."""
-        self._passed_over: dict[Incarnation, Instant] = {}
+        self._passed_over = PassedOver(context.clock)
         self._handing_over = False
         self._to_hand_over: OrderedDict[tuple[int, Address], None] = OrderedDict()
         self.on_keep: Callable[[int, Entry], None] = lambda key, entry: None
@@ -209,18 +208,16 @@
     # --- asking and recording -----------------------------------------------------------------
 
     async def find(self, key: int) -> Entry | Unreachable | None:
-        now = self._context.clock.monotonic()
         answered = sure = False
         for keeper in self._pair(key):
             if keeper.incarnation == self._messenger.identity.incarnation:
                 entry, newcomer = self._kept.get(key), self._is_newcomer(key)
             else:
-                if self._passed_over.get(keeper.incarnation, Instant(0.0)) > now:
+                if self._passed_over.holds(keeper.incarnation):
                     continue
                 reply = await self._messenger.call(keeper.internal, LookUpSession(key), SessionFound, LOOK_UP_TIMEOUT)
                 if not isinstance(reply, Success):
-                    until = self._context.clock.monotonic() + PASSED_OVER_FOR
-                    self._passed_over[keeper.incarnation] = Instant(until)
+                    self._passed_over.add(keeper.incarnation)
                     continue
                 found: SessionFound = reply.unwrap()
                 entry = None if found.note is None else self._entry(found.note)
--- a/wingwood/placement/told_bids.py
+++ b/wingwood/placement/told_bids.py
@@ -11,7 +11,7 @@
 from ..identifiers import PoolName, RequestId, Seconds, WorkerInstance, Zone
 from ..membership.protocols import Membership
 from ..registry.protocols import Worker
-from .bids import Forecast, Pressure, cheapest
+from .bids import Forecast, Pressure, cheapest, queued_cost
 from .messages import JoinQueue, QueueEntry, QueueOffer
 from .prefill_estimates import PrefillQueues
 from .prefix_order import PrefixOrders
@@ -177,14 +177,15 @@
         known = self._known(ready[0].pool, turn)
         # Where nobody is known to keep the prefix, all routers lean to the same workers.
         leant_to = homes[: max(1, len(homes) - 1)] if entry is None else []
+        shared_tokens, likely_kept = _told(shared), self._likely_kept(shared, known)
         offers = []
         for worker in self._compared(entry, homes, drawn, ready):
             load = self._workload.load(worker)
             kept = float(self._kept(turn, entry, worker, known))
             if worker in leant_to:
-                kept = max(kept, self._likely_kept(shared, known))
+                kept = max(kept, likely_kept)
             slot_wait = self._workload.wait_at(worker, load)
-            again = self._reread_cost(turn, worker, _told(shared) - kept)
+            again = self._reread_cost(turn, worker, shared_tokens - kept)
             offers.append(_Offer(worker, load, turn.prompt_tokens - kept, slot_wait, again))
         return offers
 
@@ -237,9 +238,14 @@
     def _cost(self, turn: Turn, worker: Worker, uncached: float, wait: float, load: float) -> float:
         """Seconds: the wait, the prefill not spared, the streams that it holds up, the way, and what it risks."""
         prefill = self._queues.prefill(worker, uncached)
-        risked = max(0.0, wait + prefill - self._risked_from(turn, worker))
-        waited = wait * self._pressure.of(worker.pool, turn.weight)
-        return waited + prefill + self._beside(worker, prefill, load) + self._settings.risk_cost * risked
+        return queued_cost(
+            wait,
+            prefill,
+            self._beside(worker, prefill, load),
+            pressure=self._pressure.of(worker.pool, turn.weight),
+            risked_from=self._risked_from(turn, worker),
+            risk_cost=self._settings.risk_cost,
+        )
 
     def _beside(self, worker: Worker, prefill: float, load: float) -> float:
         """Seconds: for the streams that run beside the prefill, and for the way."""
--- a/wingwood/placement/worker_estimates.py
+++ b/wingwood/placement/worker_estimates.py
@@ -64,8 +64,9 @@
         self._figures: dict[WorkerInstance, WorkerFigures] = {}
         self._of_pool: dict[PoolName, WorkerFigures] = {}
         self.prefill_flow: Callable[[WorkerInstance], float] = lambda instance: 0.0
-        self.long_streams: Callable[[WorkerInstance], int] = lambda instance: 0
         """Own uncached prompt tokens a second that go to a worker, where they are counted."""
+        self.long_streams: Callable[[WorkerInstance], int] = lambda instance: 0
+        """Own long streams at a worker, where they are counted."""
         exchange.count_with(self._count)
 
     # --- counting -----------------------------------------------------------------------------
