--- a/wingwood/control/follower.py
+++ b/wingwood/control/follower.py
@@ -8,7 +8,6 @@
 from .member import MemberSetup
 from .messages import (
     ControlCanvass,
-    ControlGiveWay,
     ControlGrant,
     ControlJoin,
     ControlJoined,
@@ -90,8 +89,7 @@
             return
         self._resigned = now
         self._gave_way = view.epoch
-        for seat in self._others(view):
-            self._messenger.post(seat.address, ControlGiveWay(view.epoch, self._me))
+        self._ask_to_take_over(view)
 
     def _silence_borne(self, view: View) -> float:
         """The backups try first, one after another, then other holders; a witness only looks for newer views."""
--- a/wingwood/control/member.py
+++ b/wingwood/control/member.py
@@ -170,10 +170,14 @@
         self._heard = self._now()
         self._put_off_candidacy(PAUSE_AFTER_STEPPING_DOWN)
         fail_all(lead.take_pending(), f"stopped leading: {reason}")
-        for seat in self._others(lead.view):
-            self._messenger.post(seat.address, ControlGiveWay(lead.view.epoch, self._me))
+        self._ask_to_take_over(lead.view)
         self._changed()
 
+    def _ask_to_take_over(self, view: View) -> None:
+        """Tells the other members that we lead this view no longer."""
+        for seat in self._others(view):
+            self._messenger.post(seat.address, ControlGiveWay(view.epoch, self._me))
+
     def _put_off_candidacy(self, pause: tuple[float, float] = PAUSE_BEFORE_CANDIDACY) -> None:
         self._not_before = Instant(self._now() + self._context.random.uniform(*pause))
 
--- a/wingwood/control/tests/protocol_variants.py
+++ b/wingwood/control/tests/protocol_variants.py
@@ -23,8 +23,8 @@
 """Longer than a take-over takes."""
 
 
-def _tampered(tampers: dict[type[msgspec.Struct], Tamper], losses_borne: int) -> MakeCore:
-    """A core whose answers to some messages of other members are not its own."""
+def _prepared(prepare: Callable[[Context, TcpMessenger, Register], None], losses_borne: int) -> MakeCore:
+    """A core that is made after ``prepare`` has spoilt what it is made of."""
     inner = core_maker(losses_borne=losses_borne)
 
     def make(
@@ -35,6 +35,16 @@
         register: Register,
         seeds: Sequence[Address],
     ) -> ReplicatedCore:
+        prepare(context, messenger, register)
+        return inner(context, messenger, store, contents, register, seeds)
+
+    return make
+
+
+def _tampered(tampers: dict[type[msgspec.Struct], Tamper], losses_borne: int) -> MakeCore:
+    """A core whose answers to some messages of other members are not its own."""
+
+    def prepare(context: Context, messenger: TcpMessenger, _: Register) -> None:
         on_call = messenger.on_call
 
         def tampered(message_type: Any, handler: Handler) -> None:
@@ -42,9 +52,8 @@
             on_call(message_type, handler if tamper is None else tamper(context, handler))
 
         messenger.on_call = tampered  # type: ignore[method-assign]
-        return inner(context, messenger, store, contents, register, seeds)
 
-    return make
+    return _prepared(prepare, losses_borne)
 
 
 def answers_before_it_has_written(losses_borne: int = 1) -> MakeCore:
@@ -77,20 +86,10 @@
 
 
 def forgets_order_ids(losses_borne: int = 1) -> MakeCore:
-    inner = core_maker(losses_borne=losses_borne)
-
-    def make(
-        context: Context,
-        messenger: TcpMessenger,
-        store: ControlStore,
-        contents: Contents,
-        register: Register,
-        seeds: Sequence[Address],
-    ) -> ReplicatedCore:
+    def prepare(_: Context, __: TcpMessenger, register: Register) -> None:
         register.__class__ = _ForgetfulRegister
-        return inner(context, messenger, store, contents, register, seeds)
 
-    return make
+    return _prepared(prepare, losses_borne)
 
 
 class _ProvesByBelief(ReplicatedCore):
