Placement: a standing award asks its queue keeper before it takes the turn

Cause: 62 in 100 turns of a memory-bound shape go by awards, and these went to the winner by this router's own forecast, which sees its own prompts and the others' mean flow only; the keeper that knows the queue was told, not asked. So turns piled up at winners. Ruled out: fewer kept parts (parts read again stay within 3%). The winner still takes the turn up to the risk (half the objective less base, or 0.35 of the longest pause). A test of bids ahead left its turns unended, so that their prompts piled up at one worker and the drawn numbers decided; it ends them now, with the same assertions.

--- a/wingwood/placement/award_placement.py
+++ b/wingwood/placement/award_placement.py
@@ -161,12 +161,19 @@
         if isinstance(entry, Unreachable):
             return self._choice(turn, entry, self._agreed(key, ready), "hash")
         winner = self._winner(turn, entry, ready)
-        if winner is not None:
-            choice = self._choice(turn, entry, winner, "award")
-            if turn.parts:
-                self._told.awarded(turn, winner, choice.uncached_tokens)
-            return choice
-        return await self._bid(turn, entry, ready)
+        if winner is None:
+            return await self._bid(turn, entry, ready)
+        joined = await self._told.join(turn, entry, ready, winner) if turn.parts else None
+        if joined is not None:
+            how: How = "award" if joined.worker is winner else "bid"
+            forecast = joined.forecast
+            return Choice(
+                worker=joined.worker, how=how, first_token=forecast.first_token, uncached_tokens=forecast.uncached
+            )
+        choice = self._choice(turn, entry, winner, "award")
+        if turn.parts:
+            self._told.awarded(turn, winner, choice.uncached_tokens)
+        return choice
 
     def _winner(self, turn: Turn, entry: Entry | None, ready: Sequence[Worker]) -> Worker | None:
         """The standing award's, as long as it is ready and not too crowded."""
--- a/wingwood/placement/messages.py
+++ b/wingwood/placement/messages.py
@@ -67,6 +67,8 @@
     risked_from: Seconds
     """A wait and prefill beyond this count ``risk_cost`` times more."""
     risk_cost: float
+    awarded: bool = False
+    """The first offer is the award's winner: it takes the turn unless wait and prefill there go beyond the risk."""
 
 
 class QueueJoined(msgspec.Struct, frozen=True, array_like=True):
--- a/wingwood/placement/queue_keepers.py
+++ b/wingwood/placement/queue_keepers.py
@@ -79,14 +79,21 @@
             self._free_at.popitem(last=False)
 
     def join(self, question: JoinQueue) -> QueueJoined:
-        """Takes the cheapest offer; counts the turn in there."""
-        costs = [self._cost(question, offer) for offer in question.offers]
-        chosen = min(range(len(costs)), key=costs.__getitem__)
+        """Takes the award's winner where it stands, else the cheapest offer; counts the turn in there."""
+        chosen = 0 if self._award_stands(question) else self._cheapest(question)
         offer = question.offers[chosen]
         wait = self.wait(offer.worker)
         self.enter(QueueEntry(question.pool, offer.worker, offer.prefill))
         return QueueJoined(chosen, wait)
 
+    def _award_stands(self, question: JoinQueue) -> bool:
+        winner = question.offers[0]
+        return question.awarded and self.wait(winner.worker) + winner.prefill <= question.risked_from
+
+    def _cheapest(self, question: JoinQueue) -> int:
+        costs = [self._cost(question, offer) for offer in question.offers]
+        return min(range(len(costs)), key=costs.__getitem__)
+
     def _cost(self, question: JoinQueue, offer: QueueOffer) -> float:
         return queued_cost(
             self.wait(offer.worker),
--- a/wingwood/placement/tests/test_queue_keepers.py
+++ b/wingwood/placement/tests/test_queue_keepers.py
@@ -52,6 +52,15 @@
         taken = [self.times.join(question((FIRST, 0.0), (SECOND, 0.1), risked_from=1e6)).offer for _ in range(5)]
         self.assertEqual(taken, [0, 0, 0, 0, 1])
 
+    def test_award_stands_beside_a_cheaper_worker_until_its_queue_is_a_risk(self) -> None:
+        asked = msgspec.structs.replace(question((FIRST, 0.01), (SECOND, 0.0), risked_from=0.07), awarded=True)
+        taken = [self.times.join(asked).offer for _ in range(4)]
+        self.assertEqual(taken, [0, 0, 1, 1])
+
+    def test_award_whose_queue_is_a_risk_still_wins_where_all_others_cost_more(self) -> None:
+        asked = msgspec.structs.replace(question((FIRST, 0.0), (SECOND, 9.0), risked_from=0.0), awarded=True)
+        self.assertEqual(self.times.join(asked).offer, 0)
+
     def test_queue_is_worked_off_with_time(self) -> None:
         for _ in range(3):
             self.times.join(question((FIRST, 0.0)))
@@ -186,6 +195,22 @@
         self.assertEqual((again.how, again.worker), ("award", first.worker))
         self.assertGreater(self.kept.times.wait(first.worker.instance), 0.005)
 
+    def test_award_is_passed_over_behind_a_queue_that_only_the_keeper_sees(self) -> None:
+        first = self.router.take(told_turn("kind:2500 chat:3800", 2900))
+        self.router.clock.now += 1.0
+        self.kept.entered(QueueEntry(POOL, first.worker.instance, Seconds(0.3)))
+        again = self.router.choose(told_turn("kind:2500 chat:3800", 2900))
+        self.assertNotEqual(again.worker, first.worker)
+        self.assertEqual(again.how, "bid")
+        self.assertLess(again.first_token, 0.1)
+
+    def test_award_stands_behind_a_short_queue(self) -> None:
+        first = self.router.take(told_turn("kind:2500 chat:3800", 2900))
+        self.router.clock.now += 1.0
+        self.kept.entered(QueueEntry(POOL, first.worker.instance, Seconds(0.02)))
+        again = self.router.choose(told_turn("kind:2500 chat:3800", 2900))
+        self.assertEqual((again.how, again.worker), ("award", first.worker))
+
     def test_short_prompts_ask_nobody(self) -> None:
         self.router.choose(told_turn("chat:47 t:30", 140))
         self.assertEqual(len(self.router.placement._told._entered), 1)
--- a/wingwood/placement/tests/test_told_turns.py
+++ b/wingwood/placement/tests/test_told_turns.py
@@ -97,8 +97,10 @@
             choice = self.router.choose(turn)
             self.router.engage(choice.worker.instance, 2.0, 60_000.0)
             self.router.end(turn, choice)
-            again = self.router.choose(told_turn(f"kind:2500 subject{number}:3800"))
+            next_turn = told_turn(f"kind:2500 subject{number}:3800")
+            again = self.router.choose(next_turn)
             self.assertEqual((again.how, again.worker), ("award", choice.worker))
+            self.router.end(next_turn, again)
             self.router.engage_all()
 
     def test_hot_subject_spreads_over_several_workers_and_is_read_once_at_each(self) -> None:
--- a/wingwood/placement/told_bids.py
+++ b/wingwood/placement/told_bids.py
@@ -145,11 +145,16 @@
         bids = [(self._offered_cost(turn, offer), offer.worker) for offer in offers]
         return cheapest(bids, None if entry is None else entry.holder, self._settings.told_move_gain)
 
-    async def join(self, turn: Turn, entry: Entry | None, ready: Sequence[Worker]) -> Joined | None:
-        """By what the queue keeper knows; None where there is little to prefill, or no keeper answers."""
+    async def join(
+        self, turn: Turn, entry: Entry | None, ready: Sequence[Worker], winner: Worker | None = None
+    ) -> Joined | None:
+        """By what the queue keeper knows; None where there is little to prefill, or no keeper answers.
+
+        ``winner``: that of a standing award, which takes the turn unless its queue risks the objective.
+        """
         if self._queues.prefill(ready[0], turn.prompt_tokens) < QUEUED_LEAST:
             return None
-        offers = self._offers(turn, entry, ready)
+        offers = self._offers(turn, entry, ready, winner)
         grouped = self._keepers.group([offer.worker for offer in offers], len(ready))
         offers = [offer for offer in offers if offer.worker in grouped]
         pool = ready[0].pool
@@ -159,6 +164,7 @@
             pressure=self._pressure.of(pool, turn.weight),
             risked_from=self._risked_from(turn, ready[0]),
             risk_cost=self._settings.risk_cost,
+            awarded=winner is not None,
         )
         joined = await self._keepers.join(question)
         if joined is None:
@@ -169,8 +175,10 @@
         first_token = offer.slot_wait + joined.wait + self._queues.base(offer.worker) + prefill
         return Joined(offer.worker, Forecast(int(offer.uncached), Seconds(first_token)))
 
-    def _offers(self, turn: Turn, entry: Entry | None, ready: Sequence[Worker]) -> list[_Offer]:
-        """The prefix's own workers and one more of its order, the holder, and a few drawn ones."""
+    def _offers(
+        self, turn: Turn, entry: Entry | None, ready: Sequence[Worker], winner: Worker | None = None
+    ) -> list[_Offer]:
+        """The award's winner, the prefix's own workers and one more of its order, the holder, and a few drawn ones."""
         shared = self._shared(turn, ready[0]) if entry is None else self._reused(turn)
         homes = self._prefix_workers(turn, shared, ready, 1)
         drawn = self._settings.drawn_beside if homes else self._settings.told_candidates
@@ -179,7 +187,8 @@
         leant_to = homes[: max(1, len(homes) - 1)] if entry is None else []
         shared_tokens, likely_kept = _told(shared), self._likely_kept(shared, known)
         offers = []
-        for worker in self._compared(entry, homes, drawn, ready):
+        first = [] if winner is None else [winner]
+        for worker in self._compared(entry, [*first, *homes], drawn, ready):
             load = self._workload.load(worker)
             kept = float(self._kept(turn, entry, worker, known))
             if worker in leant_to:
