Placement: long streams share as many workers as they need, not the first with room

Ruled out: prompts beside them (gaps over 0.19 s: 15), refusals (none). Now the workers in use follow from the number of streams (0.68 of the slots in the mean) and each takes the less full of two drawn ones.

--- a/wingwood/placement/award_placement.py
+++ b/wingwood/placement/award_placement.py
@@ -78,7 +78,7 @@
         self._pressure = Pressure(self._settings.pressure_most)
         self._urgent = UrgentPlaces(self._settings.less_urgent_places)
         orders = PrefixOrders()
-        self._long_streams = LongStreams(context.clock, exchange, orders, self._queues)
+        self._long_streams = LongStreams(context.clock, context.random, exchange, orders, self._queues)
         self._workload.long_streams = self._long_streams.own
         self._guessed = GuessedBids(context, membership, self._workload, self._pressure, orders, self._settings)
         self._told = ToldBids(
@@ -172,7 +172,7 @@
             )
         choice = self._choice(turn, entry, winner, "award")
         if turn.parts:
-            self._told.awarded(turn, winner, choice.uncached_tokens)
+            self._told.enter(turn, winner, choice.uncached_tokens)
         return choice
 
     def _winner(self, turn: Turn, entry: Entry | None, ready: Sequence[Worker]) -> Worker | None:
@@ -184,6 +184,8 @@
 
     async def _bid(self, turn: Turn, entry: Entry | None, ready: Sequence[Worker]) -> Choice:
         """The session's holder counts only where it is ready and keeps something of the prompt."""
+        if self._long_streams.is_long(turn):
+            return self._stream_choice(turn, entry, self._long_streams.pick(ready))
         bidder = self._bidder(turn)
         holder = None if entry is None else next((one for one in ready if one.instance == entry.holder), None)
         if holder is None or bidder.kept_tokens(turn, entry, holder) <= 0:
@@ -197,6 +199,13 @@
         forecast = bidder.forecast(turn, entry, worker) if joined is None else joined.forecast
         return Choice(worker=worker, how=how, first_token=forecast.first_token, uncached_tokens=forecast.uncached)
 
+    def _stream_choice(self, turn: Turn, entry: Entry | None, worker: Worker) -> Choice:
+        """A long stream's worker follows from the streams there, not from what its prompt costs."""
+        how: How = "claim" if entry is not None and entry.holder == worker.instance else "bid"
+        choice = self._choice(turn, entry, worker, how)
+        self._told.enter(turn, worker, choice.uncached_tokens)
+        return choice
+
     def _in_time(self, turn: Turn, entry: Entry | None, winner: Worker, ready: Sequence[Worker]) -> bool:
         """Whether the award's winner may keep the turn though it may be crowded.
 
@@ -307,7 +316,10 @@
         ready = self._registry.ready(holder.pool)
         if ready:
             candidates = self._long_streams.candidates(next_turn, ready)
-            winner = self._bidder(turn).bid_ahead(next_turn, entry, candidates)
+            if self._long_streams.is_long(next_turn):
+                winner = self._long_streams.pick(candidates)
+            else:
+                winner = self._bidder(turn).bid_ahead(next_turn, entry, candidates)
             entry.winner = winner.instance
             entry.award_until = Instant(now + self._settings.award_for)
             self.counts["awards"] += 1
--- a/wingwood/placement/long_streams.py
+++ b/wingwood/placement/long_streams.py
@@ -2,14 +2,17 @@
 
 An engine reads prompts piece by piece between the tokens of its running streams, so a stream that runs
 beside a steady flow of long prompts pauses longer than its callers bear, whatever the bids say. Long
-streams therefore fill few workers, in an order that all routers agree on, and other turns leave these
-alone while the rest can take them.
+streams therefore share few workers, in an order that all routers agree on, and other turns leave these
+alone while the rest can take them. How many they share follows from their number; each takes the less full of
+two drawn ones, since the counts of the other routers are old by the time that they are read.
 """
 
 from __future__ import annotations
 
+import math
 from collections import Counter
 from collections.abc import Sequence
+from random import Random
 
 from ..context.protocols import Clock
 from ..identifiers import Instant, PoolName, RequestId, Seconds, WorkerInstance
@@ -23,7 +26,10 @@
 PROMPT_RATIO = 2.0
 """... where its prompt has at most so many times its generated tokens."""
 FILLED_TO = 0.75
-"""Share of a worker's slots that long streams may take before the next worker gets some."""
+"""Share of a worker's slots that long streams may take there."""
+SPREAD_TO = 0.68
+"""Mean share of the slots that long streams take at the workers that they share."""
+DRAWN = 2
 APART_MOST = 0.34
 """Share of a pool's workers that other turns leave alone at most."""
 KEPT_APART_FOR = Seconds(10.0)
@@ -35,8 +41,16 @@
 class LongStreams:
     """Counts long streams by worker, and says which workers a turn is to be compared at."""
 
-    def __init__(self, clock: Clock, exchange: EngagementExchange, orders: PrefixOrders, queues: PrefillQueues) -> None:
+    def __init__(
+        self,
+        clock: Clock,
+        random: Random,
+        exchange: EngagementExchange,
+        orders: PrefixOrders,
+        queues: PrefillQueues,
+    ) -> None:
         self._clock = clock
+        self._random = random
         self._exchange = exchange
         self._orders = orders
         self._queues = queues
@@ -45,7 +59,8 @@
         self._last_seen: dict[PoolName, Instant] = {}
 
     def is_long(self, turn: Turn) -> bool:
-        if turn.generate_tokens < LONG_STREAM_TOKENS or not turn.service.streaming:
+        """Only where sizes are told."""
+        if not turn.parts or turn.generate_tokens < LONG_STREAM_TOKENS or not turn.service.streaming:
             return False
         return turn.prompt_tokens <= PROMPT_RATIO * turn.generate_tokens
 
@@ -81,15 +96,33 @@
             return self._with_room(turn, order) or ready
         return self._others(order, now) or ready
 
+    def pick(self, candidates: Sequence[Worker]) -> Worker:
+        """The worker for a long stream: of two drawn ones the one with fewer of them."""
+        drawn = self._random.sample(list(candidates), min(DRAWN, len(candidates)))
+        return min(drawn, key=self.at)
+
     def _with_room(self, turn: Turn, order: Sequence[Worker]) -> Sequence[Worker]:
-        """The first worker of the order that has room and is not behind with its prompts."""
+        """Those of the workers that long streams share now that can take one more; else the next one that can."""
+        shared = self._shared_by(order)
+        found: list[Worker] = []
+        for place, worker in enumerate(order):
+            if found and place >= shared:
+                break
+            if self._takes(turn, worker):
+                found.append(worker)
+        return found
+
+    def _shared_by(self, order: Sequence[Worker]) -> int:
+        """How many workers the long streams of all routers need."""
+        streams = sum(self.at(worker) for worker in order)
+        return math.ceil(streams / (SPREAD_TO * order[0].slots))
+
+    def _takes(self, turn: Turn, worker: Worker) -> bool:
+        """Whether it has room and is not behind with its prompts."""
+        if self.at(worker) >= FILLED_TO * worker.slots:
+            return False
         objective = turn.service.latency_objective
-        for worker in order:
-            if self.at(worker) >= FILLED_TO * worker.slots:
-                continue
-            if objective is None or self._queues.first_token(worker, turn.prompt_tokens) <= objective:
-                return [worker]
-        return []
+        return objective is None or self._queues.first_token(worker, turn.prompt_tokens) <= objective
 
     def _others(self, order: Sequence[Worker], now: Instant) -> Sequence[Worker]:
         apart = self._kept_apart(order, now)
--- a/wingwood/placement/told_bids.py
+++ b/wingwood/placement/told_bids.py
@@ -321,8 +321,8 @@
         if entry is not None:
             self._keepers.entered(QueueEntry(entry.pool, entry.worker, Seconds(-entry.prefill)))
 
-    def awarded(self, turn: Turn, worker: Worker, uncached: int) -> None:
-        """A turn goes to its award's winner without a question."""
+    def enter(self, turn: Turn, worker: Worker, uncached: int) -> None:
+        """A turn goes to a worker without a question to its queue keeper, who is told of it."""
         prefill = self._queues.prefill(worker, uncached)
         if prefill >= QUEUED_LEAST:
             entry = QueueEntry(worker.pool, worker.instance, Seconds(prefill))
