Placement: workers drawn beside a prompt's own are those of the same queue keeper

Cause: a question to a queue keeper dropped the drawn workers that another keeper counts: half of them with 30 workers, all but one in 750 at the planned 12,000, so that a turn had no way out of its prefix's queue. The group of a worker is kept instead of hashed anew.

--- a/wingwood/placement/queue_keepers.py
+++ b/wingwood/placement/queue_keepers.py
@@ -11,6 +11,7 @@
 import hashlib
 from collections import OrderedDict
 from collections.abc import Sequence
+from functools import lru_cache
 from typing import Protocol
 
 from returns.result import Success
@@ -32,11 +33,12 @@
 KEEPERS_ASKED = 2
 """The keeper and its stand-in."""
 QUEUES_MOST = 30_000
+NUMBERS_MOST = 30_000
 
 
 class QueueKeepers(Protocol):
-    def group(self, workers: Sequence[Worker], ready: int) -> Sequence[Worker]:
-        """Of workers of one pool, which has ``ready`` ones in all, those that have the first one's keeper."""
+    def group(self, worker: Worker, ready: Sequence[Worker]) -> Sequence[Worker]:
+        """Of its pool's ready workers those that have the worker's keeper."""
         ...
 
     async def join(self, question: JoinQueue) -> QueueJoined | None:
@@ -51,8 +53,8 @@
 class NoQueueKeepers:
     """Each router goes by what it knows itself."""
 
-    def group(self, workers: Sequence[Worker], ready: int) -> Sequence[Worker]:
-        return workers
+    def group(self, worker: Worker, ready: Sequence[Worker]) -> Sequence[Worker]:
+        return ready
 
     async def join(self, question: JoinQueue) -> QueueJoined | None:
         return None
@@ -120,11 +122,13 @@
         messenger.on_post(QueueEntry, self._on_entry)
         membership.on_change(self._keepers.clear)
 
-    def group(self, workers: Sequence[Worker], ready: int) -> Sequence[Worker]:
-        pool = workers[0].pool
-        self._groups[pool] = max(1, -(-ready // GROUP_WORKERS))
-        first = self._group_of(pool, workers[0].instance)
-        return [worker for worker in workers if self._group_of(pool, worker.instance) == first]
+    def group(self, worker: Worker, ready: Sequence[Worker]) -> Sequence[Worker]:
+        pool = worker.pool
+        groups = self._groups[pool] = max(1, -(-len(ready) // GROUP_WORKERS))
+        if groups == 1:
+            return ready
+        number = self._group_of(pool, worker.instance)
+        return [other for other in ready if self._group_of(pool, other.instance) == number]
 
     async def join(self, question: JoinQueue) -> QueueJoined | None:
         for keeper in self._keepers_of(question.pool, question.offers[0].worker):
@@ -166,8 +170,7 @@
         groups = self._groups.get(pool, 1)
         if groups == 1:
             return 0
-        digest = hashlib.blake2b(worker.encode(), digest_size=8).digest()
-        return int.from_bytes(digest, "big") % groups
+        return _number(worker) % groups
 
     def _keepers_of(self, pool: PoolName, worker: WorkerInstance) -> tuple[Identity, ...]:
         name = (pool, self._group_of(pool, worker))
@@ -176,3 +179,9 @@
             order = ranked(f"queue {name[0]} {name[1]}", self._membership.routers(), lambda router: router.name)
             keepers = self._keepers[name] = tuple(order[:KEEPERS_ASKED])
         return keepers
+
+
+@lru_cache(NUMBERS_MOST)
+def _number(worker: WorkerInstance) -> int:
+    """By which all routers share the workers out among the groups."""
+    return int.from_bytes(hashlib.blake2b(worker.encode(), digest_size=8).digest(), "big")
--- a/wingwood/placement/tests/test_queue_keepers.py
+++ b/wingwood/placement/tests/test_queue_keepers.py
@@ -4,6 +4,7 @@
 
 import unittest
 from collections import Counter
+from collections.abc import Sequence
 from functools import partial
 
 import msgspec
@@ -19,6 +20,7 @@
     PrefillQueueTimes,
     RouterQueueKeepers,
 )
+from wingwood.registry.protocols import Worker
 from wingwood.registry.tests.fleet import Fleet
 
 from .one_router import POOL, SUMMARY, ManualClock, OneRouter, told_turn
@@ -140,10 +142,40 @@
             for number in range(20 * GROUP_WORKERS)
         ]
         keepers = fleet.keepers["r0"]
-        group = keepers.group(workers, len(workers))
+        group = keepers.group(workers[0], workers)
         self.assertIn(workers[0], group)
         self.assertLess(len(group), 2 * GROUP_WORKERS)
-        self.assertEqual(keepers.group(workers[:GROUP_WORKERS], GROUP_WORKERS), workers[:GROUP_WORKERS])
+        self.assertEqual(keepers.group(workers[0], workers[:GROUP_WORKERS]), workers[:GROUP_WORKERS])
+
+
+class HalfOfThem(NoQueueKeepers):
+    """A group is the workers whose number is even, or odd; notes what is asked."""
+
+    def __init__(self) -> None:
+        self.asked: list[JoinQueue] = []
+
+    def group(self, worker: Worker, ready: Sequence[Worker]) -> Sequence[Worker]:
+        return [other for other in ready if (_number(other) - _number(worker)) % 2 == 0]
+
+    async def join(self, question: JoinQueue) -> QueueJoined | None:
+        self.asked.append(question)
+        return QueueJoined(0, Seconds(0.0))
+
+
+def _number(worker: Worker) -> int:
+    return int(worker.instance.removeprefix("w"))
+
+
+class GroupTest(unittest.TestCase):
+    def test_drawn_workers_are_of_the_first_ones_group(self) -> None:
+        router = OneRouter(workers=20)
+        router.teach()
+        keepers = router.placement._told._keepers = HalfOfThem()
+        for number in range(20):
+            router.choose(told_turn(f"kind:2500 subject{number}:3800 own{number}:2900", 0))
+        for question in keepers.asked:
+            self.assertEqual(len({int(offer.worker[1:]) % 2 for offer in question.offers}), 1)
+            self.assertGreaterEqual(len(question.offers), 2)
 
 
 class KeptHere(NoQueueKeepers):
--- a/wingwood/placement/told_bids.py
+++ b/wingwood/placement/told_bids.py
@@ -52,6 +52,21 @@
     """Seconds."""
 
 
+class _Homes(msgspec.Struct, frozen=True):
+    """The workers of a prompt's prefix."""
+
+    workers: Sequence[Worker]
+    """The first of its order, as many as its demand needs and one more."""
+    leant_to: Sequence[Worker]
+    """Those to which all routers lean where nobody is known to keep the prefix."""
+    shared_tokens: int
+
+    def among(self, ready: Sequence[Worker]) -> _Homes:
+        instances = {worker.instance for worker in ready}
+        workers = [worker for worker in self.workers if worker.instance in instances]
+        return msgspec.structs.replace(self, workers=workers)
+
+
 class ToldBids:
     """A ``Bidder``."""
 
@@ -99,14 +114,14 @@
             kept = max(kept, min(entry.tokens, _told(turn.parts)))
         return min(turn.prompt_tokens, int(kept))
 
-    def _likely_kept(self, shared: Sequence[PromptPart], known: KnownChains) -> float:
+    def _likely_kept(self, shared_tokens: int, known: KnownChains) -> float:
         """At the workers to which all lean.
 
         The chains in use come to be kept at every worker, so that reading them there once is no reason to
         put the next prompt elsewhere; the others may have sent the rest of the prompt before.
         """
         in_use = known.tokens()
-        return in_use + self._settings.home_trust * max(0, _told(shared) - in_use)
+        return in_use + self._settings.home_trust * max(0, shared_tokens - in_use)
 
     def session_tokens(self, turn: Turn, tokens: int) -> int:
         """What no part tells of is never asked for again."""
@@ -141,7 +156,7 @@
 
     def bid(self, turn: Turn, entry: Entry | None, ready: Sequence[Worker]) -> Worker:
         """By what this router knows of the queues."""
-        offers = self._offers(turn, entry, ready)
+        offers = self._offers(turn, entry, self._homes(turn, entry, ready), ready)
         bids = [(self._offered_cost(turn, offer), offer.worker) for offer in offers]
         return cheapest(bids, None if entry is None else entry.holder, self._settings.told_move_gain)
 
@@ -154,9 +169,10 @@
         """
         if self._queues.prefill(ready[0], turn.prompt_tokens) < QUEUED_LEAST:
             return None
-        offers = self._offers(turn, entry, ready, winner)
-        grouped = self._keepers.group([offer.worker for offer in offers], len(ready))
-        offers = [offer for offer in offers if offer.worker in grouped]
+        homes = self._homes(turn, entry, ready)
+        first = winner or _holder(entry, ready) or next(iter(homes.workers), None) or self._context.random.choice(ready)
+        grouped = self._keepers.group(first, ready)
+        offers = self._offers(turn, entry, homes.among(grouped), grouped, first)
         pool = ready[0].pool
         question = JoinQueue(
             pool=pool,
@@ -175,26 +191,35 @@
         first_token = offer.slot_wait + joined.wait + self._queues.base(offer.worker) + prefill
         return Joined(offer.worker, Forecast(int(offer.uncached), Seconds(first_token)))
 
+    def _homes(self, turn: Turn, entry: Entry | None, ready: Sequence[Worker]) -> _Homes:
+        shared = self._shared(turn, ready[0]) if entry is None else self._reused(turn)
+        workers = self._prefix_workers(turn, shared, ready, 1)
+        leant_to = workers[: max(1, len(workers) - 1)] if entry is None else []
+        return _Homes(workers, leant_to, _told(shared))
+
     def _offers(
-        self, turn: Turn, entry: Entry | None, ready: Sequence[Worker], winner: Worker | None = None
+        self,
+        turn: Turn,
+        entry: Entry | None,
+        homes: _Homes,
+        ready: Sequence[Worker],
+        first: Worker | None = None,
     ) -> list[_Offer]:
-        """The award's winner, the prefix's own workers and one more of its order, the holder, and a few drawn ones."""
-        shared = self._shared(turn, ready[0]) if entry is None else self._reused(turn)
-        homes = self._prefix_workers(turn, shared, ready, 1)
-        drawn = self._settings.drawn_beside if homes else self._settings.told_candidates
+        """That of the first worker, of the prefix's own ones, of the holder, and of a few drawn ones."""
+        drawn = self._settings.drawn_beside if homes.workers else self._settings.told_candidates
+        compared = self._compared(entry, homes.workers, drawn, ready)
+        if first is not None:
+            compared = [first, *(worker for worker in compared if worker.instance != first.instance)]
         known = self._known(ready[0].pool, turn)
-        # Where nobody is known to keep the prefix, all routers lean to the same workers.
-        leant_to = homes[: max(1, len(homes) - 1)] if entry is None else []
-        shared_tokens, likely_kept = _told(shared), self._likely_kept(shared, known)
+        likely_kept = self._likely_kept(homes.shared_tokens, known)
         offers = []
-        first = [] if winner is None else [winner]
-        for worker in self._compared(entry, [*first, *homes], drawn, ready):
+        for worker in compared:
             load = self._workload.load(worker)
             kept = float(self._kept(turn, entry, worker, known))
-            if worker in leant_to:
+            if worker in homes.leant_to:
                 kept = max(kept, likely_kept)
             slot_wait = self._workload.wait_at(worker, load)
-            again = self._reread_cost(turn, worker, shared_tokens - kept)
+            again = self._reread_cost(turn, worker, homes.shared_tokens - kept)
             offers.append(_Offer(worker, load, turn.prompt_tokens - kept, slot_wait, again))
         return offers
 
@@ -239,8 +264,9 @@
     ) -> list[Worker]:
         """Each once: the holder, the given ones and some drawn."""
         found = list(homes)
-        if entry is not None:
-            found.extend(worker for worker in ready if worker.instance == entry.holder)
+        holder = _holder(entry, ready)
+        if holder is not None:
+            found.append(holder)
         found.extend(self._context.random.sample(list(ready), min(drawn, len(ready))))
         return list({worker.instance: worker for worker in found}.values())
 
@@ -340,5 +366,11 @@
         self._queues.forget(instance)
 
 
+def _holder(entry: Entry | None, ready: Sequence[Worker]) -> Worker | None:
+    if entry is None:
+        return None
+    return next((worker for worker in ready if worker.instance == entry.holder), None)
+
+
 def _told(parts: Sequence[PromptPart]) -> int:
     return sum(part.tokens for part in parts)
