Told placement bench: memory-bound shapes, and each mechanism switched off alone

Ablation needs one switch for each mechanism: keeping long streams apart becomes a setting (apart_most 0.34 as before, 0: off). Shapes: 12 workers of 305,000 tokens, 1,636 subjects of 3,800 tokens, as usual, at 1.5 and 2 times the summaries, and with 2 dark workers.

--- a/bench/told_placement_bench.py
+++ b/bench/told_placement_bench.py
@@ -13,7 +13,7 @@
 import json
 import statistics
 import time
-from collections.abc import Sequence
+from collections.abc import Callable, Sequence
 from functools import partial
 from pathlib import Path
 from random import Random
@@ -81,6 +81,15 @@
 
 SMALL_CACHE = Engine(tokens_per_event=32)
 LARGE_CACHE = Engine(slots=16, cache_tokens=900_000, step=0.0006, prefill_per_token=1 / 350_000, tokens_per_event=48)
+MEMORY_BOUND = Engine(
+    cache_tokens=305_000,
+    step=0.0006,
+    step_per_stream=0.0000017,
+    prefill_per_token=1 / 290_000,
+    chunk=1024,
+    tokens_per_event=50,
+)
+"""Engines whose caches the subjects of one pool more than fill: 12 of them keep 3.7 of 6.2 million part tokens."""
 SKEW = 0.25
 """The n-th most frequent subject or session comes in proportion to n to the power of minus this."""
 
@@ -410,12 +419,47 @@
     }
     for name, shape in list(troubles.items()):
         troubles[f"{name}-large"] = msgspec.structs.replace(shape, engine=LARGE_CACHE, chats=5.0)
+    bound = Shape(workers=12, engine=MEMORY_BOUND, summaries=144.0, chats=15.0, subjects=1636)
+    troubles["memory"] = bound
+    troubles["memory-burst"] = msgspec.structs.replace(bound, burst=1.5)
+    troubles["memory-burst-2"] = msgspec.structs.replace(bound, burst=2.0)
+    troubles["memory-dark"] = msgspec.structs.replace(bound, dark=2)
     return {
         name: {policy: msgspec.structs.replace(shape, policy=policy) for policy in POLICIES}
         for name, shape in troubles.items()
     }
 
 
+ABLATIONS: dict[str, tuple[str, dict[str, Any]]] = {
+    "as it is": ("award", {}),
+    "no queue keepers": ("award-alone", {}),
+    "no session map: each router's own records": ("award-local", {}),
+    "no session map and no records": ("award-no-map", {}),
+    "sizes not told": ("award-guessed", {}),
+    "long streams not kept apart": ("award", {"apart_most": 0.0}),
+    "no cost of reading shared parts again": ("award", {"reread_cost": 0.0}),
+    "no cost of risked objectives and pauses": ("award", {"risk_cost": 0.0}),
+    "no harm to streams beside": ("award", {"harm": 0.0}),
+    "no trust in a prefix's first worker": ("award", {"home_trust": 0.0}),
+    "a prefix never spreads": ("award", {"prefix_use": 1e6}),
+    "no margin for the holder": ("award", {"told_move_gain": 0.0}),
+    "one worker drawn beside": ("award", {"drawn_beside": 1}),
+    "other zones cost nothing": ("award", {"other_zone": 0.0}),
+}
+"""Each mechanism switched off alone: the policy and the settings that do so."""
+
+
+def ablation_rows(shape: Shape) -> dict[str, Callable[[int], dict[str, float]]]:
+    """One row for each mechanism switched off, under the shape's trouble."""
+    return {
+        name: partial(
+            figures_of,
+            msgspec.structs.replace(shape, policy=policy, settings=msgspec.structs.replace(shape.settings, **changes)),
+        )
+        for name, (policy, changes) in ABLATIONS.items()
+    }
+
+
 def processor_time(workers: int, turns: int = 3000) -> list[float]:
     """Sorted seconds of choose, begun and finished together, of one router with a map of its own."""
     run = Run(Shape(policy="award-local", workers=workers), 1)
@@ -469,9 +513,15 @@
 @click.option("--policy", "policies", multiple=True, help="Which policies; else all.")
 @click.option("--seeds", default=3, show_default=True)
 @click.option("--set", "changes", multiple=True, help="NAME=VALUE of AwardSettings.")
+@click.option("--ablation", is_flag=True, help="Each mechanism switched off alone, instead of the policies.")
 @click.option("--json", "json_file", type=click.Path(path_type=Path), help="Writes all figures there.")
 def main(
-    names: tuple[str, ...], policies: tuple[str, ...], seeds: int, changes: tuple[str, ...], json_file: Path | None
+    names: tuple[str, ...],
+    policies: tuple[str, ...],
+    seeds: int,
+    changes: tuple[str, ...],
+    ablation: bool,
+    json_file: Path | None,
 ) -> None:
     """Prints a table per trouble: means over the seeds."""
     if "processor" in names:
@@ -484,6 +534,10 @@
     settings = msgspec.structs.replace(AwardSettings(), **changed)
     table = Table(COLUMNS, seeds)
     for name in [name for name in names if name != "processor"] or ([] if names else list(found)):
+        if ablation:
+            bound = msgspec.structs.replace(found[name]["award"], settings=settings)
+            table.print(name, f"{name}: {seeds} seeds, each switched off alone", ablation_rows(bound))
+            continue
         rows = {
             policy: partial(figures_of, msgspec.structs.replace(shape, settings=settings))
             for policy, shape in found[name].items()
--- a/wingwood/placement/award_placement.py
+++ b/wingwood/placement/award_placement.py
@@ -78,7 +78,9 @@
         self._pressure = Pressure(self._settings.pressure_most)
         self._urgent = UrgentPlaces(self._settings.less_urgent_places)
         orders = PrefixOrders()
-        self._long_streams = LongStreams(context.clock, context.random, exchange, orders, self._queues)
+        self._long_streams = LongStreams(
+            context.clock, context.random, exchange, orders, self._queues, self._settings.apart_most
+        )
         self._workload.long_streams = self._long_streams.own
         self._guessed = GuessedBids(context, membership, self._workload, self._pressure, orders, self._settings)
         self._told = ToldBids(
--- a/wingwood/placement/long_streams.py
+++ b/wingwood/placement/long_streams.py
@@ -30,8 +30,6 @@
 SPREAD_TO = 0.68
 """Mean share of the slots that long streams take at the workers that they share."""
 DRAWN = 2
-APART_MOST = 0.34
-"""Share of a pool's workers that other turns leave alone at most."""
 KEPT_APART_FOR = Seconds(10.0)
 """How long after the last long stream of a pool its first worker is still kept free."""
 OVERFULL_WAIT = Seconds(0.12)
@@ -48,19 +46,26 @@
         exchange: EngagementExchange,
         orders: PrefixOrders,
         queues: PrefillQueues,
+        apart_most: float,
     ) -> None:
+        """``apart_most``: share of a pool's workers that other turns leave alone at most."""
         self._clock = clock
         self._random = random
         self._exchange = exchange
         self._orders = orders
         self._queues = queues
+        self._apart_most = apart_most
         self._running: dict[RequestId, WorkerInstance] = {}
         self._own: Counter[WorkerInstance] = Counter()
         self._last_seen: dict[PoolName, Instant] = {}
 
     def is_long(self, turn: Turn) -> bool:
         """Only where sizes are told."""
-        if not turn.parts or turn.generate_tokens < LONG_STREAM_TOKENS or not turn.service.streaming:
+        if (
+            not (turn.parts and self._apart_most)
+            or turn.generate_tokens < LONG_STREAM_TOKENS
+            or not turn.service.streaming
+        ):
             return False
         return turn.prompt_tokens <= PROMPT_RATIO * turn.generate_tokens
 
@@ -133,7 +138,7 @@
 
     def _kept_apart(self, order: Sequence[Worker], now: Instant) -> set[WorkerInstance]:
         """Workers in the order of the streams' filling, as long as they hold some."""
-        most = int(APART_MOST * len(order))
+        most = int(self._apart_most * len(order))
         lately = now - self._last_seen.get(order[0].pool, Instant(float("-inf"))) <= KEPT_APART_FOR
         apart: set[WorkerInstance] = set()
         for place, worker in enumerate(order[:most]):
--- a/wingwood/placement/settings.py
+++ b/wingwood/placement/settings.py
@@ -46,6 +46,8 @@
     """Weight of the time by which a prefill holds up each stream that runs beside it."""
     other_zone: Seconds = Seconds(0.003)
     """What a worker in another zone costs: the way there and back, and its bytes."""
+    apart_most: float = 0.34
+    """Share of a pool's workers that other turns leave to long streams at most; 0: they are not kept apart."""
     candidates: int = 3
     """Workers drawn for a session without a shared prefix."""
     told_candidates: int = 5
--- a/wingwood/placement/tests/test_long_streams.py
+++ b/wingwood/placement/tests/test_long_streams.py
@@ -6,8 +6,9 @@
 from collections import Counter
 
 from wingwood.identifiers import Seconds, WorkerInstance
-from wingwood.placement.long_streams import APART_MOST, FILLED_TO, KEPT_APART_FOR, SPREAD_TO
+from wingwood.placement.long_streams import FILLED_TO, KEPT_APART_FOR, SPREAD_TO
 from wingwood.placement.protocols import Choice, Turn
+from wingwood.placement.settings import AwardSettings
 from wingwood.registry.protocols import Engagement
 
 from .one_router import POOL, OneRouter, told_turn
@@ -104,7 +105,7 @@
             self.router.told[worker.instance] = Engagement(2.0, 0.0, 0.0, 2.0)
         self.start(1)
         taken = {self.router.take(summary(number)).worker.instance for number in range(200)}
-        self.assertGreaterEqual(len(taken), 9 - int(APART_MOST * 9))
+        self.assertGreaterEqual(len(taken), 9 - int(AwardSettings().apart_most * 9))
 
     def test_worker_that_is_behind_with_its_prompts_gets_no_long_stream(self) -> None:
         first = self.router.choose(chat(1)).worker.instance
