--- a/wingwood/placement/queue_keepers.py
+++ b/wingwood/placement/queue_keepers.py
@@ -93,8 +93,12 @@
         return question.awarded and self.wait(winner.worker) + winner.prefill <= question.risked_from
 
     def _cheapest(self, question: JoinQueue) -> int:
-        costs = [self._cost(question, offer) for offer in question.offers]
-        return min(range(len(costs)), key=costs.__getitem__)
+        costs = {
+            number: self._cost(question, offer)
+            for number, offer in enumerate(question.offers)
+            if self.wait(offer.worker) + offer.prefill <= offer.longest
+        }
+        return min(costs, key=costs.__getitem__, default=0)
 
     def _cost(self, question: JoinQueue, offer: QueueOffer) -> float:
         return queued_cost(
