Placement: workers of long streams take no prompts again; groups follow from the pool's size

What stays of it: how many groups a pool's queue keepers share follows from the pool's ready workers, not from those that a turn may go to, or two routers could ask different keepers about one worker.

--- a/wingwood/placement/award_placement.py
+++ b/wingwood/placement/award_placement.py
@@ -131,10 +131,8 @@
                 return Failure(NoWorker("none-ready", NONE_READY_RETRY))
             if all(self._workload.is_full(worker, places) for worker in ready):
                 return Failure(self._all_full(ready))
-            willing = self._workload.willing(ready)
-            candidates = self._long_streams.candidates(turn, willing)
-            lent = self._long_streams.lent(turn, willing, candidates)
-            choice = await self._choose_among(turn, key, entry, candidates, lent)
+            candidates = self._long_streams.candidates(turn, self._workload.willing(ready))
+            choice = await self._choose_among(turn, key, entry, candidates)
             if self._too_late(turn, choice, ready):
                 self._told.unsent(turn.request)
                 return Failure(self._all_full(ready))
@@ -158,22 +156,16 @@
         return self._told if turn.parts else self._guessed
 
     async def _choose_among(
-        self,
-        turn: Turn,
-        key: int | None,
-        entry: Entry | Unreachable | None,
-        ready: Sequence[Worker],
-        lent: Sequence[Worker],
+        self, turn: Turn, key: int | None, entry: Entry | Unreachable | None, ready: Sequence[Worker]
     ) -> Choice:
-        """``lent``: workers beside the ready ones that take the turn only while their prefill queues are short."""
         if key is None or not any(worker.cache_tokens for worker in ready):
             return self._choice(turn, entry, self._least_loaded(ready), "policy")
         if isinstance(entry, Unreachable):
             return self._choice(turn, entry, self._agreed(key, ready), "hash")
         winner = self._winner(turn, entry, ready)
         if winner is None:
-            return await self._bid(turn, entry, ready, lent)
-        joined = await self._told.join(turn, entry, ready, winner, lent) if turn.parts else None
+            return await self._bid(turn, entry, ready)
+        joined = await self._told.join(turn, entry, ready, winner) if turn.parts else None
         if joined is not None:
             how: How = "award" if joined.worker is winner else "bid"
             forecast = joined.forecast
@@ -192,7 +184,7 @@
         winner = next((worker for worker in ready if worker.instance == entry.winner), None)
         return winner if winner is not None and self._in_time(turn, entry, winner, ready) else None
 
-    async def _bid(self, turn: Turn, entry: Entry | None, ready: Sequence[Worker], lent: Sequence[Worker]) -> Choice:
+    async def _bid(self, turn: Turn, entry: Entry | None, ready: Sequence[Worker]) -> Choice:
         """The session's holder counts only where it is ready and keeps something of the prompt."""
         if self._long_streams.is_long(turn):
             return self._stream_choice(turn, entry, self._long_streams.pick(ready))
@@ -200,7 +192,7 @@
         holder = None if entry is None else next((one for one in ready if one.instance == entry.holder), None)
         if holder is None or bidder.kept_tokens(turn, entry, holder) <= 0:
             holder = entry = None
-        joined = await self._told.join(turn, entry, ready, lent=lent) if turn.parts else None
+        joined = await self._told.join(turn, entry, ready) if turn.parts else None
         worker = bidder.bid(turn, entry, ready) if joined is None else joined.worker
         if holder is None:
             how: How = "claim" if bidder.kept_tokens(turn, None, worker) > 0 else "bid"
--- a/wingwood/placement/long_streams.py
+++ b/wingwood/placement/long_streams.py
@@ -101,13 +101,6 @@
             return self._with_room(turn, order) or ready
         return self._others(order, now) or ready
 
-    def lent(self, turn: Turn, ready: Sequence[Worker], candidates: Sequence[Worker]) -> Sequence[Worker]:
-        """The workers left to long streams, which take other turns too as long as their prefill queues are short."""
-        if not turn.parts or self.is_long(turn):
-            return ()
-        compared = {worker.instance for worker in candidates}
-        return [worker for worker in ready if worker.instance not in compared]
-
     def pick(self, candidates: Sequence[Worker]) -> Worker:
         """The worker for a long stream: of two drawn ones the one with fewer of them."""
         drawn = self._random.sample(list(candidates), min(DRAWN, len(candidates)))
--- a/wingwood/placement/messages.py
+++ b/wingwood/placement/messages.py
@@ -6,8 +6,6 @@
 
 from ..identifiers import PoolName, Seconds, WorkerInstance
 
-NO_BOUND = Seconds(1e9)
-
 
 class SessionNote(msgspec.Struct, frozen=True, array_like=True):
     """Where a session's prefix probably is (claim), and who won its next turn (award).
@@ -57,8 +55,6 @@
     """How long its prompt takes there."""
     beside: float
     """What going there costs in seconds beside the wait in the prefill queue and the prefill."""
-    longest: Seconds = NO_BOUND
-    """Open only while wait and prefill take no longer: long streams run there."""
 
 
 class JoinQueue(msgspec.Struct, frozen=True, array_like=True):
--- a/wingwood/placement/queue_keepers.py
+++ b/wingwood/placement/queue_keepers.py
@@ -37,8 +37,8 @@
 
 
 class QueueKeepers(Protocol):
-    def group(self, worker: Worker, ready: Sequence[Worker]) -> Sequence[Worker]:
-        """Of its pool's ready workers those that have the worker's keeper."""
+    def group(self, worker: Worker, ready: Sequence[Worker], pool_size: int) -> Sequence[Worker]:
+        """Of these workers of its pool, which has so many in all, those that have the worker's keeper."""
         ...
 
     async def join(self, question: JoinQueue) -> QueueJoined | None:
@@ -53,7 +53,7 @@
 class NoQueueKeepers:
     """Each router goes by what it knows itself."""
 
-    def group(self, worker: Worker, ready: Sequence[Worker]) -> Sequence[Worker]:
+    def group(self, worker: Worker, ready: Sequence[Worker], pool_size: int) -> Sequence[Worker]:
         return ready
 
     async def join(self, question: JoinQueue) -> QueueJoined | None:
@@ -93,12 +93,8 @@
         return question.awarded and self.wait(winner.worker) + winner.prefill <= question.risked_from
 
     def _cheapest(self, question: JoinQueue) -> int:
-        costs = {
-            number: self._cost(question, offer)
-            for number, offer in enumerate(question.offers)
-            if self.wait(offer.worker) + offer.prefill <= offer.longest
-        }
-        return min(costs, key=costs.__getitem__, default=0)
+        costs = [self._cost(question, offer) for offer in question.offers]
+        return min(range(len(costs)), key=costs.__getitem__)
 
     def _cost(self, question: JoinQueue, offer: QueueOffer) -> float:
         return queued_cost(
@@ -126,9 +122,9 @@
         messenger.on_post(QueueEntry, self._on_entry)
         membership.on_change(self._keepers.clear)
 
-    def group(self, worker: Worker, ready: Sequence[Worker]) -> Sequence[Worker]:
+    def group(self, worker: Worker, ready: Sequence[Worker], pool_size: int) -> Sequence[Worker]:
         pool = worker.pool
-        groups = self._groups[pool] = max(1, -(-len(ready) // GROUP_WORKERS))
+        groups = self._groups[pool] = max(1, -(-pool_size // GROUP_WORKERS))
         if groups == 1:
             return ready
         number = self._group_of(pool, worker.instance)
--- a/wingwood/placement/told_bids.py
+++ b/wingwood/placement/told_bids.py
@@ -12,7 +12,7 @@
 from ..membership.protocols import Membership
 from ..registry.protocols import Worker
 from .bids import Forecast, Pressure, cheapest, queued_cost
-from .messages import NO_BOUND, JoinQueue, QueueEntry, QueueOffer
+from .messages import JoinQueue, QueueEntry, QueueOffer
 from .prefill_estimates import PrefillQueues
 from .prefix_order import PrefixOrders
 from .protocols import PromptPart, Turn
@@ -156,40 +156,27 @@
 
     def bid(self, turn: Turn, entry: Entry | None, ready: Sequence[Worker]) -> Worker:
         """By what this router knows of the queues."""
-        homes = self._homes(turn, entry, ready)
-        offers = self._offers(turn, entry, homes, self._compared(entry, homes.workers, homes, ready))
+        offers = self._offers(turn, entry, self._homes(turn, entry, ready), ready)
         bids = [(self._offered_cost(turn, offer), offer.worker) for offer in offers]
         return cheapest(bids, None if entry is None else entry.holder, self._settings.told_move_gain)
 
     async def join(
-        self,
-        turn: Turn,
-        entry: Entry | None,
-        ready: Sequence[Worker],
-        winner: Worker | None = None,
-        lent: Sequence[Worker] = (),
+        self, turn: Turn, entry: Entry | None, ready: Sequence[Worker], winner: Worker | None = None
     ) -> Joined | None:
         """By what the queue keeper knows; None where there is little to prefill, or no keeper answers.
 
         ``winner``: that of a standing award, which takes the turn unless its queue risks the objective.
-        ``lent``: workers that take it only while that risks no pause of the long streams there.
         """
         if self._queues.prefill(ready[0], turn.prompt_tokens) < QUEUED_LEAST:
             return None
         homes = self._homes(turn, entry, ready)
         first = winner or _holder(entry, ready) or next(iter(homes.workers), None) or self._context.random.choice(ready)
-        grouped = {worker.instance for worker in self._keepers.group(first, [*ready, *lent])}
-        own = [worker for worker in ready if worker.instance in grouped]
-        compared = self._compared(entry, [first, *homes.among(own).workers], homes, own)
-        offers = self._offers(turn, entry, homes, compared)
-        asked = [self._queue_offer(turn, offer) for offer in offers]
-        lent_offers = self._lent_offers(turn, [worker for worker in lent if worker.instance in grouped])
-        asked += [self._bounded_offer(turn, offer) for offer in lent_offers]
-        offers += lent_offers
+        grouped = self._keepers.group(first, ready, self._workload.pool_size(first.pool))
+        offers = self._offers(turn, entry, homes.among(grouped), grouped, first)
         pool = ready[0].pool
         question = JoinQueue(
             pool=pool,
-            offers=tuple(asked),
+            offers=tuple(self._queue_offer(turn, offer) for offer in offers),
             pressure=self._pressure.of(pool, turn.weight),
             risked_from=self._risked_from(turn, ready[0]),
             risk_cost=self._settings.risk_cost,
@@ -210,10 +197,20 @@
         leant_to = workers[: max(1, len(workers) - 1)] if entry is None else []
         return _Homes(workers, leant_to, _told(shared))
 
-    def _offers(self, turn: Turn, entry: Entry | None, homes: _Homes, compared: Sequence[Worker]) -> list[_Offer]:
-        if not compared:
-            return []
-        known = self._known(compared[0].pool, turn)
+    def _offers(
+        self,
+        turn: Turn,
+        entry: Entry | None,
+        homes: _Homes,
+        ready: Sequence[Worker],
+        first: Worker | None = None,
+    ) -> list[_Offer]:
+        """That of the first worker, of the prefix's own ones, of the holder, and of a few drawn ones."""
+        drawn = self._settings.drawn_beside if homes.workers else self._settings.told_candidates
+        compared = self._compared(entry, homes.workers, drawn, ready)
+        if first is not None:
+            compared = [first, *(worker for worker in compared if worker.instance != first.instance)]
+        known = self._known(ready[0].pool, turn)
         likely_kept = self._likely_kept(homes.shared_tokens, known)
         offers = []
         for worker in compared:
@@ -226,18 +223,6 @@
             offers.append(_Offer(worker, load, turn.prompt_tokens - kept, slot_wait, again))
         return offers
 
-    def _lent_offers(self, turn: Turn, lent: Sequence[Worker]) -> list[_Offer]:
-        """Those of a few drawn ones."""
-        if turn.service.longest_pause is None:
-            return []
-        drawn = self._context.random.sample(list(lent), min(self._settings.drawn_beside, len(lent)))
-        return self._offers(turn, None, _Homes((), (), _told(self._reused(turn))), drawn)
-
-    def _bounded_offer(self, turn: Turn, offer: _Offer) -> QueueOffer:
-        pause = turn.service.longest_pause or NO_BOUND
-        longest = Seconds(pause * self._settings.pause_risked)
-        return msgspec.structs.replace(self._queue_offer(turn, offer), longest=longest)
-
     def _queue_offer(self, turn: Turn, offer: _Offer) -> QueueOffer:
         worker = offer.worker
         prefill = self._queues.prefill(worker, offer.uncached)
@@ -251,7 +236,7 @@
 
     def soonest(self, turn: Turn, entry: Entry | None, ready: Sequence[Worker]) -> Seconds:
         homes = self._prefix_workers(turn, self._reused(turn), ready, 1)
-        compared = self._with_drawn(entry, homes, self._settings.told_candidates, ready)
+        compared = self._compared(entry, homes, self._settings.told_candidates, ready)
         return min(self.forecast(turn, entry, worker).first_token for worker in compared)
 
     def bid_ahead(self, turn: Turn, entry: Entry, ready: Sequence[Worker]) -> Worker:
@@ -261,7 +246,7 @@
         """
         homes = self._prefix_workers(turn, self._reused(turn), ready, 0)
         drawn = 0 if len(homes) > 1 else self._settings.drawn_beside
-        compared = self._with_drawn(entry, homes, drawn, ready)
+        compared = self._compared(entry, homes, drawn, ready)
         stays = entry.holder if drawn else None
         if not drawn:
             compared = self._context.random.sample(compared, 2)
@@ -275,16 +260,10 @@
         return cheapest(bids, stays, self._settings.told_move_gain)
 
     def _compared(
-        self, entry: Entry | None, given: Sequence[Worker], homes: _Homes, ready: Sequence[Worker]
-    ) -> list[Worker]:
-        """Each once: the given ones, the holder and some drawn, more of them where the prefix has no workers."""
-        drawn = self._settings.drawn_beside if homes.workers else self._settings.told_candidates
-        return self._with_drawn(entry, given, drawn, ready)
-
-    def _with_drawn(
-        self, entry: Entry | None, given: Sequence[Worker], drawn: int, ready: Sequence[Worker]
+        self, entry: Entry | None, homes: Sequence[Worker], drawn: int, ready: Sequence[Worker]
     ) -> list[Worker]:
-        found = list(given)
+        """Each once: the holder, the given ones and some drawn."""
+        found = list(homes)
         holder = _holder(entry, ready)
         if holder is not None:
             found.append(holder)
--- a/wingwood/placement/worker_estimates.py
+++ b/wingwood/placement/worker_estimates.py
@@ -151,6 +151,10 @@
         self._turning[pool] = (now, share)
         return share
 
+    def pool_size(self, pool: PoolName) -> int:
+        """Its ready workers."""
+        return len(self._registry.ready(pool))
+
     def is_full(self, worker: Worker, places: float = 1.0) -> bool:
         """``places``: the share of its places that count for the turn."""
         return self.load(worker) >= places * FULL_AT * worker.slots
