--- a/wingwood/placement/award_placement.py
+++ b/wingwood/placement/award_placement.py
@@ -78,7 +78,9 @@
         self._pressure = Pressure(self._settings.pressure_most)
         self._urgent = UrgentPlaces(self._settings.less_urgent_places)
         orders = PrefixOrders()
-        self._long_streams = LongStreams(context.clock, exchange, orders, self._queues)
+        self._long_streams = LongStreams(
+            context.clock, context.random, exchange, orders, self._queues, self._settings.apart_most
+        )
         self._workload.long_streams = self._long_streams.own
         self._guessed = GuessedBids(context, membership, self._workload, self._pressure, orders, self._settings)
         self._told = ToldBids(
@@ -161,12 +163,19 @@
         if isinstance(entry, Unreachable):
             return self._choice(turn, entry, self._agreed(key, ready), "hash")
         winner = self._winner(turn, entry, ready)
-        if winner is not None:
-            choice = self._choice(turn, entry, winner, "award")
-            if turn.parts:
-                self._told.awarded(turn, winner, choice.uncached_tokens)
-            return choice
-        return await self._bid(turn, entry, ready)
+        if winner is None:
+            return await self._bid(turn, entry, ready)
+        joined = await self._told.join(turn, entry, ready, winner) if turn.parts else None
+        if joined is not None:
+            how: How = "award" if joined.worker is winner else "bid"
+            forecast = joined.forecast
+            return Choice(
+                worker=joined.worker, how=how, first_token=forecast.first_token, uncached_tokens=forecast.uncached
+            )
+        choice = self._choice(turn, entry, winner, "award")
+        if turn.parts:
+            self._told.enter(turn, winner, choice.uncached_tokens)
+        return choice
 
     def _winner(self, turn: Turn, entry: Entry | None, ready: Sequence[Worker]) -> Worker | None:
         """The standing award's, as long as it is ready and not too crowded."""
@@ -177,6 +186,8 @@
 
     async def _bid(self, turn: Turn, entry: Entry | None, ready: Sequence[Worker]) -> Choice:
         """The session's holder counts only where it is ready and keeps something of the prompt."""
+        if self._long_streams.is_long(turn):
+            return self._stream_choice(turn, entry, self._long_streams.pick(ready))
         bidder = self._bidder(turn)
         holder = None if entry is None else next((one for one in ready if one.instance == entry.holder), None)
         if holder is None or bidder.kept_tokens(turn, entry, holder) <= 0:
@@ -190,6 +201,13 @@
         forecast = bidder.forecast(turn, entry, worker) if joined is None else joined.forecast
         return Choice(worker=worker, how=how, first_token=forecast.first_token, uncached_tokens=forecast.uncached)
 
+    def _stream_choice(self, turn: Turn, entry: Entry | None, worker: Worker) -> Choice:
+        """A long stream's worker follows from the streams there, not from what its prompt costs."""
+        how: How = "claim" if entry is not None and entry.holder == worker.instance else "bid"
+        choice = self._choice(turn, entry, worker, how)
+        self._told.enter(turn, worker, choice.uncached_tokens)
+        return choice
+
     def _in_time(self, turn: Turn, entry: Entry | None, winner: Worker, ready: Sequence[Worker]) -> bool:
         """Whether the award's winner may keep the turn though it may be crowded.
 
@@ -300,7 +318,10 @@
         ready = self._registry.ready(holder.pool)
         if ready:
             candidates = self._long_streams.candidates(next_turn, ready)
-            winner = self._bidder(turn).bid_ahead(next_turn, entry, candidates)
+            if self._long_streams.is_long(next_turn):
+                winner = self._long_streams.pick(candidates)
+            else:
+                winner = self._bidder(turn).bid_ahead(next_turn, entry, candidates)
             entry.winner = winner.instance
             entry.award_until = Instant(now + self._settings.award_for)
             self.counts["awards"] += 1
--- a/wingwood/placement/queue_keepers.py
+++ b/wingwood/placement/queue_keepers.py
@@ -11,6 +11,7 @@
 import hashlib
 from collections import OrderedDict
 from collections.abc import Sequence
+from functools import lru_cache
 from typing import Protocol
 
 from returns.result import Success
@@ -32,11 +33,12 @@
 KEEPERS_ASKED = 2
 """The keeper and its stand-in."""
 QUEUES_MOST = 30_000
+NUMBERS_MOST = 30_000
 
 
 class QueueKeepers(Protocol):
-    def group(self, workers: Sequence[Worker], ready: int) -> Sequence[Worker]:
-        """Of workers of one pool, which has ``ready`` ones in all, those that have the first one's keeper."""
+    def group(self, worker: Worker, ready: Sequence[Worker], pool_size: int) -> Sequence[Worker]:
+        """Of these workers of its pool, which has so many in all, those that have the worker's keeper."""
         ...
 
     async def join(self, question: JoinQueue) -> QueueJoined | None:
@@ -51,8 +53,8 @@
 class NoQueueKeepers:
     """Each router goes by what it knows itself."""
 
-    def group(self, workers: Sequence[Worker], ready: int) -> Sequence[Worker]:
-        return workers
+    def group(self, worker: Worker, ready: Sequence[Worker], pool_size: int) -> Sequence[Worker]:
+        return ready
 
     async def join(self, question: JoinQueue) -> QueueJoined | None:
         return None
@@ -79,14 +81,21 @@
             self._free_at.popitem(last=False)
 
     def join(self, question: JoinQueue) -> QueueJoined:
-        """Takes the cheapest offer; counts the turn in there."""
-        costs = [self._cost(question, offer) for offer in question.offers]
-        chosen = min(range(len(costs)), key=costs.__getitem__)
+        """Takes the award's winner where it stands, else the cheapest offer; counts the turn in there."""
+        chosen = 0 if self._award_stands(question) else self._cheapest(question)
         offer = question.offers[chosen]
         wait = self.wait(offer.worker)
         self.enter(QueueEntry(question.pool, offer.worker, offer.prefill))
         return QueueJoined(chosen, wait)
 
+    def _award_stands(self, question: JoinQueue) -> bool:
+        winner = question.offers[0]
+        return question.awarded and self.wait(winner.worker) + winner.prefill <= question.risked_from
+
+    def _cheapest(self, question: JoinQueue) -> int:
+        costs = [self._cost(question, offer) for offer in question.offers]
+        return min(range(len(costs)), key=costs.__getitem__)
+
     def _cost(self, question: JoinQueue, offer: QueueOffer) -> float:
         return queued_cost(
             self.wait(offer.worker),
@@ -113,11 +122,13 @@
         messenger.on_post(QueueEntry, self._on_entry)
         membership.on_change(self._keepers.clear)
 
-    def group(self, workers: Sequence[Worker], ready: int) -> Sequence[Worker]:
-        pool = workers[0].pool
-        self._groups[pool] = max(1, -(-ready // GROUP_WORKERS))
-        first = self._group_of(pool, workers[0].instance)
-        return [worker for worker in workers if self._group_of(pool, worker.instance) == first]
+    def group(self, worker: Worker, ready: Sequence[Worker], pool_size: int) -> Sequence[Worker]:
+        pool = worker.pool
+        groups = self._groups[pool] = max(1, -(-pool_size // GROUP_WORKERS))
+        if groups == 1:
+            return ready
+        number = self._group_of(pool, worker.instance)
+        return [other for other in ready if self._group_of(pool, other.instance) == number]
 
     async def join(self, question: JoinQueue) -> QueueJoined | None:
         for keeper in self._keepers_of(question.pool, question.offers[0].worker):
@@ -159,8 +170,7 @@
         groups = self._groups.get(pool, 1)
         if groups == 1:
             return 0
-        digest = hashlib.blake2b(worker.encode(), digest_size=8).digest()
-        return int.from_bytes(digest, "big") % groups
+        return _number(worker) % groups
 
     def _keepers_of(self, pool: PoolName, worker: WorkerInstance) -> tuple[Identity, ...]:
         name = (pool, self._group_of(pool, worker))
@@ -169,3 +179,9 @@
             order = ranked(f"queue {name[0]} {name[1]}", self._membership.routers(), lambda router: router.name)
             keepers = self._keepers[name] = tuple(order[:KEEPERS_ASKED])
         return keepers
+
+
+@lru_cache(NUMBERS_MOST)
+def _number(worker: WorkerInstance) -> int:
+    """By which all routers share the workers out among the groups."""
+    return int.from_bytes(hashlib.blake2b(worker.encode(), digest_size=8).digest(), "big")
--- a/wingwood/placement/tests/test_queue_keepers.py
+++ b/wingwood/placement/tests/test_queue_keepers.py
@@ -4,6 +4,7 @@
 
 import unittest
 from collections import Counter
+from collections.abc import Sequence
 from functools import partial
 
 import msgspec
@@ -19,6 +20,7 @@
     PrefillQueueTimes,
     RouterQueueKeepers,
 )
+from wingwood.registry.protocols import Worker
 from wingwood.registry.tests.fleet import Fleet
 
 from .one_router import POOL, SUMMARY, ManualClock, OneRouter, told_turn
@@ -52,6 +54,15 @@
         taken = [self.times.join(question((FIRST, 0.0), (SECOND, 0.1), risked_from=1e6)).offer for _ in range(5)]
         self.assertEqual(taken, [0, 0, 0, 0, 1])
 
+    def test_award_stands_beside_a_cheaper_worker_until_its_queue_is_a_risk(self) -> None:
+        asked = msgspec.structs.replace(question((FIRST, 0.01), (SECOND, 0.0), risked_from=0.07), awarded=True)
+        taken = [self.times.join(asked).offer for _ in range(4)]
+        self.assertEqual(taken, [0, 0, 1, 1])
+
+    def test_award_whose_queue_is_a_risk_still_wins_where_all_others_cost_more(self) -> None:
+        asked = msgspec.structs.replace(question((FIRST, 0.0), (SECOND, 9.0), risked_from=0.0), awarded=True)
+        self.assertEqual(self.times.join(asked).offer, 0)
+
     def test_queue_is_worked_off_with_time(self) -> None:
         for _ in range(3):
             self.times.join(question((FIRST, 0.0)))
@@ -131,10 +142,43 @@
             for number in range(20 * GROUP_WORKERS)
         ]
         keepers = fleet.keepers["r0"]
-        group = keepers.group(workers, len(workers))
+        group = keepers.group(workers[0], workers, len(workers))
         self.assertIn(workers[0], group)
         self.assertLess(len(group), 2 * GROUP_WORKERS)
-        self.assertEqual(keepers.group(workers[:GROUP_WORKERS], GROUP_WORKERS), workers[:GROUP_WORKERS])
+        self.assertEqual(keepers.group(workers[0], workers[:GROUP_WORKERS], GROUP_WORKERS), workers[:GROUP_WORKERS])
+        # How many groups there are does not follow from which of its workers a turn may go to.
+        self.assertEqual(keepers.group(workers[0], workers[:1], len(workers)), workers[:1])
+        self.assertEqual(keepers._groups[POOL], 20)
+
+
+class HalfOfThem(NoQueueKeepers):
+    """A group is the workers whose number is even, or odd; notes what is asked."""
+
+    def __init__(self) -> None:
+        self.asked: list[JoinQueue] = []
+
+    def group(self, worker: Worker, ready: Sequence[Worker], pool_size: int) -> Sequence[Worker]:
+        return [other for other in ready if (_number(other) - _number(worker)) % 2 == 0]
+
+    async def join(self, question: JoinQueue) -> QueueJoined | None:
+        self.asked.append(question)
+        return QueueJoined(0, Seconds(0.0))
+
+
+def _number(worker: Worker) -> int:
+    return int(worker.instance.removeprefix("w"))
+
+
+class GroupTest(unittest.TestCase):
+    def test_drawn_workers_are_of_the_first_ones_group(self) -> None:
+        router = OneRouter(workers=20)
+        router.teach()
+        keepers = router.placement._told._keepers = HalfOfThem()
+        for number in range(20):
+            router.choose(told_turn(f"kind:2500 subject{number}:3800 own{number}:2900", 0))
+        for question in keepers.asked:
+            self.assertEqual(len({int(offer.worker[1:]) % 2 for offer in question.offers}), 1)
+            self.assertGreaterEqual(len(question.offers), 2)
 
 
 class KeptHere(NoQueueKeepers):
@@ -186,6 +230,22 @@
         self.assertEqual((again.how, again.worker), ("award", first.worker))
         self.assertGreater(self.kept.times.wait(first.worker.instance), 0.005)
 
+    def test_award_is_passed_over_behind_a_queue_that_only_the_keeper_sees(self) -> None:
+        first = self.router.take(told_turn("kind:2500 chat:3800", 2900))
+        self.router.clock.now += 1.0
+        self.kept.entered(QueueEntry(POOL, first.worker.instance, Seconds(0.3)))
+        again = self.router.choose(told_turn("kind:2500 chat:3800", 2900))
+        self.assertNotEqual(again.worker, first.worker)
+        self.assertEqual(again.how, "bid")
+        self.assertLess(again.first_token, 0.1)
+
+    def test_award_stands_behind_a_short_queue(self) -> None:
+        first = self.router.take(told_turn("kind:2500 chat:3800", 2900))
+        self.router.clock.now += 1.0
+        self.kept.entered(QueueEntry(POOL, first.worker.instance, Seconds(0.02)))
+        again = self.router.choose(told_turn("kind:2500 chat:3800", 2900))
+        self.assertEqual((again.how, again.worker), ("award", first.worker))
+
     def test_short_prompts_ask_nobody(self) -> None:
         self.router.choose(told_turn("chat:47 t:30", 140))
         self.assertEqual(len(self.router.placement._told._entered), 1)
