Observer of simulated runs: checks of calls, of configuration and of the fleet in modules of their own

One file of 710 lines held 22 checks of three kinds; now seen.py (what checks are given), call_checks.py, configuration_checks.py, fleet_checks.py (105 to 212 lines) and observer.py (50), which names and runs them. Moved only: no bound, check or expectation differs; test_observer and the scenarios pass. Nothing that is deployed changes.

--- /dev/null
+++ b/simulation/call_checks.py
@@ -0,0 +1,197 @@
+"""Checks of calls: runs, answers, streams and tries (docs/DESIGN.md section 16.3)."""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from collections import defaultdict
+
+from emulator.worker import word
+
+from .history import Attempt, SeenRun
+from .seen import Seen, Violation, at_attempt
+
+
+def call_runs_twice(seen: Seen) -> list[Violation]:
+    by_key: dict[str, list[SeenRun]] = defaultdict(list)
+    for run in seen.history.runs:
+        if run.idempotency_key:
+            by_key[run.idempotency_key].append(run)
+    seen.looked["call-runs-twice"] += len(by_key)
+    return [
+        Violation(
+            runs[1].started_at,
+            "call-runs-twice",
+            f"{key} ran {len(runs)} times: "
+            + ", ".join(f"{run.mark} at {run.worker} {run.started_at:.3f} ({run.outcome})" for run in runs),
+        )
+        for key, runs in by_key.items()
+        if len(runs) > 1
+    ]
+
+
+def told_not_run_but_ran(seen: Seen) -> list[Violation]:
+    found = []
+    for call in seen.history.calls:
+        for attempt in call.attempts:
+            if attempt.told_run != "not-run" or attempt.ended_at is None:
+                continue
+            seen.looked["told-not-run-but-ran"] += 1
+            for earlier in call.attempts[: attempt.number]:
+                if call.repeatable and earlier is not attempt:
+                    continue
+                for run in seen.runs_by_mark.get(earlier.mark, ()):
+                    found.append(
+                        Violation(
+                            attempt.ended_at,
+                            "told-not-run-but-ran",
+                            f"{attempt.mark} at {attempt.router} was told not-run ({attempt.code}) at "
+                            f"{attempt.ended_at:.3f}, but {run.mark} ran at {run.worker} from {run.started_at:.3f}",
+                        )
+                    )
+    return found
+
+
+def answer_of_another_call(seen: Seen) -> list[Violation]:
+    found = []
+    for attempt in seen.attempts:
+        seen.looked["answer-of-another-call"] += len(attempt.events) + bool(attempt.answer_call)
+        strange = [event.call for event in attempt.events if event.call != attempt.mark]
+        if strange or (attempt.from_worker and attempt.answer_call and attempt.answer_call != attempt.mark):
+            other = strange[0] if strange else attempt.answer_call
+            found.append(at_attempt(attempt, "answer-of-another-call", f"got pieces of {other}"))
+        if attempt.stray:
+            found.append(at_attempt(attempt, "answer-of-another-call", f"got stray bytes {attempt.stray[:60]!r}"))
+    return found
+
+
+def success_never_given(seen: Seen) -> list[Violation]:
+    found = []
+    for attempt in seen.attempts:
+        if not attempt.succeeded:
+            continue
+        seen.looked["success-never-given"] += 1
+        runs = seen.runs_by_mark.get(attempt.mark, [])
+        whole = [
+            run
+            for run in runs
+            if run.outcome == "whole" or (run.outcome == "running" and len(run.event_times) >= attempt.tokens)
+        ]
+        if not whole:
+            ends = ", ".join(f"{run.worker} {run.outcome}" for run in runs) or "no run"
+            found.append(at_attempt(attempt, "success-never-given", f"looks whole to the caller, but: {ends}"))
+    return found
+
+
+def cut_answer_looks_whole(seen: Seen) -> list[Violation]:
+    found = []
+    for attempt in seen.attempts:
+        if attempt.end != "whole" or attempt.status != 200 or attempt.code:
+            continue
+        seen.looked["cut-answer-looks-whole"] += 1
+        if attempt.tokens and not (attempt.done_marker and len(attempt.events) == attempt.tokens):
+            text = f"{len(attempt.events)} of {attempt.tokens} events, end marker {attempt.done_marker}"
+            found.append(at_attempt(attempt, "cut-answer-looks-whole", text))
+        if not attempt.tokens and not attempt.answer_call:
+            found.append(at_attempt(attempt, "cut-answer-looks-whole", "a plain answer that can't be read"))
+    return found
+
+
+def stream_out_of_order(seen: Seen) -> list[Violation]:
+    found = []
+    for attempt in seen.attempts:
+        indexes = [event.index for event in attempt.events]
+        seen.looked["stream-out-of-order"] += len(indexes)
+        if indexes != list(range(len(indexes))):
+            found.append(at_attempt(attempt, "stream-out-of-order", f"events came as {indexes[:40]}"))
+        elif any(event.text != word(event.index) for event in attempt.events):
+            found.append(at_attempt(attempt, "stream-out-of-order", "an event's text was changed"))
+    return found
+
+
+def piece_held(seen: Seen) -> list[Violation]:
+    found = []
+    for attempt in seen.attempts:
+        if not attempt.events:
+            continue
+        runs = [run for run in seen.runs_by_mark.get(attempt.mark, []) if run.started_at <= attempt.events[0].at]
+        if not runs:
+            continue
+        run = runs[-1]
+        worst, index = 0.0, 0
+        seen.looked["piece-held"] += len(attempt.events)
+        for number, event in enumerate(attempt.events[: len(run.event_times)]):
+            held = event.at - run.event_times[number]
+            if held > worst:
+                worst, index = held, number
+        if worst <= seen.bounds.piece_held:
+            continue
+        names = seen.with_machines(attempt.router, run.worker, attempt.caller_machine)
+        start, end = run.event_times[index], attempt.events[index].at
+        if not seen.history.disturbed(names, start, end, after=seen.bounds.retransmission):
+            found.append(
+                Violation(
+                    end, "piece-held", f"{attempt.mark} event {index} took {worst:.3f} s through {attempt.router}"
+                )
+            )
+    return found
+
+
+def works_for_a_caller_that_left(seen: Seen) -> list[Violation]:
+    """What was sent for a caller that left, or is worked on for it; calls that may not be repeated excepted."""
+    found = []
+    for call in seen.history.calls:
+        for attempt in call.attempts if call.repeatable else ():
+            if attempt.end != "gave-up" or attempt.ended_at is None:
+                continue
+            for at, worker, text in _work_after(seen, attempt, attempt.ended_at + seen.bounds.left):
+                names = seen.with_machines(attempt.router, worker, attempt.caller_machine)
+                if seen.history.disturbed(names, attempt.sent_at, at, after=seen.bounds.back_after):
+                    continue
+                found.append(at_attempt(attempt, "works-for-a-caller-that-left", f"{worker} {text}"))
+    return found
+
+
+def _work_after(seen: Seen, attempt: Attempt, limit: float) -> list[tuple[float, str, str]]:
+    """When, which worker, and what it still did; what ended in time counts as looked at."""
+    assert attempt.ended_at is not None
+    found = []
+    for arrival in seen.arrivals_by_mark.get(attempt.mark, ()):
+        seen.looked["works-for-a-caller-that-left"] += 1
+        if arrival.at > limit:
+            late = arrival.at - attempt.ended_at
+            found.append((arrival.at, arrival.worker, f"was sent the call {late:.2f} s after its caller left"))
+    for run in seen.runs_by_mark.get(attempt.mark, ()):
+        if run.finished_at is None or run.finished_at > limit:
+            until = "the end" if run.finished_at is None else f"{run.finished_at - attempt.ended_at:.2f} s later"
+            found.append((limit, run.worker, f"worked on it until {until}"))
+    return found
+
+
+def too_many_tries(seen: Seen) -> list[Violation]:
+    """Tries beyond the first, as workers saw them, against the calls that came to the routers."""
+    calls: dict[str, list[float]] = defaultdict(list)
+    tries: dict[str, list[float]] = defaultdict(list)
+    for attempt in seen.attempts:
+        if attempt.sent_bytes:
+            calls[attempt.service].append(attempt.sent_at)
+    for mark, arrivals in seen.arrivals_by_mark.items():
+        attempt_found = seen.attempt_of.get(mark)
+        if attempt_found is not None:
+            tries[attempt_found.service].extend(sorted(arrival.at for arrival in arrivals)[1:])
+    found = []
+    window, share, slack = seen.bounds.retry_window, seen.bounds.retry_share, seen.bounds.retry_slack
+    for service, times in tries.items():
+        seen.looked["too-many-tries"] += len(times)
+        times.sort()
+        begun = sorted(calls[service])
+        if len(times) > share * len(begun) + slack:
+            text = f"{service}: {len(times)} tries beyond the first for {len(begun)} calls in all"
+            found.append(Violation(seen.end, "too-many-tries", text))
+        for index, at in enumerate(times):
+            count = index + 1 - bisect_left(times, at - window)
+            offered = bisect_left(begun, at) - bisect_left(begun, at - 2 * window)
+            if count > share * offered + slack:
+                text = f"{service}: {count} tries beyond the first within {window:.0f} s, {offered} calls in twice that"
+                found.append(Violation(at, "too-many-tries", text))
+                break
+    return found
--- /dev/null
+++ b/simulation/fleet_checks.py
@@ -0,0 +1,173 @@
+"""Checks of the fleet: stops, drains, paid shares, service after faults (docs/DESIGN.md section 16.3)."""
+
+from __future__ import annotations
+
+from bisect import bisect_left
+from collections import defaultdict
+
+from .history import Attempt, Call, History, PaidShare
+from .seen import Seen, Violation
+
+SIGTERM = ("terminate",)
+SHARE_CODES = ("share-exceeded",)
+
+
+def stays_ready_when_stopped(seen: Seen) -> list[Violation]:
+    """Stricter than the users' rule, by which a quarter of the routers may count as ready for 4 s more."""
+    found = []
+    for stop in seen.history.stops:
+        until = stop.ended_at if stop.ended_at is not None else seen.end
+        names = seen.with_machines(stop.daemon)
+        for look in seen.history.ready:
+            if look.router != stop.daemon or not stop.asked_at + seen.bounds.unready <= look.asked_at < until:
+                continue
+            if seen.history.disturbed(names, stop.asked_at, look.asked_at, but=SIGTERM):
+                break
+            seen.looked["stays-ready-when-stopped"] += 1
+            if look.ready:
+                text = f"{stop.daemon} says that it is ready {look.asked_at - stop.asked_at:.2f} s after SIGTERM"
+                found.append(Violation(look.asked_at, "stays-ready-when-stopped", text))
+                break
+    return found
+
+
+def stop_takes_too_long(seen: Seen) -> list[Violation]:
+    found = []
+    for stop in seen.history.stops:
+        limit = stop.asked_at + seen.bounds.stop
+        if limit > seen.end:
+            continue
+        if seen.history.disturbed(seen.with_machines(stop.daemon), stop.asked_at, limit, but=SIGTERM):
+            continue
+        seen.looked["stop-takes-too-long"] += 1
+        if stop.ended_at is None or stop.ended_at > limit:
+            text = f"{stop.daemon} still runs {seen.bounds.stop:.1f} s after SIGTERM"
+            found.append(Violation(limit, "stop-takes-too-long", text))
+    return found
+
+
+def drained_worker_gets_turns(seen: Seen) -> list[Violation]:
+    found = []
+    for drain in seen.history.drains:
+        limits = []
+        if drain.acknowledged_at is not None:
+            limits.append(drain.acknowledged_at + seen.bounds.drained)
+        calm = seen.last_fault_ended(before=drain.begun_at + seen.bounds.drained)
+        if calm + seen.bounds.back_after < drain.begun_at:
+            limits.append(drain.begun_at + seen.bounds.drained)
+        if not limits:
+            continue
+        seen.looked["drained-worker-gets-turns"] += 1
+        for arrival in seen.history.arrivals:
+            if arrival.instance == drain.instance and arrival.at > min(limits):
+                late = arrival.at - drain.begun_at
+                text = f"{arrival.mark} came to {arrival.worker} {late:.2f} s after it began to drain"
+                found.append(Violation(arrival.at, "drained-worker-gets-turns", text))
+    return found
+
+
+class _Shares:
+    """Which paid shares of a tenant may have been in force when; each until 2 s after the next was acknowledged."""
+
+    def __init__(self, history: History, tenant: str, in_force: float) -> None:
+        self._spans: list[tuple[float, float, PaidShare]] = []
+        since, share = 0.0, history.first_shares[tenant]
+        for order in sorted(history.orders, key=lambda order: order.answers[0].asked_at if order.answers else 0.0):
+            if tenant not in order.paid_shares or not order.answers:
+                continue
+            begun = order.answers[0].asked_at
+            if order.accepted is not None:
+                self._spans.append((since, order.accepted.answered_at + in_force, share))
+                since, share = begun, order.paid_shares[tenant]
+            elif order.answers[-1].outcome in ("unknown", "lost"):
+                self._spans.append((begun, float("inf"), order.paid_shares[tenant]))
+        self._spans.append((since, float("inf"), share))
+
+    def between(self, start: float, end: float) -> list[PaidShare]:
+        return [share for since, until, share in self._spans if since <= end and until >= start]
+
+
+def paid_share_missed(seen: Seen) -> list[Violation]:
+    found = []
+    sent: dict[str, list[float]] = defaultdict(list)
+    let_in: dict[str, list[float]] = defaultdict(list)
+    for attempt in seen.attempts:
+        sent[attempt.tenant].append(attempt.sent_at)
+        if attempt.mark in seen.arrivals_by_mark:
+            let_in[attempt.tenant].append(attempt.sent_at)
+    bounds = seen.bounds
+    window = bounds.share_window
+    for tenant in seen.history.first_shares:
+        shares = _Shares(seen.history, tenant, bounds.in_force)
+        came = sorted(let_in[tenant])
+        offered = sorted(sent[tenant])
+        seen.looked["paid-share-missed"] += len(came)
+        for index, at in enumerate(came):
+            in_force = shares.between(at - window, at)
+            rate = max(share.paid_rate for share in in_force)
+            saved = max(share.paid_rate * share.burst for share in in_force)
+            count = index + 1 - bisect_left(came, at - window)
+            if count > bounds.share_past * rate * window + saved + 3:
+                text = f"{tenant}: {count} calls let in within {window:.0f} s; its share is {rate:g} a second"
+                found.append(Violation(at, "paid-share-missed", text))
+                break
+        for attempt in seen.attempts:
+            if attempt.tenant != tenant or attempt.status != 429 or attempt.code not in SHARE_CODES:
+                continue
+            at = attempt.sent_at
+            rate = min(share.paid_rate for share in shares.between(at - 3.0, at))
+            counts = [bisect_left(offered, at) + 1 - bisect_left(offered, at - span) for span in (1.0, 3.0)]
+            below = counts[0] < bounds.share_below * rate and counts[1] < bounds.share_below * rate * 3.0
+            if below and at > seen.last_fault_ended(at) + bounds.back_after:
+                text = (
+                    f"{attempt.mark} refused though {tenant} sent {counts} in 1 s, 3 s; its share is {rate:g} a second"
+                )
+                found.append(Violation(at, "paid-share-missed", text))
+                break
+    return found
+
+
+def service_not_back(seen: Seen) -> list[Violation]:
+    """Calls begun later than 12 s after the last fault succeed again (refusals above a tenant's share excepted)."""
+    since = seen.last_fault_ended() + seen.bounds.back_after
+    calls = [
+        call
+        for call in seen.history.calls
+        if call.begun_at >= since and call.ended_at is not None and not _over_share(call)
+    ]
+    seen.looked["service-not-back"] += len(calls)
+    failed = [call for call in calls if not call.succeeded]
+    found = _routers_not_back(seen, since)
+    if not calls or len(failed) <= max(seen.bounds.back_slack, (1.0 - seen.bounds.back_share) * len(calls)):
+        return found
+    first = failed[0]
+    ends = ", ".join(f"{each.router}: {each.end} {each.status or ''} {each.code}" for each in first.attempts)
+    ends = ends or "no ready router"
+    text = f"{len(failed)} of {len(calls)} calls failed after {since:.1f}; the first, {first.identifier}, by {ends}"
+    return [*found, Violation(first.begun_at, "service-not-back", text)]
+
+
+def _routers_not_back(seen: Seen, since: float) -> list[Violation]:
+    """Callers' second tries hide a router that the platform holds for ready and that serves a service no more."""
+    ends: dict[tuple[str, str], list[Attempt]] = defaultdict(list)
+    for attempt in seen.attempts:
+        stale = attempt.kept_connection and attempt.end == "broken" and attempt.status is None
+        if attempt.sent_at < since or attempt.ended_at is None or stale:
+            continue  # a kept connection to a machine that lost power breaks at its next use, whenever that is
+        if attempt.status not in (401, 403, 409, 429):
+            ends[attempt.router, attempt.service].append(attempt)
+    found = []
+    for (router, service), attempts in sorted(ends.items()):
+        failed = [attempt for attempt in attempts if not attempt.succeeded]
+        if len(failed) >= 2 and len(failed) > seen.bounds.router_failures * len(attempts):
+            first = failed[0]
+            text = (
+                f"{router} failed {len(failed)} of {len(attempts)} calls of {service} after {since:.1f}; "
+                f"the first, {first.mark}, by {first.end} {first.status or ''} {first.code}"
+            )
+            found.append(Violation(first.sent_at, "service-not-back", text))
+    return found
+
+
+def _over_share(call: Call) -> bool:
+    return any(attempt.status in (401, 403, 429) for attempt in call.attempts)
--- a/simulation/scenario.py
+++ b/simulation/scenario.py
@@ -33,8 +33,9 @@
 
 from .fleet import Builds, Fleet, network_shape, shape_named
 from .history import Attempt
-from .observer import CHECKS, Bounds, Places, Violation, judge
+from .observer import CHECKS, judge
 from .operators import Slices, put_slice, set_field
+from .seen import Bounds, Places, Violation
 from .world import World
 
 LONGEST_WAIT_FOR_FIRST_BUNDLE = 15.0
--- a/simulation/tests/test_observer.py
+++ b/simulation/tests/test_observer.py
@@ -26,7 +26,8 @@
     SeenStop,
     SeenVersion,
 )
-from simulation.observer import CHECKS, Bounds, Places, judge
+from simulation.observer import CHECKS, judge
+from simulation.seen import Bounds, Places
 
 PLACES = Places(
     machine_of={"router-1": "front-1", "control-1": "front-1", "model-1": "model-1"},
