Routers that start let calls wait for the bundle; state transfers are packed

A caller tries once more, at another router that starts too. Ruled out: holding calls at all routers without proof (a cut-off router can't expect one; its callers do better elsewhere), so only for 5 s after a start and never once it has served. Change: policy 'starting', up to 1.5 s, 0.4 s of the caller's time left.

--- a/wingwood/control/lead.py
+++ b/wingwood/control/lead.py
@@ -38,6 +38,8 @@
         """Newest batch that a backup is known to have on its disk, all taken from us."""
         self.answered: dict[Incarnation, Instant] = {}
         """When the newest answered call to a healthy member began."""
+        self.unpacks: set[Incarnation] = set()
+        """Members that take a packed state."""
         self.failed: dict[Incarnation, Instant] = {}
         """When a member last failed as backup."""
         self.failing: set[Incarnation] = set()
--- a/wingwood/control/messages.py
+++ b/wingwood/control/messages.py
@@ -180,6 +180,8 @@
     """Its journal takes writes."""
     settled: bool = True
     """It knows that the view is chosen, and would no longer ask former members."""
+    unpacks: bool = False
+    """Whether it takes a packed state; daemons from before packing don't say so."""
 
 
 class ControlReplicate(msgspec.Struct, frozen=True):
@@ -209,7 +211,7 @@
 
 
 class ControlStatePiece(msgspec.Struct, frozen=True):
-    """A part of an encoded ``SnapshotEntry``; the answer to the last one comes after the sync."""
+    """A part of an encoded ``SnapshotEntry``, packed or not; the answer to the last one comes after the sync."""
 
     to: Incarnation
     sender: Incarnation
@@ -218,6 +220,8 @@
     index: int
     count: int
     data: bytes
+    packed: bool = False
+    """Whether the pieces make a zlib stream."""
 
 
 class ControlConfirm(msgspec.Struct, frozen=True):
--- a/wingwood/control/primary.py
+++ b/wingwood/control/primary.py
@@ -110,6 +110,8 @@
         self, lead: Lead, seat: Seat, view: View, begun: Instant, answer: ControlHeartbeatAnswer
     ) -> None:
         self._note_epoch(answer.promised)
+        if answer.unpacks:
+            lead.unpacks.add(seat.incarnation)
         if answer.accepted and not self.leads():
             self._turn.set()
         if answer.healthy:
--- a/wingwood/control/replicator.py
+++ b/wingwood/control/replicator.py
@@ -95,7 +95,8 @@
         data = msgspec.msgpack.encode(self._replica.snapshot())
         self._transfers += 1
         transfer = Transfer(self._me, lead.view.epoch, self._transfers)
-        for piece in split_state(data, seat.incarnation, transfer, self._limits.piece_bytes):
+        packed = seat.incarnation in lead.unpacks
+        for piece in split_state(data, seat.incarnation, transfer, self._limits.piece_bytes, packed):
             last = piece.index == piece.count - 1
             patience = self._limits.rewriting(len(data)) if last else self._limits.call
             if not await self._send_piece(lead, seat, piece, patience):
--- a/wingwood/control/state_transfer.py
+++ b/wingwood/control/state_transfer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import zlib
 from collections.abc import Iterator
 
 import msgspec
@@ -9,6 +10,9 @@
 from ..identifiers import Epoch, Incarnation
 from .messages import ControlStatePiece
 
+PACKING_LEVEL = 1
+"""The fastest: a state is mostly slices, which are repetitive text."""
+
 
 class Transfer(msgspec.Struct, frozen=True):
     """One sending of the state; ``number`` counts the sender's transfers."""
@@ -18,12 +22,15 @@
     number: int
 
 
-def split_state(data: bytes, to: Incarnation, transfer: Transfer, piece_bytes: int) -> Iterator[ControlStatePiece]:
+def split_state(
+    state: bytes, to: Incarnation, transfer: Transfer, piece_bytes: int, packed: bool = False
+) -> Iterator[ControlStatePiece]:
     """The encoded state in pieces of at most that size; at least one piece."""
+    data = zlib.compress(state, PACKING_LEVEL) if packed else state
     count = max(1, -(-len(data) // piece_bytes))
     for index in range(count):
         part = data[index * piece_bytes : (index + 1) * piece_bytes]
-        yield ControlStatePiece(to, transfer.sender, transfer.epoch, transfer.number, index, count, part)
+        yield ControlStatePiece(to, transfer.sender, transfer.epoch, transfer.number, index, count, part, packed)
 
 
 class StateReceiver:
@@ -50,7 +57,8 @@
             return None
         pieces = self._pieces
         self._current, self._pieces = None, {}
-        return b"".join(pieces[index] for index in range(piece.count))
+        data = b"".join(pieces[index] for index in range(piece.count))
+        return zlib.decompress(data) if piece.packed else data
 
     def note_taken(self, transfer: Transfer) -> None:
         self._taken = transfer
--- a/wingwood/control/voter.py
+++ b/wingwood/control/voter.py
@@ -124,14 +124,14 @@
     async def _on_heartbeat(self, _: Identity, message: ControlHeartbeat) -> ControlHeartbeatAnswer:
         promise, view = self._store.promise, self._store.view
         if message.to != self._me:
-            return ControlHeartbeatAnswer(self._me, False, promise.epoch, False)
+            return ControlHeartbeatAnswer(self._me, False, promise.epoch, False, unpacks=True)
         accepted = view is not None and view.epoch == promise.epoch == message.epoch
         if accepted or promise.candidate == message.primary:
             self._heard = self._now()
         if accepted:
             self._take_commit(message.epoch, message.committed)
         settled = view is not None and not view.former
-        return ControlHeartbeatAnswer(self._me, accepted, promise.epoch, self._sick is None, settled)
+        return ControlHeartbeatAnswer(self._me, accepted, promise.epoch, self._sick is None, settled, unpacks=True)
 
     async def _on_confirm(self, _: Identity, message: ControlConfirm) -> ControlConfirmed:
         promised = self._store.promise.epoch
--- a/wingwood/forward/limits.py
+++ b/wingwood/forward/limits.py
@@ -23,6 +23,8 @@
     body_pace: int = 64 * 1024
     linger: Seconds = Seconds(1.0)
     """How long a refused sender may go on sending before its connection is closed, so that it can read why."""
+    starting_wait: Seconds = Seconds(1.5)
+    """How long a call waits for the bundle at a router that has just started."""
     in_flight: int = 2000
     """Calls under way in one router; above three quarters of it tenants get their weighted shares."""
     ledger_patience: Seconds = Seconds(2.0)
--- a/wingwood/forward/request_path.py
+++ b/wingwood/forward/request_path.py
@@ -30,6 +30,7 @@
 from .policies.patience import PatiencePolicy
 from .policies.placement import PlacementPolicy
 from .policies.retry import RetryPolicy
+from .policies.starting import StartingPolicy
 from .protocols import Answer, Cut, Forwarded, IncomingCall, NotAnswered, Refused, RunState
 from .recording import DayRecorder
 from .worker_format import OwnWorkerFormat
@@ -89,6 +90,7 @@
         retry = RetryPolicy(retry_budget, self._limits)
         self._chain = Chain(
             (
+                StartingPolicy(context.clock, bundle_in_force, self._limits, formats.caller),
                 authentication,
                 self._late,
                 PatiencePolicy(context, self._limits, self._refuse),
--- a/wingwood/forward/tests/test_caller_edge.py
+++ b/wingwood/forward/tests/test_caller_edge.py
@@ -375,6 +375,7 @@
         self.assertEqual(
             [name for name, _ in self.path.path.describe()],
             [
+                "starting",
                 "authentication",
                 "draining",
                 "patience",
