Registry: an answer to a question on a feed that was dropped meanwhile is not taken

A router or home that drops its feed of a home (duties that begin or end, another zone's home judging) while a question is under way took the answer, which tells what changed since the dropped feed, as the first of a new feed: with its sequence, and without the short names of all workers that had not changed. Counts and loads of those were dropped from then on, both ways, until the worker's entry changed. Ruled out: routers without counts after their start (restarted and other routers chose alike), trust in counts running out (a simulated fleet of 60 routers with half of them killed counts right within 3 s), the choice of workers itself. Change: such an answer is passed over; the next question asks for everything. Test: homes lost and back at twelve moments while questions are under way; 7 of 12 left routers with their zone's counts only, 0 now. Registry tests pass.

--- a/wingwood/registry/home_follower.py
+++ b/wingwood/registry/home_follower.py
@@ -175,8 +175,14 @@
             return
         for pool in answer.known_pools:
             self._directory.table(pool)
+        asked = {asked.pool: asked for asked in question.pools}
         for part in answer.pools:
-            self._take_answer(identity, answer, part, asked_at)
+            if part.pool in asked and not self._was_dropped(identity, asked[part.pool]):
+                self._take_answer(identity, answer, part, asked_at)
+
+    def _was_dropped(self, identity: Identity, asked: PoolQuestion) -> bool:
+        """The feed on which this question builds was dropped since, so the answer lacks what that one had told."""
+        return asked.home == identity.incarnation and (asked.pool, identity.incarnation) not in self._feeds
 
     def _question(self, identity: Identity, pool: PoolName) -> PoolQuestion:
         is_home = self._zone_homes.is_own(pool)
--- /dev/null
+++ b/wingwood/registry/tests/test_counts_when_homes_change.py
@@ -0,0 +1,52 @@
+"""Counts of turns reach every router again after homes changed, at whatever moment (docs/DESIGN.md section 10.4)."""
+
+from __future__ import annotations
+
+import unittest
+
+from simulation import NetworkShape, World
+from wingwood.identifiers import PoolName, WorkerInstance
+from wingwood.registry.protocols import Engagement
+
+from .fleet import Fleet
+
+SLOW = NetworkShape(same_zone=0.03, between_zones=0.06)
+"""Questions are under way for much of the time, so that many changes meet one."""
+CHANGES = 12
+
+
+class CountsWhenHomesChangeTest(unittest.TestCase):
+    def count_one_turn_everywhere(self, fleet: Fleet, instance: WorkerInstance) -> None:
+        def counted(pool: PoolName) -> dict[WorkerInstance, Engagement]:
+            return {instance: Engagement(streams=1.0)}
+
+        for router in fleet.routers.values():
+            router.registry.count_with(counted)
+
+    def assert_all_counted(self, fleet: Fleet, instance: WorkerInstance) -> None:
+        expected = float(len(fleet.routers) - 1)
+        told = {name: router.registry.elsewhere(instance).streams for name, router in sorted(fleet.routers.items())}
+        self.assertEqual(told, dict.fromkeys(told, expected))
+
+    def test_a_home_that_is_lost_and_comes_back_while_a_question_is_under_way(self) -> None:
+        with World(9, SLOW) as world:
+            fleet = Fleet(world, count=9)
+            worker = fleet.start_worker("w0")
+            fleet.announce(worker)
+            instance = WorkerInstance(worker.instance)
+            self.count_one_turn_everywhere(fleet, instance)
+            world.run(2.0)
+            self.assert_all_counted(fleet, instance)
+            for change in range(CHANGES):
+                home = fleet.home("abc"[change % 3])
+                identity = fleet.roster.identities[home]
+                fleet.roster.remove(home)
+                world.run(0.013 * (change + 1))
+                fleet.roster.put(identity)
+                for _ in range(4):
+                    fleet.announce(worker)
+                    world.run(1.0)
+                with self.subTest(change=change):
+                    self.assert_all_counted(fleet, instance)
+            self.assertEqual(fleet.ready_at("r0"), [worker.instance])
+            self.assertEqual(world.broken_invariants, [])
