--- a/bench/losses/attribution.py
+++ b/bench/losses/attribution.py
@@ -1,8 +1,9 @@
 """Splits what a day lost, 1 - its worth, by part of the score, moment, reason and price.
 
 The bench tells worth by window and by kind of request, and how many requests were late, refused or failed; it doesn't
-tell the credit of single requests. So within a window the loss is split by counts: a refused or failed request
-counts as one, a late one as the part of its credit that the kinds of this day lost by being late.
+tell the credit of single requests. So within a window a late request counts as the part of its credit that it lost in
+windows with hardly any other loss; the rest of the loss is split by the numbers of refused and failed requests.
+Not all refused requests are owed: those past a tenant's limit are not, and the report counts them alike.
 """
 
 from __future__ import annotations
@@ -23,7 +24,9 @@
 CROWDS = ("burst", "hot_key", "hot_tenant", "retry_abuse")
 LAST_FAULT = "closing"
 EVEN_LATE_LOSS = 0.5
-"""Used where no kind of the day had a late request to learn it from."""
+"""Used where no window of the day has late requests only."""
+OTHERS_AT_MOST = 0.2
+"""Refused and failed requests for each late one, up to which a window tells what being late costs."""
 SUM_TOLERANCE = 1e-6
 
 
@@ -67,7 +70,7 @@
 
 def losses_of(report: DayReport) -> LossTable:
     """The table of one day; its shares sum to 1 (``check_sum`` tells when they don't)."""
-    late_loss = late_loss_of(report.classes)
+    late_loss = late_loss_of(report.windows)
     rows = [*_parts(report, late_loss), *_prices(report.prices)]
     total = 1.0 - report.worth
     unexplained = total - sum(row.worth for row in rows)
@@ -85,12 +88,13 @@
     return abs(1.0 - sum(row.share for row in table.rows))
 
 
-def late_loss_of(kinds: Sequence[Requests]) -> float:
-    """The part of its credit that a late request lost, on the mean of this day; from 0 to 1."""
-    late = sum(kind.late for kind in kinds)
+def late_loss_of(windows: Sequence[Requests]) -> float:
+    """The part of its credit that a late request lost, in windows where little else was lost; from 0 to 1."""
+    telling = [window for window in windows if window.refused + window.failed <= OTHERS_AT_MOST * window.late]
+    late = sum(window.late for window in telling)
     if not late:
         return EVEN_LATE_LOSS
-    lost = sum((1.0 - kind.worth) * kind.owed - kind.refused - kind.failed for kind in kinds)
+    lost = sum(_lost_requests(window) - window.refused - window.failed for window in telling)
     return min(1.0, max(0.0, lost / late))
 
 
@@ -138,15 +142,15 @@
 
 
 def _by_reason(part: str, moment: str, lost: float, group: Sequence[Requests], late_loss: float) -> list[Loss]:
-    counts = {
-        "late": late_loss * sum(requests.late for requests in group),
-        "refused": float(sum(requests.refused for requests in group)),
-        "failed": float(sum(requests.failed for requests in group)),
-    }
-    whole = sum(counts.values())
-    if not whole:
+    whole = sum(_lost_requests(requests) for requests in group)
+    late = late_loss * sum(requests.late for requests in group)
+    refused, failed = sum(requests.refused for requests in group), sum(requests.failed for requests in group)
+    if not whole or not (late or refused or failed):
         return [Loss(part, moment, "", lost, 0.0)] if lost else []
-    return [Loss(part, moment, reason, lost * count / whole, 0.0) for reason, count in counts.items() if count]
+    by_late = lost * min(1.0, late / whole) if refused or failed else lost
+    others = (lost - by_late) / max(1, refused + failed)
+    split = {"late": by_late, "refused": others * refused, "failed": others * failed}
+    return [Loss(part, moment, reason, worth, 0.0) for reason, worth in split.items() if worth]
 
 
 def _prices(prices: Sequence[Price]) -> list[Loss]:
--- a/bench/losses/tests/test_losses.py
+++ b/bench/losses/tests/test_losses.py
@@ -83,9 +83,17 @@
         table = losses_of(report(windows=(CALM, CROWDED, AFTER, empty, nearly)))
         self.assertEqual([window.second for window in table.worst], [4.0, 2.0])
 
-    def test_what_being_late_costs_is_learnt_from_the_kinds(self) -> None:
-        self.assertAlmostEqual(late_loss_of([CHAT]), (0.325 * 140 - 40) / 10)
-        self.assertEqual(late_loss_of([CARD]), 0.5)
+    def test_what_being_late_costs_is_learnt_where_little_else_was_lost(self) -> None:
+        self.assertAlmostEqual(late_loss_of([CALM, CROWDED, AFTER]), 0.5)
+        nearly_calm = Requests("6", n=100, in_aim=88, late=10, refused=1, failed=1, not_owed=0, worth=0.91)
+        self.assertAlmostEqual(late_loss_of([nearly_calm, CROWDED]), 0.7)
+        self.assertEqual(late_loss_of([CROWDED]), 0.5)
+
+    def test_refused_requests_that_were_not_owed_do_not_hide_late_ones(self) -> None:
+        flooded = Requests("2", n=200, in_aim=80, late=20, refused=100, failed=0, not_owed=0, worth=0.9)
+        table = losses_of(report(windows=(CALM, flooded), parts=(ScorePart("whole day", 1.0, 0.9),), worth=0.87))
+        by_reason = {row.reason: row.worth for row in table.rows if row.moment == "crowd"}
+        self.assertAlmostEqual(by_reason["late"] / (by_reason["late"] + by_reason["refused"]), 0.5)
 
     def test_kinds_lose_by_reason_what_they_lack(self) -> None:
         for kind in losses_of(report()).kinds:
