Three circles of imports cut; libcurl loaded only where it is used

daemons/dialect named the daemons' classes (now two protocols of what a dialect may ask), bundle/route_index its model (Route has a module of its own), emulator/worker started its process module. settings/model no longer names a deployment.

--- a/emulator/process.py
+++ b/emulator/process.py
@@ -1,4 +1,4 @@
-"""The emulated worker as a process: ``python -m emulator.worker``."""
+"""The emulated worker as a process: ``python -m emulator.process``."""
 
 from __future__ import annotations
 
@@ -127,3 +127,7 @@
         tells_load=tells_load,
     )
     sys.exit(asyncio.run(_run(options, runs_file)))
+
+
+if __name__ == "__main__":
+    main()
--- a/emulator/router_slices.py
+++ b/emulator/router_slices.py
@@ -11,7 +11,8 @@
 
 from returns.result import Failure, Result, Success
 
-from wingwood.bundle.model import Bundle, Manifest, PriorityClass, Route, Service, Tenant
+from wingwood.bundle.model import Bundle, Manifest, PriorityClass, Service, Tenant
+from wingwood.bundle.route import Route
 from wingwood.identifiers import (
     BundleVersion,
     Digest,
--- a/emulator/worker.py
+++ b/emulator/worker.py
@@ -17,7 +17,6 @@
 from __future__ import annotations
 
 import asyncio
-import importlib
 from collections import deque
 from collections.abc import Callable, Sequence
 from typing import Any
@@ -486,7 +485,3 @@
         *(PromptPart(name, size) for name, size in zip(names[:shared], sizes[:shared], strict=True)),
         PromptPart(names[-1], sum(sizes[shared:])),
     ]
-
-
-if __name__ == "__main__":
-    importlib.import_module("emulator.process").main()
--- a/fleet/launcher.py
+++ b/fleet/launcher.py
@@ -172,7 +172,7 @@
         others = [daemon for daemon in self.daemons.values() if daemon.zone != worker.zone]
         for daemon in (near + others)[:1] + near[-1:] + others[-1:]:
             options += ["--announce", daemon.operator]
-        self._start(worker.name, python_module("emulator.worker", *options))
+        self._start(worker.name, python_module("emulator.process", *options))
 
     def _start(self, name: str, command: Sequence[str]) -> None:
         child = self.children.get(name)
--- a/simulation/fleet.py
+++ b/simulation/fleet.py
@@ -16,7 +16,8 @@
 from emulator.worker import WorkerOptions
 from fleet.shape import Pool, Shape, read_shape
 from wingwood.bundle.canonical import canonical_json
-from wingwood.bundle.model import PriorityClass, Route, Service, Tenant
+from wingwood.bundle.model import PriorityClass, Service, Tenant
+from wingwood.bundle.route import Route
 from wingwood.bundle.signing import public_hex
 from wingwood.context.no_disk import NoDisk
 from wingwood.context.protocols import Context
--- a/wingwood/bundle/draft.py
+++ b/wingwood/bundle/draft.py
@@ -12,18 +12,9 @@
 from ..identifiers import ClassName, KeyDigest, PoolName, ServiceName, SliceName, TenantName
 from .field_checks import Part
 from .gradual import Steps
-from .model import (
-    Bundle,
-    CallerLimits,
-    Edition,
-    Pool,
-    PriorityClass,
-    Rollout,
-    Route,
-    Service,
-    Tenant,
-)
+from .model import Bundle, CallerLimits, Edition, Pool, PriorityClass, Rollout, Service, Tenant
 from .problem import Broken, BundleProblem
+from .route import Route
 from .route_index import RouteIndex
 
 STEP_PARTS = 1_000
--- a/wingwood/bundle/field_checks.py
+++ b/wingwood/bundle/field_checks.py
@@ -4,8 +4,9 @@
 
 import re
 
-from .model import CallerLimits, Edition, Engine, Pool, PriorityClass, Rollout, Route, Service, Tenant
+from .model import CallerLimits, Edition, Engine, Pool, PriorityClass, Rollout, Service, Tenant
 from .problem import BundleProblem
+from .route import Route
 
 Part = Service | Route | PriorityClass | Tenant | Rollout | Pool | CallerLimits | Edition
 
--- a/wingwood/bundle/parse.py
+++ b/wingwood/bundle/parse.py
@@ -16,21 +16,10 @@
 from .draft import STEP_PARTS, Draft
 from .field_checks import Part, check_fields
 from .gradual import Steps, at_once, gradually
-from .model import (
-    Bundle,
-    BundleDelta,
-    CallerLimits,
-    Edition,
-    Manifest,
-    Pool,
-    PriorityClass,
-    Rollout,
-    Route,
-    Service,
-    Tenant,
-)
+from .model import Bundle, BundleDelta, CallerLimits, Edition, Manifest, Pool, PriorityClass, Rollout, Service, Tenant
 from .problem import Broken, BundleProblem
 from .rollouts import check_rollout, check_rollouts
+from .route import Route
 from .signing import verify_manifest
 from .variants import Place, at_place, check_variants, plain_name
 
--- a/wingwood/bundle/route_index.py
+++ b/wingwood/bundle/route_index.py
@@ -3,20 +3,17 @@
 from __future__ import annotations
 
 from collections.abc import Collection, Generator, Iterable, Iterator, Mapping
-from typing import TYPE_CHECKING
 
 import msgspec
 
 from .gradual import at_once
 from .problem import Broken, BundleProblem
-
-if TYPE_CHECKING:
-    from .model import Route
+from .route import Route
 
 STEP_ROUTES = 1_000
 ANY_HOST = ""
 
-_Prefixes = Mapping[str, tuple["Route", ...]]
+_Prefixes = Mapping[str, tuple[Route, ...]]
 """Routes of one host by path prefix, sorted by name; those of one prefix take different methods."""
 
 
--- a/wingwood/bundle/tests/samples.py
+++ b/wingwood/bundle/tests/samples.py
@@ -21,19 +21,9 @@
     WallTime,
 )
 from ..canonical import canonical_json
-from ..model import (
-    CallerLimits,
-    Edition,
-    EditionChange,
-    Order,
-    OrderOutcome,
-    Pool,
-    PriorityClass,
-    Route,
-    Service,
-    Tenant,
-)
+from ..model import CallerLimits, Edition, EditionChange, Order, OrderOutcome, Pool, PriorityClass, Service, Tenant
 from ..orders import make_order
+from ..route import Route
 from ..signing import public_hex
 from ..state import BundleState
 
--- a/wingwood/bundle/tests/test_parse.py
+++ b/wingwood/bundle/tests/test_parse.py
@@ -13,22 +13,11 @@
 
 from ...identifiers import BundleVersion, ClassName, PoolName, Seconds, ServiceName, SliceName, TenantName
 from ..canonical import root_digest, slice_digest
-from ..model import (
-    Bundle,
-    BundleDelta,
-    CallerLimits,
-    Edition,
-    Engine,
-    Pool,
-    PoolShare,
-    PriorityClass,
-    Route,
-    Service,
-    Tenant,
-)
+from ..model import Bundle, BundleDelta, CallerLimits, Edition, Engine, Pool, PoolShare, PriorityClass, Service, Tenant
 from ..orders import difference
 from ..parse import apply_delta, apply_delta_gradually, parse_bundle
 from ..problem import BundleProblem
+from ..route import Route
 from ..signing import sign_manifest, verify_manifest
 from .samples import (
     OPERATOR,
--- a/wingwood/bundle/tests/test_route_index.py
+++ b/wingwood/bundle/tests/test_route_index.py
@@ -12,9 +12,9 @@
 
 from ...identifiers import ServiceName
 from ..gradual import at_once
-from ..model import Route
 from ..parse import empty_bundle
 from ..problem import Broken
+from ..route import Route
 from ..route_index import RouteIndex, plain_host
 
 CHAT = ServiceName("chat")
--- a/wingwood/bundle/tests/test_variants.py
+++ b/wingwood/bundle/tests/test_variants.py
@@ -11,11 +11,12 @@
 
 from ...identifiers import BundleVersion, ClassName, DaemonName, PoolName, Seconds, ServiceName, SliceName, Zone
 from ..canonical import canonical_json
-from ..model import Bundle, BundleDelta, PriorityClass, Rollout, RolloutChange, Route, Service
+from ..model import Bundle, BundleDelta, PriorityClass, Rollout, RolloutChange, Service
 from ..orders import difference
 from ..parse import apply_delta, parse_bundle
 from ..problem import BundleProblem
 from ..rollouts import wanted_slices
+from ..route import Route
 from ..variants import Place, chosen, fits, share_mark
 from .samples import OPERATOR_KEYS, key_digest, order_between, sample_slices, slice_of
 
--- a/wingwood/bundle/variants.py
+++ b/wingwood/bundle/variants.py
@@ -11,8 +11,9 @@
 from ..identifiers import ClassName, DaemonName, ServiceName, SliceName, Zone
 from .draft import check_pools
 from .gradual import at_once
-from .model import Bundle, PriorityClass, Route, Service
+from .model import Bundle, PriorityClass, Service
 from .problem import Broken, BundleProblem
+from .route import Route
 
 VARIANT_COUNT = 1_000
 KINDS = ("service", "route", "class")
--- a/wingwood/command_line/source.py
+++ b/wingwood/command_line/source.py
@@ -12,8 +12,9 @@
 from returns.result import Failure
 
 from ..bundle.canonical import canonical_json, root_digest, slice_digest
-from ..bundle.model import Bundle, CallerLimits, Engine, Pool, PoolShare, PriorityClass, Route, Service, Tenant
+from ..bundle.model import Bundle, CallerLimits, Engine, Pool, PoolShare, PriorityClass, Service, Tenant
 from ..bundle.parse import empty_bundle, parse_bundle
+from ..bundle.route import Route
 from ..identifiers import SliceName
 from .output import Problem
 
--- a/wingwood/daemons/dialect.py
+++ b/wingwood/daemons/dialect.py
@@ -3,25 +3,36 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import msgspec
 
 from ..forward.formats import Formats
 from ..forward.request_path import OWN_FORMATS
+from ..operator_api.editions import EditionClient
 from ..operator_api.protocols import OperatorRoutes
+from ..operator_api.reading import HealthReport
 from ..registry.announcements import AnnouncementFormat
 from ..registry.worker_announcements import OwnAnnouncements
 
-if TYPE_CHECKING:
-    from .control import ControlParts
-    from .router import RouterDaemon
+
+class RouterState(Protocol):
+    """What a dialect's routes may ask of a router."""
+
+    def health(self) -> HealthReport: ...
+
+
+class ControlState(Protocol):
+    """What a dialect's routes may ask of a control daemon."""
+
+    @property
+    def editions(self) -> EditionClient: ...
 
 
 class RouterDialect(msgspec.Struct, frozen=True, kw_only=True):
     """Formats and further routes of a router."""
 
-    add_routes: Callable[[RouterDaemon, OperatorRoutes], None] = lambda daemon, routes: None
+    add_routes: Callable[[RouterState, OperatorRoutes], None] = lambda router, routes: None
     formats: Formats = OWN_FORMATS
     """How callers call, and how workers are called."""
 
@@ -29,6 +40,6 @@
 class ControlDialect(msgspec.Struct, frozen=True, kw_only=True):
     """Formats and further routes of a control daemon."""
 
-    add_routes: Callable[[ControlParts, OperatorRoutes], None] = lambda parts, routes: None
+    add_routes: Callable[[ControlState, OperatorRoutes], None] = lambda control, routes: None
     announcements: AnnouncementFormat = msgspec.field(default_factory=OwnAnnouncements)
     """How workers announce themselves."""
--- a/wingwood/daemons/process.py
+++ b/wingwood/daemons/process.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import contextlib
+import importlib
 import random
 import signal
 import sys
@@ -14,11 +15,10 @@
 import msgspec
 from returns.result import Failure, Result, Success
 
-from ..context.curl_client import CurlHttpClient
 from ..context.logs import EliotLog
 from ..context.no_disk import NoDisk
 from ..context.pooled_client import PooledHttpClient
-from ..context.protocols import Context, Disk
+from ..context.protocols import Context, Disk, HttpClient
 from ..context.real import RealClock, RealDisk, RealNetwork, RealTasks
 from ..identifiers import Seconds
 from ..settings.load import SettingsProblem
@@ -67,13 +67,19 @@
         clock=clock,
         network=network,
         disk=disk,
-        http=PooledHttpClient(network, clock, tasks) if settings.keep_connections else CurlHttpClient(),
+        http=PooledHttpClient(network, clock, tasks) if settings.keep_connections else curl_client(),
         random=random.Random(random.SystemRandom().getrandbits(128)),
         log=log,
         tasks=tasks,
     )
 
 
+def curl_client() -> HttpClient:
+    """libcurl and its own libraries are loaded only where connections are not kept."""
+    made: HttpClient = importlib.import_module("..context.curl_client", __package__).CurlHttpClient()
+    return made
+
+
 def run_daemon(
     settings: DaemonSettings, build: Callable[[Context, DaemonSettings], Daemon], reread: Reread | None = None
 ) -> int:
--- a/wingwood/distribution/tests/test_distribution.py
+++ b/wingwood/distribution/tests/test_distribution.py
@@ -9,7 +9,7 @@
 
 from simulation import NetworkShape, World
 
-from ...bundle.model import Route
+from ...bundle.route import Route
 from ...bundle.tests.samples import slice_of
 from ...identifiers import BundleVersion, Seconds, ServiceName, SliceName
 from ...membership.rendezvous import ranked
--- a/wingwood/forward/policies/authentication.py
+++ b/wingwood/forward/policies/authentication.py
@@ -4,7 +4,8 @@
 
 import hmac
 
-from ...bundle.model import Bundle, Route, Service, Tenant
+from ...bundle.model import Bundle, Service, Tenant
+from ...bundle.route import Route
 from ...distribution.protocols import BundleInForce
 from ...identifiers import Instant, KeyDigest, Seconds, TenantName
 from ..formats import CallerFormat
--- a/wingwood/settings/model.py
+++ b/wingwood/settings/model.py
@@ -34,7 +34,8 @@
     signing_key: bytes | None = None
     """Seed (32 bytes) of the Ed25519 key with which control signs operators' editions; its public key counts too."""
     removed_key_bound: Seconds | None = None
-    """Despensa: 5.0 -- a router that cannot prove its bundle newest stops serving in time. None: serves on."""
+    """Seconds after which a removed key must be refused everywhere: a router that cannot prove its bundle newest stops
+    serving in time. None: it serves on."""
     balancing: Literal["award", "round-robin", "least-loaded", "sticky"] = "award"
     worker_check: Literal["health", "trial"] = "health"
     """How doubtful workers are found to work: their health check, or real calls, one at a time (section 10.6)."""
