Starting routers wait for first workers and longer for the keepers of paid shares

Change: in a router's first 3 s it waits 0.5 s for keeper and deputy, 0.25 s for the keeper. The starting policy also waits for a ready worker in each pool.

--- a/wingwood/daemons/router.py
+++ b/wingwood/daemons/router.py
@@ -99,6 +99,7 @@
             formats=dialect.formats,
             outcomes=self.registry,
             router_count=self._router_count,
+            has_workers=self._has_workers,
         )
         self.operator_server = OperatorServer(context)
         self.registry.add_routes(self.operator_server)
@@ -206,6 +207,11 @@
             )
         return self._workers_heard
 
+    def _has_workers(self) -> bool:
+        """Whether each pool of the bundle in force has a ready worker."""
+        bundle = self.follower.current()
+        return bundle is not None and all(self.registry.ready(pool) for pool in pools_of(bundle.services.values()))
+
     def _is_stranded(self) -> bool:
         """Cut off from both sides: callers are served elsewhere, as no worker of any pool answers here.
 
--- a/wingwood/forward/policies/starting.py
+++ b/wingwood/forward/policies/starting.py
@@ -2,8 +2,9 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from ...context.protocols import Clock
-from ...distribution.protocols import BundleInForce
 from ...identifiers import Instant, Seconds
 from ..formats import CallerFormat
 from ..limits import PathLimits
@@ -17,7 +18,7 @@
 
 
 class StartingPolicy:
-    """Calls at a router that has just started wait a little for its bundle and the proof that it is the newest.
+    """Calls at a router that has just started wait a little until it has its bundle, the proof of that, and workers.
 
     The platform sends callers to such a router only while most of the fleet starts. Refused at once they would come
     back to another router that starts.
@@ -26,10 +27,10 @@
     name = "starting"
 
     def __init__(
-        self, clock: Clock, bundle_in_force: BundleInForce, limits: PathLimits, caller_format: CallerFormat
+        self, clock: Clock, can_serve: Callable[[], bool], limits: PathLimits, caller_format: CallerFormat
     ) -> None:
         self._clock = clock
-        self._bundle_in_force = bundle_in_force
+        self._can_serve = can_serve
         self._limits = limits
         self._format = caller_format
         self._began = clock.monotonic()
@@ -37,13 +38,13 @@
 
     async def apply(self, call: IncomingCall, proceed: Proceed) -> Answer:
         until = self._waits_until(call)
-        while not self._may_serve() and self._clock.monotonic() < until and not call.caller.gone.is_set():
+        while not self._has_begun() and self._clock.monotonic() < until and not call.caller.gone.is_set():
             await self._clock.sleep(_LOOK_EVERY)
         return await proceed(call)
 
-    def _may_serve(self) -> bool:
+    def _has_begun(self) -> bool:
         """Once True it stays so: a proof that is lost later is no matter of the start."""
-        self._has_served = self._has_served or self._bundle_in_force.may_serve()
+        self._has_served = self._has_served or self._can_serve()
         return self._has_served
 
     def _waits_until(self, call: IncomingCall) -> Instant:
--- a/wingwood/forward/request_path.py
+++ b/wingwood/forward/request_path.py
@@ -68,8 +68,12 @@
         formats: Formats = OWN_FORMATS,
         outcomes: CallOutcomes | None = None,
         router_count: Callable[[], int] = lambda: 1,
+        has_workers: Callable[[], bool] = lambda: True,
     ) -> None:
-        """``outcomes`` is told how each turn went; ``router_count``: how many share the workers' connections."""
+        """``outcomes`` is told how each turn went; ``router_count``: how many share the workers' connections.
+
+        ``has_workers``: whether each pool of the bundle in force has a ready worker.
+        """
         assert settings.caller is not None, "routers have a caller address"
         self._context = context
         self._settings = settings
@@ -90,7 +94,9 @@
         retry = RetryPolicy(retry_budget, self._limits)
         self._chain = Chain(
             (
-                StartingPolicy(context.clock, bundle_in_force, self._limits, formats.caller),
+                StartingPolicy(
+                    context.clock, lambda: bundle_in_force.may_serve() and has_workers(), self._limits, formats.caller
+                ),
                 authentication,
                 self._late,
                 PatiencePolicy(context, self._limits, self._refuse),
--- a/wingwood/forward/tests/stand_ins.py
+++ b/wingwood/forward/tests/stand_ins.py
@@ -438,6 +438,7 @@
             recorder=DayRecorder(context.clock, self.recorded.append),
             formats=self._formats,
             outcomes=self.outcomes,
+            has_workers=lambda: bool(self.placement.workers),
         )
         assert isinstance(self.path.start(), Success)
 
--- a/wingwood/forward/tests/test_starting.py
+++ b/wingwood/forward/tests/test_starting.py
@@ -59,6 +59,20 @@
         self.assertEqual((reply.status, reply.body()), (200, b"answer"))
         self.assertLess(seconds, 0.9)
 
+    def test_a_call_waits_for_the_first_workers_too(self) -> None:
+        path = self.start()
+        path.bundle.serving = True
+        known, path.placement.workers = path.placement.workers, []
+        world = path.world
+
+        async def run() -> Reply:
+            caller = await path.send(request())
+            await asyncio.sleep(0.3)
+            path.placement.workers = known
+            return await caller.reply()
+
+        self.assertEqual(world.complete(run()).status, 200)
+
     def test_a_call_is_refused_as_not_run_when_the_bundle_does_not_come(self) -> None:
         reply, seconds = self.reply_and_time(self.start())
         self.assertEqual((reply.status, reply.json()["code"]), (503, "bundle-not-proven"))
--- a/wingwood/limits/share_bounds.py
+++ b/wingwood/limits/share_bounds.py
@@ -14,6 +14,12 @@
     """After this without an answer of the keeper its deputy is asked."""
     ask: Seconds = Seconds(0.25)
     """How long an ask itself may take; a grant that comes late is still noted."""
+    starting: Seconds = Seconds(3.0)
+    """A router that started less long ago bears a slower answer: it and the keeper may be making connections to the
+    whole fleet."""
+    starting_wait: Seconds = Seconds(0.5)
+    starting_hedge: Seconds = Seconds(0.25)
+    starting_ask: Seconds = Seconds(0.5)
     probe: Seconds = Seconds(0.1)
     """Between asks while the keeper does not answer."""
     empty_pause: Seconds = Seconds(0.1)
--- a/wingwood/limits/share_user.py
+++ b/wingwood/limits/share_user.py
@@ -114,7 +114,8 @@
         share.waiters.append(waiter)
         self._start_asking(share, self._now())
         try:
-            await asyncio.wait((waiter.outcome,), timeout=self._bounds.wait)
+            timeout = self._bounds.starting_wait if self._is_starting() else self._bounds.wait
+            await asyncio.wait((waiter.outcome,), timeout=timeout)
             return waiter.outcome.result() if waiter.outcome.done() else FALLBACK
         finally:
             if not waiter.outcome.done():
@@ -186,10 +187,13 @@
         """The answer, or None after ``ShareBounds.hedge``; a keeper's later one is still noted when it comes."""
         if router.incarnation == self._messenger.identity.incarnation:
             return await self._answer_ask(router, sent.ask)
+        bounds, starting = self._bounds, self._is_starting()
+        patience = bounds.starting_ask if starting else bounds.ask
+        hedge = bounds.starting_hedge if starting else bounds.hedge
         call = asyncio.get_running_loop().create_task(
-            self._messenger.call(router.internal, sent.ask, LeaseGrant, self._bounds.ask)
+            self._messenger.call(router.internal, sent.ask, LeaseGrant, patience)
         )
-        await asyncio.wait((call,), timeout=None if sent.deputized else self._bounds.hedge)
+        await asyncio.wait((call,), timeout=None if sent.deputized else hedge)
         if not call.done():
             call.add_done_callback(lambda done: self._take_late(sent, done))
             return None
@@ -320,5 +324,8 @@
             return UseAnswer((), known, None, self._asks)
         return share.report(question.window, question.step, known, self._asks, now)
 
+    def _is_starting(self) -> bool:
+        return self._now() - self._started < self._bounds.starting
+
     def _now(self) -> Instant:
         return self._context.clock.monotonic()
--- a/wingwood/limits/tests/test_shares.py
+++ b/wingwood/limits/tests/test_shares.py
@@ -8,7 +8,7 @@
 
 import msgspec
 
-from simulation import World
+from simulation import NetworkShape, World
 
 from ...identifiers import Instant
 from ..messages import UseAnswer, UseQuestion
@@ -70,6 +70,14 @@
         self.assertLess(fleet.accepted(0.0, 1.0), 1.1 * PAID)
         self.assertLess(fleet.worst_window(0.0, SECONDS, 1.0), 1.2)
 
+    def test_keepers_that_answer_slowly_while_the_fleet_starts_refuse_nobody(self) -> None:
+        """A first ask makes the connection, so it takes two ways there and back, longer than an ask usually may."""
+        slow = NetworkShape(same_zone=0.015, between_zones=0.015)
+        with World(4, slow) as world:
+            fleet = ShareFleet(world, ROUTERS, tenant(PAID), even(50, start=1.0), 5)
+            world.run(2.5)
+            self.assertLess(fleet.refused_part(1.0, 2.0), 0.05)
+
     def test_a_small_tenant_gets_its_share(self) -> None:
         fleet = self.run_fleet(even(6), 1, paid=2.0)
         self.assertAlmostEqual(fleet.of_paid(2.0, SECONDS), 1.0, delta=0.25)
