Registry: homes that are not settled tell their list once, and are offered only what they lack

A follower of a home that is not settled asked for its whole list again each 0.3 s (35 workers, 7 KB, 40 followers a zone: 0.9 MB/s against a link of 0.6 MB/s), and sent its own whole list at each new home. Its link full, a home answered the others too late, so nobody settled, sessions were lost, and the next router became home. Counts of turns were then those of a few routers, drains waited for most zones' homes (a leaving worker's acknowledgement took 9.5 s), and routers without counts all chose the first worker of the order. Reproduced on the simulator with slow links; ruled out on it: former lives of restarted routers in the views (gone 1.3 s after the restart). Change: the sequence goes on with any answer; what an unsettled home said of renewals is kept and counts once it is settled; a router offers what the home's first answer lacks.

--- a/wingwood/registry/home_follower.py
+++ b/wingwood/registry/home_follower.py
@@ -30,6 +30,10 @@
     """What this daemon has from a home that it follows."""
 
     sequence: int = -1
+    unjudged: dict[WorkerInstance, WorkerEntry] = msgspec.field(default_factory=dict)
+    """What the home told while its word on renewals did not count."""
+    to_offer: tuple[WorkerEntry, ...] = ()
+    """What the home lacks; it is told with the next question."""
     load_sequence: int = -1
     loads_at: Instant = NEVER
     """When loads and counts were last asked for."""
@@ -178,7 +182,7 @@
         asked = {asked.pool: asked for asked in question.pools}
         for part in answer.pools:
             if part.pool in asked and not self._was_dropped(identity, asked[part.pool]):
-                self._take_answer(identity, answer, part, asked_at)
+                self._take_answer(identity, answer, part, asked[part.pool], asked_at)
 
     def _was_dropped(self, identity: Identity, asked: PoolQuestion) -> bool:
         """The feed on which this question builds was dropped since, so the answer lacks what that one had told."""
@@ -188,11 +192,12 @@
         is_home = self._zone_homes.is_own(pool)
         feed = self._feeds.get((pool, identity.incarnation))
         if feed is None:
-            return PoolQuestion(pool, Incarnation(""), -1, -1, None, self._offered(pool))
+            return PoolQuestion(pool, Incarnation(""), -1, -1, None)
+        offered, feed.to_offer = feed.to_offer, ()
         now = self._now()
         follows = is_home or identity.zone == self._zone_homes.followed_zone()
         if not follows or now - feed.loads_at < self._directory.loads_every(pool) - ASK_EVERY / 2:
-            return PoolQuestion(pool, identity.incarnation, feed.sequence, None, None)
+            return PoolQuestion(pool, identity.incarnation, feed.sequence, None, None, offered)
         feed.loads_at = now
         engaged = self._sums.in_zone(pool, now) if is_home else self._sums.count(pool)
         return PoolQuestion(
@@ -201,15 +206,10 @@
             feed.sequence,
             feed.load_sequence,
             by_number(engaged, feed.by_instance),
+            offered,
             outcomes=None if is_home else self._outcomes(pool, feed.by_instance),
         )
 
-    def _offered(self, pool: PoolName) -> tuple[WorkerEntry, ...]:
-        """What a router tells a home that it begins to follow: that home may have begun just now."""
-        if not self._is_router or self._zone_homes.is_own(pool):
-            return ()
-        return self._directory.table(pool).entries(self._now())[:OFFERED_MOST]
-
     def _outcomes(self, pool: PoolName, numbers: Mapping[WorkerInstance, int]) -> CallCounts | None:
         counted = self._take_outcomes(sorted(self._directory.table(pool).records))
         told = {
@@ -221,7 +221,9 @@
 
     # --- answers ------------------------------------------------------------------------------
 
-    def _take_answer(self, identity: Identity, answer: FeedAnswer, part: PoolAnswer, asked_at: Instant) -> None:
+    def _take_answer(
+        self, identity: Identity, answer: FeedAnswer, part: PoolAnswer, asked: PoolQuestion, asked_at: Instant
+    ) -> None:
         """From a home that is still followed."""
         self._directory.table(part.pool)
         followed = self._zone_homes.in_zone(part.pool, identity.zone)
@@ -229,7 +231,7 @@
             return
         if not self._zone_homes.is_own(part.pool):
             if identity.zone == self._zone_homes.followed_zone():
-                self._take_followed(part, answer, asked_at)
+                self._take_followed(part, answer, asked, asked_at)
             else:
                 self._take_stand_in(part, answer, asked_at)
         elif identity.zone != self._zone:
@@ -246,13 +248,12 @@
             self._sums.zone_told(part.pool, identity.zone, self._told(part, part.engaged, feed))
         self._duties.note_answered(part.pool, identity.incarnation, asked_at)
 
-    def _take_followed(self, part: PoolAnswer, answer: FeedAnswer, asked_at: Instant) -> None:
+    def _take_followed(self, part: PoolAnswer, answer: FeedAnswer, asked: PoolQuestion, asked_at: Instant) -> None:
         """From the home of the followed zone."""
-        for entry in part.entries:
-            self._directory.merge(entry, judge_renewal=part.settled)
         feed = self._named_feed(part, answer.home)
-        if part.settled:  # what an unsettled home says of renewals is asked again
-            feed.sequence = max(feed.sequence, part.sequence)
+        self._merge(feed, part, judged=part.settled)
+        if asked.sequence < 0:
+            feed.to_offer = self._lacking(part)
         self._take_loads(part, feed)
         if part.engaged is not None:
             self._elsewhere[part.pool] = self._told(part, part.engaged, feed)
@@ -260,16 +261,34 @@
         self._ejections.told(part.pool, ejected)
         self._prove(part, answer, asked_at)
 
+    def _merge(self, feed: _Feed, part: PoolAnswer, judged: bool) -> None:
+        """With the home's word on renewals, or without; then it counts once the home's word does."""
+        if judged:
+            for entry in feed.unjudged.values():
+                self._directory.merge(entry, judge_renewal=True)
+            feed.unjudged.clear()
+        else:
+            feed.unjudged.update((entry.worker.instance, entry) for entry in part.entries)
+        for entry in part.entries:
+            self._directory.merge(entry, judge_renewal=judged)
+        feed.sequence = max(feed.sequence, part.sequence)
+
+    def _lacking(self, part: PoolAnswer) -> tuple[WorkerEntry, ...]:
+        """What this router knows and the home, which has told all that it knows, may have begun too late to hear."""
+        if not self._is_router or self._zone_homes.is_own(part.pool):
+            return ()
+        told = {entry.worker.instance: entry.worker.state for entry in part.entries}
+        own = self._directory.table(part.pool).entries(self._now())
+        lacking = [entry for entry in own if told.get(entry.worker.instance) != entry.worker.state]
+        return tuple(lacking[:OFFERED_MOST])
+
     def _take_stand_in(self, part: PoolAnswer, answer: FeedAnswer, asked_at: Instant) -> None:
         """Another zone's home: its word on renewals counts while the followed one gives none."""
         judge = part.settled and self.feed_age(part.pool) > ANOTHER_ZONE_AFTER
-        for entry in part.entries:
-            self._directory.merge(entry, judge_renewal=judge)
         if judge:  # renewals were judged by another meanwhile, so the others are asked for all anew
             self._keep_feeds(part.pool, frozenset({answer.home}))
         feed = self._named_feed(part, answer.home)
-        if part.settled:
-            feed.sequence = max(feed.sequence, part.sequence)
+        self._merge(feed, part, judged=judge)
         self._prove(part, answer, asked_at)
 
     def _named_feed(self, part: PoolAnswer, home: Incarnation) -> _Feed:
--- a/wingwood/registry/messages.py
+++ b/wingwood/registry/messages.py
@@ -88,7 +88,7 @@
     engaged: Counts | None
     """The asker's part (a router's own, or a home's for its zone)."""
     offered: tuple[WorkerEntry, ...] = ()
-    """All the asker knows, for a home that is new to it (repair)."""
+    """What the asker knows and the home, by its first answer, did not (repair)."""
     outcomes: CallCounts | None = None
     """Of the asker's calls since it last told, by the home's number of the worker."""
 
