Registry: whole lists of workers travel packed

Cause: at 400 KB/s a simulated fleet of 100 routers with 29 workers still did not form within 20 s after (32 MB of answers): each router that begins to follow a home is told the whole list, some 200 bytes a worker. Lists of more than 8 entries are packed with zlib's fastest level for askers that say that they unpack.

--- a/wingwood/registry/feed_answers.py
+++ b/wingwood/registry/feed_answers.py
@@ -12,6 +12,7 @@
 from .home_duties import HomeAge, HomeDuties
 from .messages import Counts, FeedAnswer, FeedQuestion, PoolAnswer, PoolQuestion
 from .outliers import Outcomes
+from .packed_entries import with_entries_packed
 from .pool_table import PoolTable
 from .worker_directory import WorkerDirectory
 
@@ -57,7 +58,7 @@
         if follows:
             self._take_counts(peer, table, question, now)
         load_sequence = question.load_sequence
-        return PoolAnswer(
+        answer = PoolAnswer(
             question.pool,
             self._duties.is_settled(question.pool),
             self._home_age(question.pool),
@@ -68,6 +69,7 @@
             self._counts_for(peer, table) if load_sequence is not None else None,
             self._ejections.numbers(table) if peer.zone == self._zone else (),
         )
+        return with_entries_packed(answer) if question.unpacks else answer
 
     def _take_counts(self, peer: Identity, table: PoolTable, question: PoolQuestion, now: Instant) -> None:
         if question.engaged is not None:
--- a/wingwood/registry/home_follower.py
+++ b/wingwood/registry/home_follower.py
@@ -18,6 +18,7 @@
 from .home_duties import NEVER, HomeAge, HomeDuties
 from .messages import CallCounts, Counts, FeedAnswer, FeedPush, FeedQuestion, PoolAnswer, PoolQuestion, WorkerEntry
 from .outliers import Outcomes
+from .packed_entries import with_entries_unpacked
 from .protocols import Engagement, WorkerLoad
 from .worker_directory import WorkerDirectory
 from .zone_homes import ZoneHomes
@@ -180,7 +181,7 @@
         for pool in answer.known_pools:
             self._directory.table(pool)
         asked = {asked.pool: asked for asked in question.pools}
-        for part in answer.pools:
+        for part in filter(None, map(with_entries_unpacked, answer.pools)):
             if part.pool in asked and not self._was_dropped(identity, asked[part.pool]):
                 self._take_answer(identity, answer, part, asked[part.pool], asked_at)
 
@@ -192,7 +193,7 @@
         is_home = self._zone_homes.is_own(pool)
         feed = self._feeds.get((pool, identity.incarnation))
         if feed is None:
-            return PoolQuestion(pool, Incarnation(""), -1, -1, None)
+            return PoolQuestion(pool, Incarnation(""), -1, -1, None, unpacks=True)
         offered, feed.to_offer = feed.to_offer, ()
         now = self._now()
         follows = is_home or identity.zone == self._zone_homes.followed_zone()
--- a/wingwood/registry/messages.py
+++ b/wingwood/registry/messages.py
@@ -91,6 +91,8 @@
     """What the asker knows and the home, by its first answer, did not (repair)."""
     outcomes: CallCounts | None = None
     """Of the asker's calls since it last told, by the home's number of the worker."""
+    unpacks: bool = False
+    """Whether the asker takes packed entries; daemons from before packing don't say so."""
 
 
 class FeedQuestion(msgspec.Struct, frozen=True, array_like=True):
@@ -115,6 +117,8 @@
     """The part of all others than the asker."""
     ejected: tuple[int, ...] = ()
     """Workers that the zone's home leaves out for the time being, for the outcomes of calls to them."""
+    packed: bytes = b""
+    """Many entries, in place of ``entries``; see ``packed_entries``."""
 
 
 class FeedAnswer(msgspec.Struct, frozen=True, array_like=True):
