Distribution: only newcomers wait for the daemon above to get its first piece

A daemon that holds an older bundle gains little by waiting up to 1 s at the daemon above while control has the change. Distribution tests: 41 passed.

--- a/wingwood/distribution/follower.py
+++ b/wingwood/distribution/follower.py
@@ -250,8 +250,8 @@
         sources = list(self._sources(told_by))
         for source in sources:  # Grows by those who are named by others.
             for since in dict.fromkeys((self.version(), BundleVersion(0))):
-                above = upstream is not None and source == upstream.internal
-                ask = self._fetcher.fetch_coming if above else self._fetcher.fetch
+                waits = self._bundle is None and upstream is not None and source == upstream.internal
+                ask = self._fetcher.fetch_coming if waits else self._fetcher.fetch
                 fetched = await ask(source, since, self._wanted)
                 if isinstance(fetched, NotHere) and fetched.ask is not None and fetched.ask not in sources:
                     sources.append(fetched.ask)
--- a/wingwood/distribution/limits.py
+++ b/wingwood/distribution/limits.py
@@ -19,7 +19,7 @@
     pass_more: Seconds = Seconds(1.2)
     """The same for each further piece; below ``fetch_more``."""
     upstream_wait: Seconds = Seconds(1.0)
-    """How long a daemon above that has no piece yet, but expects some, is asked again before others are."""
+    """How long a newcomer asks the daemon above again, which has no piece yet but expects some."""
     ask_again: Seconds = Seconds(0.5)
     """How often a daemon without a bundle asks around while it has heard of none."""
     subscribe: Seconds = Seconds(3.0)
