Paid shares: a keeper that refuses connections has ended only if others don't reach it either

A trial that logged keepers' grants showed two keepers of the tenant from second 12 to 24, each asked by some routers: a cut of a core machine that answers with resets (4.8 to 10.3 s) had its deputy take the keeper's process for ended, which was believed for 60 s; the flood from second 21 then found two buckets. Change: after a refused connection three other routers are asked whether they reach the process; it has ended if none does and one answered.

--- a/wingwood/limits/messages.py
+++ b/wingwood/limits/messages.py
@@ -4,7 +4,7 @@
 
 import msgspec
 
-from ..identifiers import Seconds, TenantName
+from ..identifiers import Address, Seconds, TenantName
 
 RECENT = Seconds(4.0)
 """Over how long a router counts its own use to tell its need."""
@@ -90,6 +90,16 @@
     view_ago: Seconds = Seconds(0.0)
 
 
+class AliveQuestion(msgspec.Struct, frozen=True, array_like=True):
+    """Call to a third router: does the one at that address answer you? Reply: AliveAnswer."""
+
+    address: Address
+
+
+class AliveAnswer(msgspec.Struct, frozen=True, array_like=True):
+    alive: bool
+
+
 class MemberQuestion(msgspec.Struct, frozen=True, array_like=True):
     """A keeper whose session is not proven asks another router whether it is still a member there."""
 
--- a/wingwood/limits/router_probes.py
+++ b/wingwood/limits/router_probes.py
@@ -14,12 +14,14 @@
 from ..transport.messenger import Messenger, TransportFault
 from .keepers import ShareKeepers
 from .kept_share import AUTONOMY
-from .messages import MemberAnswer, MemberQuestion
+from .messages import AliveAnswer, AliveQuestion, MemberAnswer, MemberQuestion
 from .share_bounds import ShareBounds
 
 DOWN_COUNTS = Seconds(1.0)
 """A keeper found silent counts as down for so long."""
 ENDED_COUNTS = Seconds(6 * AUTONOMY)
+CONFIRMED_BY = 3
+"""Other routers that are asked whether they reach one that refuses connections."""
 
 
 class _Ping(msgspec.Struct, frozen=True):
@@ -39,6 +41,9 @@
         self._pinging: dict[Incarnation, asyncio.Task[None]] = {}
         self._ended: dict[Incarnation, Instant] = {}
         """Processes that have ended, and when that was found."""
+        self._confirming: set[Incarnation] = set()
+        """Processes that refused a connection, after which other routers are asked now."""
+        messenger.on_call(AliveQuestion, self._on_alive)
 
     # Ended processes
 
@@ -46,11 +51,36 @@
         return router.incarnation in self._ended
 
     def note_ended(self, router: Identity, outcome: Result[Any, TransportFault]) -> None:
-        """A machine that refuses connections is reached, and has no such process any more."""
+        """A machine that refuses connections has no such process any more, or a cut between it and this one does."""
         if isinstance(outcome, Failure):
             fault = outcome.failure()
             if fault.kind == "unreachable" and fault.detail.startswith("refused"):
-                self._ended[router.incarnation] = self._now()
+                self._start_confirming(router)
+
+    def _start_confirming(self, router: Identity) -> None:
+        if router.incarnation not in self._confirming and not self.has_ended(router):
+            self._confirming.add(router.incarnation)
+            self._context.tasks.spawn(f"whether {router.name} has ended", self._confirm_ended(router))
+
+    async def _confirm_ended(self, router: Identity) -> None:
+        """It has ended if no other router reaches it, and at least one was asked with success."""
+        own = self._messenger.identity.incarnation
+        others = [other for other in self._keepers.routers() if other.incarnation not in (own, router.incarnation)]
+        asked = self._context.random.sample(others, min(CONFIRMED_BY, len(others)))
+        answers = await asyncio.gather(*(self._ask_alive(other, router) for other in asked))
+        self._confirming.discard(router.incarnation)
+        told = [answer for answer in answers if answer is not None]
+        if not any(told) and (told or not others):
+            self._ended[router.incarnation] = self._now()
+
+    async def _ask_alive(self, other: Identity, router: Identity) -> bool | None:
+        question = AliveQuestion(router.internal)
+        outcome = await self._messenger.call(other.internal, question, AliveAnswer, Seconds(2 * self._bounds.ping))
+        return outcome.unwrap().alive if isinstance(outcome, Success) else None
+
+    async def _on_alive(self, peer: Identity, question: AliveQuestion) -> AliveAnswer:
+        outcome = await self._messenger.call(question.address, MemberQuestion(), MemberAnswer, self._bounds.ping)
+        return AliveAnswer(isinstance(outcome, Success))
 
     def missing(self) -> list[Identity]:
         """Routers that left lately, have not come back and may still be running."""
--- a/wingwood/limits/tests/share_fleet.py
+++ b/wingwood/limits/tests/share_fleet.py
@@ -88,6 +88,7 @@
         """Since when a router does not reach control (killed, frozen or cut off)."""
         self.control_down = False
         self.shares: dict[str, FleetShares] = {}
+        self.messengers: dict[str, TcpMessenger] = {}
         for number in range(routers):
             self.join(number)
 
@@ -105,6 +106,7 @@
             )
             messenger = TcpMessenger(context, identity, b"fleet key")
             messenger.start()
+            self.messengers[name] = messenger
             membership = HeldMembership()
             self.shares[name] = FleetShares(
                 context, messenger, membership, lambda _: self.tenant, self.bounds, self.tolerance
--- a/wingwood/limits/tests/test_token_quota.py
+++ b/wingwood/limits/tests/test_token_quota.py
@@ -78,6 +78,12 @@
         self.check("keeper cut off")
         self.check("keeper and another cut off for long")
 
+    def test_a_keeper_that_refuses_some_but_lives(self) -> None:
+        """The flood comes after the cut has healed: nobody takes the keeper's place meanwhile, nor goes on with it."""
+        for flood_from in (17.0, 19.0, 24.0):
+            outcome = run_case(faulted("keeper refuses some", flood_from=flood_from, flood_until=32.0), 31)
+            self.assertLess(outcome.of_bound, 1.0, flood_from)
+
     def test_others_cut_off(self) -> None:
         self.check("two others cut off")
 
--- a/wingwood/limits/tests/token_quota.py
+++ b/wingwood/limits/tests/token_quota.py
@@ -4,13 +4,16 @@
 
 from collections.abc import Callable, Sequence
 from random import Random
+from typing import Any
 
 import msgspec
+from returns.result import Failure
 
 from simulation import World
 from wingwood.bundle.model import Tenant
-from wingwood.identifiers import ClassName, Seconds, TenantName
+from wingwood.identifiers import Address, ClassName, Seconds, TenantName
 from wingwood.limits.tolerance import QuotaTolerance
+from wingwood.transport.messenger import TransportFault
 
 from .share_fleet import Load, ShareFleet
 
@@ -206,6 +209,24 @@
         world.at(world.now + 8.0, lambda wires=wires: world.heal(wires))  # type: ignore[misc]
 
 
+def refused_at_some(world: World, fleet: ShareFleet) -> None:
+    """A cut that answers with resets stands between the keeper and two others, its deputy among them."""
+    keeper, deputy = fleet.keeper(), fleet.deputy()
+    other = next(name for name in sorted(fleet.shares) if name not in (keeper, deputy))
+    address = fleet.identities[keeper].internal
+    until = world.now + 5.5
+    for name in (deputy, other):
+        messenger: Any = fleet.messengers[name]
+        usual = messenger.call
+
+        async def call(to: Address, *asked: Any, usual: Any = usual) -> Any:
+            if to == address and world.now < until:
+                return Failure(TransportFault("unreachable", False, "refused by a cut"))
+            return await usual(to, *asked)
+
+        messenger.call = call
+
+
 def kill_all(world: World, fleet: ShareFleet) -> None:
     for router in sorted(fleet.shares):
         fleet.mark_lost(router)
@@ -260,6 +281,7 @@
     "split 4 to 7": split((1, 2, 3, 4)),
     "split 8 to 3, the fewer with control": split((1, 2, 3, 4, 5, 6, 7, 8)),
     "keeper cut from some": cut_from_some,
+    "keeper refuses some": refused_at_some,
     "all killed": kill_all,
     "restarts in turn": restart_in_turn,
     "control down": control_down,
