Review: a killed peer ends another router, with all its requests (LOST)

A call to a peer that times out between the reset of its link and the reader's notice takes the length of a closed stream's write buffer (None); TypeError in a request's task stops the process.

--- a/review/1/case.py
+++ b/review/1/case.py
@@ -1,16 +1,21 @@
-"""A worker that crashes in the middle of a resumable stream ends the router, with all calls that it has taken.
+"""A router ends by itself when another router stalls for some 20 ms and is then killed.
 
-Machines: three, each with a router and a member of the control core. Workers: two of the model service, one sound
-worker of the catalogue. Four clients keep a connection to one router each and send non-idempotent requests, one
-after the other. Another client sends one stream of a route with ``stream_resume`` to the same router. The worker
-that runs the stream answers with a length, as it has the whole answer, sends half of the events and crashes (its
-connections are reset). Without the disruption the worker sends the whole answer.
+Machines: seven, each with a router; the first three have a disk and a member of the control core. Clients keep
+connections to the routers of the first three machines, which nothing disturbs. Again and again the router of one of
+the other four machines stands still for a moment and is killed; it is started again at once. Without the disruption
+nothing is stopped and nothing killed.
+
+The workers and the clients run in processes of their own (modes ``worker`` and ``client``).
 """
 
 from __future__ import annotations
 
 import asyncio
 import os
+import random
+import re
+import signal
+import subprocess
 import sys
 import time
 from pathlib import Path
@@ -25,9 +30,7 @@
     Request,
     Worker,
     answer_plainly,
-    call,
     configuration,
-    read_answer,
     route,
     seal_headers,
     service,
@@ -36,156 +39,193 @@
 )
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-EVENTS = 6
-CRASH_AFTER_EVENTS = 3
-CATALOGUE_WORK_S = 0.045
-KEPT_CONNECTIONS = 8
+CORE = 3
+MACHINES = 7
+WORKERS = 3
+KEPT_CONNECTIONS = 50
+"""Of the clients of each undisturbed router."""
+WORK_S = 0.02
+STALL_S = (0.014, 0.034)
+PAUSE_S = 0.7
+CONTACT_S = 3.0
+TROUBLE_FOR_S = 85.0
+CALM_RUN_S = 30.0
 LOST_BOUND = 3
 """LOST: "closes that connection without an answer, more than three times"."""
-CONTACT_S = 3.0
+EVENTS = "id: 1\ndata: the lift\n\nid: 2\ndata: is repaired\n\n"
+
+
+async def answer_stream(worker: Worker, request: Request, writer: asyncio.StreamWriter) -> bool:
+    """A sound worker: works for 20 ms and answers with two events."""
+    if request.path in ("/health", "/v1/report") or request.header("Target-Instance") not in (None, worker.instance):
+        return await answer_plainly(worker, request, writer)
+    worker.record.write(f"runs {request.header('Attempt-Id')}")
+    await asyncio.sleep(WORK_S)
+    writer.write(
+        f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n{seal_headers(worker, request)}Keep-Alive: timeout=9\r\n"
+        f"Transfer-Encoding: chunked\r\n\r\n{len(EVENTS):x}\r\n{EVENTS}\r\n0\r\n\r\n".encode()
+    )
+    return True
+
+
+class _Machine:
+    """What a worker needs to know of a machine that serves ``control``."""
+
+    control = True
+
+    def __init__(self, ip: str) -> None:
+        self.ip = ip
 
+    def address(self, port: int) -> str:
+        return f"{self.ip}:{port}"
 
-class Client:
-    """A client with one kept connection, which sends non-idempotent requests one after the other."""
 
-    def __init__(self, number: int, address: str, record: Record) -> None:
-        self.number, self.address, self.record = number, address, record
-        self.answered = 0
-        self.lost: list[str] = []
+class _Controls:
+    """What a worker needs to know of the fleet."""
 
-    async def run(self, until: float) -> None:
-        """Sends requests until the time, or until the connection ends."""
-        host, _, port = self.address.rpartition(":")
-        reader, writer = await asyncio.open_connection(host, int(port))
+    heartbeat_ms = 1200
+
+    def __init__(self, net: str, control_port: int) -> None:
+        self.control_port = control_port
+        self.machines = [_Machine(f"{net}.{10 + index}") for index in range(CORE)]
+
+
+async def worker_main(number: int, net: str, control_port: int, folder: str) -> None:
+    """Serves as one worker until it is ended."""
+    record = Record(Path(folder) / f"worker-{number}.txt")
+    fleet = _Controls(net, control_port)
+    worker = Worker(
+        fleet, record, f"i-{number}", "model", f"{net}.{100 + number}:9000", ZONES[number], answer_stream  # type: ignore[arg-type]
+    )
+    await worker.start()
+    await asyncio.sleep(130)
+
+
+async def client_main(number: int, ip: str, port: int, folder: str) -> None:
+    """Sends requests on kept connections until it is ended."""
+    record = Record(Path(folder) / f"client-{number}.txt")
+    answered = 0
+
+    async def keep_asking(connection: int) -> None:
+        nonlocal answered
         sent = 0
-        while time.monotonic() < until:
-            attempt = f"kept{self.number}x{sent}"
+        reader, writer = await asyncio.open_connection(ip, port)
+        while True:
             sent += 1
-            head = (
-                f"POST /sheet/1 HTTP/1.1\r\nHost: ficu.example\r\nAttempt-Id: {attempt}\r\nDeadline-Ms: 1000\r\n"
-                "X-Api-Key: key-1\r\nContent-Length: 2\r\n\r\nhi"
+            attempt = f"c{number}x{connection}x{sent}"
+            session = random.randrange(4000)
+            writer.write(
+                f"POST /chat/1 HTTP/1.1\r\nHost: ficu.example\r\nAttempt-Id: {attempt}\r\nX-Api-Key: key-1\r\n"
+                f"Deadline-Ms: 2000\r\nModel: m\r\nToken-Counts: 90,80\r\n"
+                f"Prompt-Prefix: {session % 20:x}:60,{session + 1000:x}:30\r\nContent-Length: 2\r\n\r\nhi".encode()
             )
             try:
-                writer.write(head.encode())
-                answer = await read_answer(reader)
-            except OSError as problem:
-                self.record.write(f"client {attempt}: connection ended without an answer ({problem})")
-                self.lost.append(attempt)
-                break
-            if not answer.complete:
-                self.record.write(f"client {attempt}: {answer.status}, incomplete")
-                self.lost.append(attempt)
-                break
-            self.answered += 1
-            if self.answered <= 2 or answer.status != 200:
-                self.record.write(f"client {attempt}: {answer.status}")
-        writer.close()
-
-
-def text_of(event: int, resumed: bool) -> str:
-    """Returns the text of an event; a run that continues generates other words than the run that crashed."""
-    words = "the tower's lift is repaired on the ninth" if resumed else "the lift is repaired"
-    return f"id: {event}\ndata: {words} ({event})\n\n"
-
-
-class ModelWorkers:
-    """The workers of the model service; the first run of a stream crashes while it is sent."""
-
-    def __init__(self, record: Record) -> None:
-        self.record = record
-        self.crashed: set[str] = set()
-
-    async def handle(self, worker: Worker, request: Request, writer: asyncio.StreamWriter) -> bool:
-        """Answers one request with events, in a body of a known length."""
-        if request.path in ("/health", "/v1/report"):
-            return await answer_plainly(worker, request, writer)
-        if request.header("Target-Instance") not in (None, worker.instance):
-            return await answer_plainly(worker, request, writer)
-        worker.ran(request)
-        last = int(request.header("Last-Event-Id") or 0)
-        events = [text_of(number, last > 0) for number in range(last + 1, EVENTS + 1)]
-        body = "".join(events).encode()
-        writer.write(
-            f"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n{seal_headers(worker, request)}"
-            f"Content-Length: {len(body)}\r\n\r\n".encode()
-        )
-        for number, event in enumerate(events, 1):
-            writer.write(event.encode())
-            await writer.drain()
-            await asyncio.sleep(0.03)
-            if TROUBLE and last == 0 and number == CRASH_AFTER_EVENTS:
-                self.record.write(f"worker {worker.instance} crashes after {number} of {EVENTS} events")
-                await worker.stop()
-                writer.transport.abort()
-                return False
-        return True
-
-
-async def catalogue(worker: Worker, request: Request, writer: asyncio.StreamWriter) -> bool:
-    """A sound worker: works for 45 ms and answers."""
-    if request.path in ("/health", "/v1/report") or request.header("Target-Instance") not in (None, worker.instance):
-        return await answer_plainly(worker, request, writer)
-    worker.ran(request)
-    await asyncio.sleep(CATALOGUE_WORK_S)
-    body = f"done {request.header('Attempt-Id')}".encode()
-    writer.write(
-        f"HTTP/1.1 200 OK\r\n{seal_headers(worker, request)}Content-Length: {len(body)}\r\n\r\n".encode() + body
+                head = await reader.readuntil(b"\r\n\r\n")
+                if b"chunked" in head:
+                    await reader.readuntil(b"0\r\n\r\n")
+                else:
+                    found = re.search(rb"Content-Length: (\d+)", head)
+                    await reader.readexactly(int(found[1]) if found else 0)
+            except (OSError, asyncio.IncompleteReadError) as problem:
+                record.write(f"lost {attempt} {type(problem).__name__}")
+                return
+            answered += 1
+            if head[9:12] != b"200":
+                record.write(f"answered {attempt} {head[9:12].decode()}")
+
+    tasks = [asyncio.create_task(keep_asking(connection)) for connection in range(KEPT_CONNECTIONS)]
+    while True:
+        await asyncio.sleep(1.0)
+        record.write(f"total {answered}")
+        if all(task.done() for task in tasks):
+            await asyncio.sleep(130)
+
+
+def spawn(fleet: Fleet, *words: object) -> subprocess.Popen[bytes]:
+    """Starts a stand-in as a process of its own."""
+    return subprocess.Popen(
+        [sys.executable, __file__, *map(str, words), str(fleet.folder)], stderr=subprocess.DEVNULL
     )
-    return True
 
 
-async def run_case(fleet: Fleet, record: Record) -> int:
+async def trouble(fleet: Fleet, record: Record) -> list[str]:
+    """Stalls and kills routers of the last machines, one after the other; returns the processes that ended."""
+    until = time.monotonic() + TROUBLE_FOR_S
+    turn = 0
+    while time.monotonic() < until:
+        machine = fleet.machines[CORE + turn % (MACHINES - CORE)]
+        turn += 1
+        stall = random.uniform(*STALL_S)
+        machine.signal("router", signal.SIGSTOP)
+        time.sleep(stall)
+        machine.kill("router")
+        record.write(f"{machine.name}: router stood still for {1000 * stall:.0f} ms, then killed ({turn})")
+        await asyncio.sleep(0.2)
+        ended = fleet.exits()
+        if ended:
+            return ended
+        machine.start("router")
+        await asyncio.sleep(PAUSE_S - 0.2)
+    return fleet.exits()
+
+
+async def run_case(fleet: Fleet, record: Record, others: list[subprocess.Popen[bytes]]) -> int:
     """Runs the case; returns the exit code."""
     fleet.start()
     operator = Operator(fleet, record)
     routes: list[object] = [
-        route("r-chat", "/chat/", "streaming", "model", stream_resume=True, timeout_ms=15000, target_latency_ms=150),
-        route("r-sheet", "/sheet/", "non_idempotent", "catalogue", timeout_ms=1000),
+        route("r-chat", "/chat/", "streaming", "model", stream_resume=True, timeout_ms=2000, target_latency_ms=200)
     ]
-    services: list[object] = [service("model", True), service("catalogue", False)]
-    taken = await operator.send("Replace", configuration(1, routes, services, [tenant("tenant-1", ["key-1"])]), 0)
+    taken = await operator.send(
+        "Replace",
+        configuration(1, routes, [service("model", True)], [tenant("tenant-1", ["key-1"], 10**8)]),
+        0,
+    )
     if taken is None or taken.status != 200:
         record.write("the first configuration was not acknowledged")
         return 2
-    models = ModelWorkers(record)
-    workers = [
-        Worker(fleet, record, f"i-model-{n}", "model", f"{fleet.net}.{100 + n}:9000", ZONES[n], models.handle)
-        for n in range(2)
-    ]
-    workers.append(Worker(fleet, record, "i-cat-0", "catalogue", f"{fleet.net}.110:9000", ZONES[2], catalogue))
-    for worker in workers:
-        await worker.start()
+    others += [spawn(fleet, "worker", number, fleet.net, fleet.control_port) for number in range(WORKERS)]
     if not await wait_ready(fleet):
         record.write("the routers did not become ready")
         return 2
-    await asyncio.sleep(CONTACT_S + 1.0)  # All machines are in touch from here on.
-    router = fleet.machines[0].address(fleet.front_port)
-    until = time.monotonic() + 6.0
-    clients = [Client(number, router, record) for number in range(KEPT_CONNECTIONS)]
-    running = [asyncio.create_task(client.run(until)) for client in clients]
-    await asyncio.sleep(1.0)
-    headers = {
-        "Host": "ficu.example", "Attempt-Id": "stream-1", "X-Api-Key": "key-1", "Deadline-Ms": "15000", "Model": "m",
-        "Token-Counts": "220,80", "Prompt-Prefix": "5c1e07a2:79,91bd3f06:141",
-    }
-    record.write("client stream-1: sent")
-    answer = await call(router, "POST", "/chat/1", headers, b"hi", timeout=5.0)
-    shown = "no answer" if answer is None else f"{answer.status}, {'complete' if answer.complete else 'incomplete'}"
-    record.write(f"client stream-1: {shown}, {0 if answer is None else answer.body.count(b'data:')} events")
-    await asyncio.gather(*running)
-    await asyncio.sleep(1.0)
-    ended = fleet.exits()
-    lost = [attempt for client in clients for attempt in client.lost]
-    passed_on = {attempt for worker in workers for _, attempt in worker.runs}
-    broken = [attempt for attempt in lost if attempt in passed_on]
-    record.write(f"answered on kept connections: {sum(client.answered for client in clients)}")
-    record.write(f"passed on to the sound worker, connection closed without an answer: {len(broken)} {broken}")
+    await asyncio.sleep(CONTACT_S + 1.0)
+    others += [
+        spawn(fleet, "client", number, fleet.machines[number].ip, fleet.front_port) for number in range(CORE)
+    ]
+    await asyncio.sleep(2.0)
+    if TROUBLE:
+        ended = await trouble(fleet, record)
+    else:
+        await asyncio.sleep(CALM_RUN_S)
+        ended = fleet.exits()
+    await asyncio.sleep(2.0)
+    return judge(fleet, record, ended)
+
+
+def judge(fleet: Fleet, record: Record, ended: list[str]) -> int:
+    """Counts the requests that a worker ran and whose kept connection was closed without an answer."""
+    ran: set[str] = set()
+    for number in range(WORKERS):
+        ran.update(re.findall(r"runs (\S+)", (fleet.folder / f"worker-{number}.txt").read_text()))
+    lost_by_router: dict[str, list[str]] = {}
+    for number in range(CORE):
+        text = (fleet.folder / f"client-{number}.txt").read_text()
+        totals = re.findall(r"total (\d+)", text)
+        record.write(f"{fleet.machines[number].name}: {totals[-1] if totals else 0} requests answered")
+        lost_by_router[fleet.machines[number].name] = [each for each in re.findall(r"lost (\S+)", text) if each in ran]
+    record.write(f"requests that a worker ran: {len(ran)}")
+    for name, lost in lost_by_router.items():
+        record.write(f"{name}: passed on, and connection closed without an answer: {len(lost)} {lost}")
     record.write(f"processes that ended by themselves: {ended}")
-    if len(broken) > LOST_BOUND or ended:
+    if any(len(lost) > LOST_BOUND for lost in lost_by_router.values()) or ended:
+        for machine in fleet.machines:
+            for line in (machine.folder / "router.log").read_text().splitlines():
+                if "event=stopped" in line and "Error" in line:
+                    record.write(f"log of {machine.name}: {line}")
         record.write("LOST: broken")
         return 1
-    if TROUBLE and not any("stream-1" == attempt for worker in workers for _, attempt in worker.runs):
-        record.write("the stream reached no worker")
+    if not ran:
+        record.write("no request reached a worker")
         return 2
     record.write("held")
     return 0
@@ -194,16 +234,25 @@
 async def main() -> int:
     """Runs the case and ends all processes."""
     record = Record(Path(__file__).with_name("record.txt"))
-    fleet = Fleet(machines=3)
+    fleet = Fleet(machines=MACHINES)
+    others: list[subprocess.Popen[bytes]] = []
     try:
-        async with asyncio.timeout(100):
-            return await run_case(fleet, record)
+        async with asyncio.timeout(112):
+            return await run_case(fleet, record, others)
     except TimeoutError:
         record.write("the case took too long")
         return 2
     finally:
+        for process in others:
+            process.kill()
+            process.wait()
         fleet.close()
 
 
 if __name__ == "__main__":
-    sys.exit(asyncio.run(main()))
+    if sys.argv[1:2] == ["worker"]:
+        asyncio.run(worker_main(int(sys.argv[2]), sys.argv[3], int(sys.argv[4]), sys.argv[5]))
+    elif sys.argv[1:2] == ["client"]:
+        asyncio.run(client_main(int(sys.argv[2]), sys.argv[3], int(sys.argv[4]), sys.argv[5]))
+    else:
+        sys.exit(asyncio.run(main()))
