Peer link: a call that times out on a failed connection no longer ends the process

Cause: a write that meets the peer's reset closes the stream at once; PeerLink._stream is cleared one turn of the event loop later. A call timing out in between asked the closed stream for its unsent bytes: TypeError in the task of a caller's request, which ends the process.

The link now asks one method whether its connection can be used, so no path sees a closed stream.

--- a/wingwood/transport/peer_link.py
+++ b/wingwood/transport/peer_link.py
@@ -90,22 +90,22 @@
 
     async def connected(self) -> bool:
         """Connects if necessary and returns whether the link is connected."""
-        if self._is_open():
+        if self._open_stream() is not None:
             return True
         connecting = self._connect()
         return connecting is not None and await asyncio.shield(connecting)
 
     def post(self, envelope: Envelope) -> None:
         """Writes the post now, or as soon as the link is connected; the order of posts is kept."""
-        if self._is_open():
+        if self._open_stream() is not None:
             self.write(envelope)
         elif self._connect() is not None and len(self._pending_posts) < self._options.max_pending_posts:
             self._pending_posts.append(envelope)
 
     def write(self, envelope: Envelope) -> bool:
         """Writes the envelope; returns False if the link is closed or has too many unsent bytes."""
-        stream = self._stream
-        if stream is None or stream.closed() or unsent_bytes(stream) > self._options.max_unsent_bytes:
+        stream = self._open_stream()
+        if stream is None or unsent_bytes(stream) > self._options.max_unsent_bytes:
             return False
         self._traffic.write(stream, envelope)
         return True
@@ -113,11 +113,13 @@
     def handle_call_timeout(self, called_at: Instant) -> None:
         """Closes the link if nothing has been received for too long; the call made at ``called_at`` timed out.
 
-        A peer to or from which a large frame is still being transferred is not unresponsive.
+        A peer to or from which a large frame is still being transferred is not unresponsive. A connection that has
+        failed says nothing about the peer: the task that reads it is about to close the link.
         """
-        if self._last_byte_at >= called_at:
+        stream = self._open_stream()
+        if stream is None or self._last_byte_at >= called_at:
             return
-        if self._is_transferring():
+        if self._is_transferring(stream):
             self._unresponsive_since = None
             return
         if self._unresponsive_since is None:
@@ -137,8 +139,13 @@
             if not call.done():
                 call.set_result(Failure(TransportFailure("closed", True, reason)))
 
-    def _is_open(self) -> bool:
-        return self._stream is not None and not self._stream.closed()
+    def _open_stream(self) -> BaseIOStream | None:
+        """Returns the connection if it can be used.
+
+        A failed write closes the stream at once, while ``_stream`` is cleared only when the reading task runs. In
+        between, the stream has no buffers that could be asked.
+        """
+        return None if self._stream is None or self._stream.closed() else self._stream
 
     def _connect(self) -> asyncio.Future[bool] | None:
         """Starts connecting unless that is in progress; returns None for a short time after a failure."""
@@ -207,18 +214,16 @@
         stream.close()
         return None
 
-    def _is_transferring(self) -> bool:
+    def _is_transferring(self, stream: BaseIOStream) -> bool:
         """Returns whether bytes of a large frame were received or sent since the previous check."""
-        if self._stream is None:
-            return False
-        before, self._progress = self._progress, _transferred(self._stream)
+        before, self._progress = self._progress, _transferred(stream)
         return (
             self._progress.received_bytes > before.received_bytes or 0 < before.sent_bytes < self._progress.sent_bytes
         )
 
 
 def unsent_bytes(stream: BaseIOStream) -> int:
-    """Returns the bytes that the stream has buffered for sending; tornado has no public way to ask."""
+    """Returns the bytes that the open stream has buffered for sending; tornado has no public way to ask."""
     return len(stream._write_buffer)
 
 
--- a/wingwood/transport/tests/test_messenger.py
+++ b/wingwood/transport/tests/test_messenger.py
@@ -148,6 +148,39 @@
         self.assertEqual(peers.ask(Question(3)), Success(Answer(3)))
 
 
+class ConnectionThatFailsWhileCallsTimeOut(unittest.TestCase):
+    """The connection is closed within one turn of the event loop, before the task that reads it has run."""
+
+    def test_calls_that_time_out_after_a_failed_write_do_not_end_the_process(self) -> None:
+        """A peer that stalls and is killed must not end a daemon that waits for it (peer-reset-ends-router.md)."""
+        peers = Peers()
+        self.addCleanup(peers.world.close)
+        self.assertEqual(peers.ask(Question(1)), Success(Answer(1)))
+        peers.world.freeze("far")
+        messenger = peers.messengers["near"]
+        outcomes: list[Result[Answer, TransportFailure]] = []
+
+        async def call(number: int) -> None:
+            outcomes.append(await messenger.call(peers.far, Question(number), Answer, Seconds(0.015)))
+
+        async def call_and_meet_the_reset() -> None:
+            await call(2)
+            for endpoint in peers.world.network.endpoints.values():
+                if endpoint.other == peers.far:
+                    endpoint.error = ConnectionResetError("peer was killed")
+            messenger.post(peers.far, Question(3))
+
+        near = peers.world.processes["near"]
+        peers.world.spawn(near, call_and_meet_the_reset(), "first")
+        peers.world.spawn(near, call(4), "second")
+        peers.world.run(1.0)
+        self.assertEqual(peers.world.broken_invariants, [])
+        self.assertEqual([outcome.failure().kind for outcome in outcomes], ["timeout", "timeout"])
+        peers.world.wake("far")
+        peers.world.run(1.0)
+        self.assertEqual(peers.ask(Question(5)), Success(Answer(5)))
+
+
 class HalfOpenLinks(unittest.TestCase):
     def test_link_reconnects_after_the_peer_machine_restarts(self) -> None:
         """After a power failure the peer does not know the connection; the link must not remain half-open."""
