Worker connections: a request that was given up is withdrawn instead of arriving after a partition

Cause: an attempt that was stopped closed its connection in order, so the kernel went on sending the unacknowledged request after the partition.

Connections to workers now reset when they are closed (SO_LINGER 0, set when they open, so that the end of the process withdraws requests as well); only a connection whose last call is complete is closed in order. Probes run only from the first part of a response to its end. The same for the stream client and libcurl's. The simulated network drops a reset connection's held-up bytes; one closed in order still delivers them.

--- a/simulation/network.py
+++ b/simulation/network.py
@@ -13,6 +13,7 @@
 import contextvars
 import itertools
 import socket
+import struct
 from collections import deque
 from collections.abc import Callable
 from random import Random
@@ -73,6 +74,8 @@
         self.ended = False
         self.error: OSError | None = None
         self.closed = False
+        self.reset_on_close = False
+        """Whether closing drops the segments that have not arrived (SO_LINGER with 0 seconds)."""
         self.blocked_writer = False
         self.segments: deque[tuple[float, bytes | None, bool]] = deque()
         """Segments in flight to the peer: (arrival, bytes or None for the end, whether the end is a reset)."""
@@ -81,6 +84,8 @@
         self.timer_set = False
         self.stalled_since: float | None = None
         """When a partition or a machine without power first blocked the segments; None while they flow."""
+        self.retransmits_at = 0.0
+        """When the segments that were blocked are sent again."""
 
     def readable(self) -> bool:
         return bool(self.received) or self.ended or self.error is not None
@@ -123,13 +128,18 @@
         return 0 if self.ended else None
 
     def close(self) -> None:
-        """Closes as the kernel does: sends a reset when unread bytes are left, otherwise the end of stream."""
+        """Closes as the kernel does: sends a reset when unread bytes are left, otherwise the end of stream.
+
+        With ``reset_on_close`` it sends a reset in any case, and nothing is sent again.
+        """
         if self.closed:
             return
         self.closed = True
         self.network.loop.unwatch(self)
         self.network.remove_endpoint(self)
-        if self.error is None:
+        if self.error is None and self.reset_on_close:
+            self.network.abort(self)
+        elif self.error is None:
             self.network.queue(self, None, reset=bool(self.received))
         self.received.clear()
 
@@ -142,8 +152,8 @@
         self.received.clear()
 
 
-class _SocketName:
-    """The part of a socket that tornado's HTTP server reads."""
+class _SimulatedSocket:
+    """The part of a socket that tornado's HTTP server reads, and the option that makes closing a reset."""
 
     family = socket.AF_INET
 
@@ -156,6 +166,12 @@
     def getsockname(self) -> tuple[str, int]:
         return (self._endpoint.own.host, self._endpoint.own.port)
 
+    def setsockopt(self, level: int, option: int, value: bytes | int) -> None:
+        """Knows only the option that says whether closing resets the connection."""
+        if (level, option) == (socket.SOL_SOCKET, socket.SO_LINGER) and isinstance(value, bytes):
+            enabled, seconds = struct.unpack("ii", value)
+            self._endpoint.reset_on_close = bool(enabled) and seconds == 0
+
 
 class SimulatedStream(BaseIOStream):
     """Tornado's stream over one end of a simulated connection."""
@@ -163,7 +179,7 @@
     def __init__(self, endpoint: Endpoint) -> None:
         super().__init__(max_buffer_size=96 * 1024 * 1024, read_chunk_size=65536)
         self.endpoint = endpoint
-        self.socket = _SocketName(endpoint)
+        self.socket = _SimulatedSocket(endpoint)
 
     def __hash__(self) -> int:
         return self.endpoint.number
@@ -312,6 +328,7 @@
         again = self.loop.now + self.random.uniform(0.2, max(0.2, min(stalled_for, 20.0)))
         endpoint.segments = deque((max(arrival, again), data, reset) for arrival, data, reset in endpoint.segments)
         endpoint.last_arrival = max(endpoint.last_arrival, again)
+        endpoint.retransmits_at = again
         self._set_timer(endpoint)
 
     def break_connection(self, endpoint: Endpoint) -> None:
@@ -371,6 +388,20 @@
             endpoint.bytes_in_flight += len(data)
         self._set_timer(endpoint)
 
+    def abort(self, endpoint: Endpoint) -> None:
+        """Sends a reset once, which a partition loses, after the segments that are on their way.
+
+        Segments that were lost on their way are not sent again.
+        """
+        blocked = self.blocked(endpoint.machine, endpoint.peer.machine)
+        if blocked or endpoint.stalled_since is not None or endpoint.retransmits_at > self.loop.now:
+            endpoint.segments.clear()
+            endpoint.bytes_in_flight = 0
+            endpoint.stalled_since = None
+            endpoint.last_arrival = self.loop.now
+        if not blocked:
+            self.queue(endpoint, None, reset=True)
+
     def _set_timer(self, endpoint: Endpoint) -> None:
         if not endpoint.timer_set and endpoint.stalled_since is None and endpoint.segments:
             endpoint.timer_set = True
--- a/wingwood/context/connection_pool.py
+++ b/wingwood/context/connection_pool.py
@@ -156,11 +156,17 @@
             del self._addresses[address]
 
     def close(self, connection: PooledConnection) -> None:
-        """Closes a connection that is not idle."""
+        """Closes a connection that is not idle, and whose last call is complete."""
         if not connection.closed:
             connection.close()
             self.release(connection.address)
 
+    def reset(self, connection: PooledConnection) -> None:
+        """Closes a connection in the middle of a call; its unacknowledged request is withdrawn."""
+        if not connection.closed:
+            connection.reset()
+            self.release(connection.address)
+
     def store_idle(self, connection: PooledConnection, keep_alive_seconds: int | None) -> None:
         """Stores a connection as idle after a response with this ``Keep-Alive`` timeout, which may be None.
 
--- a/wingwood/context/curl_client.py
+++ b/wingwood/context/curl_client.py
@@ -18,12 +18,14 @@
 from .http_exchange import Exchange
 from .http_framing import MAX_HEAD_BYTES, ChunkDecoder, fault_of_request, framing_of, is_token
 from .protocols import HttpExchange, HttpFault, HttpHead, HttpRequest
+from .socket_options import reset_descriptor_on_close
 
 _MAX_IDLE_HANDLES: Final = 256
 """Handles without a call that are stored for later calls, because making one is expensive."""
 _PROCEED: Final[int] = pycurl.PREREQFUNC_OK
 _ABORT: Final[int] = pycurl.PREREQFUNC_ABORT
 _PAUSE: Final[int] = pycurl.WRITEFUNC_PAUSE
+_SOCKET_ACCEPTED: Final[int] = pycurl.SOCKOPT_OK
 _STATUS_LINE = re.compile(r"HTTP/1\.[01] ([1-5][0-9]{2})(?: .*)?")
 _MALFORMED: Final = frozenset(
     {pycurl.E_UNSUPPORTED_PROTOCOL, pycurl.E_FTP_WEIRD_SERVER_REPLY, pycurl.E_BAD_CONTENT_ENCODING}
@@ -147,6 +149,7 @@
         else:
             set_option(pycurl.HTTPGET, 1)
             set_option(pycurl.CUSTOMREQUEST, request.method)
+        set_option(pycurl.SOCKOPTFUNCTION, _set_up_socket)
         set_option(pycurl.PREREQFUNCTION, self._before_write)
         set_option(pycurl.HEADERFUNCTION, self._on_header_line)
         set_option(pycurl.WRITEFUNCTION, self._on_body)
@@ -246,6 +249,12 @@
             self._engine.remove(curl)
 
 
+def _set_up_socket(descriptor: int, _: int) -> int:
+    """Makes every close a reset, since libcurl does not say which one cuts a call off."""
+    reset_descriptor_on_close(descriptor)
+    return _SOCKET_ACCEPTED
+
+
 def _header_lines(request: HttpRequest) -> list[bytes]:
     """Returns the headers in libcurl's syntax: ``Name;`` sends an empty value, ``Name:`` omits a header of its own."""
     header_names = {name.lower() for name, _ in request.headers}
--- a/wingwood/context/pooled_client.py
+++ b/wingwood/context/pooled_client.py
@@ -150,6 +150,8 @@
             self.add_chunk(body)
         if parser.state is not ResponseState.INCOMPLETE:
             self._response_done()
+        elif self._connection is not None:
+            self._connection.probe_when_silent(True)
 
     def on_connection_end(self) -> None:
         """Ends the call; the framing decides whether the response is complete."""
@@ -182,8 +184,12 @@
         connection, self._connection = self._connection, None
         assert connection is not None
         parser = self._parser
-        clean = parser.persistent and not parser.surplus and connection.all_written()
-        if clean and self.request.reuse and not _asks_to_close(self.request):
+        if not connection.all_written():
+            self._pool.reset(connection)
+            return
+        reusable = parser.persistent and not parser.surplus
+        if reusable and self.request.reuse and not _asks_to_close(self.request):
+            connection.probe_when_silent(False)
             self._pool.store_idle(connection, parser.keep_alive_seconds)
         else:
             self._pool.close(connection)
@@ -202,7 +208,7 @@
     def _close(self) -> None:
         connection, self._connection = self._connection, None
         if connection is not None:
-            self._pool.close(connection)
+            self._pool.reset(connection)
         self._client.remove_exchange(self)
 
 
--- a/wingwood/context/pooled_connection.py
+++ b/wingwood/context/pooled_connection.py
@@ -9,6 +9,7 @@
 from tornado.iostream import BaseIOStream
 
 from ..identifiers import Address, Instant
+from .socket_options import probe_when_silent, reset_on_close
 
 READ_BUFFER_BYTES: Final = 64 * 1024
 """Size of the buffer that connections share, and so of one read."""
@@ -51,6 +52,7 @@
         "_events",
         "_io_loop",
         "_on_idle_event",
+        "_probes",
         "_stream",
         "_unsent",
         "_write_failed",
@@ -88,6 +90,9 @@
         self._io_loop = stream.io_loop
         self._descriptor = stream.fileno()
         self._events: int = IOLoop.READ
+        self._probes = False
+        reset_on_close(stream, True)
+        probe_when_silent(stream, False)
         self._io_loop.add_handler(self._descriptor, self._on_events, IOLoop.READ)
 
     def write(self, data: bytes) -> OSError | None:
@@ -108,6 +113,16 @@
         if not self.closed and not self._events & IOLoop.READ:
             self._watch(self._events | IOLoop.READ)
 
+    def probe_when_silent(self, enabled: bool) -> None:
+        """Sets whether keep-alive probes abort the connection; only for the time after the response has started.
+
+        Until then ``TCP_USER_TIMEOUT`` covers the request. Where probes abort a connection that has unacknowledged
+        bytes, nobody can withdraw these any more.
+        """
+        if enabled != self._probes and not self.closed:
+            self._probes = enabled
+            probe_when_silent(self._stream, enabled)
+
     def is_reusable(self) -> bool:
         """Returns whether the connection is open and has nothing to read; received bytes are discarded."""
         try:
@@ -116,13 +131,27 @@
             return False
 
     def close(self) -> None:
-        """Closes the connection at once; its user is not called any more."""
+        """Closes a connection without unfinished call in order."""
         if not self.closed:
-            self.closed = True
-            self.user = None
-            self._unsent = None
-            self._io_loop.remove_handler(self._descriptor)
-            self._stream.close()
+            reset_on_close(self._stream, False)
+            self._close_stream()
+
+    def reset(self) -> None:
+        """Closes the connection at once and withdraws what the peer has not acknowledged; its user is not called
+        any more.
+
+        That is also what happens when the process ends. Otherwise a request that was written into a partition would
+        reach the worker after it, long after the call was given up.
+        """
+        if not self.closed:
+            self._close_stream()
+
+    def _close_stream(self) -> None:
+        self.closed = True
+        self.user = None
+        self._unsent = None
+        self._io_loop.remove_handler(self._descriptor)
+        self._stream.close()
 
     def _watch(self, events: int) -> None:
         self._events = events
--- a/wingwood/context/stream_client.py
+++ b/wingwood/context/stream_client.py
@@ -18,6 +18,7 @@
 from .http_exchange import Exchange
 from .http_framing import MAX_HEAD_BYTES, fault_of_request, framing_of
 from .protocols import HttpExchange, HttpFault, HttpHead, HttpRequest, Network, Tasks
+from .socket_options import close_with_reset
 
 _UNLIMITED_BYTES: Final = 1 << 62
 _READ_BYTES: Final = 16 * 1024
@@ -129,7 +130,7 @@
     def _close(self) -> None:
         self._resume_if_paused()
         if self._stream is not None:
-            self._stream.close()
+            close_with_reset(self._stream)
 
 
 class _ResponseDelegate(httputil.HTTPMessageDelegate):
--- a/wingwood/context/tests/test_http_clients.py
+++ b/wingwood/context/tests/test_http_clients.py
@@ -235,6 +235,27 @@
                 server.client_closed.clear()
                 self.assertEqual(server.connections, calls)
 
+        async def test_cancelled_call_resets_its_connection(self) -> None:
+            """An orderly close would leave the unacknowledged request to the kernel, which goes on sending it."""
+            ends: list[bytes | str] = []
+
+            async def script(reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> None:
+                received.set()
+                try:
+                    ends.append(await reader.read())
+                except ConnectionResetError:
+                    ends.append("reset")
+                raise ConnectionResetError
+
+            received = asyncio.Event()
+            server = await self.serve(script)
+            exchange = self.call(server)
+            async with asyncio.timeout(WAIT_LIMIT_S):
+                await received.wait()
+                exchange.cancel()
+                await server.client_closed.wait()
+            self.assertEqual(ends, ["reset"])
+
         async def test_refused_connection_is_not_sent(self) -> None:
             server = await self.serve(answers())
             await server.stop()
--- a/wingwood/context/tests/test_pooled_client.py
+++ b/wingwood/context/tests/test_pooled_client.py
@@ -7,15 +7,24 @@
 from __future__ import annotations
 
 import asyncio
+import socket
 import unittest
+from typing import cast
+from unittest import mock
 
-from tornado.iostream import BaseIOStream
+from tornado.iostream import BaseIOStream, IOStream
+
+from simulation import World, address_of
+from simulation.network import Cut
 
 from ...identifiers import Address, Seconds
 from ..connection_pool import ConnectionLimits
-from ..protocols import HttpFault
+from ..pooled_client import PooledHttpClient
+from ..protocols import Context, HttpFault
+from ..real import RealNetwork
 from .scripted_worker import (
     ECHO,
+    PORT,
     ReceivedRequest,
     Scenario,
     ScriptedWorker,
@@ -529,6 +538,52 @@
             self.run_checked(scenario, worker)
 
 
+class KeepAliveProbes(unittest.TestCase):
+    """Probes that abort a connection with an unacknowledged request leave that request to the network."""
+
+    def test_probes_run_only_while_a_response_is_received(self) -> None:
+        """A request that waits for its answer in a partition must still be withdrawn when the call is given up."""
+        asked, may_go_on, may_end = asyncio.Event(), asyncio.Event(), asyncio.Event()
+
+        async def answers_in_parts(received_request: ReceivedRequest) -> None:
+            answer = received_request.answer(b"12345678", "Keep-Alive: timeout=8")
+            asked.set()
+            await may_go_on.wait()
+            await received_request.send(answer[:-3])
+            await may_end.wait()
+            await received_request.send(answer[-3:])
+
+        async def scenario(testbed: Testbed) -> None:
+            probes: list[int] = []
+            exchange = testbed.start()
+            await asked.wait()
+            probes.append(keep_alive_of_router(worker))
+            may_go_on.set()
+            await exchange.next_chunk()
+            probes.append(keep_alive_of_router(worker))
+            may_end.set()
+            self.assertIsNone((await read_answer(exchange)).fault)
+            probes.append(keep_alive_of_router(worker))
+            self.assertEqual(probes, [0, 1, 0])
+
+        def keep_alive_of_router(worker: ScriptedWorker) -> int:
+            peer = worker.streams[-1].socket.getpeername()  # type: ignore[attr-defined]
+            own = [each for each in streams if each.socket.getsockname() == peer]
+            return int(own[0].socket.getsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE) != 0)
+
+        streams: list[IOStream] = []
+        connect = RealNetwork.connect
+
+        async def recorded(network: RealNetwork, address: Address, timeout: Seconds) -> object:
+            opened = await connect(network, address, timeout)
+            streams.append(cast(IOStream, opened.unwrap()))
+            return opened
+
+        worker = ScriptedWorker(answers_in_parts)
+        with mock.patch.object(RealNetwork, "connect", recorded):
+            run_on_loopback(scenario, worker)
+
+
 class OnLoopback(OnBothNetworks.Tests):
     def run_scenario(self, scenario: Scenario, worker: ScriptedWorker, limits: ConnectionLimits | None = None) -> None:
         run_on_loopback(scenario, worker, limits)
@@ -631,6 +686,56 @@
 
         run_in_simulation(scenario, ScriptedWorker(answers_ok))
 
+    def test_request_given_up_in_a_partition_does_not_reach_the_worker_after_it(self) -> None:
+        """The worker may have begun to drain since then (DRAIN); the call may have been answered by another one."""
+        for healed_after in (0.5, 3.0):
+
+            async def scenario(testbed: Testbed, healed_after: float = healed_after) -> None:
+                await testbed.call()
+                world = testbed.world
+                assert world is not None
+                cut = world.cut("router", "worker")
+                exchange = testbed.start()
+                await asyncio.sleep(0.4)
+                exchange.cancel()
+                self.assertEqual((await read_answer(exchange)).fault_summary(), ("cancelled", True, False))
+                await asyncio.sleep(healed_after)
+                world.heal(cut)
+                await asyncio.sleep(20.0)
+
+            worker = ScriptedWorker(answers_ok)
+            run_in_simulation(scenario, worker)
+            self.assertEqual(list(worker.received), ["call-1"], f"healed after {healed_after} s")
+
+    def test_request_of_a_killed_router_does_not_leave_a_partition(self) -> None:
+        """The end of the process closes its connections as well, while the worker can't be reached."""
+        worker = ScriptedWorker(answers_ok)
+        with World(1) as world:
+
+            async def serve(context: Context) -> None:
+                worker.start(context.network, [address_of(world.machines["worker"], PORT)])
+
+            async def run(context: Context) -> None:
+                testbed = Testbed(worker, context.clock)
+                testbed.world, testbed.network = world, context.network
+                testbed.address = address_of(world.machines["worker"], PORT)
+                testbed.client = PooledHttpClient(context.network, context.clock, context.tasks)
+                await testbed.call()
+                cuts.append(world.cut("router", "worker"))
+                testbed.start()
+                await asyncio.sleep(60.0)
+
+            cuts: list[Cut] = []
+            world.start("worker", serve)
+            world.start("router", run)
+            world.wait_for(lambda: bool(cuts), within=5.0)
+            world.run(0.4)
+            world.kill("router")
+            world.run(1.0)
+            world.heal(cuts[0])
+            world.run(20.0)
+        self.assertEqual(list(worker.received), ["call-1"])
+
     def test_frozen_router_does_not_use_a_connection_that_ended_meanwhile(self) -> None:
         """The worker closes the connection while the router process is stopped for a second."""
 
--- a/wingwood/forward/caller_connection.py
+++ b/wingwood/forward/caller_connection.py
@@ -8,14 +8,13 @@
 
 import asyncio
 import re
-import socket
-import struct
 from collections.abc import Callable
 from typing import Final, cast
 
 from tornado.ioloop import IOLoop
 from tornado.iostream import BaseIOStream, StreamClosedError
 
+from ..context.socket_options import reset_on_close
 from ..identifiers import Address, RequestId
 from .edge_state import EdgeState, reason_phrase
 from .results import Rejection
@@ -228,7 +227,5 @@
 
     def reset(self) -> None:
         """Closes with a TCP reset, so that the caller gets an error instead of a regular end of the data."""
-        raw = getattr(self._stream, "socket", None)
-        if isinstance(raw, socket.socket):
-            raw.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+        reset_on_close(self._stream, True)
         self.close()
