--- a/wingwood/daemons/process.py
+++ b/wingwood/daemons/process.py
@@ -100,9 +100,15 @@
     says that the daemon could not start. With ``read_settings`` the settings are read again on SIGHUP and every
     ``SETTINGS_POLL_INTERVAL_S`` seconds.
     """
+    _ignore_hang_up()
     return asyncio.run(_run(settings, build, read_settings))
 
 
+def _ignore_hang_up() -> None:
+    """Lets SIGHUP do nothing while no daemon handles it: by default it ends the process."""
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+
+
 async def _run(
     settings: DaemonSettings, build: Callable[[Context, DaemonSettings], Daemon], read_settings: ReadSettings | None
 ) -> int:
@@ -141,6 +147,8 @@
     except TimeoutError:
         context.log.event("drain-timed-out", role=settings.role)
     daemon.stop()
+    loop.remove_signal_handler(signal.SIGHUP)
+    _ignore_hang_up()
     context.log.event("stopped", reason="asked to")
     return EXIT_STOPPED
 
