Forwarding: a complete answer that meets a time limit is sent or replaced, never dropped

Cause: stopping an attempt set its stop reason, but cancelling a complete exchange had no effect, so that the attempt finished the response without a head and counted the call as answered.

Exchange.cancel now takes effect until the consumer has been given the end of the call, and not after it: one event decides between stop and completion. From there to the head there is no further turn of the event loop.

--- a/wingwood/context/http_exchange.py
+++ b/wingwood/context/http_exchange.py
@@ -32,6 +32,8 @@
         self._end: Result[bytes | None, HttpFault] | None = None
         self._waiter: asyncio.Future[None] | None = None
         self._sent = False
+        self._end_delivered = False
+        """Whether the consumer was given the end of the call, after which ``cancel`` has no effect."""
 
     # Methods for the consumer (protocol HttpExchange).
 
@@ -39,17 +41,17 @@
         """Waits for status and headers."""
         while self._head is None:
             if self._end is not None:
-                return Failure(self._end.failure())
+                return Failure(self._deliver_end(self._end).failure())
             await self._wait()
         if self._end is not None and _is_cancelled(self._end):
-            return Failure(self._end.failure())
+            return Failure(self._deliver_end(self._end).failure())
         return Success(self._head)
 
     async def next_chunk(self) -> Result[bytes | None, HttpFault]:
         """Waits for body bytes and returns those that have arrived, joined; None after the clean end of the body."""
         while not self._buffered_chunks:
             if self._end is not None:
-                return self._end
+                return self._deliver_end(self._end)
             await self._wait()
         chunk = self._buffered_chunks.popleft()
         if self._buffered_chunks and len(chunk) < _JOINED_CHUNK_BYTES:
@@ -65,8 +67,11 @@
         return Success(chunk)
 
     def cancel(self) -> None:
-        """Drops what is buffered and closes the connection, unless everything was consumed."""
-        if self._end is not None and not self._buffered_chunks:
+        """Drops what is buffered and closes the connection, unless the consumer was given the end.
+
+        So whoever cancels a call and its consumer agree on one outcome, also if the response is already complete.
+        """
+        if self._end_delivered:
             return
         self._buffered_chunks.clear()
         self._buffered_bytes = 0
@@ -130,6 +135,10 @@
     def _close(self) -> None:
         """Closes the connection at once; subclasses implement it."""
 
+    def _deliver_end(self, end: Result[bytes | None, HttpFault]) -> Result[bytes | None, HttpFault]:
+        self._end_delivered = True
+        return end
+
     def _wake(self) -> None:
         if self._waiter is not None and not self._waiter.done():
             self._waiter.set_result(None)
--- a/wingwood/context/protocols.py
+++ b/wingwood/context/protocols.py
@@ -213,7 +213,10 @@
         ...
 
     def cancel(self) -> None:
-        """Closes the connection at once; later waits return a ``cancelled`` fault. Has no effect on a finished call."""
+        """Closes the connection at once; later waits return a ``cancelled`` fault.
+
+        Has no effect once ``head`` or ``next_chunk`` has returned the end of the call.
+        """
         ...
 
     def request_sent(self) -> bool:
--- a/wingwood/forward/tests/test_forwarding.py
+++ b/wingwood/forward/tests/test_forwarding.py
@@ -14,6 +14,8 @@
 
 from simulation import World
 
+from ...context.http_exchange import Exchange
+from ...context.protocols import HttpExchange, HttpHead, HttpRequest
 from ...identifiers import Seconds
 from ...ledger.protocols import ClaimTimeoutError
 from ..forward_options import AttemptOptions, ForwardOptions
@@ -26,6 +28,7 @@
     Caller,
     PathWorld,
     PendingHttpClient,
+    Reply,
     ScriptedWorker,
     bundle_of,
     chunk,
@@ -470,6 +473,90 @@
         self.assertEqual({line["status"] for line in self.path.log_lines()}, {200})
 
 
+class AnsweringHttpClient:
+    """An HTTP client whose calls end with a complete answer after ``seconds``, in one turn of the event loop."""
+
+    def __init__(self, head: HttpHead, body: bytes, seconds: float) -> None:
+        self._head = head
+        self._body = body
+        self._seconds = seconds
+
+    def start(self, request: HttpRequest) -> HttpExchange:
+        exchange = Exchange(request)
+        assert exchange.may_write()
+        loop = asyncio.get_running_loop()
+        if self._body:
+            loop.call_later(self._seconds / 2, self._send_body, exchange)
+        loop.call_later(self._seconds, self._complete, exchange)
+        return exchange
+
+    def _send_body(self, exchange: Exchange) -> None:
+        exchange.set_head(self._head)
+        exchange.add_chunk(self._body)
+
+    def _complete(self, exchange: Exchange) -> None:
+        exchange.set_head(self._head)
+        exchange.end(None)
+
+
+class CompleteAnswersAtATimeLimit(unittest.TestCase):
+    """A complete answer and a time limit of the attempt that are handled in one turn of the event loop.
+
+    The caller must get one complete answer, the worker's or the router's; it must not be left waiting (CONFIG).
+    """
+
+    DEADLINE_S = 2.0
+
+    def reply(
+        self, head: HttpHead, body: bytes = b"", options: AttemptOptions | None = None, **service: object
+    ) -> Reply:
+        """Pauses the router over the moment of the answer and the time limit, so that both are due when it wakes."""
+        client = AnsweringHttpClient(head, body, self.DEADLINE_S - 0.01)
+        with World(seed=3) as world:
+            world.http_client = lambda network, tasks: client
+            path = PathWorld(world, ForwardOptions(attempt=options or AttemptOptions()))
+            changes = {
+                "deadline": Seconds(self.DEADLINE_S),
+                "attempts": 1,
+                "idempotency_keys": False,
+                "streaming": False,
+                **service,
+            }
+            path.bundle.bundle = bundle_of([msgspec.structs.replace(CHAT, **changes)])
+            path.worker("w1", sends())
+
+            async def ask() -> Reply:
+                return await (await path.send(request())).reply(without_body=head.framing == "none")
+
+            world.at(world.now + self.DEADLINE_S - 0.1, lambda: world.freeze("router"))
+            world.at(world.now + self.DEADLINE_S + 0.1, lambda: world.wake("router"))
+            reply = world.complete(ask(), within=10.0)
+            self.assertEqual(world.broken_invariants, [])
+            self.assertEqual(len(path.log_lines()), 1)
+            return reply
+
+    def assert_answered(self, reply: Reply) -> None:
+        self.assertIn(reply.status, (200, 204, 304, 504), reply)
+        self.assertTrue(reply.complete, reply)
+
+    def test_answer_without_body_is_not_left_unanswered(self) -> None:
+        """The worker's own 504 without a body met the deadline: the response was finished without a head."""
+        for status in (504, 200, 204, 304):
+            for repeatable in (False, True):
+                with self.subTest(status=status, repeatable=repeatable):
+                    lengths = () if status in (204, 304) else (("Content-Length", "0"),)
+                    head = HttpHead(status, lengths, "none" if not lengths else "length")
+                    self.assert_answered(self.reply(head, repeatable=repeatable))
+
+    def test_buffered_body_is_not_sent_without_its_head(self) -> None:
+        """The body of a repeatable call is held until it is complete; it must not follow without a head."""
+        body = b"a complete body"
+        head = HttpHead(200, (("Content-Length", str(len(body))),), "length")
+        options = AttemptOptions(buffered_body_bytes=1024)
+        reply = self.reply(head, body, options, repeatable=True)
+        self.assert_answered(reply)
+
+
 class NonRepeatable(PathCase):
     """Calls that may not be repeated run at most once for each idempotency key."""
 
