--- a/simulation/broken.py
+++ b/simulation/broken.py
@@ -132,6 +132,14 @@
         return Success(b"\n\ndata: [DONE]\n\n")
 
 
+class _NeverEndsCalls(WrappedExchange):
+    """Receives each response and tells the attempt neither of it nor of its cancellation."""
+
+    async def head(self) -> Result[HttpHead, HttpFault]:
+        await asyncio.get_running_loop().create_future()
+        raise AssertionError("never reached")
+
+
 class _IgnoresCancellation(WrappedExchange):
     """Ignores cancellation, so that workers go on with calls whose callers disconnected."""
 
@@ -472,6 +480,7 @@
     "loses pieces": lambda: _wrapping(_DropsThirdChunk),
     "names another call": lambda: _wrapping(_NamesAnotherCall),
     "ends cut streams": lambda: _wrapping(_CompletesTruncatedStreams),
+    "leaves callers waiting": lambda: _wrapping(_NeverEndsCalls),
     "ignores that callers leave": lambda: _wrapping(_IgnoresCancellation),
     "sends calls late": lambda: _with_client(_SendsLate),
     "says ready while it stops": lambda: _breaking(router=_says_ready_while_it_stops),
--- a/simulation/call_checks.py
+++ b/simulation/call_checks.py
@@ -145,6 +145,26 @@
     return found
 
 
+def caller_left_waiting(indexed: IndexedHistory) -> list[Violation]:
+    """Finds calls whose worker had ended and whose caller was sent nothing, not even the end of its connection."""
+    found = []
+    for attempt in indexed.attempts:
+        ends = [run.finished_at for run in indexed.runs_by_mark.get(attempt.mark, [])]
+        finished = [end for end in ends if end is not None]
+        if not finished or len(finished) < len(ends):
+            continue
+        indexed.judged["caller-left-waiting"] += 1
+        if attempt.end != "gave-up" or attempt.head_at is not None or attempt.ended_at is None:
+            continue
+        waited_s = attempt.ended_at - max(finished)
+        if waited_s <= indexed.bounds.unanswered:
+            continue
+        if not indexed.history.disturbed_at_all(attempt.sent_at, attempt.ended_at, after=indexed.bounds.recovery):
+            text = f"had no answer from {attempt.router} {waited_s:.2f} s after its last run had ended"
+            found.append(at_attempt(attempt, "caller-left-waiting", text))
+    return found
+
+
 def work_for_disconnected_caller(indexed: IndexedHistory) -> list[Violation]:
     """Finds calls that were sent to a worker, or worked on, after their caller disconnected.
 
--- a/simulation/history.py
+++ b/simulation/history.py
@@ -251,6 +251,10 @@
     def attempts(self) -> list[Attempt]:
         return [attempt for call in self.calls for attempt in call.attempts]
 
+    def disturbed_at_all(self, start: float, end: float, after: float = 0.0) -> bool:
+        """Returns whether any fault fell into the interval."""
+        return any(fault.touches(frozenset(fault.targets), start, end, after) for fault in self.faults)
+
     def disturbed(
         self, names: frozenset[str], start: float, end: float, after: float = 0.0, but: tuple[str, ...] = ()
     ) -> bool:
--- a/simulation/indexed_history.py
+++ b/simulation/indexed_history.py
@@ -29,6 +29,8 @@
     """
     drained: float = 2.0 + 0.1
     """Seconds after the start of a drain, or its acknowledgement, in which calls may still reach the worker."""
+    unanswered: float = 2.0
+    """Seconds after the end of its last run in which a call must be answered or its connection be closed."""
     caller_left: float = 0.5 + 0.02
     """How long after its caller disconnected a worker may still work on a call."""
     unready: float = 0.1
--- a/simulation/observer.py
+++ b/simulation/observer.py
@@ -26,6 +26,7 @@
     "newest-not-back": configuration_checks.latest_bundle_not_restored,
     "removed-key-works": configuration_checks.removed_key_accepted,
     "drained-worker-gets-turns": fleet_checks.drained_worker_receives_calls,
+    "caller-left-waiting": call_checks.caller_left_waiting,
     "works-for-a-caller-that-left": call_checks.work_for_disconnected_caller,
     "stays-ready-when-stopped": fleet_checks.ready_while_stopping,
     "stop-takes-too-long": fleet_checks.stop_takes_too_long,
--- a/simulation/tests/test_observer.py
+++ b/simulation/tests/test_observer.py
@@ -201,6 +201,12 @@
     history.calls[1].attempts[0].events[2] = ObservedEvent(event.at + 0.5, 2, event.call, event.text)
 
 
+def no_answer_after_the_run(history: History) -> None:
+    record = history.calls[1].attempts[0]
+    record.end, record.head_at, record.status, record.events = "gave-up", None, None, []
+    record.ended_at = 33.0
+
+
 def bundle_late(history: History) -> None:
     history.versions = version_polls((11.0, 1), (15.0, 1), (24.0, 1), (30.0, 2))
 
@@ -360,6 +366,7 @@
     ("newest-not-back", older_version_after_recovery),
     ("newest-not-back", router_without_answer),
     ("drained-worker-gets-turns", call_to_drained_worker),
+    ("caller-left-waiting", no_answer_after_the_run),
     ("works-for-a-caller-that-left", run_outlasts_disconnected_caller),
     ("works-for-a-caller-that-left", sent_after_caller_disconnected),
     ("stays-ready-when-stopped", ready_after_sigterm),
