Streams with a Content-Length go to callers in chunks, so no other size ends the router

Cause: the first worker's length was passed on, and tornado raises when more or fewer bytes follow. The same holds for a stream with an end marker, behind which bytes are dropped; not reported before, found on the way.

A length is passed on only for bodies whose bytes all go to the caller.

--- a/wingwood/forward/attempt/relay.py
+++ b/wingwood/forward/attempt/relay.py
@@ -109,14 +109,18 @@
         return True
 
     async def send_head(self) -> None:
-        """Sends the head of the response, unless that was done or the attempt was stopped."""
+        """Sends the head of the response, unless that was done or the attempt was stopped.
+
+        The worker's length is passed on only where the caller is sent exactly the worker's bytes. The size of a stream
+        is not known yet: another worker may continue it, and what trails its end marker is dropped.
+        """
         self.send_head_at = None
         if self._connection.stop_reason is not None or self._response.started:
             return
         added = self._formats.caller.worker_response_headers(self._call)
         headers = [*self._formats.worker.caller_headers(self._head), *added]
         length = declared_length(self._head)
-        if length is not None:
+        if length is not None and isinstance(self._reader, PlainBody):
             headers.append(("Content-Length", str(length)))
         await self._response.start(self._head.status, tuple(headers))
 
--- a/wingwood/forward/tests/test_forwarding.py
+++ b/wingwood/forward/tests/test_forwarding.py
@@ -123,6 +123,13 @@
         reply = self.path.call()
         self.assertEqual((reply.body(), reply.complete), (EVENT, False))
 
+    def test_stream_with_a_length_is_complete_at_its_end_marker(self) -> None:
+        """What trails the end marker is dropped, so the worker's length must not be announced to the caller."""
+        body = EVENT + DONE + b"data: trailing\n\n"
+        self.worker(responds(body, "200 OK", "Content-Type: text/event-stream"))
+        reply = self.path.call()
+        self.assertEqual((reply.complete, reply.body()), (True, EVENT + DONE))
+
     def test_answer_without_body(self) -> None:
         self.worker(sends(b"HTTP/1.1 204 No Content\r\n\r\n"))
 
