--- a/simulation/virtual_time.py
+++ b/simulation/virtual_time.py
@@ -12,7 +12,7 @@
 import heapq
 import itertools
 from collections import deque
-from collections.abc import Callable, Coroutine, Generator
+from collections.abc import Callable, Coroutine, Generator, Sequence
 from random import Random
 from typing import Any, cast
 
@@ -95,6 +95,10 @@
         return self is other
 
 
+Arrangement = Callable[[Sequence[VirtualHandle]], Sequence[Sequence[VirtualHandle]]]
+"""Returns the callbacks that became due while a process was frozen, grouped by iteration of the event loop."""
+
+
 class VirtualTask(asyncio.Task[Any]):
     """A task that knows the incarnation that created it and whose hash is the same in every run."""
 
@@ -274,16 +278,28 @@
         """Parks all callbacks of the incarnation from now on, as SIGSTOP does."""
         incarnation.frozen = incarnation.suspended = True
 
-    def wake(self, incarnation: Incarnation) -> None:
-        """Queues the parked callbacks; in half of the cases input comes before due timers, as epoll may deliver it."""
+    def wake(self, incarnation: Incarnation, arrange: Arrangement | None = None) -> None:
+        """Queues the parked callbacks; in half of the cases input comes before due timers, as epoll may deliver it.
+
+        ``arrange`` sets their order instead, and in which iterations of the event loop they run.
+        """
         incarnation.frozen = incarnation.suspended = False
         parked, incarnation.parked = incarnation.parked, deque()
-        if self._random.random() < 0.5:
+        if arrange is not None:
+            self._run_iterations(deque(arrange([handle for handle in parked if not handle.cancelled()])))
+        elif self._random.random() < 0.5:
             self._ready.extend(handle for handle in parked if handle.is_input)
             self._ready.extend(handle for handle in parked if not handle.is_input)
         else:
             self._ready.extend(parked)
 
+    def _run_iterations(self, iterations: deque[Sequence[VirtualHandle]]) -> None:
+        """Queues the callbacks of the first iteration, and behind them what queues those of the next one."""
+        if not iterations:
+            return
+        self._ready.extend(iterations.popleft())
+        self._ready.append(VirtualHandle(self._run_iterations, (iterations,), None))
+
     def kill(self, incarnation: Incarnation) -> None:
         """Stops the incarnation for ever; its tasks are retained, as collecting them would run ``finally`` blocks."""
         incarnation.dead = incarnation.suspended = True
--- a/simulation/world.py
+++ b/simulation/world.py
@@ -25,7 +25,7 @@
 
 from .disk import MachineDisk, SimulatedDisk
 from .network import Cut, NetworkShape, SimulatedNetwork, SimulatedNetworkCore
-from .virtual_time import INCARNATION, Incarnation, VirtualTask, VirtualTimeLoop, attach_tornado
+from .virtual_time import INCARNATION, Arrangement, Incarnation, VirtualTask, VirtualTimeLoop, attach_tornado
 
 Value = TypeVar("Value")
 Main = Callable[[Context], Awaitable[None]]
@@ -342,12 +342,13 @@
             assert process.incarnation is not None
             self.loop.freeze(process.incarnation)
 
-    def wake(self, process: Process | str) -> None:
+    def wake(self, process: Process | str, arrange: Arrangement | None = None) -> None:
+        """Continues a frozen process; ``arrange`` orders the callbacks that became due meanwhile."""
         process = self._process(process)
         if process.alive and process.frozen:
             self.note("world", "wake", process=process.name)
             assert process.incarnation is not None
-            self.loop.wake(process.incarnation)
+            self.loop.wake(process.incarnation, arrange)
 
     def power_off(self, machine: Machine | str) -> None:
         """Cuts the machine's power: its peers get no reset or end of stream, and unsynced data is lost."""
--- a/wingwood/forward/tests/fakes.py
+++ b/wingwood/forward/tests/fakes.py
@@ -168,9 +168,15 @@
         """Instances that were reported as unresponsive."""
         self.not_confirmed: set[str] = set()
         """Instances that ``confirm`` rejects."""
+        self.waits: list[Seconds] = []
+        """How long ``choose`` waits for each attempt of a call, in order; it does not wait for further ones."""
+        self.confirm_wait = Seconds(0.0)
+        """How long ``confirm`` waits."""
 
     async def choose(self, turn: Turn, excluded: Sequence[WorkerInstance]) -> Result[Choice, NoWorker]:
         self.turns.append(turn)
+        if len(self.turns) <= len(self.waits):
+            await asyncio.sleep(self.waits[len(self.turns) - 1])
         chosen = await super().choose(turn, excluded)
         self.running += isinstance(chosen, Success)
         return chosen
@@ -187,6 +193,8 @@
         self.finishes.append((str(choice.worker.instance), outcome, generated_tokens))
 
     async def confirm(self, worker: Worker) -> bool:
+        if self.confirm_wait:
+            await asyncio.sleep(self.confirm_wait)
         return worker.instance not in self.not_confirmed
 
     def suspect(self, instance: WorkerInstance) -> None:
@@ -355,6 +363,8 @@
         self.world = world
         self.stream = stream
         self.seen: list[tuple[float, bytes]] = []
+        self.head_at: float | None = None
+        """Virtual time at which the head of the latest answer was received."""
         stream.set_close_callback(lambda: None)  # Without a callback tornado does not notice a close between reads.
 
     def send(self, data: bytes) -> None:
@@ -363,11 +373,12 @@
     async def reply(self, without_body: bool = False) -> Reply:
         """Reads one answer, as far as it is received before the connection is closed."""
         head = (await self.stream.read_until(b"\r\n\r\n")).decode("latin-1")
+        self.head_at = self.world.now
         first, *lines = head[:-4].split("\r\n")
         headers = {line.partition(":")[0].lower(): line.partition(":")[2].strip() for line in lines}
         reply = Reply(int(first.split(" ")[1]), headers, b"", False, self.world.now)
         try:
-            if without_body:
+            if without_body or reply.status in (204, 304):
                 reply.complete = True
             elif headers.get("transfer-encoding") == "chunked":
                 await self._chunks(reply)
--- /dev/null
+++ b/wingwood/forward/tests/test_one_iteration.py
@@ -0,0 +1,63 @@
+"""Every order of what a router handles in one iteration of its event loop (docs/DESIGN.md section 12.5).
+
+Guards against callers that are left waiting when a worker's answer, a time limit, the caller's disconnection, a drain
+or a retry meet: each call has one complete answer or a closed connection within 0.5 s of its deadline (CONFIG), and
+leaves nothing behind. ``python -m wingwood.forward.tests.all_orders`` plays more: all moments, and each division of
+the events into two iterations.
+"""
+
+from __future__ import annotations
+
+import unittest
+from collections.abc import Iterable
+
+from .one_iteration import Case
+from .one_iteration_cases import (
+    DEADLINE_S,
+    EVENTS_BESIDE,
+    cases_at,
+    failures_of,
+    waits_before_attempt,
+)
+
+RUN_EACH_ALONE = True
+"""The modules plays thousands of runs of some 30 ms."""
+
+
+class EveryOrder(unittest.TestCase):
+    def assert_no_failures(self, cases: Iterable[Case], two_iterations: bool = False) -> None:
+        failures, runs = failures_of(cases, two_iterations)
+        self.assertGreater(runs, 0)
+        self.assertEqual(failures, [], f"{len(failures)} of {runs} runs")
+
+    def test_worker_alone(self) -> None:
+        """The worker's answer, or its end, and the deadline."""
+        self.assert_no_failures(cases_at(DEADLINE_S), two_iterations=True)
+
+    def test_retry_is_answered(self) -> None:
+        self.assert_no_failures(cases_at(DEADLINE_S, **EVENTS_BESIDE["retry is answered"]))
+
+    def test_retry_is_silent(self) -> None:
+        self.assert_no_failures(cases_at(DEADLINE_S, **EVENTS_BESIDE["retry is silent"]))
+
+    def test_stalled_loop(self) -> None:
+        self.assert_no_failures(cases_at(DEADLINE_S, **EVENTS_BESIDE["stalled loop"]))
+
+    def test_slow_caller(self) -> None:
+        self.assert_no_failures(cases_at(DEADLINE_S, **EVENTS_BESIDE["slow caller"]))
+
+    def test_caller_leaves(self) -> None:
+        self.assert_no_failures(cases_at(DEADLINE_S, **EVENTS_BESIDE["caller leaves"]))
+
+    def test_caller_resets(self) -> None:
+        self.assert_no_failures(cases_at(DEADLINE_S, **EVENTS_BESIDE["caller resets"]))
+
+    def test_router_stops(self) -> None:
+        self.assert_no_failures(cases_at(DEADLINE_S, **EVENTS_BESIDE["router stops"]))
+
+    def test_router_drains(self) -> None:
+        self.assert_no_failures(cases_at(DEADLINE_S, **EVENTS_BESIDE["router drains"]))
+
+    def test_waits_before_an_attempt(self) -> None:
+        """Quota, ledger, placement or the worker's confirmation reply at a time limit, or long after it."""
+        self.assert_no_failures(waits_before_attempt())
