--- a/wingwood/forward/policies/retry.py
+++ b/wingwood/forward/policies/retry.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from ...context.protocols import Clock
 from ...limits.protocols import RetryBudget
 from ..calls import IncomingCall
 from ..forward_options import RetryOptions
@@ -17,12 +18,14 @@
     """Retries on another worker, within the budget, while the caller has nothing or a stream that can be resumed.
 
     A call that may not be repeated is retried only if it can not have run. The number of workers that run a call
-    or have run it is limited by ``attempts`` of the service; workers that did not run it are not counted.
+    or have run it is limited by ``attempts`` of the service; workers that did not run it are not counted. No retry
+    starts after the call's deadline.
     """
 
     name = "retry"
 
-    def __init__(self, budget: RetryBudget, options: RetryOptions) -> None:
+    def __init__(self, clock: Clock, budget: RetryBudget, options: RetryOptions) -> None:
+        self._clock = clock
         self._budget = budget
         self._options = options
 
@@ -73,6 +76,8 @@
         )
 
     def _may_retry(self, call: IncomingCall, failure: AttemptFailure) -> bool:
+        if self._clock.monotonic() >= call.attributes.deadline:
+            return False
         if failure.run != "not-run" and not self._repeatable(call):
             return False
         if call.history.possible_runs >= call.service.attempts:
--- a/wingwood/forward/request_path.py
+++ b/wingwood/forward/request_path.py
@@ -99,7 +99,7 @@
         self._call_log = CallLog(context, metrics, recorder, self._router_responses, settings.log_calls)
         self._draining_policy = DrainingPolicy()
         authentication = AuthenticationPolicy(bundle_in_force, formats.caller)
-        retry = RetryPolicy(retry_budget, self._options.retry)
+        retry = RetryPolicy(context.clock, retry_budget, self._options.retry)
         self._chain = Chain(
             (
                 StartingPolicy(
--- a/wingwood/forward/tests/test_one_iteration.py
+++ b/wingwood/forward/tests/test_one_iteration.py
@@ -40,6 +40,10 @@
     def test_retry_is_silent(self) -> None:
         self.assert_no_failures(cases_at(DEADLINE_S, **EVENTS_BESIDE["retry is silent"]))
 
+    def test_retry_waits_for_placement(self) -> None:
+        """A retry that began in the iteration of the deadline waited for placement, and nothing ended the call."""
+        self.assert_no_failures(cases_at(DEADLINE_S, **EVENTS_BESIDE["retry waits for placement"]), two_iterations=True)
+
     def test_stalled_loop(self) -> None:
         self.assert_no_failures(cases_at(DEADLINE_S, **EVENTS_BESIDE["stalled loop"]))
 
