Relay: the head of an attempt that has failed is never sent, so its retry can answer

Callers (model test; not seen at the users): a repeatable call whose worker reset its connection 50 ms after its head got that head and a closed connection, though the retry's answer was complete; in the reverse order, a closed connection without a byte.

Cause: the timer left the sending of a due head to a task, which ran one iteration of the event loop later: after the attempt had failed, and before its retry.

ResponseStream.start never waited and is a plain method now, so the timer's callback sends the head itself, unless the response has ended (HttpExchange.ended): then the attempt is resumed next and decides.

--- a/simulation/broken.py
+++ b/simulation/broken.py
@@ -52,6 +52,9 @@
     def request_sent(self) -> bool:
         return self.inner.request_sent()
 
+    def ended(self) -> bool:
+        return self.inner.ended()
+
 
 class WrappedClient:
     """Wraps the exchanges of calls to workers; health checks pass unchanged."""
@@ -167,6 +170,9 @@
     def request_sent(self) -> bool:
         return True
 
+    def ended(self) -> bool:
+        return self._ready.done() and self._ready.result().ended()
+
 
 class DiscardingDisk:
     """Acknowledges all writes but holds them in memory only."""
--- a/simulation/http_client.py
+++ b/simulation/http_client.py
@@ -160,6 +160,9 @@
     def request_sent(self) -> bool:
         return self._sent
 
+    def ended(self) -> bool:
+        return self._ended or self._cancelled or (self._stream is not None and self._stream.closed())
+
 
 class PlainHttpClient:
     """Starts exchanges that each use a connection of their own."""
--- a/wingwood/context/protocols.py
+++ b/wingwood/context/protocols.py
@@ -223,6 +223,10 @@
         """Returns whether any byte of the request may have been sent."""
         ...
 
+    def ended(self) -> bool:
+        """Returns whether the response is complete or has failed, even if ``next_chunk`` has not returned that yet."""
+        ...
+
 
 class HttpClient(Protocol):
     """An HTTP client without redirects, decompression, proxies, resends and pipelining.
--- a/wingwood/context/tests/test_pooled_soak.py
+++ b/wingwood/context/tests/test_pooled_soak.py
@@ -224,6 +224,9 @@
     def request_sent(self) -> bool:
         return self._exchange.request_sent()
 
+    def ended(self) -> bool:
+        return self._exchange.ended()
+
 
 class BrokenVariants(unittest.TestCase):
     def count_objections(self, expected_text: str, make_client: Callable[[Testbed], None] | None = None) -> int:
--- a/wingwood/forward/attempt/connection.py
+++ b/wingwood/forward/attempt/connection.py
@@ -52,6 +52,10 @@
         """Returns whether any byte of the request may have been sent."""
         return self._exchange is not None and self._exchange.request_sent()
 
+    def response_ended(self) -> bool:
+        """Returns whether the worker's response is complete or has failed, although the attempt may not know it yet."""
+        return self._exchange is not None and self._exchange.ended()
+
     def stop(self, reason: StopReason) -> None:
         """Closes the connection. The first reason is kept."""
         if self.stop_reason is None:
--- a/wingwood/forward/attempt/relay.py
+++ b/wingwood/forward/attempt/relay.py
@@ -87,7 +87,7 @@
             attempt.first_chunk_after = Seconds(now - self._parameters.started_at)
             attempt.on_first_chunk(attempt.first_chunk_after)
         if not self._response.started:
-            await self.send_head()
+            self.send_head()
         call.stats.chunks += 1
         call.stats.body_bytes += len(data)
         if call.progress is not None:
@@ -108,7 +108,7 @@
         self.send_head_at = None
         return True
 
-    async def send_head(self) -> None:
+    def send_head(self) -> None:
         """Sends the head of the response, unless that was done or the attempt was stopped.
 
         The worker's length is passed on only where the caller is sent exactly the worker's bytes. The size of a stream
@@ -122,7 +122,7 @@
         length = declared_length(self._head)
         if length is not None and isinstance(self._reader, PlainBody):
             headers.append(("Content-Length", str(length)))
-        await self._response.start(self._head.status, tuple(headers))
+        self._response.start(self._head.status, tuple(headers))
 
     async def finish(self) -> None:
         """Sends what is still buffered of a complete response, and marks its end."""
@@ -130,7 +130,7 @@
         if remainder:
             await self.write(remainder)
         if not self._response.started:
-            await self.send_head()
+            self.send_head()
         await self._response.finish()
         is_success = self._head.status < _FIRST_ERROR_STATUS
         if isinstance(self._reader, PlainBody) and self._parameters.service.kind == "model" and is_success:
--- a/wingwood/forward/attempt/timers.py
+++ b/wingwood/forward/attempt/timers.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 from typing import Final
 
-from ...context.protocols import Clock, Tasks
+from ...context.protocols import Clock
 from ...identifiers import Instant
 from ..calls import IncomingCall
 from ..event_streams import BodyReader
@@ -37,7 +37,6 @@
         self,
         parameters: AttemptParameters,
         clock: Clock,
-        tasks: Tasks,
         connection: WorkerConnection,
         relay: ResponseRelay,
         reporter: WorkerOutcomeReporter,
@@ -49,7 +48,6 @@
         self._call = parameters.call
         self._response = parameters.call.response
         self._clock = clock
-        self._tasks = tasks
         self._connection = connection
         self._relay = relay
         self._reporter = reporter
@@ -138,8 +136,8 @@
             if self._relay.writing:
                 self._response.abort()  # Otherwise the write would go on waiting.
             return
-        if self._relay.head_due(now):
-            self._tasks.spawn("response head", self._relay.send_head())
+        if self._relay.head_due(now) and not self._connection.response_ended():
+            self._relay.send_head()
         self._check_by(min(self._due_times()))
 
     def _reached_limit(self, now: Instant) -> StopReason | None:
--- a/wingwood/forward/caller_response.py
+++ b/wingwood/forward/caller_response.py
@@ -62,7 +62,7 @@
         if callback is not None and self._caller.disconnected.is_set():
             callback()
 
-    async def start(self, status: int, headers: tuple[tuple[str, str], ...]) -> None:
+    def start(self, status: int, headers: tuple[tuple[str, str], ...]) -> None:
         """Prepares status and headers, which are written with the first chunk or in the loop's next iteration."""
         self._started = True
         fields = httputil.HTTPHeaders()
--- a/wingwood/forward/calls.py
+++ b/wingwood/forward/calls.py
@@ -31,7 +31,7 @@
         """Sets the only callback, run when ``disconnected`` is set (at once if it is set already); None removes it."""
         ...
 
-    async def start(self, status: int, headers: tuple[tuple[str, str], ...]) -> None:
+    def start(self, status: int, headers: tuple[tuple[str, str], ...]) -> None:
         """Sends status and headers; must be called once, before ``write``."""
         ...
 
--- a/wingwood/forward/policies/forwarding.py
+++ b/wingwood/forward/policies/forwarding.py
@@ -97,7 +97,6 @@
         timers = AttemptTimers(
             parameters,
             clock,
-            self._context.tasks,
             connection,
             relay,
             reporter,
--- a/wingwood/forward/router_responses.py
+++ b/wingwood/forward/router_responses.py
@@ -25,7 +25,7 @@
             call.request_id,
             sent=call.history.attempts > 0 or call.attempt_in_progress(),
         )
-        await call.response.start(rendered.status, rendered.headers)
+        call.response.start(rendered.status, rendered.headers)
         await call.response.write(rendered.body)
         await call.response.finish()
 
--- a/wingwood/forward/tests/test_one_iteration.py
+++ b/wingwood/forward/tests/test_one_iteration.py
@@ -11,17 +11,22 @@
 import unittest
 from collections.abc import Iterable
 
-from .one_iteration import Case
+from .one_iteration import Case, IterationWorld, Script
 from .one_iteration_cases import (
     DEADLINE_S,
     EVENTS_BESIDE,
+    HEAD,
+    HEAD_DUE_S,
+    MOMENTS,
+    PLAIN,
+    SERVICE_BOUNDS,
     cases_at,
     failures_of,
     waits_before_attempt,
 )
 
 RUN_EACH_ALONE = True
-"""The modules plays thousands of runs of some 30 ms."""
+"""The module plays thousands of runs of some 30 ms."""
 
 
 class EveryOrder(unittest.TestCase):
@@ -62,6 +67,31 @@
     def test_router_drains(self) -> None:
         self.assert_no_failures(cases_at(DEADLINE_S, **EVENTS_BESIDE["router drains"]))
 
+    def test_other_time_limits(self) -> None:
+        """The head's time, a move to another worker, the time between chunks and the first-byte deadline."""
+        for name, moment in MOMENTS.items():
+            with self.subTest(name):
+                self.assert_no_failures(cases_at(moment, **EVENTS_BESIDE["retry is answered"]))
+
     def test_waits_before_an_attempt(self) -> None:
         """Quota, ledger, placement or the worker's confirmation reply at a time limit, or long after it."""
         self.assert_no_failures(waits_before_attempt())
+
+
+class HeadsThatAreDue(unittest.TestCase):
+    def test_head_of_a_failed_attempt_is_not_sent(self) -> None:
+        """The head of a worker that had reset its connection was sent, so that the retry's answer could not follow."""
+        case = Case(
+            name="head and reset",
+            service=PLAIN,
+            options=SERVICE_BOUNDS,
+            moment=HEAD_DUE_S,
+            script=Script(before=HEAD, end="reset"),
+            retry="answers",
+        )
+        callbacks = IterationWorld(case, None).play().callbacks
+        self.assertEqual(sorted(callbacks), ["AttemptTimers._check", "VirtualTimeLoop._read"])
+        reset, head_due = callbacks.index("VirtualTimeLoop._read"), callbacks.index("AttemptTimers._check")
+        outcome = IterationWorld(case, ((reset, head_due),)).play()
+        assert outcome.reply is not None
+        self.assertEqual((outcome.reply.status, outcome.reply.complete, outcome.reply.raw), (200, True, b"second"))
