Starting: a router without workers holds calls no longer than their route's time limit

A call at a router that started less than 5 s ago and has no ready worker waited 1.5 s, also where timeout_ms is less: with 600 ms it was answered 0.4 s after timeout_ms + 0.5 s (CONFIG).

Cause: the policy comes before authentication and knew the caller's own timeout only, not the route's.

Evidence: test_a_call_does_not_wait_beyond_its_service_s_deadline failed before (1.501 s where 0.2 s is due; 7 passed, 1 failed); after it 8 passed. platform 131 passed.

--- a/wingwood/forward/policies/authentication.py
+++ b/wingwood/forward/policies/authentication.py
@@ -72,6 +72,16 @@
         call.attributes.bundle, call.attributes.tenant = bundle, tenant
         return None
 
+    def deadline(self, request: CallerRequest) -> Instant | None:
+        """Returns when a call ends at the latest, by its caller and the bundle as known now; None if neither says so.
+
+        The bundle may be one that calls may not be served by yet.
+        """
+        bundle, path = self._bundle_in_force.current(), self._format.plain_path(request.path)
+        route = None if bundle is None or path is None else _find_route(bundle, request, path)
+        service = None if bundle is None or route is None else bundle.services.get(route.service)
+        return self._deadline(request, service)
+
     def _accept(self, call: IncomingCall) -> Rejection | None:
         """Fills in the attributes and the progress of the call.
 
@@ -99,7 +109,9 @@
         attributes.prompt = self._format.prompt(request)
         attributes.urgency = _urgency(bundle, service, attributes.tenant)
         attributes.quota_cost = _quota_cost(attributes.tenant, attributes.prompt)
-        attributes.deadline = self._deadline(request, service)
+        deadline = self._deadline(request, service)
+        assert deadline is not None, "every service has a deadline"
+        attributes.deadline = deadline
         if service.resumable:
             call.progress = StreamProgress(self._format.last_event(request))
         return None
@@ -120,13 +132,13 @@
             return None
         return _MISSING_KEY if digest is None else _UNKNOWN_KEY
 
-    def _deadline(self, request: CallerRequest, service: Service) -> Instant:
-        """Returns the service's deadline, or the end of the timeout that the caller states if that is earlier."""
-        deadline = Instant(request.received_at + service.deadline)
+    def _deadline(self, request: CallerRequest, service: Service | None) -> Instant | None:
+        """Returns the service's deadline or the end of the timeout that the caller states, whichever is earlier."""
+        limits = [] if service is None else [request.received_at + service.deadline]
         caller_timeout = self._format.caller_timeout(request)
-        if caller_timeout is None:
-            return deadline
-        return Instant(min(deadline, request.headers_received_at + caller_timeout))
+        if caller_timeout is not None:
+            limits.append(request.headers_received_at + caller_timeout)
+        return Instant(min(limits)) if limits else None
 
 
 def _find_route(bundle: Bundle, request: CallerRequest, path: str) -> Route | None:
--- a/wingwood/forward/request_path.py
+++ b/wingwood/forward/request_path.py
@@ -106,7 +106,7 @@
                     context.clock,
                     lambda: bundle_in_force.may_serve() and has_workers(),
                     self._options.startup_wait,
-                    formats.caller,
+                    authentication.deadline,
                 ),
                 authentication,
                 self._draining_policy,
--- a/wingwood/forward/tests/test_starting.py
+++ b/wingwood/forward/tests/test_starting.py
@@ -9,6 +9,8 @@
 import asyncio
 import unittest
 
+import msgspec
+
 from simulation import World
 
 from ...identifiers import Seconds
@@ -18,7 +20,7 @@
 from ..forward_options import ForwardOptions
 from ..policies.starting import SERVING_RESERVE_SECONDS, STARTUP_SECONDS
 from ..worker_format import DefaultWorkerFormat
-from .fakes import Caller, PathWorld, Reply, request, responds
+from .fakes import CHAT, Caller, PathWorld, Reply, bundle_of, request, responds
 
 WAIT = ForwardOptions().startup_wait
 
@@ -89,6 +91,17 @@
         self.assertEqual(reply.status, 503)
         self.assertAlmostEqual(seconds, timeout - SERVING_RESERVE_SECONDS, delta=0.05)
 
+    def test_a_call_does_not_wait_beyond_its_service_s_deadline(self) -> None:
+        """A route's time limit was unknown to the wait for workers: its calls were held for 1.5 s (CONFIG)."""
+        deadline = Seconds(0.6)
+        path = self.start()
+        path.bundle.bundle = bundle_of([msgspec.structs.replace(CHAT, deadline=deadline)])
+        path.bundle.serving = True
+        path.placement.workers = []
+        reply, seconds = self.reply_and_time(path)
+        self.assertEqual((reply.status, reply.json()["run"]), (503, "not-run"))
+        self.assertAlmostEqual(seconds, deadline - SERVING_RESERVE_SECONDS, delta=0.05)
+
     def test_a_router_that_has_been_up_for_long_refuses_at_once(self) -> None:
         path = self.start()
         path.world.run(STARTUP_SECONDS + 0.1)
