Soak judges answers: calls beyond timeout_ms on three kinds of routes, workers that answer at it

It now has a route of each kind (non_idempotent, idempotent, streaming), callers that say 1 s or 3 s, and workers that end answers exactly at the deadline that they are handed: whole, in parts, with a 504, a reset, or as not run. Findings are a try without answer or closed connection for 3 s at a router that was not paused, and the users' rule for late answers.

--- a/bench/run_once/__init__.py
+++ b/bench/run_once/__init__.py
@@ -1,1 +1,1 @@
-"""A soak of real processes that looks for calls that run twice: ``python -m bench.run_once`` (docs/DESIGN.md 17.5)."""
+"""A soak of real processes for calls that run twice or have no answer: ``python -m bench.run_once`` (section 17.5)."""
--- a/bench/run_once/__main__.py
+++ b/bench/run_once/__main__.py
@@ -1,4 +1,4 @@
-"""``python -m bench.run_once --seeds 50``: looks for calls that run twice, on real processes."""
+"""``python -m bench.run_once --seeds 50``: looks for calls that run twice or have no answer, on real processes."""
 
 from __future__ import annotations
 
@@ -37,11 +37,14 @@
 
 def _print(seed: int, report: SoakReport) -> None:
     verdict = report.verdict
-    click.echo(f"seed {seed}: {verdict.runs} runs, {'held' if verdict.passed() else 'FOUND'}")
+    answers = f"{verdict.lasting} beyond the time limit, {len(verdict.late)} late, {len(verdict.silent)} not answered"
+    click.echo(f"seed {seed}: {verdict.runs} runs, {answers}, {'held' if verdict.passed() else 'FOUND'}")
     for kind, findings in (
         ("TWICE", verdict.twice),
         ("REFUSED", verdict.broken_promises),
         ("ended by itself", verdict.ended),
+        ("CONFIG, no answer", verdict.silent),
+        ("late answer", verdict.late),
     ):
         for finding in findings:
             click.echo(f"  {kind}: {finding}")
--- a/bench/run_once/callers.py
+++ b/bench/run_once/callers.py
@@ -16,9 +16,12 @@
 
 import msgspec
 
+from .routes import CALL_KINDS, TIMEOUT_S, kind_of
+
 PROMISES: Final = frozenset({408, 421, 429, 503})
 MAX_TRIES: Final = 3
-_DEADLINE_S: Final = 1.0
+_CALLER_TIMEOUTS_S: Final = (TIMEOUT_S, 3.0)
+"""How long callers say that they wait."""
 _ANSWER_TIMEOUT_S: Final = 3.0
 _THINK_S: Final = 0.01
 
@@ -33,6 +36,8 @@
     end: End
     status: int
     started_at: float
+    ended_at: float
+    """When it ended for the caller; both times are those of the wall clock, in seconds."""
 
     def may_try_again(self) -> bool:
         """Returns whether the call may be sent once more, since it has not run."""
@@ -75,7 +80,8 @@
     async def _call(self, connection: _Connection, random: Random) -> None:
         """Makes one call; its first try is sent on the open connection, further ones on new connections."""
         self._calls += 1
-        call = f"call{self._calls}"
+        kind = random.choice(CALL_KINDS)
+        call = f"{kind.name}{self._calls}"
         split = random.random() < 0.2
         result = await self._try(f"{call}-1", connection, split)
         for number in range(2, MAX_TRIES + 1):
@@ -92,7 +98,7 @@
     async def _try(self, attempt: str, connection: _Connection, split: bool) -> Try:
         started_at = time.time()
         end, status = await connection.ask(attempt, split)
-        result = Try(attempt, connection.router, end, status, started_at)
+        result = Try(attempt, connection.router, end, status, started_at, time.time())
         self.tries.append(result)
         self.outcomes[f"{end} {status}" if status else end] += 1
         self._log.write(f"{started_at:.6f} {attempt} {connection.router} {end} {status} {time.time():.6f}\n")
@@ -124,9 +130,10 @@
     async def ask(self, attempt: str, split: bool) -> tuple[End, int]:
         """Sends one request, in two parts if ``split``, and returns how it ended, with the status of the answer."""
         body = b"a small order"
+        waits = _CALLER_TIMEOUTS_S[len(attempt) % len(_CALLER_TIMEOUTS_S)]
         head = (
-            f"POST /order/1 HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: {attempt}\r\nX-Api-Key: key-1\r\n"
-            f"Deadline-Ms: {int(1000 * _DEADLINE_S)}\r\nContent-Length: {len(body)}\r\n\r\n"
+            f"POST /{kind_of(attempt).name}/1 HTTP/1.1\r\nHost: shop.example\r\nAttempt-Id: {attempt}\r\n"
+            f"X-Api-Key: key-1\r\nDeadline-Ms: {int(1000 * waits)}\r\nContent-Length: {len(body)}\r\n\r\n"
         ).encode()
         answered = False
         try:
@@ -153,11 +160,22 @@
 
     async def _read_answer(self, first: bytes) -> int:
         length = 0
+        chunked = False
         while (line := (await self._reader.readline()).strip()) != b"":
             name, _, value = line.lower().partition(b":")
             if name == b"content-length":
                 length = int(value)
+            elif name == b"transfer-encoding":
+                chunked = True
             elif name == b"connection" and b"close" in value:
                 self.usable = False
-        await self._reader.readexactly(length)
+        if chunked:
+            await self._read_chunks()
+        else:
+            await self._reader.readexactly(length)
         return int(first.split()[1])
+
+    async def _read_chunks(self) -> None:
+        while (size := int(await self._reader.readuntil(b"\r\n"), 16)) > 0:
+            await self._reader.readexactly(size + 2)
+        await self._reader.readexactly(2)
--- a/bench/run_once/soak.py
+++ b/bench/run_once/soak.py
@@ -56,7 +56,7 @@
             ended = [each for machine in site.machines for each in machine.ended()]
         finally:
             site.close()
-    verdict = judge(read_ledgers(worker.ledger for worker in site.workers), callers.tries, ended)
+    verdict = judge(read_ledgers(worker.ledger for worker in site.workers), callers.tries, ended, troubles.pauses)
     return SoakReport(verdict, callers.outcomes)
 
 
--- a/bench/run_once/tests/test_soak.py
+++ b/bench/run_once/tests/test_soak.py
@@ -14,7 +14,10 @@
 
 
 class ShortSoak(unittest.TestCase):
-    """A call that may run only once must not run twice, whatever is signalled, restarted or changed meanwhile."""
+    """A call that may run only once must not run twice, and every call is answered by its route's time limit.
+
+    That holds whatever is signalled, restarted or changed meanwhile, and although workers answer at their deadlines.
+    """
 
     def assert_held(self, seed: int) -> None:
         with tempfile.TemporaryDirectory() as folder:
@@ -22,6 +25,9 @@
         self.assertEqual(report.verdict.twice, ())
         self.assertEqual(report.verdict.broken_promises, ())
         self.assertEqual(report.verdict.ended, ())
+        self.assertEqual(report.verdict.silent, ())
+        self.assertFalse(report.verdict.answers_too_late(), report.verdict.late)
+        self.assertGreater(report.verdict.lasting, 0)
         self.assertGreater(report.verdict.runs, 0)
 
     def test_seed_1(self) -> None:
--- a/bench/run_once/troubles.py
+++ b/bench/run_once/troubles.py
@@ -10,7 +10,10 @@
 from random import Random
 from typing import Final, TextIO
 
+import msgspec
+
 from .processes import CORE_MACHINES, GRACE_S, Machine, Site, WorkerPlace
+from .routes import CALL_KINDS, TIMEOUT_S
 from .worker import SERVICE
 
 _PAUSE_S: Final = (0.02, 0.5)
@@ -20,6 +23,15 @@
 Trouble = Callable[[], Awaitable[None]]
 
 
+class Pause(msgspec.Struct, frozen=True):
+    """A time in which a router was stopped by a signal, in seconds of the wall clock."""
+
+    router: str
+    """IP number of the router's machine."""
+    began_at: float
+    ended_at: float
+
+
 class Troubles:
     """Draws troubles until ``stop``; each runs in a task of its own, so that they overlap."""
 
@@ -33,6 +45,8 @@
         self._busy: set[str] = set()
         self._tasks: set[asyncio.Task[None]] = set()
         self.version = 0
+        self.pauses: list[Pause] = []
+        """When routers were stopped and continued."""
 
     def stop(self) -> None:
         """Draws no more troubles."""
@@ -113,18 +127,22 @@
         if machine is not None:
             pause = self._random.choice((0.01, 0.03, 0.2, 1.0))
             self._note(f"{machine.name}: router paused for {pause} s, then killed")
+            began_at = time.time()
             machine.signal("router", signal.SIGSTOP)
             await asyncio.sleep(pause)
             machine.kill("router")
+            self.pauses.append(Pause(machine.host, began_at, time.time()))
             await self._restart_router(machine)
 
     async def _pause_router(self) -> None:
         machine = self._random.choice(self._site.machines)
         pause = self._random.choice((0.005, 0.02, 0.1, 0.4, 1.2, 2.5))
         self._note(f"{machine.name}: router paused for {pause} s")
+        began_at = time.time()
         machine.signal("router", signal.SIGSTOP)
         await asyncio.sleep(pause)
         machine.signal("router", signal.SIGCONT)
+        self.pauses.append(Pause(machine.host, began_at, time.time()))
 
     async def _hang_up_router(self) -> None:
         machine = self._random.choice(self._site.machines)
@@ -227,21 +245,25 @@
 
 
 def _configuration(version: int, max_attempts: int) -> dict[str, object]:
-    """Returns a configuration with one route whose calls may run only once."""
-    route = {
-        "name": "r-order",
-        "host": "shop.example",
-        "path_prefix": "/order/",
-        "kind": "non_idempotent",
-        "timeout_ms": 1000,
-        "target_latency_ms": 150,
-        "priority": 1,
-        "service": SERVICE,
-        "max_attempts": max_attempts,
-        "auth_exempt": False,
-        "sticky": False,
-        "stream_resume": False,
-    }
+    """Returns a configuration with one route for each kind of call."""
+    routes = [
+        {
+            "name": f"r-{kind.name}",
+            "host": "shop.example",
+            "path_prefix": f"/{kind.name}/",
+            "kind": kind.platform_kind,
+            "timeout_ms": int(1000 * TIMEOUT_S),
+            "target_latency_ms": 150,
+            "target_gap_ms": 150,
+            "priority": 1,
+            "service": SERVICE,
+            "max_attempts": max_attempts,
+            "auth_exempt": False,
+            "sticky": False,
+            "stream_resume": False,
+        }
+        for kind in CALL_KINDS
+    ]
     service = {"name": SERVICE, "health_path": "/health", "max_connections": 130, "protocol": "h1", "tls": False}
     tenant = {
         "name": "tenant-1",
@@ -258,4 +280,4 @@
         "header_timeout_ms": 3000,
         "idle_timeout_ms": 15000,
     }
-    return {"version": version, "routes": [route], "services": [service], "limits": limits, "tenants": [tenant]}
+    return {"version": version, "routes": routes, "services": [service], "limits": limits, "tenants": [tenant]}
--- a/bench/run_once/worker.py
+++ b/bench/run_once/worker.py
@@ -32,8 +32,25 @@
     "close-idle-soon": 5,
     "surplus-answer": 3,
     "late": 1,
+    "504-at-deadline": 2,
+    "answer-at-deadline": 2,
+    "rest-at-deadline": 2,
+    "full-at-deadline": 2,
+    "reset-at-deadline": 1,
 }
-"""What a worker does with a request, and how often (weights)."""
+"""What a worker does with a request, and how often (weights); the deadline is the one that the worker is handed."""
+_SPIN_S: Final = 0.003
+"""The event loop's timers are up to a millisecond late, so that the last part of an exact wait is spent spinning."""
+_LATE_S: Final = 1.3
+_EVENT: Final = b"id: %d\ndata: xxxxxxxx\n\n"
+_EVENTS: Final = 3
+
+
+async def _wait_exactly(until: float) -> None:
+    """Returns at a time of the monotonic clock."""
+    await asyncio.sleep(max(0.0, until - time.monotonic() - _SPIN_S))
+    while time.monotonic() < until:
+        pass
 
 
 class Worker:
@@ -106,10 +123,12 @@
     async def _answer(self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter) -> bool:
         """Handles one request; returns whether the connection stays open."""
         head = (await reader.readuntil(b"\r\n\r\n")).decode("latin-1")
+        received_at = time.monotonic()
         lines = head.split("\r\n")
         headers = {name.lower(): value.strip() for name, _, value in (line.partition(":") for line in lines[1:])}
         await reader.readexactly(int(headers.get("content-length") or 0))
-        if lines[0].split(" ")[1] == "/health":
+        path = lines[0].split(" ")[1]
+        if path == "/health":
             writer.write(f"HTTP/1.1 200 OK\r\nInstance-Id: {self.instance}\r\nContent-Length: 0\r\n\r\n".encode())
             return True
         attempt = headers.get("attempt-id", "none")
@@ -117,18 +136,37 @@
             writer.write(self._response(attempt, "421 Misdirected", "Not-Executed: 1"))
             return True
         fault = self._random.choices(list(_FAULTS), list(_FAULTS.values()))[0]
+        deadline = received_at + int(headers.get("deadline-ms") or 0) / 1000
+        if fault == "full-at-deadline":
+            await _wait_exactly(deadline)
+            fault = "full"
         if fault == "refuse-unread":
             self._reset(writer)
             return False
         if fault == "full":
             writer.write(self._response(attempt, "503 Full", "Not-Executed: 1"))
             return True
-        return await self._run(attempt, fault, writer)
-
-    async def _run(self, attempt: str, fault: str, writer: asyncio.StreamWriter) -> bool:
         os.write(self._ledger, f"{attempt} {self.instance} {time.time():.6f}\n".encode())
-        await asyncio.sleep(1.3 if fault == "late" else self._random.choice((0.0, 0.005, 0.02, 0.08)))
-        answer = self._response(attempt, "200 OK", "Keep-Alive: timeout=4", b"x" * 800)
+        answer = self._stream(attempt) if path.startswith("/chat/") else self._answer_of(attempt)
+        if fault.endswith("-at-deadline"):
+            return await self._finish_at(deadline, attempt, answer, fault, writer)
+        return await self._run(answer, fault, writer)
+
+    async def _finish_at(
+        self, deadline: float, attempt: str, answer: bytes, fault: str, writer: asyncio.StreamWriter
+    ) -> bool:
+        """Ends the answer at the deadline that the router set; returns whether the connection stays open."""
+        sent = self._random.randrange(1, len(answer)) if fault == "rest-at-deadline" else 0
+        writer.write(answer[:sent])
+        await _wait_exactly(deadline)
+        if fault == "reset-at-deadline":
+            self._reset(writer)
+            return False
+        writer.write(self._response(attempt, "504 Late") if fault == "504-at-deadline" else answer[sent:])
+        return True
+
+    async def _run(self, answer: bytes, fault: str, writer: asyncio.StreamWriter) -> bool:
+        await asyncio.sleep(_LATE_S if fault == "late" else self._random.choice((0.0, 0.005, 0.02, 0.08)))
         match fault:
             case "lost-answer":
                 return False
@@ -152,13 +190,25 @@
         writer.write(answer)
         return True
 
-    def _response(self, attempt: str, status: str, header: str, body: bytes = b"") -> bytes:
+    def _answer_of(self, attempt: str) -> bytes:
+        return self._response(attempt, "200 OK", "Keep-Alive: timeout=4", b"x" * 800)
+
+    def _stream(self, attempt: str) -> bytes:
+        """Returns a stream of events in chunks."""
+        head = (
+            f"HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nResponse-Seal: {self.instance}.seal\r\n"
+            "Content-Type: text/event-stream\r\nTransfer-Encoding: chunked\r\n\r\n"
+        )
+        events = [_EVENT % number for number in range(1, _EVENTS + 1)]
+        return head.encode() + b"".join(b"%x\r\n%b\r\n" % (len(event), event) for event in events) + b"0\r\n\r\n"
+
+    def _response(self, attempt: str, status: str, header: str = "", body: bytes = b"") -> bytes:
         lines = [
             f"HTTP/1.1 {status}",
             f"Attempt-Id: {attempt}",
             f"Response-Seal: {self.instance}.seal",
             f"Content-Length: {len(body)}",
-            header,
+            *([header] if header else []),
         ]
         return "\r\n".join([*lines, "", ""]).encode() + body
 
