Stop: a caller that reads nothing does not hold up the other callers' answers

When a router's stop time was over, callers without an answer got none while one of them read nothing, and the process did not end.

Cause: the rejections were sent one after another, and each waits until the kernel has taken it. The slow callers of the tests read ahead all the same (tornado watches a stream with a close callback), so no test had shown it.

All rejections are sent at once now; the stop waits 0.2 s for them and then closes all connections, as before.

--- a/wingwood/forward/request_path.py
+++ b/wingwood/forward/request_path.py
@@ -45,6 +45,8 @@
 _DRAIN_STEPS: Final = 10
 """Number of sleeps into which a waiting phase of a drain is divided; see ``_keep_serving``."""
 _LAST_CALLS_POLL_SECONDS = Seconds(0.02)
+_LAST_REJECTIONS_SECONDS = Seconds(0.2)
+"""How long a stop waits for connections to take the rejections of unfinished calls; a caller may read nothing."""
 _ROUTER_STOPPING = Rejection(
     status=503,
     code="router-stopping",
@@ -200,13 +202,18 @@
             await self._context.clock.sleep(_LAST_CALLS_POLL_SECONDS)
 
     async def _abort_unfinished(self) -> None:
-        """Rejects the calls whose callers have no response yet; nothing of them is sent to a worker after that."""
+        """Rejects the calls whose callers have no response yet; nothing of them is sent to a worker after that.
+
+        All are rejected at once, since a caller that does not read holds up its own rejection.
+        """
         self._context.log.event("unfinished-calls-aborted", calls=len(self._calls))
         unanswered = [call for call in self._calls.values() if not call.response.started]
         for call in unanswered:
             call.early_rejection = call.early_rejection or _ROUTER_STOPPING
-        for call in unanswered:
-            await self._router_responses.send(call, _ROUTER_STOPPING)
+        loop = asyncio.get_running_loop()
+        sending = [loop.create_task(self._router_responses.send(call, _ROUTER_STOPPING)) for call in unanswered]
+        if sending:
+            await asyncio.wait(sending, timeout=_LAST_REJECTIONS_SECONDS)
 
     def stop(self) -> None:
         """Closes all connections now; responses in progress are aborted in a way that callers notice."""
--- a/wingwood/forward/tests/fakes.py
+++ b/wingwood/forward/tests/fakes.py
@@ -359,13 +359,15 @@
 class Caller:
     """One connection of a caller; ``seen`` lists the received parts of bodies with their virtual times."""
 
-    def __init__(self, world: World, stream: BaseIOStream) -> None:
+    def __init__(self, world: World, stream: BaseIOStream, reads_ahead: bool = True) -> None:
+        """Without ``reads_ahead``, nothing is read between replies, so that the router can fill the connection."""
         self.world = world
         self.stream = stream
         self.seen: list[tuple[float, bytes]] = []
         self.head_at: float | None = None
         """Virtual time at which the head of the latest answer was received."""
-        stream.set_close_callback(lambda: None)  # Without a callback tornado does not notice a close between reads.
+        if reads_ahead:
+            stream.set_close_callback(lambda: None)  # Without a callback tornado reads nothing between replies.
 
     def send(self, data: bytes) -> None:
         self.stream.write(data).add_done_callback(lambda future: future.cancelled() or future.exception())
@@ -486,14 +488,14 @@
         self.world.run(0.001)
         return worker
 
-    async def connect(self) -> Caller:
+    async def connect(self, reads_ahead: bool = True) -> Caller:
         process = self.world.processes.get("caller") or self.world.start("caller", _nothing)
         context = self.world.context_for(process)
         opened = await context.network.connect(self.address, Seconds(1.0))
-        return Caller(self.world, opened.unwrap())
+        return Caller(self.world, opened.unwrap(), reads_ahead)
 
-    async def send(self, data: bytes) -> Caller:
-        caller = await self.connect()
+    async def send(self, data: bytes, reads_ahead: bool = True) -> Caller:
+        caller = await self.connect(reads_ahead)
         caller.send(data)
         return caller
 
--- a/wingwood/forward/tests/one_iteration.py
+++ b/wingwood/forward/tests/one_iteration.py
@@ -191,7 +191,8 @@
 
     def _send(self) -> None:
         async def run() -> None:
-            self._caller = await self._path.send(request(f"/{self._case.service.name}", Idempotency_Key="k"))
+            call = request(f"/{self._case.service.name}", Idempotency_Key="k")
+            self._caller = await self._path.send(call, reads_ahead=self._case.caller != "slow")
             if self._case.caller == "slow":
                 await asyncio.sleep(self._case.service.deadline + ANSWER_WITHIN_S / 2)
             with contextlib.suppress(StreamClosedError):
--- a/wingwood/forward/tests/test_caller_edge.py
+++ b/wingwood/forward/tests/test_caller_edge.py
@@ -13,6 +13,7 @@
 from tornado.iostream import StreamClosedError
 
 from simulation import World
+from simulation.network import BUFFER_BYTES
 
 from ...identifiers import Seconds, ServiceName
 from ...limits.protocols import CallRejection
@@ -374,6 +375,33 @@
         self.world.run(0.2)
         self.assertEqual((len(self.worker.closed_by_router), self.path.path.in_flight()), (1, 0))
 
+    def test_caller_that_reads_nothing_does_not_hold_up_a_stop(self) -> None:
+        """The rejection of one call waited for its caller's full connection, and all others had no answer."""
+        service = msgspec.structs.replace(PLAIN, first_byte_timeout=Seconds(20.0), chunk_timeout=Seconds(30.0))
+        self.path.bundle.bundle = bundle_of([service])
+        head = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n"
+
+        async def run() -> tuple[Reply, float]:
+            self.worker.script = sends(head % 100_000, b"x" * 100_000)
+            measured = await self.path.send(request("/plain"))
+            unread = BUFFER_BYTES - len(await measured.stream.read_until(b"\r\n\r\n")) - 10
+            self.worker.script = sends(head % unread, b"x" * unread)
+            slow = await self.path.connect(reads_ahead=False)
+            slow.send(request("/plain"))
+            await asyncio.sleep(0.1)
+            self.worker.script = sends(keep_open=True)
+            slow.send(request("/plain"))
+            await asyncio.sleep(0.1)
+            other = await self.path.send(request("/plain"))
+            await asyncio.sleep(0.1)
+            self.assertEqual([self.path.path.in_flight(), len(self.worker.requests)], [2, 4])
+            await asyncio.wait_for(self.path.path.drain(), 8.0)
+            return await other.reply(), self.world.now
+
+        reply, drained = self.world.complete(run())
+        self.assertEqual((reply.status, reply.json()["code"]), (503, "router-stopping"))
+        self.assertLess(drained, 6.0)
+
     def test_slow_shares_or_ledger_do_not_leave_callers_unanswered(self) -> None:
         for path, slow, run in (("/plain", self.path.limits, "not-run"), ("/cards", self.path.ledger, "unknown")):
             slow.delay = Seconds(30.0)
