--- a/wingwood/forward/caller_response.py
+++ b/wingwood/forward/caller_response.py
@@ -51,6 +51,11 @@
         """Returns whether ``start`` has been called."""
         return self._started
 
+    @property
+    def ended(self) -> bool:
+        """Returns whether the response was finished or aborted."""
+        return self._ended
+
     @property
     def disconnected(self) -> asyncio.Event:
         """The event that is set when the caller has closed its connection."""
@@ -96,8 +101,8 @@
                 await self._caller.last_write
 
     async def finish(self) -> None:
-        """Writes the end of a complete response."""
-        if self._ended:
+        """Writes the end of a complete response, if it has a head."""
+        if self._ended or not self._started:
             return
         self._ended = True
         with contextlib.suppress(StreamClosedError):
--- a/wingwood/forward/calls.py
+++ b/wingwood/forward/calls.py
@@ -27,6 +27,11 @@
         """The event that is set when the caller has closed its connection."""
         ...
 
+    @property
+    def ended(self) -> bool:
+        """Returns whether the response was finished or aborted."""
+        ...
+
     def on_disconnect(self, callback: Callable[[], None] | None) -> None:
         """Sets the only callback, run when ``disconnected`` is set (at once if it is set already); None removes it."""
         ...
@@ -40,7 +45,7 @@
         ...
 
     async def finish(self) -> None:
-        """Marks the end of a complete response."""
+        """Marks the end of a complete response; has no effect before ``start``."""
         ...
 
     def abort(self) -> None:
--- a/wingwood/forward/metrics.py
+++ b/wingwood/forward/metrics.py
@@ -44,6 +44,9 @@
         self._outcome_counters: dict[tuple[str, str], Counter] = {}
         self._placed_counters: dict[tuple[str, str], Counter] = {}
         self._service_metrics: dict[str, _ServiceMetrics] = {}
+        self.left_unanswered = Counter(
+            "wingwood_calls_left_unanswered", "Calls that ended without an answer and were cut off", registry=registry
+        )
         self.in_flight = Gauge("wingwood_calls_in_flight", "Calls under way", registry=registry)
         self.connections = Gauge("wingwood_caller_connections", "Connections of callers", registry=registry)
 
--- a/wingwood/forward/request_path.py
+++ b/wingwood/forward/request_path.py
@@ -24,7 +24,7 @@
 from .edge_state import EdgeState
 from .formats import Formats
 from .forward_options import CallerOptions, ForwardOptions, RequestLimits
-from .metrics import RequestMetrics
+from .metrics import RequestMetrics, outcome_name
 from .policies.admission import AdmissionPolicy
 from .policies.at_most_once import AtMostOncePolicy
 from .policies.authentication import AuthenticationPolicy
@@ -238,8 +238,26 @@
             self._metrics.in_flight.set(len(self._calls))
             if not self._calls:
                 self._no_calls.set()
+        self._end_response(call, result)
         self._call_log.add(call, result)
 
+    def _end_response(self, call: IncomingCall, result: CallResult) -> None:
+        """Closes the connection of a call that ended without an answer, which is a fault of this router.
+
+        An early rejection has a task of its own, which ends the response.
+        """
+        if call.response.ended or result is call.early_rejection:
+            return
+        self._metrics.left_unanswered.inc()
+        self._context.log.event(
+            "call-left-unanswered",
+            request=call.request_id,
+            outcome=outcome_name(result),
+            worker=call.history.worker or "-",
+            attempts=call.history.attempts,
+        )
+        call.response.abort()
+
     async def _run_chain(self, call: IncomingCall) -> CallResult:
         """Takes the call through the chain and sends the caller what a policy has not sent yet."""
         result: CallResult = ROUTER_DRAINING if self._rejects_calls else await self._chain.run(call)
--- a/wingwood/forward/tests/test_forwarding.py
+++ b/wingwood/forward/tests/test_forwarding.py
@@ -9,6 +9,7 @@
 import asyncio
 import itertools
 import unittest
+from unittest import mock
 
 import msgspec
 
@@ -18,6 +19,7 @@
 from ...context.protocols import HttpExchange, HttpHead, HttpRequest
 from ...identifiers import Seconds
 from ...ledger.protocols import ClaimTimeoutError
+from ..attempt.relay import ResponseRelay
 from ..forward_options import AttemptOptions, ForwardOptions
 from .fakes import (
     CARDS,
@@ -480,6 +482,25 @@
         self.assertEqual({line["status"] for line in self.path.log_lines()}, {200})
 
 
+class CallsWithoutAnswer(PathCase):
+    """Faults of the router itself that end a call without an answer."""
+
+    def test_call_that_ends_without_a_head_closes_its_connection(self) -> None:
+        """A response that was finished without a head left its caller waiting, and nothing was logged (review/2)."""
+        self.worker(responds(b""))
+
+        async def run() -> bytes:
+            caller = await self.path.send(request("/plain"))
+            return await caller.stream.read_until_close()
+
+        with mock.patch.object(ResponseRelay, "send_head", lambda _: None):
+            self.assertEqual(self.world.complete(run(), within=10.0), b"")
+        events = [event.fields for event in self.world.events if event.name == "call-left-unanswered"]
+        self.assertEqual([(event["outcome"], event["worker"]) for event in events], [("answered", "w1-1")])
+        self.assertEqual(self.path.metrics.get_sample_value("wingwood_calls_left_unanswered_total"), 1.0)
+        self.assertEqual(self.path.call("/plain").status, 200)
+
+
 class AnsweringHttpClient:
     """An HTTP client whose calls end with a complete answer after ``seconds``, in one turn of the event loop."""
 
