Errors of one call end that call: 502 or a closed connection, logged and counted

Cause: nothing told an error in what belongs to one call from one in what all calls share, and a real event loop only reports errors of callbacks.

Timers end their call when they fail; other callbacks log callback-failed.

--- a/simulation/world.py
+++ b/simulation/world.py
@@ -30,6 +30,8 @@
 Value = TypeVar("Value")
 Main = Callable[[Context], Awaitable[None]]
 START_OF_WALL_TIME = 1_800_000_000.0
+FAULT_EVENTS = frozenset({"call-failed", "call-left-unanswered", "callback-failed"})
+"""Log events of errors that a daemon survives; in a simulated run they count as broken invariants."""
 
 
 def seeded(seed: int, *names: object) -> Random:
@@ -111,6 +113,8 @@
 
     def event(self, name: str, **fields: object) -> None:
         self._world.note(self._source, name, **fields)
+        if name in FAULT_EVENTS:
+            self._world.broken_invariants.append(f"{self._world.now:.4f} {self._source} {name} {fields}")
 
 
 class SimulatedTasks:
--- a/wingwood/daemons/process.py
+++ b/wingwood/daemons/process.py
@@ -8,9 +8,11 @@
 import random
 import signal
 import sys
+import traceback
 from collections.abc import Callable
+from functools import partial
 from pathlib import Path
-from typing import Protocol
+from typing import Any, Protocol
 
 import msgspec
 from returns.result import Failure, Result, Success
@@ -128,6 +130,7 @@
         daemon.stop()
         return EXIT_NOT_STARTED
     loop = asyncio.get_running_loop()
+    loop.set_exception_handler(partial(_report_callback_error, context))
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stop_requested.set)
     hangup = asyncio.Event()
@@ -153,6 +156,13 @@
     return EXIT_STOPPED
 
 
+def _report_callback_error(context: Context, _: asyncio.AbstractEventLoop, details: dict[str, Any]) -> None:
+    """Logs an error that no task and no caller of a callback receives; without a log event nobody would see it."""
+    problem = details.get("exception")
+    trace = "" if problem is None else "".join(traceback.format_exception(problem)).replace("\n", " | ")
+    context.log.event("callback-failed", message=details.get("message"), trace=trace)
+
+
 async def follow_settings(
     context: Context, settings: DaemonSettings, read_settings: ReadSettings, hangup: asyncio.Event, daemon: Daemon
 ) -> None:
--- a/wingwood/forward/attempt/classifier.py
+++ b/wingwood/forward/attempt/classifier.py
@@ -131,6 +131,10 @@
                     uses_retry_budget=False,
                     exclude_worker=False,
                 )
+            case StopReason.INTERNAL_ERROR:
+                self._attempt.outcome = "cancelled"
+                reason = "this router failed to handle the call"
+                return AttemptFailure(code=stopped.value, reason=reason, run=run, status=502, retryable=False)
             case StopReason.MOVED_TO_OTHER_WORKER:
                 reason = "the worker is silent"
                 return AttemptFailure(code="worker-silent", reason=reason, run=run, status=504, uses_retry_budget=sent)
--- a/wingwood/forward/attempt/connection.py
+++ b/wingwood/forward/attempt/connection.py
@@ -8,6 +8,7 @@
 
 from ...context.protocols import Clock, HttpClient, HttpExchange, HttpRequest
 from ...identifiers import Seconds
+from ..call_failures import HTTP_CLIENT, CallFailures
 from ..calls import IncomingCall
 from ..formats import WorkerFormat
 from ..forward_options import AttemptOptions
@@ -30,6 +31,7 @@
         options: AttemptOptions,
         connection_limit: int | None,
         still_accepted: Callable[[IncomingCall], Rejection | None],
+        failures: CallFailures,
     ) -> None:
         self._parameters = parameters
         self._clock = clock
@@ -38,6 +40,7 @@
         self._options = options
         self._connection_limit = connection_limit
         self._still_accepted = still_accepted
+        self._failures = failures
         self._exchange: HttpExchange | None = None
         self.stop_reason: StopReason | None = None
         self.rejection: Rejection | None = None
@@ -45,7 +48,9 @@
 
     def open(self) -> HttpExchange:
         """Starts the exchange."""
-        self._exchange = self._http.start(self._request())
+        request = self._request()
+        with HTTP_CLIENT:
+            self._exchange = self._http.start(request)
         return self._exchange
 
     def request_sent(self) -> bool:
@@ -65,7 +70,8 @@
     def close(self) -> None:
         """Closes the connection, if the exchange has been started and has not ended."""
         if self._exchange is not None:
-            self._exchange.cancel()
+            with HTTP_CLIENT:
+                self._exchange.cancel()
 
     def _request(self) -> HttpRequest:
         call = self._parameters.call
@@ -81,22 +87,25 @@
         )
 
     def _may_send(self) -> bool:
-        """Returns whether the first byte of the call may be sent on the connection, which is established now.
+        """Returns whether the first byte of the call may be sent on the connection, which is established now."""
+        self.stop_reason = StopReason.INTERNAL_ERROR
+        with self._failures.confined(self._parameters.call, "check before the first byte"):
+            self.stop_reason = self._reason_not_to_send()
+        return self.stop_reason is None
 
-        The process may have been paused just before, so everything that can forbid the call is checked again.
-        """
+    def _reason_not_to_send(self) -> StopReason | None:
+        """Checks again everything that can forbid the call, as the process may have been paused just before."""
         call = self._parameters.call
         now = self._clock.monotonic()
         if call.response.disconnected.is_set():
-            self.stop_reason = StopReason.CALLER_DISCONNECTED
-        elif now >= call.attributes.deadline:
-            self.stop_reason = StopReason.DEADLINE
-        elif call.early_rejection is not None or (
+            return StopReason.CALLER_DISCONNECTED
+        if now >= call.attributes.deadline:
+            return StopReason.DEADLINE
+        if call.early_rejection is not None or (
             now >= self._parameters.first_byte_deadline and not self._parameters.resumes
         ):
-            self.stop_reason = StopReason.FIRST_BYTE_TIMEOUT
-        elif now - call.loop_last_ran > self._options.loop_stall_threshold:
-            self.stop_reason = StopReason.EVENT_LOOP_STALLED
-        elif (rejection := self._still_accepted(call)) is not None:
-            self.stop_reason, self.rejection = StopReason.NO_LONGER_ACCEPTED, rejection
-        return self.stop_reason is None
+            return StopReason.FIRST_BYTE_TIMEOUT
+        if now - call.loop_last_ran > self._options.loop_stall_threshold:
+            return StopReason.EVENT_LOOP_STALLED
+        self.rejection = self._still_accepted(call)
+        return None if self.rejection is None else StopReason.NO_LONGER_ACCEPTED
--- a/wingwood/forward/attempt/stop_reason.py
+++ b/wingwood/forward/attempt/stop_reason.py
@@ -18,6 +18,8 @@
     CHUNK_TIMEOUT = "silence"
     EVENT_LOOP_STALLED = "stalled"
     NO_LONGER_ACCEPTED = "refused"
+    INTERNAL_ERROR = "internal-error"
+    """A time limit could not be checked because of an unexpected error."""
 
 
 WORKER_UNRESPONSIVE: Final = frozenset(
@@ -25,6 +27,11 @@
 )
 """Reasons for which the worker is reported as unresponsive."""
 NOT_CAUSED_BY_WORKER: Final = frozenset(
-    {StopReason.CALLER_DISCONNECTED, StopReason.CALLER_WRITE_TIMEOUT, StopReason.DEADLINE}
+    {
+        StopReason.CALLER_DISCONNECTED,
+        StopReason.CALLER_WRITE_TIMEOUT,
+        StopReason.DEADLINE,
+        StopReason.INTERNAL_ERROR,
+    }
 )
 """Reasons that say nothing about the worker."""
--- a/wingwood/forward/attempt/timers.py
+++ b/wingwood/forward/attempt/timers.py
@@ -8,6 +8,7 @@
 
 from ...context.protocols import Clock
 from ...identifiers import Instant
+from ..call_failures import CallFailures
 from ..calls import IncomingCall
 from ..event_streams import BodyReader
 from ..forward_options import AttemptOptions
@@ -43,6 +44,7 @@
         options: AttemptOptions,
         wait_timeouts_end_calls: bool,
         reserve_retry: Callable[[IncomingCall], bool],
+        failures: CallFailures,
     ) -> None:
         self._parameters = parameters
         self._call = parameters.call
@@ -54,6 +56,7 @@
         self._options = options
         self._wait_timeouts_end_calls = wait_timeouts_end_calls
         self._reserve_retry = reserve_retry
+        self._run_checks = failures.guarded(self._call, "time limits", self._check, self._stop_after_error)
         self._loop = asyncio.get_running_loop()
         self._timer: asyncio.TimerHandle | None = None
         self._timer_at = Instant(0.0)
@@ -74,7 +77,7 @@
 
     def start(self) -> None:
         """Starts the timer."""
-        self._check()
+        self._run_checks()
 
     def response_started(self, reader: BodyReader) -> None:
         """Sets the time limits on the body, after the relay was given the head of the response."""
@@ -140,6 +143,12 @@
             self._relay.send_head()
         self._check_by(min(self._due_times()))
 
+    def _stop_after_error(self) -> None:
+        """Ends the attempt, since its time limits are not checked any more."""
+        self._connection.stop(StopReason.INTERNAL_ERROR)
+        if self._relay.writing:
+            self._response.abort()
+
     def _reached_limit(self, now: Instant) -> StopReason | None:
         """Returns why the attempt must be stopped now; None when no limit on the call has been reached."""
         writing = self._relay.writing
@@ -200,4 +209,4 @@
                 return
             self._timer.cancel()
         self._timer_at = at
-        self._timer = self._loop.call_later(max(0.0, at - self._clock.monotonic()), self._check)
+        self._timer = self._loop.call_later(max(0.0, at - self._clock.monotonic()), self._run_checks)
--- a/wingwood/forward/caller_edge.py
+++ b/wingwood/forward/caller_edge.py
@@ -87,6 +87,9 @@
             return
         self._connections[connection] = None
         try:
-            await serve_requests(connection, self._parameters)
+            with self.state.confined():
+                await serve_requests(connection, self._parameters)
         finally:
             self._connections.pop(connection, None)
+            if not connection.closing:
+                connection.close()
--- a/wingwood/forward/edge_state.py
+++ b/wingwood/forward/edge_state.py
@@ -6,6 +6,7 @@
 from http import HTTPStatus
 
 from ..context.protocols import Context
+from .call_failures import Confinement
 from .calls import IncomingCall
 from .formats import CallerFormat
 from .forward_options import CallerOptions, RequestLimits
@@ -24,6 +25,7 @@
         request_limits: Callable[[], RequestLimits],
         caller_format: CallerFormat,
         handle_call: CallHandler,
+        confined: Callable[[], Confinement],
     ) -> None:
         self.context = context
         self.options = options
@@ -31,6 +33,8 @@
         """Returns the limits as of now; the bundle in force may change them at any time."""
         self.format = caller_format
         self.handle_call = handle_call
+        self.confined = confined
+        """Returns a context that logs an unexpected error while a request is read, and ends it there."""
         self.close_after_response = False
         """Whether each response closes its connection, because the router is draining."""
         self.buffered_body_bytes = 0
--- a/wingwood/forward/metrics.py
+++ b/wingwood/forward/metrics.py
@@ -47,6 +47,7 @@
         self.left_unanswered = Counter(
             "wingwood_calls_left_unanswered", "Calls that ended without an answer and were cut off", registry=registry
         )
+        self.failed = Counter("wingwood_calls_failed", "Unexpected errors of single calls", registry=registry)
         self.in_flight = Gauge("wingwood_calls_in_flight", "Calls under way", registry=registry)
         self.connections = Gauge("wingwood_caller_connections", "Connections of callers", registry=registry)
 
--- a/wingwood/forward/policies/at_most_once.py
+++ b/wingwood/forward/policies/at_most_once.py
@@ -7,6 +7,7 @@
 from ...context.protocols import Context
 from ...identifiers import Instant, Seconds, TenantName
 from ...ledger.protocols import AlreadyClaimed, CallKey, ClaimError, Ledger
+from ..call_failures import LEDGER
 from ..calls import IncomingCall
 from ..formats import CallerFormat
 from ..forward_options import LedgerOptions
@@ -79,7 +80,8 @@
             return _LEDGER_UNREACHABLE
         self._next_probe = Instant(now + self._options.probe_interval)
         timeout = self._options.claim_timeout_fraction * call.service.first_byte_timeout
-        claim = await self._ledger.claim(key, Seconds(min(self._options.claim_timeout, timeout)))
+        with LEDGER:
+            claim = await self._ledger.claim(key, Seconds(min(self._options.claim_timeout, timeout)))
         self._ledger_unreachable = isinstance(claim, ClaimError)
         match claim:
             case AlreadyClaimed(state):
--- a/wingwood/forward/policies/first_byte_deadline.py
+++ b/wingwood/forward/policies/first_byte_deadline.py
@@ -7,6 +7,7 @@
 
 from ...context.protocols import Context
 from ...identifiers import Instant
+from ..call_failures import CallFailures
 from ..calls import IncomingCall
 from ..forward_options import DeadlineOptions, ForwardOptions
 from ..protocols import Proceed, RejectionSender
@@ -34,14 +35,17 @@
 
     name = "patience"
 
-    def __init__(self, context: Context, options: ForwardOptions, send_rejection: RejectionSender) -> None:
+    def __init__(
+        self, context: Context, options: ForwardOptions, send_rejection: RejectionSender, failures: CallFailures
+    ) -> None:
+        self._failures = failures
         self._context = context
         self._options = options
         self._send_rejection = send_rejection
 
     async def apply(self, call: IncomingCall, proceed: Proceed) -> CallResult:
         """Proceeds with a timer that ends the call when its time is over and no attempt is in progress."""
-        timer = _CallTimer(call, self._context, self._options, self._send_rejection)
+        timer = _CallTimer(call, self._context, self._options, self._send_rejection, self._failures)
         timer.start()
         try:
             result = await proceed(call)
@@ -58,8 +62,14 @@
     """
 
     def __init__(
-        self, call: IncomingCall, context: Context, options: ForwardOptions, send_rejection: RejectionSender
+        self,
+        call: IncomingCall,
+        context: Context,
+        options: ForwardOptions,
+        send_rejection: RejectionSender,
+        failures: CallFailures,
     ) -> None:
+        self._run_check = failures.guarded(call, "first-byte deadline", self._check, call.response.abort)
         self._call = call
         self._context = context
         self._send_rejection = send_rejection
@@ -80,7 +90,7 @@
 
     def _run_at(self, at: Instant) -> None:
         delay = max(0.0, at - self._context.clock.monotonic())
-        self._timer = self._loop.call_later(delay, self._check)
+        self._timer = self._loop.call_later(delay, self._run_check)
 
     def _check(self) -> None:
         call = self._call
--- a/wingwood/forward/policies/forwarding.py
+++ b/wingwood/forward/policies/forwarding.py
@@ -14,6 +14,7 @@
 from ..attempt.parameters import AttemptParameters
 from ..attempt.relay import ResponseRelay
 from ..attempt.timers import AttemptTimers
+from ..call_failures import CallFailures
 from ..calls import AttemptState, IncomingCall
 from ..formats import Formats
 from ..forward_options import ForwardOptions
@@ -45,12 +46,13 @@
         reserve_retry: Callable[[IncomingCall], bool],
         outcomes: CallOutcomes | None,
         router_count: Callable[[], int],
+        failures: CallFailures,
     ) -> None:
         """Sets what all attempts use.
 
         ``still_accepted`` returns why a call is no longer accepted right before it is sent. ``reserve_retry`` returns
         whether an attempt may be given up for another one. ``outcomes`` receives how each attempt ended.
-        ``router_count`` returns how many routers share the workers' connections.
+        ``router_count`` returns how many routers share the workers' connections. ``failures`` gets unexpected errors.
         """
         self._context = context
         self._registry = registry
@@ -60,6 +62,7 @@
         self._formats = formats
         self._still_accepted = still_accepted
         self._reserve_retry = reserve_retry
+        self._failures = failures
 
     async def apply(self, call: IncomingCall, proceed: Proceed) -> CallResult:  # noqa: ARG002
         """Runs one attempt on the worker that placement chose. This policy is the last one, so it never proceeds."""
@@ -91,6 +94,7 @@
             options,
             self._connection_limit(call, state),
             self._still_accepted,
+            self._failures,
         )
         relay = ResponseRelay(parameters, clock, connection, self._formats, options)
         reporter = WorkerOutcomeReporter(self._registry, self._outcomes, state.choice.worker.instance)
@@ -103,6 +107,7 @@
             options,
             self._options.deadline.wait_timeouts_end_calls,
             self._reserve_retry,
+            self._failures,
         )
         classifier = AttemptClassifier(parameters, clock, connection, reporter, worker_format)
         return ForwardingAttempt(parameters, connection, relay, timers, classifier, reporter, worker_format)
--- a/wingwood/forward/policies/paid_share.py
+++ b/wingwood/forward/policies/paid_share.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from ...limits.protocols import RetryBudget, Shares
+from ..call_failures import LIMITS
 from ..calls import IncomingCall
 from ..protocols import Proceed
 from ..results import CallResult, Rejection
@@ -22,9 +23,10 @@
 
     async def apply(self, call: IncomingCall, proceed: Proceed) -> CallResult:
         """Charges the call to its tenant's paid share; a call beyond it ends with 429."""
-        self._retry_budget.record_call(call.service)
         tenant = call.attributes.tenant
-        refusal = None if tenant is None else await self._shares.take(tenant, call.attributes.quota_cost)
+        with LIMITS:
+            self._retry_budget.record_call(call.service)
+            refusal = None if tenant is None else await self._shares.take(tenant, call.attributes.quota_cost)
         if refusal is None:
             return await proceed(call)
         return Rejection(
--- a/wingwood/forward/policies/placement.py
+++ b/wingwood/forward/policies/placement.py
@@ -7,10 +7,11 @@
 
 from returns.result import Failure
 
-from ...identifiers import RequestId, TenantName
+from ...identifiers import RequestId, Seconds, TenantName
 from ...limits.protocols import Admission
 from ...placement.protocols import Choice, Placement, Turn
 from ...registry.protocols import Registry
+from ..call_failures import ADMISSION, PLACEMENT, REGISTRY
 from ..calls import AttemptState, IncomingCall
 from ..protocols import Proceed
 from ..results import AttemptFailure, CallResult, Rejection
@@ -38,7 +39,8 @@
         """Starts an attempt on the chosen worker, and reports to placement how it ended; 503 without a worker."""
         turn = call.turn or self._make_turn(call)
         call.turn = turn
-        chosen = await self._placement.choose(turn, call.history.excluded_workers)
+        with PLACEMENT:
+            chosen = await self._placement.choose(turn, call.history.excluded_workers)
         if isinstance(chosen, Failure):
             no_worker = chosen.failure()
             return Rejection(
@@ -49,17 +51,19 @@
                 retry_after=no_worker.retry_after,
             )
         choice: Choice = chosen.unwrap()
-        on_first_chunk = partial(self._placement.first_token_received, turn, choice)
+        on_first_chunk = partial(self._first_chunk_received, turn, choice)
         attempt = call.attempt = AttemptState(choice=choice, on_first_chunk=on_first_chunk)
         tokens_before = call.stats.generated_tokens
         try:
             return await self._proceed(call, attempt, proceed)
         finally:
             generated = call.stats.generated_tokens - tokens_before
-            self._placement.finished(turn, choice, attempt.outcome, generated, attempt.first_chunk_after)
+            with PLACEMENT:
+                self._placement.finished(turn, choice, attempt.outcome, generated, attempt.first_chunk_after)
 
     async def _proceed(self, call: IncomingCall, attempt: AttemptState, proceed: Proceed) -> CallResult:
-        refusal = self._admission.check(call.service, attempt.choice.first_token)
+        with ADMISSION:
+            refusal = self._admission.check(call.service, attempt.choice.first_token)
         if refusal is not None:
             return Rejection(
                 status=503,
@@ -68,7 +72,9 @@
                 run=call.history.run,
                 retry_after=refusal.retry_after,
             )
-        if not await self._registry.confirm(attempt.choice.worker):
+        with REGISTRY:
+            confirmed = await self._registry.confirm(attempt.choice.worker)
+        if not confirmed:
             attempt.outcome = "refused"
             return AttemptFailure(
                 code="worker-not-ready",
@@ -78,6 +84,10 @@
             )
         return await proceed(call)
 
+    def _first_chunk_received(self, turn: Turn, choice: Choice, after: Seconds) -> None:
+        with PLACEMENT:
+            self._placement.first_token_received(turn, choice, after)
+
     def _make_turn(self, call: IncomingCall) -> Turn:
         self._turn_count += 1
         attributes = call.attributes
--- a/wingwood/forward/policies/retry.py
+++ b/wingwood/forward/policies/retry.py
@@ -6,6 +6,7 @@
 
 from ...context.protocols import Clock
 from ...limits.protocols import RetryBudget
+from ..call_failures import LIMITS
 from ..calls import IncomingCall
 from ..forward_options import RetryOptions
 from ..protocols import Proceed
@@ -51,7 +52,7 @@
             return False
         if history.possible_runs + 1 >= call.service.attempts:
             return False
-        history.retry_reserved = self._budget.take(call.service)
+        history.retry_reserved = self._take(call)
         return history.retry_reserved
 
     @staticmethod
@@ -87,7 +88,11 @@
         if call.history.retry_reserved:
             call.history.retry_reserved = False
             return True
-        return self._budget.take(call.service)
+        return self._take(call)
+
+    def _take(self, call: IncomingCall) -> bool:
+        with LIMITS:
+            return self._budget.take(call.service)
 
     @staticmethod
     def _repeatable(call: IncomingCall) -> bool:
--- a/wingwood/forward/request_path.py
+++ b/wingwood/forward/request_path.py
@@ -4,6 +4,7 @@
 
 import asyncio
 from collections.abc import Callable
+from functools import partial
 from typing import Final
 
 from returns.result import Failure, Result, Success
@@ -16,6 +17,7 @@
 from ..placement.protocols import Placement
 from ..registry.protocols import CallOutcomes, Registry
 from ..settings.model import DaemonSettings
+from .call_failures import CallFailures
 from .call_log import CallLog
 from .caller_edge import CallerEdge
 from .caller_format import DefaultCallerFormat
@@ -93,8 +95,14 @@
         self._metrics = metrics
         default_limits = RequestLimits(body_bytes=settings.body_bytes)
         self._options = options or ForwardOptions(caller=CallerOptions(request_limits=default_limits))
+        self._failures = CallFailures(context, metrics)
         edge_state = EdgeState(
-            context, self._options.caller, self._current_request_limits, formats.caller, self._handle_call
+            context,
+            self._options.caller,
+            self._current_request_limits,
+            formats.caller,
+            self._handle_call,
+            partial(self._failures.confined, None, "reading"),
         )
         self._edge = CallerEdge(edge_state, settings.caller)
         self._router_responses = RouterResponses(formats.caller)
@@ -112,7 +120,7 @@
                 ),
                 authentication,
                 self._draining_policy,
-                FirstByteDeadlinePolicy(context, self._options, self._router_responses.send),
+                FirstByteDeadlinePolicy(context, self._options, self._send_rejection, self._failures),
                 PaidSharePolicy(shares, retry_budget),
                 AdmissionPolicy(self._options.max_in_flight),
                 AtMostOncePolicy(context, ledger, self._options.ledger, formats.caller),
@@ -127,6 +135,7 @@
                     retry.reserve,
                     outcomes,
                     router_count,
+                    self._failures,
                 ),
             )
         )
@@ -211,7 +220,7 @@
         for call in unanswered:
             call.early_rejection = call.early_rejection or _ROUTER_STOPPING
         loop = asyncio.get_running_loop()
-        sending = [loop.create_task(self._router_responses.send(call, _ROUTER_STOPPING)) for call in unanswered]
+        sending = [loop.create_task(self._send_rejection(call, _ROUTER_STOPPING)) for call in unanswered]
         if sending:
             await asyncio.wait(sending, timeout=_LAST_REJECTIONS_SECONDS)
 
@@ -239,7 +248,8 @@
             if not self._calls:
                 self._no_calls.set()
         self._end_response(call, result)
-        self._call_log.add(call, result)
+        with self._failures.confined(call, "recording"):
+            self._call_log.add(call, result)
 
     def _end_response(self, call: IncomingCall, result: CallResult) -> None:
         """Closes the connection of a call that ended without an answer, which is a fault of this router.
@@ -260,16 +270,27 @@
 
     async def _run_chain(self, call: IncomingCall) -> CallResult:
         """Takes the call through the chain and sends the caller what a policy has not sent yet."""
-        result: CallResult = ROUTER_DRAINING if self._rejects_calls else await self._chain.run(call)
+        result: CallResult = ROUTER_DRAINING
+        with self._failures.confined(call, "handling") as confinement:
+            if not self._rejects_calls:
+                result = await self._chain.run(call)
+            assert not isinstance(result, AttemptFailure), "the retry policy turns each one into another result"
+        if confinement.failed:
+            result = self._failures.result(call)
         match result:
             case Rejection() if result is not call.early_rejection:
-                await self._router_responses.send(call, result)
-            case AttemptFailure():
-                raise AssertionError("the retry policy turns each AttemptFailure into another result")
+                await self._send_rejection(call, result)
             case Aborted():
                 call.response.abort()
         return result
 
+    async def _send_rejection(self, call: IncomingCall, rejection: Rejection) -> None:
+        """Sends the rejection; if that is not possible, closes the connection."""
+        with self._failures.confined(call, "rejection"):
+            await self._router_responses.send(call, rejection)
+        if not call.response.ended:
+            call.response.abort()
+
     def _current_request_limits(self) -> RequestLimits:
         """Returns the limits that the bundle in force sets for callers, or the router's own when it sets none."""
         bundle = self._bundle_in_force.current()
--- a/wingwood/forward/request_reader.py
+++ b/wingwood/forward/request_reader.py
@@ -3,7 +3,8 @@
 from __future__ import annotations
 
 import contextlib
-from collections.abc import Awaitable
+from collections.abc import Awaitable, Callable
+from functools import partial
 from typing import Final, cast
 
 from tornado import httputil
@@ -30,12 +31,56 @@
             caller.expect_request()
             connection = HTTP1Connection(cast(IOStream, caller), False, parameters, caller.peer)
             reader = RequestReader(caller, connection)
-            if not await connection.read_response(reader) or reader.last:
+            if not await connection.read_response(ConfinedReader(reader, caller)) or reader.last:
                 break
     if not caller.closing:
         caller.close()
 
 
+class ConfinedReader(httputil.HTTPMessageDelegate):
+    """Passes tornado's calls to a reader; an unexpected error of the reader closes the connection and is logged.
+
+    After an error it passes on only that the connection was closed.
+    """
+
+    def __init__(self, reader: RequestReader, caller: CallerConnection) -> None:
+        self._reader = reader
+        self._caller = caller
+        self._failed = False
+
+    def headers_received(
+        self,
+        start_line: httputil.RequestStartLine | httputil.ResponseStartLine,
+        headers: httputil.HTTPHeaders,
+    ) -> Awaitable[None] | None:
+        """Called by tornado with the head of the request."""
+        self._run(partial(self._reader.headers_received, start_line, headers))
+        return None
+
+    def data_received(self, chunk: bytes) -> Awaitable[None] | None:
+        """Called by tornado with a chunk of the body."""
+        self._run(partial(self._reader.data_received, chunk))
+        return None
+
+    def finish(self) -> None:
+        """Called by tornado at the end of the body."""
+        self._run(self._reader.finish)
+
+    def on_connection_close(self) -> None:
+        """Called by tornado when the connection is closed within the request."""
+        self._failed = False
+        self._run(self._reader.on_connection_close)
+
+    def _run(self, step: Callable[[], object]) -> None:
+        if self._failed:
+            return
+        with self._caller.edge.confined() as confinement:
+            step()
+        if confinement.failed:
+            self._failed = True
+            self._caller.close()
+
+
 class RequestReader(httputil.HTTPMessageDelegate):
     """Reads one request; tornado calls it with the headers and the chunks of the body.
 
--- a/wingwood/forward/worker_outcome_reporter.py
+++ b/wingwood/forward/worker_outcome_reporter.py
@@ -4,6 +4,7 @@
 
 from ..identifiers import WorkerInstance
 from ..registry.protocols import CallOutcomes, Registry
+from .call_failures import REGISTRY
 
 
 class WorkerOutcomeReporter:
@@ -22,36 +23,42 @@
 
     def begin(self) -> bool:
         """Returns whether the call may be sent to the worker now."""
-        self._started = self._outcomes is None or self._outcomes.begin(self._instance)
+        with REGISTRY:
+            self._started = self._outcomes is None or self._outcomes.begin(self._instance)
         return self._started
 
     def succeeded(self) -> None:
         """Reports that the worker responds properly; only the first outcome of an attempt is reported."""
         if not self._reported and self._outcomes is not None:
-            self._outcomes.succeeded(self._instance)
+            with REGISTRY:
+                self._outcomes.succeeded(self._instance)
         self._reported = True
 
     def failed(self) -> None:
         """Reports a failure of the worker once, even after a success: a response that started well may still break."""
         if not self._failed and self._outcomes is not None:
-            self._outcomes.failed(self._instance)
+            with REGISTRY:
+                self._outcomes.failed(self._instance)
         self._reported = self._failed = True
 
     def unresponsive(self) -> None:
         """Reports that the worker could not be connected to, or sent nothing for too long."""
-        self._registry.suspect(self._instance)
+        with REGISTRY:
+            self._registry.suspect(self._instance)
         self._reported = self._failed = True
 
     def misplaced(self) -> None:
         """Reports that another instance responded at the worker's address."""
-        if self._outcomes is not None:
-            self._outcomes.misplaced(self._instance)
-        else:
-            self._registry.suspect(self._instance)
+        with REGISTRY:
+            if self._outcomes is not None:
+                self._outcomes.misplaced(self._instance)
+            else:
+                self._registry.suspect(self._instance)
         self._reported = True
 
     def ended(self) -> None:
         """Reports an attempt that was started and ended without any outcome as abandoned."""
         if self._started and not self._reported and self._outcomes is not None:
-            self._outcomes.abandoned(self._instance)
+            with REGISTRY:
+                self._outcomes.abandoned(self._instance)
         self._reported = True
