--- a/wingwood/forward/call_failures.py
+++ b/wingwood/forward/call_failures.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import functools
 import traceback
 from collections.abc import Callable
 from types import TracebackType
@@ -109,6 +110,7 @@
         The event loop would only report the error, and nothing would end the call.
         """
 
+        @functools.wraps(callback)
         def run() -> None:
             try:
                 with self.confined(call, stage) as confinement:
--- a/wingwood/forward/tests/test_forwarding.py
+++ b/wingwood/forward/tests/test_forwarding.py
@@ -499,6 +499,8 @@
         self.assertEqual([(event["outcome"], event["worker"]) for event in events], [("answered", "w1-1")])
         self.assertEqual(self.path.metrics.get_sample_value("wingwood_calls_left_unanswered_total"), 1.0)
         self.assertEqual(self.path.call("/plain").status, 200)
+        self.assertEqual(len(self.world.broken_invariants), 1)  # The event counts as one; the test has caused it.
+        self.world.broken_invariants.clear()
 
 
 class AnsweringHttpClient:
