--- a/wingwood/daemons/tests/test_callback_errors.py
+++ b/wingwood/daemons/tests/test_callback_errors.py
@@ -9,25 +9,15 @@
 import signal
 import unittest
 
+import msgspec
 from returns.result import Result, Success
 
 from ...context.protocols import Context
-from ...identifiers import Address, DaemonName, Zone
 from ...settings.model import DaemonSettings
 from ..process import EXIT_STOPPED, StartFailure, run_daemon
+from .test_settings_change import SETTINGS as ROUTER_SETTINGS
 
-SETTINGS = DaemonSettings(
-    name=DaemonName("router-1"),
-    role="router",
-    zone=Zone("north"),
-    internal=Address("127.0.0.1", 7000),
-    operator=Address("127.0.0.1", 7001),
-    caller=Address("127.0.0.1", 7002),
-    seeds=(),
-    fleet_key=b"x" * 16,
-    operator_keys=("ab" * 32,),
-    keep_connections=True,
-)
+SETTINGS = msgspec.structs.replace(ROUTER_SETTINGS, seeds=(), keep_connections=True)
 
 
 def fail() -> None:
--- a/wingwood/forward/tests/test_call_failures.py
+++ b/wingwood/forward/tests/test_call_failures.py
@@ -8,6 +8,7 @@
 
 import asyncio
 import inspect
+import itertools
 import unittest
 from collections.abc import Callable, Sequence
 from typing import Any, Final
@@ -214,8 +215,8 @@
 
 
 class ErrorsOfOneCall(unittest.TestCase):
-    def play(self, stage: str, after: bool) -> None:
-        for owner, name, path_of in STAGES[stage]:
+    def play(self, stage: str) -> None:
+        for (owner, name, path_of), after in itertools.product(STAGES[stage], (False, True)):
             with self.subTest(stage=stage, method=f"{owner.__name__}.{name}", after=after):
                 self.play_one(owner, name, path_of, after)
 
@@ -248,36 +249,28 @@
         self.assertEqual(path.call("/plain", BODY).status, 200)
 
     def test_reading(self) -> None:
-        self.play("reading", after=False)
-        self.play("reading", after=True)
+        self.play("reading")
 
     def test_authentication(self) -> None:
-        self.play("authentication", after=False)
-        self.play("authentication", after=True)
+        self.play("authentication")
 
     def test_placement(self) -> None:
-        self.play("placement", after=False)
-        self.play("placement", after=True)
+        self.play("placement")
 
     def test_retry(self) -> None:
-        self.play("retry", after=False)
-        self.play("retry", after=True)
+        self.play("retry")
 
     def test_attempt(self) -> None:
-        self.play("attempt", after=False)
-        self.play("attempt", after=True)
+        self.play("attempt")
 
     def test_relay(self) -> None:
-        self.play("relay", after=False)
-        self.play("relay", after=True)
+        self.play("relay")
 
     def test_reporting(self) -> None:
-        self.play("reporting", after=False)
-        self.play("reporting", after=True)
+        self.play("reporting")
 
     def test_recording(self) -> None:
-        self.play("recording", after=False)
-        self.play("recording", after=True)
+        self.play("recording")
 
     def test_rejection(self) -> None:
         """The answer to a call that is rejected can't be made."""
