--- a/wingwood/forward/tests/all_orders.py
+++ b/wingwood/forward/tests/all_orders.py
@@ -11,15 +11,17 @@
 
 import click
 
-from .one_iteration_cases import EVENTS_BESIDE, MOMENTS, cases_at, failures_of, waits_before_attempt
+from .one_iteration_cases import EVENTS_BESIDE, MOMENTS, cases_at, failures_of, late_arrivals, waits_before_attempt
 
 WAITS = "waits before an attempt"
+ARRIVALS = "late arrivals"
 SHOWN_FAILURES = 40
 
 
 def play_family(moment: str, beside: str) -> tuple[str, list[str], int]:
     """Plays one family and returns its name, what failed and the number of runs."""
-    cases = waits_before_attempt() if moment == WAITS else cases_at(MOMENTS[moment], **EVENTS_BESIDE[beside])
+    others = {WAITS: waits_before_attempt, ARRIVALS: late_arrivals}
+    cases = others[moment]() if moment in others else cases_at(MOMENTS[moment], **EVENTS_BESIDE[beside])
     failures, runs = failures_of(cases, two_iterations=True)
     return f"{moment}, {beside}", failures, runs
 
@@ -29,7 +31,8 @@
 @click.option("--only", default="", help="Only families whose name contains this.")
 def main(processes: int, only: str) -> None:
     """Plays all families in parallel."""
-    families = [(moment, beside) for moment in MOMENTS for beside in EVENTS_BESIDE] + [(WAITS, "nothing else")]
+    families = [(moment, beside) for moment in MOMENTS for beside in EVENTS_BESIDE]
+    families += [(WAITS, "nothing else"), (ARRIVALS, "nothing else")]
     chosen = [family for family in families if only in ", ".join(family)]
     total = failed = 0
     with concurrent.futures.ProcessPoolExecutor(processes) as pool:
--- a/wingwood/forward/tests/one_iteration.py
+++ b/wingwood/forward/tests/one_iteration.py
@@ -94,6 +94,8 @@
     caller: Literal["stays", "leaves", "resets", "slow"] = "stays"
     router: Literal["serves", "drains", "stops"] = "serves"
     """Whether at the moment the time of a drain is over, or all connections are closed (``stops``)."""
+    arrival: Literal["before", "whole", "end of head", "end of body"] = "before"
+    """What of the call arrives at the moment, over a connection that was used before; ``before``: it came earlier."""
     stall: Seconds = Seconds(0.01)
     """How long after the moment the router continues."""
     share_wait: Seconds = Seconds(0.0)
@@ -171,7 +173,8 @@
             world.at(self._moment - FREEZE_BEFORE_S, lambda: world.freeze("router"))
             world.at(self._moment - SEND_BEFORE_S, self._act)
             world.at(self._moment + case.stall, lambda: world.wake("router", self._arrange))
-            world.run_until(self._received_at + case.service.deadline + ANSWER_WITHIN_S)
+            arrives_at = self._received_at if case.arrival == "before" else self._moment
+            world.run_until(arrives_at + case.service.deadline + ANSWER_WITHIN_S)
             outcome = Outcome(callbacks=self._callbacks, problems=[])
             self._judge_caller(outcome)
             world.run(SETTLE_S)
@@ -192,14 +195,31 @@
     def _send(self) -> None:
         async def run() -> None:
             call = request(f"/{self._case.service.name}", Idempotency_Key="k")
-            self._caller = await self._path.send(call, reads_ahead=self._case.caller != "slow")
+            if self._case.arrival == "before":
+                self._caller = await self._path.send(call, reads_ahead=self._case.caller != "slow")
+            else:
+                self._caller = await self._path.send(request("/unknown"))
+                await self._caller.reply()
             if self._case.caller == "slow":
                 await asyncio.sleep(self._case.service.deadline + ANSWER_WITHIN_S / 2)
             with contextlib.suppress(StreamClosedError):
+                if self._case.arrival != "before":
+                    await self._send_late(call)
                 self._reply = await self._caller.reply()
 
         self._world.loop.create_task(run(), name="caller")
 
+    async def _send_late(self, call: bytes) -> None:
+        """Sends ``call`` at the moment over a connection on which another one was rejected, or only the end of it."""
+        before = {"whole": 0, "end of head": call.index(b"\r\n\r\n") + 3, "end of body": len(call) - 1}[
+            self._case.arrival
+        ]
+        if before:
+            self._caller.send(call[:before])
+        await asyncio.sleep(self._moment - SEND_BEFORE_S - self._world.now)
+        self._caller.head_at = None
+        self._caller.send(call[before:])
+
     def _act(self) -> None:
         """Does what the caller and the operator do at the moment."""
         case = self._case
@@ -247,7 +267,7 @@
             outcome.problems += _problems_of(reply, self._case)
         elif not self._caller.stream.closed():
             outcome.problems.append("the caller is left waiting")
-        elif self._caller.head_at is None and self._case.router == "serves":
+        elif self._caller.head_at is None and self._case.router == "serves" and self._case.arrival == "before":
             outcome.problems.append("the connection was closed before any answer")
 
     def _judge_rest(self, outcome: Outcome, workers: Sequence[ScriptedWorker]) -> None:
@@ -260,7 +280,8 @@
             outcome.problems.append("an exchange is still in progress")
         if path.placement.running:
             outcome.problems.append("the turn still counts as running")
-        if len(path.log_lines()) != 1:
+        expected_lines = (1,) if self._case.arrival == "before" else (1, 2)
+        if len(path.log_lines()) not in expected_lines:
             outcome.problems.append(f"{len(path.log_lines())} log lines")
         outcome.runs = sum(len(worker.requests) for worker in workers) - self._case.script.not_run
         if outcome.runs > 1 and not self._case.service.repeatable:
--- a/wingwood/forward/tests/one_iteration_cases.py
+++ b/wingwood/forward/tests/one_iteration_cases.py
@@ -11,7 +11,14 @@
 from ...identifiers import Seconds
 from ..caller_format import DefaultCallerFormat
 from ..formats import Formats
-from ..forward_options import AttemptOptions, DeadlineOptions, ForwardOptions, RetryOptions
+from ..forward_options import (
+    AttemptOptions,
+    CallerOptions,
+    DeadlineOptions,
+    ForwardOptions,
+    RequestLimits,
+    RetryOptions,
+)
 from ..request_path import DEFAULT_FORMATS
 from ..worker_format import DefaultWorkerFormat
 from .fakes import CHUNKED, DONE, chunk
@@ -26,6 +33,11 @@
 MOVE_S: Final = Seconds(CHUNK_TIMEOUT_S / 2 + HEAD_RECEIVED_S)
 """When a resumable stream moves to another worker if no chunk follows its first one."""
 CHUNK_DUE_S: Final = Seconds(CHUNK_TIMEOUT_S + HEAD_RECEIVED_S)
+CONNECTION_LIMIT_S: Final = Seconds(0.3)
+FIRST_ANSWER_S: Final = 0.001
+"""When the answer to the first call of a connection has been sent, counted from its receipt."""
+IDLE_GRACE_S: Final = 0.05
+"""How long a connection stays open beyond its idle time (``TimedConnection``)."""
 STALL_S: Final = Seconds(0.2)
 """How long a stalled router does not run, which is above ``AttemptOptions.loop_stall_threshold``."""
 NOT_RUN: Final = b"HTTP/1.1 503 Full\r\nNot-Run: true\r\nContent-Length: 0\r\n\r\n"
@@ -153,6 +165,8 @@
     "router drains": {"router": "drains"},
 }
 """What else happens at the moment, or is different."""
+ARRIVALS: Final = {"idle_timeout": "whole", "head_timeout": "end of head", "body_timeout": "end of body"}
+"""What of a call is awaited under each time limit of a connection."""
 
 
 def cases_at(moment: Seconds, **changes: object) -> Iterator[Case]:
@@ -180,6 +194,25 @@
                         yield msgspec.structs.replace(case, name=f"{step} {wait:g}, {case.name}")
 
 
+def late_arrivals() -> Iterator[Case]:
+    """Returns cases whose call, or the last byte of it, arrives as a time limit of its connection or a stop is due."""
+    for limit in ARRIVALS:
+        for moment in (CONNECTION_LIMIT_S, Seconds(CONNECTION_LIMIT_S + IDLE_GRACE_S)):
+            for router in ("serves", "drains", "stops"):
+                for case in cases_at(moment, router=router, arrival=ARRIVALS[limit]):
+                    if case.name.endswith((": nothing", ": answer", ": stream")):
+                        options = msgspec.structs.replace(case.options, caller=_caller_options(limit))
+                        yield msgspec.structs.replace(case, name=f"{limit}, {router}, {case.name}", options=options)
+
+
+def _caller_options(limit: str) -> CallerOptions:
+    """Returns options with one short time limit, which is due at ``CONNECTION_LIMIT_S`` after a call was received."""
+    seconds = Seconds(CONNECTION_LIMIT_S - FIRST_ANSWER_S)
+    if limit == "body_timeout":
+        return CallerOptions(body_timeout=seconds)
+    return CallerOptions(request_limits=msgspec.structs.replace(RequestLimits(), **{limit: seconds}))
+
+
 def failures_of(cases: Iterable[Case], two_iterations: bool = False) -> tuple[list[str], int]:
     """Plays each case in every order; returns what failed and the number of runs."""
     failures: list[str] = []
--- a/wingwood/forward/tests/test_one_iteration.py
+++ b/wingwood/forward/tests/test_one_iteration.py
@@ -22,6 +22,7 @@
     SERVICE_BOUNDS,
     cases_at,
     failures_of,
+    late_arrivals,
     waits_before_attempt,
 )
 
@@ -73,6 +74,10 @@
             with self.subTest(name):
                 self.assert_no_failures(cases_at(moment, **EVENTS_BESIDE["retry is answered"]))
 
+    def test_late_arrivals(self) -> None:
+        """A call on a kept connection arrives as its idle, head or body time is over, or as the router stops."""
+        self.assert_no_failures(late_arrivals())
+
     def test_waits_before_an_attempt(self) -> None:
         """Quota, ledger, placement or the worker's confirmation reply at a time limit, or long after it."""
         self.assert_no_failures(waits_before_attempt())
