--- a/simulation/__init__.py
+++ b/simulation/__init__.py
@@ -30,8 +30,9 @@
 """
 
 from .disk import MachineDisk, SimulatedDisk
+from .endpoint import SimulatedStream
 from .http_client import PlainHttpClient
-from .network import Cut, NetworkShape, SimulatedNetwork, SimulatedStream
+from .network import Cut, NetworkShape, SimulatedNetwork
 from .virtual_time import VirtualTimeLoop
 from .world import Machine, Process, World, address_of, seeded
 
--- a/wingwood/forward/tests/test_caller_edge.py
+++ b/wingwood/forward/tests/test_caller_edge.py
@@ -13,7 +13,7 @@
 from tornado.iostream import StreamClosedError
 
 from simulation import World
-from simulation.network import BUFFER_BYTES
+from simulation.endpoint import BUFFER_BYTES
 
 from ...identifiers import Seconds, ServiceName
 from ...limits.protocols import CallRejection
